Refuse requests that frame their body in two ways

net/http drops Content-Length where Transfer-Encoding stands beside it, ends the body at the last chunk and serves the rest of that length as further requests.

Ruled out: the upstream side sending twice (each attempt is one write, and the requests reported had ids that only bodies held), and bodies of another length (the head tells a length that is right, but net/http does not use it).

A listener's connections now follow the heads on their way to net/http and withhold one that frames a body twice; the server answers 400 and closes. Behind a chunked body the connection ends, so that nothing is read unfollowed.

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -57,6 +57,10 @@
 		}
 		return
 	}
+	if len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1) {
+		// What follows such a body is not checked (see framing), and HTTP/1.0 knows no chunks.
+		w.Header().Set("Connection", "close")
+	}
 	q, left, err := f.read(r)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -43,7 +43,7 @@
 	f.ready.Store(true)
 	server := f.server()
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
+	go func() { failed <- server.Serve(framingListener{listener}) }()
 	select {
 	case err := <-failed:
 		return err
