--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -9,6 +9,7 @@
 	"net/textproto"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,25 +29,55 @@
 	clock clock
 	loop  *loop
 	held  atomic.Int64 // requests with no answer yet
-	conns atomic.Int64
-	ready atomic.Bool // what GET /up tells
+	ready atomic.Bool  // what GET /up tells
+
+	mu    sync.Mutex
+	conns map[net.Conn]http.ConnState // those that stand
+	most  int                         // and the most of them at once, lately
 }
 
-func newFront(cfg *Config, c clock, l *loop) *front { return &front{cfg: cfg, clock: c, loop: l} }
+func newFront(cfg *Config, c clock, l *loop) *front {
+	return &front{cfg: cfg, clock: c, loop: l, conns: make(map[net.Conn]http.ConnState)}
+}
 
 // server is the HTTP server that serves the application.
 func (f *front) server() *http.Server {
 	return &http.Server{
 		Handler: f, ReadHeaderTimeout: headerTime, IdleTimeout: clientIdle, MaxHeaderBytes: headerLimit,
-		ConnState: func(_ net.Conn, s http.ConnState) {
-			switch s {
-			case http.StateNew:
-				f.conns.Add(1)
-			case http.StateClosed, http.StateHijacked:
-				f.conns.Add(-1)
-			}
-		},
+		ConnState: f.connState,
+	}
+}
+
+// connState keeps count of the connections.
+func (f *front) connState(c net.Conn, s http.ConnState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s == http.StateClosed || s == http.StateHijacked {
+		delete(f.conns, c)
+		return
 	}
+	f.conns[c] = s
+	f.most = max(f.most, len(f.conns))
+}
+
+func (f *front) open() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns)
+}
+
+// counters are for the log: the connections of clients, by what they are at, and the most that
+// there were since the last call. Active ones above the requests held are sending a request, or
+// have stopped halfway.
+func (f *front) counters() map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	counts := map[string]int{"most": f.most, "held": int(f.held.Load())}
+	for _, s := range f.conns {
+		counts[s.String()]++
+	}
+	f.most = len(f.conns)
+	return counts
 }
 
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -78,7 +109,7 @@
 	}
 	defer f.held.Add(-1)
 	switch held := f.held.Add(1); {
-	case f.conns.Load() > int64(f.cfg.clientConns()):
+	case f.open() > f.cfg.clientConns():
 		w.Header().Set("Connection", "close") // descriptors run out: this one is needed
 		refuse(w, time.Second)
 		return
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -24,8 +24,9 @@
 	clock    clock
 	b        *policy.Balancer
 	upstream *upstream
-	watch    func() // subscribes to the list
-	most     int    // attempts for one request at most
+	watch    func()                // subscribes to the list
+	clients  func() map[string]int // counters of the application's side
+	most     int                   // attempts for one request at most
 
 	lastID   atomic.Uint64
 	events   chan func(now time.Duration)
@@ -59,6 +60,7 @@
 func newLoop(cfg *Config, c clock, up *upstream) (*loop, error) {
 	l := &loop{
 		clock: c, upstream: up, watch: func() {}, most: cfg.Policy.MaxAttempts,
+		clients:  func() map[string]int { return nil },
 		events:   make(chan func(time.Duration), eventQueue),
 		requests: make(map[policy.RequestID]*request),
 		address:  make(map[policy.ServerID]string),
@@ -93,7 +95,8 @@
 			l.now = l.clock.now()
 			l.wake()
 		case <-counters.C:
-			slog.Info("counters", "module", fmt.Sprintf("%+v", l.b.Counters()), "upstream", l.upstream.counters())
+			slog.Info("counters", "module", fmt.Sprintf("%+v", l.b.Counters()),
+				"upstream", l.upstream.counters(), "clients", l.clients())
 		case <-ctx.Done():
 			return
 		}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -34,6 +34,7 @@
 	d := newDiscovery(cfg, l.list, l.listFailed)
 	l.watch = d.ask
 	f := newFront(cfg, c, l)
+	l.clients = f.counters
 	slog.Info("serving", "name", cfg.Name, "listen", listener.Addr(), "servers", len(cfg.Known.servers))
 
 	running, stop := context.WithCancel(context.Background())
