Bound the time that a client's request may take to come in

A client had 10 s for a head and any time at all for a body.

Now a whole request has 2.25 s, under the 3 s in which whoever connects is owed an answer or a close, and an answer 2 s to be taken. net/http lifts the time to read once a body is in, so an upstream may take longer.

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	headerTime  = 10 * time.Second // a client may take this long over the head of a request
-	clientIdle  = 2 * time.Minute  // idle connections of clients are closed after this
+	readTime    = 2250 * time.Millisecond // a client may take this long over a request; one that connects is owed an end in 3 s
+	writeTime   = 2 * time.Second         // and this long to take its answer
+	clientIdle  = 2 * time.Minute         // idle connections of clients are closed after this
 	headerLimit = 32 << 10
 	longestWait = time.Hour // figures above this mean the same to everyone
 )
@@ -43,7 +44,7 @@
 // server is the HTTP server that serves the application.
 func (f *front) server() *http.Server {
 	return &http.Server{
-		Handler: f, ReadHeaderTimeout: headerTime, IdleTimeout: clientIdle, MaxHeaderBytes: headerLimit,
+		Handler: f, ReadTimeout: readTime, WriteTimeout: readTime + writeTime, IdleTimeout: clientIdle, MaxHeaderBytes: headerLimit,
 		ConnState: f.connState,
 	}
 }
@@ -122,6 +123,7 @@
 	id := f.loop.ask(q, m, arrived+left, reply)
 	select {
 	case a := <-reply:
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTime)) // fails only on a closed connection
 		a.write(w)
 	case <-r.Context().Done(): // the client has closed its connection
 		f.loop.gone(id)
--- a/internal/sidecar/front_test.go
+++ b/internal/sidecar/front_test.go
@@ -307,3 +307,61 @@
 		t.Errorf("ended with %v", err)
 	}
 }
+
+// Whoever connects and sends nothing, or stops halfway through a head or a body, is answered or
+// closed; the connection is not held for longer than a request may take.
+func TestSilentPeersAreClosed(t *testing.T) {
+	if s := newFront(testConfig(t, listed(1, "ready"), nil), newClock(), nil).server(); s.ReadTimeout <= 0 || s.ReadTimeout >= 3*time.Second {
+		t.Errorf("a request may take %v to come in; peers are owed an end within 3 s", s.ReadTimeout)
+	}
+	for name, text := range map[string]string{
+		"nothing":          "",
+		"half a line":      "POST /ent",
+		"half a head":      "POST /entry HTTP/1.1\r\nHost: service.internal\r\n",
+		"half a body":      head("1", "Content-Length: 20") + "half",
+		"half a chunk":     head("1", "Transfer-Encoding: chunked") + "14\r\nhalf",
+		"bad, half a body": "POST /nothing HTTP/1.1\r\nHost: service.internal\r\nContent-Length: 20\r\n\r\nhalf",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newStub(t, echo)
+			side := start(t, nil, s.address)
+			c := side.dial(t)
+			if _, err := io.WriteString(c, text); err != nil {
+				t.Fatal(err)
+			}
+			answers, err := io.ReadAll(c)
+			if err != nil || len(answers) > 0 && !strings.HasPrefix(string(answers), "HTTP/1.1 400 ") {
+				t.Errorf("answered %q, error %v, want a close, or a 400 before it", answers, err)
+			}
+			if len(s.seen) > 0 {
+				t.Error("the upstream had a request")
+			}
+		})
+	}
+}
+
+// The time to send a request in does not bound the wait for its answer.
+func TestAnswerAfterTheTimeToRead(t *testing.T) {
+	release := make(chan struct{})
+	s := newStub(t, func(c net.Conn, r received) bool {
+		<-release
+		return echo(c, r)
+	})
+	side := start(t, nil, s.address)
+	c := side.dial(t)
+	if _, err := io.WriteString(c, head("1", "Content-Length: 2")+"hi"); err != nil {
+		t.Fatal(err)
+	}
+	wait(t, "the request", s.seen)
+	silentPeer := side.dial(t)
+	if _, err := io.ReadAll(silentPeer); err != nil { // the time to read is over: one that came later is closed
+		t.Fatal(err)
+	}
+	close(release)
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || res.StatusCode != http.StatusOK {
+		t.Fatalf("%+v, error %v, want 200", res, err)
+	}
+	res.Body.Close()
+}
