Close client connections that have stood idle for 2.25 s

They stood for two minutes. Terms let a connection with no open request be closed after 2 s; the application opens another.

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -19,7 +19,7 @@
 const (
 	readTime    = 2250 * time.Millisecond // a client may take this long over a request; one that connects is owed an end in 3 s
 	writeTime   = 2 * time.Second         // and this long to take its answer
-	clientIdle  = 2 * time.Minute         // idle connections of clients are closed after this
+	clientIdle  = 2250 * time.Millisecond // a connection may stand idle for so long; it is safe to close after 2 s
 	headerLimit = 32 << 10
 	longestWait = time.Hour // figures above this mean the same to everyone
 )
--- a/internal/sidecar/front_test.go
+++ b/internal/sidecar/front_test.go
@@ -365,3 +365,16 @@
 	}
 	res.Body.Close()
 }
+
+// A connection that nothing more comes on is closed, and leaves its descriptor to others.
+func TestIdleClientsAreClosed(t *testing.T) {
+	side := start(t, nil)
+	c := side.dial(t)
+	if _, err := io.WriteString(c, "GET /up HTTP/1.1\r\nHost: service.internal\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	answers, err := io.ReadAll(c)
+	if err != nil || !strings.HasPrefix(string(answers), "HTTP/1.1 200 ") {
+		t.Errorf("answered %q, error %v, want 200 and a close", answers, err)
+	}
+}
