Close the connection of an improper request with its error

A request that is refused as improper left its connection open, and net/http waited for its body before the error went out.

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -95,17 +95,17 @@
 	}
 	q, left, err := f.read(r)
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		reject(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit))
 	var tooLong *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLong):
-		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		reject(w, err.Error(), http.StatusRequestEntityTooLarge)
 		return
 	case err != nil:
-		http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
+		reject(w, "body: "+err.Error(), http.StatusBadRequest)
 		return
 	}
 	defer f.held.Add(-1)
@@ -216,6 +216,13 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// reject answers what is no proper request, at once, and ends the connection: the application does
+// not send such, and whoever does may send more of it, leave its body out or stay.
+func reject(w http.ResponseWriter, why string, status int) {
+	w.Header().Set("Connection", "close")
+	http.Error(w, why, status)
+}
+
 // endToEnd copies the headers that are meant for the other end, not for this connection.
 func endToEnd(from http.Header) http.Header {
 	to := make(http.Header, len(from)+2)
--- a/internal/sidecar/front_test.go
+++ b/internal/sidecar/front_test.go
@@ -66,6 +66,13 @@
 			t.Errorf("%s: %s, want %d", name, res.Status, c.status)
 		}
 	}
+	many := side.dial(t)
+	if _, err := io.WriteString(many, strings.Repeat(head("", "Content-Length: 0"), 3)); err != nil {
+		t.Fatal(err)
+	}
+	if answers, _ := io.ReadAll(many); strings.Count(string(answers), "HTTP/1.1 ") != 1 { // a reset behind it is as good as a close
+		t.Errorf("three without an id: %q, want one answer and a close", answers)
+	}
 	if res, body := do(t, side.request(t, "POST", "/entry", strings.Repeat("x", bodyLimit))); res.StatusCode != 200 || body != "done r1" {
 		t.Errorf("longest body: %s %q", res.Status, body)
 	}
