Bound client connections; who has sent no request makes room

Nothing bounded the connections accepted.

The listener now holds the share. Past it the connection that has waited longest for its first request closes; one that has had a request stays. Where all have, the next are refused as before, and past half the reserve closed at once.

--- a/internal/sidecar/framing.go
+++ b/internal/sidecar/framing.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"net"
 	"strconv"
 	"strings"
 )
@@ -13,44 +12,6 @@
 
 var errFraming = errors.New("the request frames its body in more than one way")
 
-// clientConn is a connection of the application, or of whoever else connects. net/http drops
-// Content-Length beside Transfer-Encoding and reads the rest of that length as further requests:
-// requests that stood inside a body, which nobody sent. It does not tell a handler, so the
-// heads are checked on the way to it.
-type clientConn struct {
-	net.Conn
-	framing framing
-	failed  error
-}
-
-// framingListener checks the requests on all of its connections.
-type framingListener struct{ net.Listener }
-
-func (l framingListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &clientConn{Conn: c}, nil
-}
-
-// Read holds back the end of a head that must not be served, and fails from there on: the server
-// then answers 400 and closes the connection.
-func (c *clientConn) Read(p []byte) (int, error) {
-	if c.failed != nil {
-		return 0, c.failed
-	}
-	n, err := c.Conn.Read(p)
-	if good, bad := c.framing.follow(p[:n]); bad != nil {
-		c.failed = bad
-		if good == 0 {
-			return 0, bad
-		}
-		return good, nil
-	}
-	return n, err
-}
-
 // framing follows the requests on a connection: their heads, and the bodies whose length they tell.
 type framing struct {
 	line    []byte // the line of a head under way, as far as it is looked at
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -4,12 +4,10 @@
 	"errors"
 	"hash/fnv"
 	"io"
-	"net"
 	"net/http"
 	"net/textproto"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,58 +24,30 @@
 
 // front is the application's side.
 type front struct {
-	cfg   *Config
-	clock clock
-	loop  *loop
-	held  atomic.Int64 // requests with no answer yet
-	ready atomic.Bool  // what GET /up tells
-
-	mu    sync.Mutex
-	conns map[net.Conn]http.ConnState // those that stand
-	most  int                         // and the most of them at once, lately
+	cfg     *Config
+	clock   clock
+	loop    *loop
+	clients *clients
+	held    atomic.Int64 // requests with no answer yet
+	ready   atomic.Bool  // what GET /up tells
 }
 
-func newFront(cfg *Config, c clock, l *loop) *front {
-	return &front{cfg: cfg, clock: c, loop: l, conns: make(map[net.Conn]http.ConnState)}
+func newFront(cfg *Config, c clock, l *loop, k *clients) *front {
+	return &front{cfg: cfg, clock: c, loop: l, clients: k}
 }
 
 // server is the HTTP server that serves the application.
 func (f *front) server() *http.Server {
 	return &http.Server{
 		Handler: f, ReadTimeout: readTime, WriteTimeout: readTime + writeTime, IdleTimeout: clientIdle, MaxHeaderBytes: headerLimit,
-		ConnState: f.connState,
-	}
-}
-
-// connState keeps count of the connections.
-func (f *front) connState(c net.Conn, s http.ConnState) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if s == http.StateClosed || s == http.StateHijacked {
-		delete(f.conns, c)
-		return
+		ConnState: f.clients.stateOf, ConnContext: f.clients.with,
 	}
-	f.conns[c] = s
-	f.most = max(f.most, len(f.conns))
 }
 
-func (f *front) open() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.conns)
-}
-
-// counters are for the log: the connections of clients, by what they are at, and the most that
-// there were since the last call. Active ones above the requests held are sending a request, or
-// have stopped halfway.
+// counters are for the log.
 func (f *front) counters() map[string]int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	counts := map[string]int{"most": f.most, "held": int(f.held.Load())}
-	for _, s := range f.conns {
-		counts[s.String()]++
-	}
-	f.most = len(f.conns)
+	counts := f.clients.counters()
+	counts["held"] = int(f.held.Load())
 	return counts
 }
 
@@ -108,9 +78,12 @@
 		reject(w, "body: "+err.Error(), http.StatusBadRequest)
 		return
 	}
+	if !f.clients.took(r.Context()) {
+		panic(http.ErrAbortHandler) // its connection has made room for others
+	}
 	defer f.held.Add(-1)
 	switch held := f.held.Add(1); {
-	case f.open() > f.cfg.clientConns():
+	case f.clients.open() > f.cfg.clientConns():
 		w.Header().Set("Connection", "close") // descriptors run out: this one is needed
 		refuse(w, time.Second)
 		return
--- a/internal/sidecar/front_test.go
+++ b/internal/sidecar/front_test.go
@@ -142,36 +142,108 @@
 	}
 }
 
-// When the application's share of the descriptors is used up, requests are refused and their
-// connections closed, so that upstreams stay within reach.
-func TestMostConnections(t *testing.T) {
+// Connections that no request has come on make room, the first of them first, so that the
+// application is served however many strangers connect.
+func TestStrangersMakeRoom(t *testing.T) {
 	s := newStub(t, echo)
 	side := start(t, func(file, _ map[string]any) { file["limits"].(map[string]any)["sockets"] = 32 }, s.address)
-	var conns []net.Conn
-	for range 32 * 3 / 8 {
-		c, err := net.Dial("tcp", strings.TrimPrefix(side.url, "http://"))
-		if err != nil {
+	room := 32 * 3 / 8
+	known := side.dial(t)
+	r := bufio.NewReader(known)
+	serve := func(id string) {
+		t.Helper()
+		if _, err := io.WriteString(known, head(id, "Content-Length: 0")); err != nil {
+			t.Fatal(err)
+		}
+		res, err := http.ReadResponse(r, nil)
+		if err != nil || res.StatusCode != http.StatusOK {
+			t.Fatalf("request %s: %+v, error %v", id, res, err)
+		}
+		if _, err := io.Copy(io.Discard, res.Body); err != nil {
 			t.Fatal(err)
 		}
-		defer c.Close()
-		conns = append(conns, c)
 	}
-	last := conns[len(conns)-1]
-	if err := side.request(t, "GET", "/up", "").Write(last); err != nil { // answered: all are accepted by then
-		t.Fatal(err)
+	serve("first")
+	closed := make(chan int, 3*room)
+	for i := range 3 * room {
+		c := side.dial(t)
+		if _, err := io.WriteString(c, "POST /entry HTTP/1.1\r\nHost: "); err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			_, _ = io.ReadAll(c) // closed or reset
+			closed <- i
+		}()
 	}
-	if _, err := http.ReadResponse(bufio.NewReader(last), nil); err != nil {
-		t.Fatal(err)
+	serve("second")
+	if res, body := do(t, side.request(t, "POST", "/entry", "1", "X-Request-ID", "third")); res.StatusCode != http.StatusOK || body != "done third" {
+		t.Errorf("a new connection: %s %q", res.Status, body)
 	}
-	res, _ := do(t, side.request(t, "GET", "/look", ""))
-	if res.StatusCode != http.StatusServiceUnavailable || !res.Close || len(s.seen) > 0 {
-		t.Errorf("%s, to be closed %v, %d attempts, want 503, closed and none", res.Status, res.Close, len(s.seen))
+	serve("fourth")
+	for range 2 * room {
+		wait(t, "a stranger's connection to close", closed)
 	}
-	conns[0].Close()
-	for end := time.Now().Add(generous); res.StatusCode != http.StatusOK; time.Sleep(time.Millisecond) {
-		if res, _ = do(t, side.request(t, "GET", "/look", "")); time.Now().After(end) {
-			t.Fatalf("%s with a connection less", res.Status)
+}
+
+// Where each connection has a request open, the next ones are refused and closed, so that upstreams
+// stay within reach; past the reserve they are closed at once.
+func TestMostConnections(t *testing.T) {
+	release := make(chan struct{})
+	s := newStub(t, func(c net.Conn, r received) bool {
+		if r.Header.Get("X-Request-ID") == "held" {
+			<-release
 		}
+		return echo(c, r)
+	})
+	side := start(t, func(file, settings map[string]any) {
+		file["limits"].(map[string]any)["sockets"] = 32
+		settings["orgs"].([]any)[0].(map[string]any)["quota_per_s"] = 10000.0 // slots for all
+	}, s.address)
+	var held []*bufio.Reader
+	for range 32 * 3 / 8 {
+		c := side.dial(t)
+		if _, err := io.WriteString(c, head("held", "Content-Length: 0")); err != nil {
+			t.Fatal(err)
+		}
+		wait(t, "the request", s.seen)
+		held = append(held, bufio.NewReader(c))
+	}
+	for range 3 { // each closes with its refusal and leaves its room to the next
+		res, _ := do(t, side.request(t, "POST", "/entry", "1", "X-Request-ID", "over"))
+		if res.StatusCode != http.StatusServiceUnavailable || !res.Close || len(s.seen) > 0 {
+			t.Errorf("%s, to be closed %v, %d attempts, want 503, closed and none", res.Status, res.Close, len(s.seen))
+		}
+	}
+	close(release)
+	for _, r := range held {
+		res, err := http.ReadResponse(r, nil)
+		if err != nil || res.StatusCode != http.StatusOK {
+			t.Fatalf("a held request: %+v, error %v", res, err)
+		}
+	}
+}
+
+// The listener holds no more connections than its most.
+func TestConnectionsAreBounded(t *testing.T) {
+	l := newClients(testConfig(t, listed(1, "ready"), nil), nil)
+	var all []*clientConn
+	for range 2 * l.most {
+		near, far := net.Pipe()
+		t.Cleanup(func() { near.Close(); far.Close() })
+		k := &clientConn{Conn: near}
+		if l.enter(k) && !l.took(l.with(context.Background(), k)) {
+			t.Fatal("a connection that has just come in is not held")
+		}
+		all = append(all, k)
+	}
+	if l.open() != l.most || l.counters()["barred"] != l.most {
+		t.Errorf("%d held, counters %v, want %d held and as many barred", l.open(), l.counters(), l.most)
+	}
+	for _, k := range all {
+		l.stateOf(k, http.StateClosed)
+	}
+	if l.open() != 0 {
+		t.Errorf("%d held once all are closed", l.open())
 	}
 }
 
@@ -318,7 +390,7 @@
 // Whoever connects and sends nothing, or stops halfway through a head or a body, is answered or
 // closed; the connection is not held for longer than a request may take.
 func TestSilentPeersAreClosed(t *testing.T) {
-	if s := newFront(testConfig(t, listed(1, "ready"), nil), newClock(), nil).server(); s.ReadTimeout <= 0 || s.ReadTimeout >= 3*time.Second {
+	if s := newFront(testConfig(t, listed(1, "ready"), nil), newClock(), nil, nil).server(); s.ReadTimeout <= 0 || s.ReadTimeout >= 3*time.Second {
 		t.Errorf("a request may take %v to come in; peers are owed an end within 3 s", s.ReadTimeout)
 	}
 	for name, text := range map[string]string{
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -33,7 +33,8 @@
 	}
 	d := newDiscovery(cfg, l.list, l.listFailed)
 	l.watch = d.ask
-	f := newFront(cfg, c, l)
+	k := newClients(cfg, listener)
+	f := newFront(cfg, c, l, k)
 	l.clients = f.counters
 	slog.Info("serving", "name", cfg.Name, "listen", listener.Addr(), "servers", len(cfg.Known.servers))
 
@@ -44,7 +45,7 @@
 	f.ready.Store(true)
 	server := f.server()
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(framingListener{listener}) }()
+	go func() { failed <- server.Serve(k) }()
 	select {
 	case err := <-failed:
 		return err
