Read the configuration again on SIGHUP and follow discovery where it moves

SIGHUP ended the program, which the platform counts as a crash: it replaces the configuration and signals so when discovery moves, and the old address closes what it has open 1.5 s later.

The watch under way ends with the move and the whole list comes from the new address at once, well before the 4 s after which its news count as told; no failure is reported and no pause kept. A configuration that can't be used is logged and leaves all as it is.

--- a/cmd/caperarch/main.go
+++ b/cmd/caperarch/main.go
@@ -20,12 +20,15 @@
 	debug.SetGCPercent(400)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	// One signal is kept while another is seen to: the file is read behind the last.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	cfg, err := sidecar.ReadConfig(os.Getenv("EDGE_CONFIG"))
 	if err == nil {
 		if cfg.MemoryMB > 0 {
 			debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 / 2) // well under what the process is killed at
 		}
-		err = sidecar.Run(ctx, cfg)
+		err = sidecar.Run(ctx, cfg, reload)
 	}
 	if err != nil {
 		slog.Error("caperarch ends", "error", err)
--- a/cmd/caperarch/main_test.go
+++ b/cmd/caperarch/main_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -83,3 +84,58 @@
 		t.Errorf("ended with %v", err)
 	}
 }
+
+// SIGHUP makes it read its configuration again and go to where discovery is now. A configuration
+// that can't be used is told and changes nothing.
+func TestReconfiguration(t *testing.T) {
+	asked := make(chan struct{}, 100)
+	place := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { asked <- struct{}{} }))
+	defer place.Close()
+	cmd := program(t, usable)
+	path := strings.TrimPrefix(cmd.Env[len(cmd.Env)-1], "EDGE_CONFIG=")
+	log, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	stuck := time.AfterFunc(time.Minute, func() { _ = cmd.Process.Kill() }) // so that a hang fails
+	defer stuck.Stop()
+	lines := bufio.NewScanner(log)
+	logged := func(text string) {
+		t.Helper()
+		for lines.Scan() {
+			if strings.Contains(lines.Text(), text) {
+				return
+			}
+		}
+		t.Fatalf("it ended with no word of %q", text)
+	}
+	logged("serving")
+	for _, c := range []struct{ config, logged string }{
+		{strings.Replace(usable, "30000", "0", 1), "caps.conn_idle_ms"},
+		{strings.Replace(usable, "127.0.0.1:1", place.Listener.Addr().String(), 1), "discovery moves"},
+	} {
+		if err := os.WriteFile(path, []byte(c.config), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+		logged(c.logged)
+	}
+	select {
+	case <-asked:
+	case <-time.After(time.Minute):
+		t.Error("discovery was not called where it is now")
+	}
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	for lines.Scan() { // until it ends
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -38,6 +38,8 @@
 	Longest     time.Duration // the longest deadline of any class
 
 	Known listing // the servers as last known
+
+	path string // the file that this was read from; empty in tests
 }
 
 // ReadConfig reads the file that EDGE_CONFIG names. What the environment says in EDGE_NAME,
@@ -47,7 +49,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
 	}
-	return parseConfig(raw, os.Getenv)
+	c, err := parseConfig(raw, os.Getenv)
+	if err != nil {
+		return nil, err
+	}
+	c.path = path
+	return c, nil
 }
 
 func parseConfig(raw []byte, env func(string) string) (*Config, error) {
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"arrowgw/policy"
@@ -96,12 +97,15 @@
 
 // discovery follows the list of servers and hands what it learns to the loop.
 type discovery struct {
+	zones  map[string]int
+	asked  chan struct{} // where the list must be asked for: the module did
+	heard  func(listing)
+	failed func()
+	client http.Client
+
+	mu      sync.Mutex
 	address string
-	zones   map[string]int
-	asked   chan struct{} // where the list must be asked for: the module did
-	heard   func(listing)
-	failed  func()
-	client  http.Client
+	leave   context.CancelFunc // ends what is under way at that address
 }
 
 func newDiscovery(cfg *Config, heard func(listing), failed func()) *discovery {
@@ -122,20 +126,53 @@
 	}
 }
 
-// run follows the list until ctx ends: the whole list, then watch after watch, and all over again
-// after a failure. Where lists are pushed it comes back by itself after a pause; where they are
-// asked for, the module says when.
+// move goes on at another address, at once: what the old one is waited on for does not come there any more.
+func (d *discovery) move(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if address == d.address {
+		return
+	}
+	slog.Info("discovery moves", "from", d.address, "to", address)
+	d.address = address
+	if d.leave != nil {
+		d.leave()
+	}
+}
+
+// stay returns the address, and a context that ends with the stay there.
+func (d *discovery) stay(ctx context.Context) (context.Context, string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ctx, d.leave = context.WithCancel(ctx)
+	return ctx, d.address
+}
+
+// run follows the list until ctx ends, at one address after the other.
 func (d *discovery) run(ctx context.Context) {
+	for moved := false; ctx.Err() == nil; moved = true {
+		here, address := d.stay(ctx)
+		d.runAt(here, address, moved)
+		d.client.CloseIdleConnections()
+	}
+}
+
+// runAt follows the list at an address until ctx ends: the whole list, then watch after watch, and
+// all over again after a failure. Where lists are pushed it comes back by itself after a pause; where
+// they are asked for, the module says when, but for the first time after a move: then the module
+// holds itself for subscribed.
+func (d *discovery) runAt(ctx context.Context, address string, moved bool) {
 	pause := firstRetry
 	for ctx.Err() == nil {
-		if d.asked != nil {
+		if d.asked != nil && !moved {
 			select {
 			case <-d.asked:
 			case <-ctx.Done():
 				return
 			}
 		}
-		heard, err := d.follow(ctx)
+		moved = false
+		heard, err := d.follow(ctx, address)
 		if ctx.Err() != nil {
 			return
 		}
@@ -157,7 +194,7 @@
 }
 
 // follow calls discovery until a call fails. It tells whether any call went well.
-func (d *discovery) follow(ctx context.Context) (heard bool, err error) {
+func (d *discovery) follow(ctx context.Context, address string) (heard bool, err error) {
 	version := int64(-1)
 	for {
 		query, limit := "", listTime
@@ -165,7 +202,7 @@
 			query = fmt.Sprintf("?index=%d&wait=%d", version, watchWait.Milliseconds())
 			limit = watchWait + answerTime
 		}
-		l, err := d.call(ctx, query, limit)
+		l, err := d.call(ctx, address, query, limit)
 		if err != nil {
 			return heard, err
 		}
@@ -175,10 +212,10 @@
 	}
 }
 
-func (d *discovery) call(ctx context.Context, query string, limit time.Duration) (listing, error) {
+func (d *discovery) call(ctx context.Context, address, query string, limit time.Duration) (listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.address+"/discovery/hosts"+query, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/discovery/hosts"+query, nil)
 	if err != nil {
 		return listing{}, err
 	}
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -130,6 +130,50 @@
 	}
 }
 
+// When discovery moves, the watch at the old address ends at once, and the whole list comes from the
+// new one: where lists are pushed, and where they are asked for without being asked again.
+func TestDiscoveryMoves(t *testing.T) {
+	for _, how := range []string{"push", "ask"} {
+		t.Run(how, func(t *testing.T) {
+			left := make(chan struct{}, 10)
+			place := func(generation int) string {
+				s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if r.URL.RawQuery == "" {
+						_, _ = io.WriteString(w, listed(generation, "ready"))
+						return
+					}
+					<-r.Context().Done() // a watch, which nothing comes of
+					left <- struct{}{}
+				}))
+				t.Cleanup(s.Close)
+				return s.Listener.Addr().String()
+			}
+			cfg := testConfig(t, listed(0, "ready"), func(file, settings map[string]any) {
+				file["discovery"], settings["discovery"] = place(1), how
+			})
+			heard := make(chan listing, 10)
+			d := newDiscovery(cfg, func(l listing) { heard <- l }, func() { t.Error("a move passes for a failure") })
+			ctx, cancel := context.WithCancel(context.Background())
+			ended := make(chan struct{})
+			go func() { d.run(ctx); close(ended) }()
+			d.ask()
+			for generation := int64(1); generation <= 3; generation++ {
+				if l := wait(t, "a list", heard); l.version != generation || !l.whole {
+					t.Fatalf("version %d, whole %v, want all of %d", l.version, l.whole, generation)
+				}
+				if generation > 1 {
+					wait(t, "the watch at the old address to end", left)
+				}
+				if generation < 3 {
+					d.move(place(int(generation) + 1))
+				}
+			}
+			cancel()
+			wait(t, "the end", ended)
+		})
+	}
+}
+
 // A server that moves is reached where it is now, one that left is not reached at all, and a list
 // of changes leaves the others alone.
 func TestListMovesServers(t *testing.T) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"time"
 )
 
@@ -14,17 +15,18 @@
 	exitMargin = 600 * time.Millisecond // more than the longest deadline that may pass until the end
 )
 
-// Run listens and serves until ctx ends and everything taken by then is answered.
-func Run(ctx context.Context, cfg *Config) error {
+// Run listens and serves until ctx ends and everything taken by then is answered. On each signal from
+// reload it reads the configuration again.
+func Run(ctx context.Context, cfg *Config, reload <-chan os.Signal) error {
 	listener, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return err
 	}
-	return serve(ctx, cfg, listener)
+	return serve(ctx, cfg, listener, reload)
 }
 
 // serve wires the parts and starts them.
-func serve(ctx context.Context, cfg *Config, listener net.Listener) error {
+func serve(ctx context.Context, cfg *Config, listener net.Listener, reload <-chan os.Signal) error {
 	c := newClock()
 	up := newUpstream(cfg, c)
 	l, err := newLoop(cfg, c, up)
@@ -46,12 +48,27 @@
 	server := f.server()
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(k) }()
-	select {
-	case err := <-failed:
-		return err
-	case <-ctx.Done():
+	for {
+		select {
+		case err := <-failed:
+			return err
+		case <-reload:
+			d.reconfigure(cfg.path)
+		case <-ctx.Done():
+			return f.drain(server, cfg.Longest)
+		}
+	}
+}
+
+// reconfigure reads the configuration again and goes to where it has discovery now. Nothing else in
+// it may change under a running sidecar. One that can't be used leaves everything as it is.
+func (d *discovery) reconfigure(path string) {
+	cfg, err := ReadConfig(path)
+	if err != nil {
+		slog.Error("reconfiguration: the old one stays", "error", err)
+		return
 	}
-	return f.drain(server, cfg.Longest)
+	d.move(cfg.Discovery)
 }
 
 // drain ends the service without losing a request. Clients still connect for a while, and send on
--- a/internal/sidecar/stub_test.go
+++ b/internal/sidecar/stub_test.go
@@ -179,7 +179,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &running{url: "http://" + l.Addr().String(), stop: cancel, ended: make(chan error, 1)}
-	go func() { s.ended <- serve(ctx, cfg, l) }()
+	go func() { s.ended <- serve(ctx, cfg, l, nil) }()
 	t.Cleanup(func() {
 		cancel()
 		http.DefaultClient.CloseIdleConnections()
