--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -63,6 +63,16 @@
 	sweeper *time.Timer        // set while there are idle ones
 	dialled int
 	stale   int // idle ones found closed by their server, or with bytes left over
+	failed  failures
+}
+
+// failures count the attempts and probes that had no whole answer, for the log.
+type failures struct {
+	unsent     int // no connection came up, or it broke before the request was written
+	reset      int // a new connection broke before the answer began
+	resetKept  int // and one that had been kept, which its server may have closed by then
+	unreadable int // the answer was malformed, too long or cut short
+	timedOut   int
 }
 
 // conn is a connection to a server; it carries one exchange at a time.
@@ -71,6 +81,7 @@
 	r         *bufio.Reader
 	limit     io.LimitedReader // what may still be read for this answer
 	idleSince time.Duration
+	kept      bool // it has carried an exchange before
 }
 
 func newUpstream(cfg *Config, c clock) *upstream {
@@ -173,6 +184,7 @@
 		if x.givenUp() {
 			return policy.Cancelled
 		}
+		u.count(&u.failed.unsent)
 		return policy.NoConnection
 	}
 	c, err := u.connect(x, address, until)
@@ -213,11 +225,24 @@
 	case x.givenUp():
 		return nil, nil, policy.Cancelled
 	case errors.As(err, &timeout) && timeout.Timeout():
+		u.count(&u.failed.timedOut)
 		return nil, nil, policy.TimedOut
+	case c.limit.N < answerLimit:
+		u.count(&u.failed.unreadable)
+	case c.kept:
+		u.count(&u.failed.resetKept)
+	default:
+		u.count(&u.failed.reset)
 	}
 	return nil, nil, policy.Broken // or malformed: it may have run
 }
 
+func (u *upstream) count(of *int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	*of++
+}
+
 // answer reads one whole answer.
 func (c *conn) answer(req *http.Request) (*http.Response, []byte, error) {
 	c.limit.N = answerLimit
@@ -251,9 +276,7 @@
 		if c.usable() {
 			return c, nil
 		}
-		u.mu.Lock()
-		u.stale++
-		u.mu.Unlock()
+		u.count(&u.stale)
 		u.discard(c)
 	}
 	limit := min(u.dialTimeout, until-u.clock.now())
@@ -327,7 +350,7 @@
 	_ = c.SetDeadline(time.Time{}) // a closed one is found out before it is used
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	c.idleSince = u.clock.now()
+	c.idleSince, c.kept = u.clock.now(), true
 	u.idle[address] = append(u.idle[address], c)
 	if u.sweeper == nil {
 		u.sweeper = time.AfterFunc(u.keep, u.sweep)
@@ -390,7 +413,10 @@
 func (u *upstream) counters() map[string]int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return map[string]int{"open": u.open, "dialled": u.dialled, "stale": u.stale}
+	return map[string]int{
+		"open": u.open, "dialled": u.dialled, "stale": u.stale, "unsent": u.failed.unsent, "reset": u.failed.reset,
+		"resetKept": u.failed.resetKept, "unreadable": u.failed.unreadable, "timedOut": u.failed.timedOut,
+	}
 }
 
 // load reads a report of the form "TEXT name=value, name=value".
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -191,6 +191,27 @@
 	}
 }
 
+// What went wrong is counted by its kind, so that the log tells a server that closes what was kept
+// from one that breaks new connections or answers nonsense.
+func TestFailuresAreCounted(t *testing.T) {
+	s := newStub(t, func(c net.Conn, r received) bool {
+		switch id := r.Header.Get("X-Request-ID"); id {
+		case "good":
+			return ok(c, "hi")
+		case "cut":
+			_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhi")
+		}
+		return false
+	})
+	u := testUpstream(t)
+	for _, id := range []string{"break", "good", "break", "cut"} {
+		attempt(t, u, s.address, id, generous)
+	}
+	if want := (failures{reset: 1, resetKept: 1, unreadable: 1}); u.failed != want {
+		t.Errorf("counted %+v, want %+v", u.failed, want)
+	}
+}
+
 // A machine that vanished says nothing: only the time-out ends the attempt, and its connection goes.
 func TestSilentServer(t *testing.T) {
 	s := newStub(t, silent)
