Count a throttled request only as far as those let in fare badly

The throttle lets in 1.5 times what was lately answered in time, against all that asked, those it refused included. Their clients come back, and each return counted in full: once shut, it opened by a factor e in some 4 s at best, and kept refusing long after servers answered again. event2710 from 165 s: after seconds in which nearly every server timed out, 46% and 29% refused at 175 s and 180 s, all of it Throttled, with 17 and 30 time-outs.

Now a refused one counts in the proportion in which those let in fail.

The counters now go out every 5 s.

--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	countersEvery = 10 * time.Second // how often the module's counters go to the log
+	countersEvery = 5 * time.Second // how often the module's counters go to the log
 	eventQueue    = 256
 )
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -130,7 +130,7 @@
 		b.cut()
 	}
 	if !b.admit(now, r) {
-		b.asked.all++
+		b.asked.turnedBack()
 		b.count.Throttled++
 		b.finish(r)
 		return
@@ -143,8 +143,7 @@
 // serve in time, and its work goes into answers that come late (i47e131, i50e019). Each then lets in
 // little more than what it was lately answered in time, of worthier classes more.
 func (b *Balancer) admit(now time.Duration, r *request) bool {
-	fade := math.Exp(-float64(now-b.asked.at) / float64(admitOver))
-	b.asked.at, b.asked.all, b.asked.good = now, b.asked.all*fade, b.asked.good*fade
+	b.asked.fade(now, math.Exp(-float64(now-b.asked.at)/float64(admitOver)))
 	share := (admitFree + admitMost*b.asked.good) / (admitFree + b.asked.all)
 	return share >= 1 || b.rng.Float64() < math.Pow(share, b.worth/max(r.class.Worth, b.worth/8))
 }
@@ -186,6 +185,7 @@
 	}
 	b.hold(r, a.to, -1)
 	if !r.over && o.Ending != NotSent {
+		b.asked.sent++
 		b.asked.all++
 	}
 	if !r.over && o.Ending == Served && now <= r.wanted {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -994,6 +994,35 @@
 	}
 }
 
+// Guards against event2710: after some seconds with no answer, while clients come back for what was
+// refused, a throttle that counts each return in full stays all but shut for half a minute.
+func TestAdmissionReopensWhenAnswersComeInTime(t *testing.T) {
+	b, h := start(t, testConfig(), ready(1, 2, 3, 4))
+	const every = 5 * ms // 200 a second
+	let := make([]int, 16)
+	for id := range RequestID(16 * 200) {
+		now := time.Duration(id) * every
+		b.Wake(now)
+		n := len(h.sends)
+		ask(b, now, id, unsafeClass)
+		if len(h.sends) == n {
+			continue
+		}
+		let[now/time.Second]++
+		outcome := Errored
+		if now >= 5*time.Second { // the trouble is over
+			outcome = Served
+		}
+		end(b, now+every/2, id, 0, outcome)
+	}
+	if let[4] > 40 {
+		t.Errorf("%d of 200 let in while none is answered", let[4])
+	}
+	if let[15] < 190 {
+		t.Errorf("%d of 200 let in 10 s after answers came in time again; by second %v", let[15], let)
+	}
+}
+
 // Worth decides what is shed first: the same shortage costs the worthier class less.
 func TestAdmissionShedsTheLessWorthyFirst(t *testing.T) {
 	cfg := testConfig()
--- a/policy/state.go
+++ b/policy/state.go
@@ -80,12 +80,22 @@
 	queue               []*request
 }
 
-// recent counts requests, and those answered in time; both fade.
+// recent counts requests that tried for a slot, those answered in time, and attempts; all fade.
 type recent struct {
 	at        time.Duration
 	all, good float64
+	sent      float64
 }
 
+func (c *recent) fade(now time.Duration, by float64) {
+	c.at, c.all, c.good, c.sent = now, c.all*by, c.good*by, c.sent*by
+}
+
+// turnedBack counts a request that the throttle refused, but only as far as those let in fare badly.
+// Its client comes back: counted in full each time, such requests keep the throttle shut long after
+// what is let in is answered in time again (event2710; a node's restart on a scored day).
+func (c *recent) turnedBack() { c.all += 1 - c.good/max(1, c.sent) }
+
 type class struct {
 	Class
 	pace    time.Duration // usual time of an answer
