Refuse requests whose method is not that of their class

The class decides the method: GET for one safe to repeat, POST for the others. Any method was taken and carried to an upstream, so that a stranger's GET of an unsafe class ran; OPTIONS * had a 200 from net/http itself, and any method on /up. Found by holding the front to the protocol's words; the test fails without the change (200 five times).

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -40,7 +40,8 @@
 func (f *front) server() *http.Server {
 	return &http.Server{
 		Handler: f, ReadTimeout: readTime, WriteTimeout: readTime + writeTime, IdleTimeout: clientIdle, MaxHeaderBytes: headerLimit,
-		ConnState: f.clients.stateOf, ConnContext: f.clients.with,
+		DisableGeneralOptionsHandler: true, // it would answer OPTIONS * with 200: nobody is owed that here
+		ConnState:                    f.clients.stateOf, ConnContext: f.clients.with,
 	}
 }
 
@@ -53,7 +54,7 @@
 
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := f.clock.now() // the client's time began when it sent, so before the body is read
-	if r.URL.Path == "/up" {
+	if r.URL.Path == "/up" && r.Method == http.MethodGet {
 		if !f.ready.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
@@ -119,6 +120,13 @@
 	if first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/"); first != name {
 		return q, 0, errors.New("the path is of another class than X-Priority-Class")
 	}
+	method := http.MethodPost
+	if f.cfg.Policy.Classes[q.Class].Effect == policy.Safe {
+		method = http.MethodGet
+	}
+	if r.Method != method {
+		return q, 0, errors.New("the method is not that of the class")
+	}
 	if f.cfg.Policy.Classes[q.Class].Effect == policy.Keyed && h.Get("Idempotency-Key") == "" {
 		return q, 0, errors.New("Idempotency-Key is missing")
 	}
--- a/internal/sidecar/front_test.go
+++ b/internal/sidecar/front_test.go
@@ -60,12 +60,23 @@
 		"time is up":        {503, side.request(t, "GET", "/look", "", "X-Timeout", "0m")},
 		"bad cost":          {400, side.request(t, "GET", "/look", "", "X-Cost", "cheap")},
 		"keyed without key": {400, side.request(t, "POST", "/reading", "1")},
+		"safe by POST":      {400, side.request(t, "POST", "/look", "")},
+		"unsafe by GET":     {400, side.request(t, "GET", "/entry", "")},
+		"keyed by PUT":      {400, side.request(t, "PUT", "/reading", "1", "Idempotency-Key", "k1")},
+		"up by POST":        {400, side.request(t, "POST", "/up", "")},
 		"long body":         {413, side.request(t, "POST", "/entry", strings.Repeat("x", bodyLimit+1))},
 	} {
 		if res, _ := do(t, c.req); res.StatusCode != c.status {
 			t.Errorf("%s: %s, want %d", name, res.Status, c.status)
 		}
 	}
+	options := side.dial(t)
+	if _, err := io.WriteString(options, "OPTIONS * HTTP/1.1\r\nHost: service.internal\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if answers, err := io.ReadAll(options); err != nil || !strings.HasPrefix(string(answers), "HTTP/1.1 400 ") {
+		t.Errorf("OPTIONS *: %q, error %v, want 400 and a close", answers, err)
+	}
 	many := side.dial(t)
 	if _, err := io.WriteString(many, strings.Repeat(head("", "Content-Length: 0"), 3)); err != nil {
 		t.Fatal(err)
