--- a/policy/policy.go
+++ b/policy/policy.go
@@ -455,24 +455,18 @@
 	return gap
 }
 
-// turnOf finds whose turn it is, and whether a server that holds its portion lost it. What one that is
-// well lost does not go to a strained one: it fails fast and never holds its portion (event2710).
+// turnOf finds whose turn it is, and whether a server that holds its portion lost it.
 func (b *Balancer) turnOf(now time.Duration, r *request, among []*server) (best *server, walled bool) {
-	lost, well := math.Inf(1), math.Inf(1)
+	lost := math.Inf(1)
 	for _, s := range among {
 		switch {
 		case r.tried(s) || !b.mayGo(now, r, s):
 		case float64(s.out) >= b.portion(s) || b.fuller(now, r, s):
-			if lost = min(lost, s.due); !s.strained() {
-				well = min(well, s.due)
-			}
+			lost = min(lost, s.due)
 		case best == nil || s.due < best.due:
 			best = s
 		}
 	}
-	if best != nil && best.strained() && well < best.due {
-		return nil, false // soon there is room
-	}
 	return best, best != nil && lost < best.due
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -23,9 +23,6 @@
 	coldAt time.Duration // while cold: nothing more before this
 }
 
-// strained says that a server's answers lately failed, or took many times the usual.
-func (s *server) strained() bool { return s.strain >= failStrain/2 }
-
 type attemptState int
 
 const (
