Advise no longer a pause than clients heed in the front's own refusals

Requests over caps.max_open or the connections' share were told to come back after 1 s, past caps.max_retry_after_ms (0.8 s here).

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -86,10 +86,10 @@
 	switch held := f.held.Add(1); {
 	case f.clients.open() > f.cfg.clientConns():
 		w.Header().Set("Connection", "close") // descriptors run out: this one is needed
-		refuse(w, time.Second)
+		refuse(w, f.pause())
 		return
 	case f.cfg.MostOpen > 0 && held > int64(f.cfg.MostOpen):
-		refuse(w, time.Second)
+		refuse(w, f.pause())
 		return
 	}
 	m := &message{method: r.Method, url: r.URL, host: r.Host, header: endToEnd(r.Header), body: body}
@@ -189,6 +189,9 @@
 	}
 }
 
+// pause is the advice with the front's own refusals: no longer than clients heed.
+func (f *front) pause() time.Duration { return min(time.Second, f.cfg.Policy.MaxRetryAfter) }
+
 // refuse answers that trying again is harmless, best after the pause.
 func refuse(w http.ResponseWriter, pause time.Duration) {
 	if pause > 0 {
--- a/internal/sidecar/front_test.go
+++ b/internal/sidecar/front_test.go
@@ -327,14 +327,17 @@
 // Over caps.max_open requests are refused without an attempt.
 func TestMostOpen(t *testing.T) {
 	s := newStub(t, silent)
-	side := start(t, func(_, settings map[string]any) { settings["caps"].(map[string]any)["max_open"] = 1 }, s.address)
+	side := start(t, func(_, settings map[string]any) {
+		caps := settings["caps"].(map[string]any)
+		caps["max_open"], caps["max_retry_after_ms"] = 1, 800.0
+	}, s.address)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	first := side.request(t, "GET", "/look", "").WithContext(ctx)
 	go func() { _, _ = http.DefaultClient.Do(first) }()
 	wait(t, "the first request", s.seen)
-	if res, _ := do(t, side.request(t, "GET", "/look", "")); res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Retry-After") == "" {
-		t.Errorf("%s, headers %v, want 503 with Retry-After", res.Status, res.Header)
+	if res, _ := do(t, side.request(t, "GET", "/look", "")); res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Retry-After") != "0.800" {
+		t.Errorf("%s, headers %v, want 503 and the longest pause that clients heed", res.Status, res.Header)
 	}
 	if len(s.seen) > 0 {
 		t.Error("the second request had an attempt")
