Bring in the wall over all attempts before all servers have choked

From 5.5 s, with half of the servers lost, the others time out (2,371 attempts in 5 s, half of them at servers of the zone that stands), stay slow and all sidecars refuse until the end. Attempts by server show it is not only the lost ones: servers of the standing zone that answered 30 a second answer none from 8 s on.

Cause: the wall over all attempts began where answers take 0.39 of the aim (wholeLater 1.7, dispatch). In a large fleet a server's own wall is at its floor, one attempt a sidecar, 25 sidecars a server, so this one alone can hold back, and it came when some five requests wait at every server: by then they choke.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,7 +32,7 @@
 	admitMost  = 1.5                   // lets in this multiple of what was lately answered in time
 	admitFree  = 1.5                   // and this many requests, or a light balancer refuses after one failure
 	admitOver  = 2 * time.Second       // lately: about as long as queues take to build up
-	wholeLater = 1.7                   // the wall over all attempts begins at this multiple of a server's
+	wholeAt    = 0.6                   // the wall over all attempts begins at this multiple of a server's
 	farTurns   = 0.25                  // other zones' servers have this share of turns, if crossing is priced
 	failStrain = 8.0                   // a failure counts as an answer that took so many times the usual
 	coldPart   = 0.5                   // this much of a cold server's budget is used, the rest left to chance
@@ -258,8 +258,9 @@
 	if r.home.used >= r.home.slots {
 		return false
 	}
-	// The wall over all attempts: one each from many balancers is a crowd too. It comes later than servers' own.
-	if float64(b.out) >= max(1, float64(b.slots)*ease(b.crowd/wholeLater)) {
+	// The wall over all attempts: one each from many balancers is a crowd too. It comes before servers' own,
+	// which leave each server one attempt: by the time that all answers are slow, servers have choked.
+	if float64(b.out) >= max(1, float64(b.slots)*ease(b.crowd/wholeAt)) {
 		b.count.Held++
 		return false
 	}
