Size the wall over all attempts by the balancer's own traffic

Each sidecar gets what the busiest needs, and each compartment a whole slot or two.

Cause: dispatch held the wall over all attempts against b.slots alone. Now it is what the balancer's own traffic holds at the aim, and two more; the compartments keep their slots.

The test fails without it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,6 +33,7 @@
 	admitFree  = 1.5                   // and this many requests, or a light balancer refuses after one failure
 	admitOver  = 2 * time.Second       // lately: about as long as queues take to build up
 	wholeAt    = 0.6                   // the wall over all attempts begins at this multiple of a server's
+	wholeFree  = 2.0                   // and allows this many more than our traffic holds at the aim
 	farTurns   = 0.25                  // other zones' servers have this share of turns, if crossing is priced
 	failStrain = 8.0                   // a failure counts as an answer that took so many times the usual
 	coldPart   = 0.5                   // this much of a cold server's budget is used, the rest left to chance
@@ -260,7 +261,7 @@
 	}
 	// The wall over all attempts: one each from many balancers is a crowd too. It comes before servers' own,
 	// which leave each server one attempt: by the time that all answers are slow, servers have choked.
-	if float64(b.out) >= max(1, float64(b.slots)*ease(b.crowd/wholeAt)) {
+	if float64(b.out) >= max(1, b.whole()*ease(b.crowd/wholeAt)) {
 		b.count.Held++
 		return false
 	}
@@ -268,6 +269,11 @@
 	return s != nil && b.send(now, r, s)
 }
 
+// whole is the wall over all attempts while no server is crowded: what our own traffic holds at the
+// aim, by Little's law. The slots are sized for the busiest balancer: those of eighty together are
+// far more than their servers bear.
+func (b *Balancer) whole() float64 { return min(float64(b.slots), wholeFree+b.rate*b.aim) }
+
 // further gives a request whose attempts have all failed another one, or ends it.
 func (b *Balancer) further(now time.Duration, r *request) {
 	if len(r.attempts) >= b.cfg.MaxAttempts || !r.mayRepeat(now, nil) || now >= r.lateIn() || b.spent(now) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -386,6 +386,29 @@
 	}
 }
 
+// Guards against walls sized for the busiest of eighty balancers: a light one holds what its own
+// traffic holds at the aim, one that has more traffic holds more.
+func TestWholeWallFollowsOwnTraffic(t *testing.T) {
+	cfg := testConfig()
+	cfg.Balancers = 80 // 1.25 requests a second each, an aim of 1 s
+	b, h := start(t, cfg, ready(1, 2, 3, 4, 5, 6))
+	for id := range RequestID(6) {
+		ask(b, 0, id, safeClass)
+	}
+	if len(h.sends) != 4 || b.Counters().Held != 2 {
+		t.Fatalf("%d attempts out of 8 slots, %d held, want 4 and 2 for 1.25 requests a second", len(h.sends), b.Counters().Held)
+	}
+	b, _ = start(t, cfg, ready(1, 2, 3, 4, 5, 6))
+	for i := range 300 { // ten a second
+		id, now := RequestID(i), time.Duration(i)*100*ms
+		ask(b, now, id, safeClass)
+		end(b, now+10*ms, id, 0, Served)
+	}
+	if got := b.whole(); got != 8 {
+		t.Fatalf("a wall of %v over all attempts, want the 8 slots for 10 requests a second", got)
+	}
+}
+
 // Guards against all walls together let servers pass into their slower state.
 func TestReportedLoadWallsTheFleet(t *testing.T) {
 	cfg := testConfig()
