--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -106,6 +106,15 @@
 	mu      sync.Mutex
 	address string
 	leave   context.CancelFunc // ends what is under way at that address
+	calls   calls
+}
+
+// calls count what discovery was asked, for the log: all sidecars share its one capacity.
+type calls struct {
+	whole   int // calls for the whole list
+	watches int // and for changes
+	failed  int // of both
+	lines   int // entries that the answers held
 }
 
 func newDiscovery(cfg *Config, heard func(listing), failed func()) *discovery {
@@ -212,7 +221,33 @@
 	}
 }
 
+// counters are for the log.
+func (d *discovery) counters() map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return map[string]int{
+		"whole": d.calls.whole, "watches": d.calls.watches, "failed": d.calls.failed, "lines": d.calls.lines,
+	}
+}
+
+// call asks discovery, and counts that it did.
 func (d *discovery) call(ctx context.Context, address, query string, limit time.Duration) (listing, error) {
+	l, err := d.get(ctx, address, query, limit)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if query == "" {
+		d.calls.whole++
+	} else {
+		d.calls.watches++
+	}
+	if err != nil {
+		d.calls.failed++
+	}
+	d.calls.lines += len(l.servers)
+	return l, err
+}
+
+func (d *discovery) get(ctx context.Context, address, query string, limit time.Duration) (listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/discovery/hosts"+query, nil)
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -101,6 +102,11 @@
 	}
 	cancel()
 	wait(t, "the end", ended)
+	// The last call, a watch, has ended with the test.
+	want := map[string]int{"whole": 3, "watches": 3, "failed": 3, "lines": 2}
+	if got := d.counters(); !maps.Equal(got, want) {
+		t.Errorf("counted %v, want %v", got, want)
+	}
 }
 
 // Where the list must be asked for, nothing is called before the module asks.
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -26,6 +26,7 @@
 	upstream *upstream
 	watch    func()                // subscribes to the list
 	clients  func() map[string]int // counters of the application's side
+	calls    func() map[string]int // and of discovery's
 	most     int                   // attempts for one request at most
 
 	lastID   atomic.Uint64
@@ -61,6 +62,7 @@
 	l := &loop{
 		clock: c, upstream: up, watch: func() {}, most: cfg.Policy.MaxAttempts,
 		clients:  func() map[string]int { return nil },
+		calls:    func() map[string]int { return nil },
 		events:   make(chan func(time.Duration), eventQueue),
 		requests: make(map[policy.RequestID]*request),
 		address:  make(map[policy.ServerID]string),
@@ -96,7 +98,7 @@
 			l.wake()
 		case <-counters.C:
 			slog.Info("counters", "module", fmt.Sprintf("%+v", l.b.Counters()),
-				"upstream", l.upstream.counters(), "clients", l.clients())
+				"upstream", l.upstream.counters(), "clients", l.clients(), "discovery", l.calls())
 		case <-ctx.Done():
 			return
 		}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -34,7 +34,7 @@
 		return err
 	}
 	d := newDiscovery(cfg, l.list, l.listFailed)
-	l.watch = d.ask
+	l.watch, l.calls = d.ask, d.counters
 	k := newClients(cfg, listener)
 	f := newFront(cfg, c, l, k)
 	l.clients = f.counters
