Rest servers that fail time and again, and hold that much less meanwhile

Cause: judge and gap only stretch the time between a failing server's turns, to 8 times at most, and turns are relative: where half fail, half of the turns are theirs. Each of 25 sidecars to a server pays for that alone. Now two failures running rest it, doubled up to 4 s, by how many share it. whole() shrinks with the part of the arc that fails.

Ruled out: rests alone.

The tests fail without it; two older tests now end attempts that had to wait.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -38,6 +38,8 @@
 	failStrain = 8.0                   // a failure counts as an answer that took so many times the usual
 	coldPart   = 0.5                   // this much of a cold server's budget is used, the rest left to chance
 
+	restAfter  = 2                      // so many failures running are no chance: the server rests
+	restEach   = 100 * time.Millisecond // at first it is tested this often, by all who share it together
 	firstPause = 250 * time.Millisecond // before the list is asked for again after a failed call,
 	lastPause  = 4 * time.Second        // doubled after each up to this
 )
@@ -271,8 +273,17 @@
 
 // whole is the wall over all attempts while no server is crowded: what our own traffic holds at the
 // aim, by Little's law. The slots are sized for the busiest balancer: those of eighty together are
-// far more than their servers bear.
-func (b *Balancer) whole() float64 { return min(float64(b.slots), wholeFree+b.rate*b.aim) }
+// far more than their servers bear. It shrinks by the servers that fail: what they lose is not to
+// fall on the others.
+func (b *Balancer) whole() float64 {
+	well := 0
+	for _, s := range b.arc {
+		if s.fails < restAfter {
+			well++
+		}
+	}
+	return min(float64(b.slots), wholeFree+b.rate*b.aim) * float64(well) / max(1, float64(len(b.arc)))
+}
 
 // further gives a request whose attempts have all failed another one, or ends it.
 func (b *Balancer) further(now time.Duration, r *request) {
@@ -327,6 +338,8 @@
 		return false // rule 1, and the limit on attempts
 	case s.State != Ready:
 		return false // rule 3: at once, long before the grace is over
+	case now < s.rested:
+		return false
 	case now < s.warmAt && now < s.coldAt:
 		return false // rule 4
 	case r.out > 0 || !r.mayRepeat(now, s):
@@ -477,9 +490,9 @@
 	return best, best != nil && lost < best.due
 }
 
-// backoff is the pause after n failures, spread so that balancers do not act as one.
-func (b *Balancer) backoff(n int) time.Duration {
-	d := min(firstPause<<min(n, 16), lastPause)
+// backoff is the pause after n more failures than the first, spread so that balancers do not act as one.
+func (b *Balancer) backoff(first time.Duration, n int) time.Duration {
+	d := min(first<<min(n, 16), lastPause)
 	return time.Duration(float64(d) * (0.5 + b.rng.Float64()))
 }
 
@@ -515,12 +528,27 @@
 		b.host.Log(fmt.Sprintf("server %x strained, %d attempts out", s.ID, s.out))
 	}
 	s.strain += (x - s.strain) / 4
+	b.rest(now, s, end)
+}
+
+// rest keeps sends from a server that fails time and again, longer each time. Each balancer learns for
+// itself that a server is lost and pays for it with requests, and again with each test; where many share
+// a server, their tests alone keep a crowded one from its rest. So the more they are, the longer each waits.
+func (b *Balancer) rest(now time.Duration, s *server, end Ending) {
+	if end == Served {
+		s.fails, s.rested = 0, 0
+		return
+	}
+	if s.fails++; s.fails >= restAfter {
+		sharers := float64(b.cfg.Balancers) * b.reach / max(b.weight, 1e-9)
+		s.rested = now + b.backoff(time.Duration(sharers*float64(restEach)), s.fails-restAfter)
+	}
 }
 
 // List takes news of the server list.
 func (b *Balancer) List(now time.Duration, kind ListKind, entries []Server) {
 	if kind == ListFailed {
-		b.askAt = now + b.backoff(b.askFails)
+		b.askAt = now + b.backoff(firstPause, b.askFails)
 		b.askFails++
 		return
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -409,6 +409,63 @@
 	}
 }
 
+// Guards against eighty balancers that each go on paying for a server that is lost: two failures running
+// and it rests, longer each time and where more share it, until it answers.
+func TestFailingServerRests(t *testing.T) {
+	for _, balancers := range []int{2, 80} {
+		cfg := testConfig()
+		cfg.Balancers = balancers
+		b, h := start(t, cfg, ready(1))
+		now, id, last := time.Duration(0), RequestID(0), time.Duration(0)
+		try := func(e Ending) (rest time.Duration) {
+			t.Helper()
+			id, b.asked = id+1, recent{}
+			ask(b, now, id, unsafeClass)
+			if h.sends[len(h.sends)-1].id != id {
+				t.Fatalf("%d balancers: nothing is sent at %v", balancers, now)
+			}
+			end(b, now, id, 0, e)
+			return b.server(1).rested - now
+		}
+		try(Errored)
+		for i := range 10 {
+			rest := try(Errored)
+			if d := min(lastPause, time.Duration(balancers)*restEach<<i); rest < d/2 || rest > d*3/2 {
+				t.Fatalf("%d balancers: a rest of %v after %d failures, want about %v", balancers, rest, i+2, d)
+			}
+			id, b.asked = id+1, recent{}
+			ask(b, now+rest/2, id, unsafeClass)
+			if h.sends[len(h.sends)-1].id == id {
+				t.Fatalf("%d balancers: sent to a server that rests", balancers)
+			}
+			b.ClientGone(now+rest/2, id)
+			now, last = now+rest, rest
+		}
+		if last < lastPause/2 {
+			t.Fatalf("%d balancers: a rest of %v at last, want about %v", balancers, last, lastPause)
+		}
+		try(Served)
+		if rest := try(Errored); rest > 0 {
+			t.Fatalf("%d balancers: a rest of %v after an answer and one failure", balancers, rest)
+		}
+	}
+}
+
+// Guards against the last good servers taking what the failing ones lose.
+func TestWholeWallShrinksWithFailingServers(t *testing.T) {
+	b, _ := start(t, testConfig(), ready(1, 2, 3, 4))
+	if got := b.whole(); got != 8 {
+		t.Fatalf("a wall of %v over all attempts, want all 8 slots", got)
+	}
+	for i, end := range []Ending{Errored, NoConnection, TimedOut, Errored} {
+		r := &request{class: &b.classes[0]}
+		b.judge(0, r, &attempt{to: b.server(ServerID(1 + i%2))}, end)
+	}
+	if got := b.whole(); got != 4 {
+		t.Fatalf("a wall of %v over all attempts, want 4 while two of four servers fail", got)
+	}
+}
+
 // Guards against all walls together let servers pass into their slower state.
 func TestReportedLoadWallsTheFleet(t *testing.T) {
 	cfg := testConfig()
@@ -608,7 +665,8 @@
 }
 
 func TestMemoryStaysBounded(t *testing.T) {
-	b, _ := start(t, testConfig(), ready(1, 2))
+	b, h := start(t, testConfig(), ready(1, 2))
+	ended := 0
 	for id := range RequestID(20000) {
 		now := time.Duration(id) * 5 * ms
 		ask(b, now, id, safeClass)
@@ -627,6 +685,10 @@
 			b.List(now, ListDelta, []Server{{ID: ServerID(1000 + id), State: Gone}})
 		}
 		b.Wake(now + 3*ms)
+		for ; ended < len(h.sends); ended++ { // those that had to wait too
+			end(b, now+4*ms, h.sends[ended].id, 0, Served)
+			end(b, now+4*ms, h.sends[ended].id, 1, Served)
+		}
 	}
 	b.Wake(time.Hour)
 	if len(b.requests) > 3 || len(b.open) > 3 || len(b.servers) != 2 || cap(b.open) > 100 {
@@ -1022,21 +1084,19 @@
 func TestAdmissionReopensWhenAnswersComeInTime(t *testing.T) {
 	b, h := start(t, testConfig(), ready(1, 2, 3, 4))
 	const every = 5 * ms // 200 a second
-	let := make([]int, 16)
+	let, ended := make([]int, 16), 0
 	for id := range RequestID(16 * 200) {
 		now := time.Duration(id) * every
 		b.Wake(now)
-		n := len(h.sends)
 		ask(b, now, id, unsafeClass)
-		if len(h.sends) == n {
-			continue
-		}
-		let[now/time.Second]++
 		outcome := Errored
 		if now >= 5*time.Second { // the trouble is over
 			outcome = Served
 		}
-		end(b, now+every/2, id, 0, outcome)
+		for ; ended < len(h.sends); ended++ {
+			let[now/time.Second]++
+			end(b, now+every/2, h.sends[ended].id, 0, outcome)
+		}
 	}
 	if let[4] > 40 {
 		t.Errorf("%d of 200 let in while none is answered", let[4])
