Let no more than ten balancers share a server where they are many

Cause: an arc was as long as its sidecar's traffic could feed with a turn a second (cut, turnEvery), whatever the fleet. Now it is also bounded by the quotas: so that ten share a server.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -21,22 +21,23 @@
 	serverSlots = 3.0  // slots for each server first listed, where no quota is known
 	placesShare = 0.15 // queue places for each slot: short, just enough to keep slots fed
 
-	rateOver   = 10 * time.Second      // our traffic is measured over about this long
-	turnEvery  = 1 * time.Second       // turns are taken among so few servers that each gets one this often
-	fewest     = 4.0                   // but at least this many
-	toldFor    = 50 * time.Millisecond // a load report is good for this long
-	askWait    = 30 * time.Millisecond // a request waits this long for one
-	askMost    = 3                     // and asks so many servers at most
-	pairsMost  = 4                     // pairs of reports that far apart tell whether they are fresh enough
-	crowdedAt  = 0.3                   // a server that takes this share of the aim to answer is crowded
-	admitMost  = 1.5                   // lets in this multiple of what was lately answered in time
-	admitFree  = 1.5                   // and this many requests, or a light balancer refuses after one failure
-	admitOver  = 2 * time.Second       // lately: about as long as queues take to build up
-	wholeAt    = 0.6                   // the wall over all attempts begins at this multiple of a server's
-	wholeFree  = 2.0                   // and allows this many more than our traffic holds at the aim
-	farTurns   = 0.25                  // other zones' servers have this share of turns, if crossing is priced
-	failStrain = 8.0                   // a failure counts as an answer that took so many times the usual
-	coldPart   = 0.5                   // this much of a cold server's budget is used, the rest left to chance
+	rateOver    = 10 * time.Second      // our traffic is measured over about this long
+	turnEvery   = 1 * time.Second       // turns are taken among so few servers that each gets one this often
+	sharersMost = 10                    // and that so many balancers share a server, if there are more
+	fewest      = 4.0                   // but at least this many
+	toldFor     = 50 * time.Millisecond // a load report is good for this long
+	askWait     = 30 * time.Millisecond // a request waits this long for one
+	askMost     = 3                     // and asks so many servers at most
+	pairsMost   = 4                     // pairs of reports that far apart tell whether they are fresh enough
+	crowdedAt   = 0.3                   // a server that takes this share of the aim to answer is crowded
+	admitMost   = 1.5                   // lets in this multiple of what was lately answered in time
+	admitFree   = 1.5                   // and this many requests, or a light balancer refuses after one failure
+	admitOver   = 2 * time.Second       // lately: about as long as queues take to build up
+	wholeAt     = 0.6                   // the wall over all attempts begins at this multiple of a server's
+	wholeFree   = 2.0                   // and allows this many more than our traffic holds at the aim
+	farTurns    = 0.25                  // other zones' servers have this share of turns, if crossing is priced
+	failStrain  = 8.0                   // a failure counts as an answer that took so many times the usual
+	coldPart    = 0.5                   // this much of a cold server's budget is used, the rest left to chance
 
 	restAfter  = 2                      // so many failures running are no chance: the server rests
 	restEach   = 100 * time.Millisecond // at first it is tested this often, by all who share it together
@@ -129,7 +130,7 @@
 	b.wake(now, busyTick)
 	b.rate = b.rate*math.Exp(-float64(now-b.rateAt)/float64(rateOver)) + 1/rateOver.Seconds()
 	b.rateAt = now
-	if want := max(fewest, b.rate*b.every); want > 1.25*b.wanted || want < 0.75*b.wanted {
+	if want := b.want(); want > 1.25*b.wanted || want < 0.75*b.wanted {
 		b.cut()
 	}
 	if !b.admit(now, r) {
@@ -446,7 +447,7 @@
 // connections to all servers and never learn how any of them fares, so each keeps to an arc of the
 // list that its own traffic can feed. Arcs begin evenly spread, by the balancers' numbers.
 func (b *Balancer) cut() {
-	b.wanted = max(fewest, b.rate*b.every)
+	b.wanted = b.want()
 	_, start := math.Modf(float64(b.cfg.Index) * math.Phi)
 	all, left := b.ready(), b.wanted
 	b.reach, b.arc = 0, nil
@@ -465,6 +466,16 @@
 	}
 }
 
+// want is how many servers to take turns among. Where balancers are many it is fewer than our traffic
+// could feed: by the quotas no more than sharersMost share a server.
+func (b *Balancer) want() float64 {
+	every := b.every
+	if b.cfg.Balancers > sharersMost && b.quota > 0 {
+		every = min(every, sharersMost*b.weight/b.quota)
+	}
+	return max(fewest, b.rate*every)
+}
+
 // gap is the time between a server's turns, in turns' own time. It is bounded, so that turns show recovery.
 // Other zones' have turns too, if fewer: a zone may have more traffic than its own servers can bear.
 func (b *Balancer) gap(now time.Duration, s *server) float64 {
