Begin the measure of a balancer's traffic at its start, not at the clock's zero

Cause: Start left rateAt at 0, so the first request faded the mean rate that deriveSlots sets by all the time since the clock's zero: 0.1 requests a second remained, and 10 s went by until the measure was right. Arcs were four servers and the wall over all attempts two or three in the meantime, also after each restart.

A shorter span of the measure at first adds nothing.

The test fails without it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -92,6 +92,7 @@
 
 // Start begins the Balancer's life; it must be the first event.
 func (b *Balancer) Start(now time.Duration) {
+	b.rateAt = now // the mean of all balancers holds from now on; the clock's zero may be long ago
 	if b.cfg.AskList {
 		b.ask(now)
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -818,6 +818,23 @@
 	}
 }
 
+// Guards against a start at a clock that counts from long ago, as real ones do: the first request must not
+// make a balancer take itself for one with no traffic, of short arcs and low walls.
+func TestRateHoldsFromTheStart(t *testing.T) {
+	for _, began := range []time.Duration{0, 56 * 365 * 24 * time.Hour} {
+		b, err := New(testConfig(), 1, newFakeHost())
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Start(began)
+		b.List(began, ListFull, ready(1, 2))
+		ask(b, began+20*ms, 1, safeClass)
+		if b.rate < 49 || b.rate > 51 { // half of the quotas
+			t.Errorf("started at %v: %.1f requests a second after the first, want about 50", began, b.rate)
+		}
+	}
+}
+
 // Guards against a fleet in which each meets a server once a second and shares it with 25 others: by the
 // quotas few share a server, and those who have more traffic take more of them. A few balancers may
 // each take turns among all servers.
