Let an answer halve a failing server's count, not clear it

Cause: rest cleared the count with any answer, so such a server was tested as a well one again at once and the pauses never grew. Now an answer halves the count, of which eight count at most: three answers clear the longest.

The test fails without it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -40,6 +40,7 @@
 	coldPart    = 0.5                   // this much of a cold server's budget is used, the rest left to chance
 
 	restAfter  = 2                      // so many failures running are no chance: the server rests
+	failsMost  = 8                      // and more count no more: three answers clear it
 	restEach   = 100 * time.Millisecond // at first it is tested this often, by all who share it together
 	firstPause = 250 * time.Millisecond // before the list is asked for again after a failed call,
 	lastPause  = 4 * time.Second        // doubled after each up to this
@@ -547,11 +548,11 @@
 // itself that a server is lost and pays for it with requests, and again with each test; where many share
 // a server, their tests alone keep a crowded one from its rest. So the more they are, the longer each waits.
 func (b *Balancer) rest(now time.Duration, s *server, end Ending) {
-	if end == Served {
-		s.fails, s.rested = 0, 0
+	if end == Served { // halved, not cleared: one that errs may answer one request in four
+		s.fails, s.rested = s.fails/2, 0
 		return
 	}
-	if s.fails++; s.fails >= restAfter {
+	if s.fails = min(s.fails+1, failsMost); s.fails >= restAfter {
 		sharers := float64(b.cfg.Balancers) * b.reach / max(b.weight, 1e-9)
 		s.rested = now + b.backoff(time.Duration(sharers*float64(restEach)), s.fails-restAfter)
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -445,8 +445,15 @@
 			t.Fatalf("%d balancers: a rest of %v at last, want about %v", balancers, last, lastPause)
 		}
 		try(Served)
+		if rest := try(Errored); rest < restEach {
+			t.Fatalf("%d balancers: a rest of %v, one answer clears a server that fails mostly", balancers, rest)
+		}
+		now = b.server(1).rested
+		for range 3 {
+			try(Served)
+		}
 		if rest := try(Errored); rest > 0 {
-			t.Fatalf("%d balancers: a rest of %v after an answer and one failure", balancers, rest)
+			t.Fatalf("%d balancers: a rest of %v after three answers and one failure", balancers, rest)
 		}
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -18,7 +18,7 @@
 	toldAt time.Duration // it last reported its load; 0: never
 	load   Load          // what it told then
 	others float64       // and then held this many requests that are not ours
-	fails  int           // attempts that failed since it last answered
+	fails  int           // attempts that failed lately; an answer halves them
 	rested time.Duration // it gets nothing before this
 	silent time.Duration // it has not answered since; 0: it has
 	warmAt time.Duration // cold until then, by the list or by our own guess
