--- a/policy/policy.go
+++ b/policy/policy.go
@@ -39,7 +39,7 @@
 	failStrain  = 8.0                   // a failure counts as an answer that took so many times the usual
 	coldPart    = 0.5                   // this much of a cold server's budget is used, the rest left to chance
 
-	restAfter  = 2                      // so many failures running are no chance: the server rests
+	restAfter  = 2                      // so many failures are no chance: the server rests
 	failsMost  = 8                      // and more count no more: three answers clear it
 	restEach   = 100 * time.Millisecond // at first it is tested this often, by all who share it together
 	firstPause = 250 * time.Millisecond // before the list is asked for again after a failed call,
