--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -176,9 +176,9 @@
 	}
 }
 
-// runAt follows the list at an address until ctx ends, and again after a failure. Where lists are pushed it comes back by itself after a pause; where
-// they are asked for, the module says when, but for the first time after a move: then the module
-// holds itself for subscribed.
+// runAt follows the list at an address until ctx ends, and again after a failure. Where lists are pushed
+// it comes back by itself after a pause; where they are asked for, the module says when, but for the first
+// time after a move: then the module holds itself for subscribed.
 func (d *discovery) runAt(ctx context.Context, address string, moved bool) {
 	pause := firstRetry
 	for ctx.Err() == nil {
