Let the sooner wall over all attempts come in only where many balancers share servers

Cause: the wall at 0.6 of a server's (dispatch) is needed where one attempt each from many balancers is a crowd. Few balancers have walls of several attempts at each server that come in by themselves, and refused what servers bore. Whether they are many is told by the settings, by the same bound as the arcs'.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,7 +33,8 @@
 	admitMost   = 1.5                   // lets in this multiple of what was lately answered in time
 	admitFree   = 1.5                   // and this many requests, or a light balancer refuses after one failure
 	admitOver   = 2 * time.Second       // lately: about as long as queues take to build up
-	wholeAt     = 0.6                   // the wall over all attempts begins at this multiple of a server's
+	wholeFew    = 1.0                   // the wall over all attempts begins at this multiple of a server's,
+	wholeMany   = 0.6                   // or sooner where more than sharersMost balancers crowd servers
 	wholeFree   = 2.0                   // and allows this many more than our traffic holds at the aim
 	farTurns    = 0.25                  // other zones' servers have this share of turns, if crossing is priced
 	failStrain  = 8.0                   // a failure counts as an answer that took so many times the usual
@@ -264,9 +265,13 @@
 	if r.home.used >= r.home.slots {
 		return false
 	}
-	// The wall over all attempts: one each from many balancers is a crowd too. It comes before servers' own,
-	// which leave each server one attempt: by the time that all answers are slow, servers have choked.
-	if float64(b.out) >= max(1, b.whole()*ease(b.crowd/wholeAt)) {
+	// The wall over all attempts: one each from many balancers is a crowd too, and servers' own walls leave
+	// them that one. There it comes first: by the time that all answers are slow, servers have choked.
+	at := wholeFew
+	if b.cfg.Balancers > sharersMost {
+		at = wholeMany
+	}
+	if float64(b.out) >= max(1, b.whole()*ease(b.crowd/at)) {
 		b.count.Held++
 		return false
 	}
