Answer operators on a console of its own, and take servers out by hand

TakeOut and BringBack keep a set in the module; mayServe is the one predicate for sends and for members_unavailable.

The tests fail without their parts: the console's calls, silent callers, each outcome's count, servers out by hand and by choice; in the module every kind of send and the cold return.

--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -20,6 +20,7 @@
 	Name      string
 	Listen    string // where the application connects
 	Discovery string // address of discovery
+	Console   string // where operators connect; empty: nowhere
 	Seed      uint64
 
 	MemoryMB int // the process is killed above this; 0: no limit is known
@@ -43,7 +44,7 @@
 }
 
 // ReadConfig reads the file that EDGE_CONFIG names. What the environment says in EDGE_NAME,
-// EDGE_LISTEN and EDGE_DISCOVERY stands in for what the file leaves out.
+// EDGE_LISTEN, EDGE_DISCOVERY and EDGE_CONSOLE stands in for what the file leaves out.
 func ReadConfig(path string) (*Config, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
@@ -59,8 +60,8 @@
 
 func parseConfig(raw []byte, env func(string) string) (*Config, error) {
 	var file struct {
-		Name, Listen, Discovery, Seed string
-		Limits                        struct {
+		Name, Listen, Discovery, Console, Seed string
+		Limits                                 struct {
 			MemoryMB float64 `json:"memory_mb"`
 			Sockets  float64
 		}
@@ -80,11 +81,12 @@
 		Name:      given(file.Name, "EDGE_NAME"),
 		Listen:    given(file.Listen, "EDGE_LISTEN"),
 		Discovery: given(file.Discovery, "EDGE_DISCOVERY"),
+		Console:   given(file.Console, "EDGE_CONSOLE"),
 		MemoryMB:  int(file.Limits.MemoryMB),
 		Sockets:   int(file.Limits.Sockets),
 	}
-	for field, address := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
-		if _, _, err := net.SplitHostPort(address); err != nil {
+	for field, address := range map[string]string{"listen": c.Listen, "discovery": c.Discovery, "console": c.Console} {
+		if _, _, err := net.SplitHostPort(address); err != nil && (field != "console" || address != "") {
 			return nil, fmt.Errorf("config: %s: %w", field, err)
 		}
 	}
@@ -154,8 +156,17 @@
 	return nil
 }
 
+// ownFiles are the descriptors set aside before clients and upstreams divide the rest: the process's own
+// (standard streams, poller, listeners, discovery at two addresses) and, where there is a console, its callers'.
+func (c *Config) ownFiles() int {
+	if c.Console == "" {
+		return 0 // the reserve suffices
+	}
+	return min(consoleConns+4, c.Sockets/4)
+}
+
 // clientConns and upstreamConns divide the descriptors: half for upstreams, most of the rest for the
 // application's connections, and a reserve for what is being closed and for the process itself.
-func (c *Config) clientConns() int { return c.Sockets * 3 / 8 }
+func (c *Config) clientConns() int { return (c.Sockets - c.ownFiles()) * 3 / 8 }
 
-func (c *Config) upstreamConns() int { return c.Sockets / 2 }
+func (c *Config) upstreamConns() int { return (c.Sockets - c.ownFiles()) / 2 }
--- /dev/null
+++ b/internal/sidecar/console.go
@@ -0,0 +1,148 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	consoleConns = 12                     // callers at once; past that the one silent longest makes room
+	callTime     = 2 * time.Second        // a caller may take so long over its line
+	replyTime    = 500 * time.Millisecond // and so long to take its answer; it is owed that within 1 s
+	callLimit    = 256                    // bytes of a line
+	callRest     = 64 << 10               // bytes read behind an unusable line, so that its answer is not lost to a reset
+)
+
+// console is the operators' door: one line to a connection, one answer, and a close. It stands apart from
+// the clients' side, so that neither load there nor silent callers here keep an answer back.
+type console struct {
+	ready  func() bool
+	stat   func(io.Writer)
+	server func(ctx context.Context, id string, out bool) error // takes a server out by hand, or brings it back
+
+	mu      sync.Mutex
+	waiting []net.Conn // callers whose line has not come, the one that waits longest first
+	callers sync.WaitGroup
+}
+
+// serve answers callers until ctx ends. It returns once the last of them has its answer.
+func (c *console) serve(ctx context.Context, l net.Listener) {
+	stop := context.AfterFunc(ctx, func() { l.Close() })
+	defer stop()
+	defer c.callers.Wait()
+	for {
+		conn, err := l.Accept()
+		switch {
+		case err == nil:
+			c.enter(conn)
+			c.callers.Go(func() { c.answer(ctx, conn) })
+		case ctx.Err() != nil || errors.Is(err, net.ErrClosed):
+			return
+		default: // no descriptor is free, say: that passes
+			slog.Error("console", "error", err)
+			select {
+			case <-time.After(replyTime):
+			case <-ctx.Done():
+			}
+		}
+	}
+}
+
+// enter counts a caller in, if need be at the cost of the one that has been silent longest.
+func (c *console) enter(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.waiting) >= consoleConns {
+		c.waiting[0].Close()
+		c.waiting = c.waiting[1:]
+	}
+	c.waiting = append(c.waiting, conn)
+}
+
+// spoke takes that a caller's line has come, or never will: it makes room for nobody any more.
+func (c *console) spoke(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range c.waiting {
+		if c.waiting[i] == conn {
+			c.waiting = append(c.waiting[:i], c.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// answer hears one caller out.
+func (c *console) answer(ctx context.Context, conn net.Conn) {
+	defer conn.Close()
+	// Deadlines and writes fail only on a connection that is gone: nobody is left to tell.
+	_ = conn.SetDeadline(time.Now().Add(callTime))
+	line, err := bufio.NewReaderSize(conn, callLimit).ReadSlice('\n')
+	c.spoke(conn)
+	_ = conn.SetDeadline(time.Now().Add(replyTime))
+	if err != nil {
+		why := "400 the line has no end\n"
+		if errors.Is(err, bufio.ErrBufferFull) {
+			why = "400 the line is too long\n"
+		}
+		_, _ = io.WriteString(conn, why)
+		if tcp, ok := conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
+			_, _ = io.CopyN(io.Discard, conn, callRest)
+		}
+		return
+	}
+	w := bufio.NewWriter(conn)
+	c.call(ctx, w, strings.Fields(string(line)))
+	_ = w.Flush()
+}
+
+// call carries out one call.
+func (c *console) call(ctx context.Context, w io.Writer, words []string) {
+	name := strings.Join(words[:min(len(words), 1)], "")
+	wanted := map[string]int{"ready": 1, "show-stat": 1, "disable-server": 2, "enable-server": 2}[name]
+	var err error
+	switch {
+	case wanted == 0:
+		err = errors.New("unknown call; there are ready, show-stat, disable-server ID and enable-server ID")
+	case len(words) != wanted:
+		err = fmt.Errorf("%s takes %d words after it", name, wanted-1)
+	case name == "show-stat":
+		c.stat(w)
+		return
+	case name == "ready" && !c.ready():
+		err = errors.New("no, it is stopping")
+	case name == "disable-server" || name == "enable-server":
+		err = c.server(ctx, words[1], name == "disable-server")
+	}
+	if err != nil {
+		fmt.Fprintf(w, "400 %v\n", err)
+		return
+	}
+	fmt.Fprintln(w, "200 yes")
+}
+
+// stat writes the figures, for operators and what watches the sidecar for them. Requests are counted where
+// they are answered, attempts where they are written; what only the loop knows is at most membersEvery old.
+func (f *front) stat(w io.Writer) {
+	for _, name := range slices.Sorted(maps.Keys(f.cfg.Classes)) {
+		ended := &f.ended[f.cfg.Classes[name]]
+		for _, figure := range []struct {
+			name  string
+			value uint64
+		}{{"completed", ended.completed.Load()}, {"rejected", ended.rejected.Load()}, {"failed", ended.failed.Load()}} {
+			fmt.Fprintf(w, "app.downstream_requests.%s.%s=%d\n", name, figure.name, figure.value)
+		}
+	}
+	members := f.loop.members.Load()
+	fmt.Fprintf(w, "app.upstream_requests=%d\napp.pending=%d\napp.members=%d\napp.members_unavailable=%d\nEOF\n",
+		f.loop.upstream.written.Load(), f.held.Load(), members.listed, members.unavailable)
+}
--- /dev/null
+++ b/internal/sidecar/console_test.go
@@ -0,0 +1,186 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// reach opens a connection to the console.
+func (s *running) reach(t *testing.T) net.Conn {
+	t.Helper()
+	c, err := net.DialTimeout("tcp", s.door, generous)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(generous))
+	return c
+}
+
+// call has one line answered by the console.
+func (s *running) call(t *testing.T, line string) string {
+	t.Helper()
+	c := s.reach(t)
+	if _, err := io.WriteString(c, line); err != nil {
+		t.Fatal(err)
+	}
+	answer, err := io.ReadAll(c)
+	if err != nil {
+		t.Fatalf("%q: %v", line, err)
+	}
+	return string(answer)
+}
+
+// figures asks for the figures until they are as wanted.
+func (s *running) figures(t *testing.T, wanted map[string]string) {
+	t.Helper()
+	var off string
+	for end := time.Now().Add(generous); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		off = ""
+		got := make(map[string]string)
+		for line := range strings.Lines(s.call(t, "show-stat\n")) {
+			name, value, _ := strings.Cut(strings.TrimSuffix(line, "\n"), "=")
+			got[name] = value
+		}
+		for name, value := range wanted {
+			if got["app."+name] != value {
+				off += fmt.Sprintf(" %s=%q, want %s;", name, got["app."+name], value)
+			}
+		}
+		if off == "" {
+			return
+		}
+	}
+	t.Fatal("figures:", off)
+}
+
+func TestConsoleCalls(t *testing.T) {
+	s := newStub(t, echo)
+	side := start(t, nil, s.address)
+	for line, want := range map[string]string{
+		"ready\n":                              "200 ",
+		"ready\r\n":                            "200 ",
+		"disable-server s-0\n":                 "200 ",
+		"enable-server s-0\n":                  "200 ",
+		"disable-server nobody\n":              "400 ",
+		"enable-server nobody\n":               "400 ",
+		"disable-server\n":                     "400 ",
+		"disable-server s-0 s-1\n":             "400 ",
+		"\n":                                   "400 ",
+		"GET / HTTP/1.1\r\nHost: here\r\n\r\n": "400 ",
+		"\x00\xff\n":                           "400 ",
+		strings.Repeat("x", 60<<10) + "\n":     "400 ",
+	} {
+		if got := side.call(t, line); !strings.HasPrefix(got, want) || strings.Count(got, "\n") != 1 {
+			t.Errorf("%.40q: %q, want one line that begins with %s", line, got, want)
+		}
+	}
+	half := side.reach(t)
+	_, _ = io.WriteString(half, "disable-server s-")
+	_ = half.(*net.TCPConn).CloseWrite()
+	if got, _ := io.ReadAll(half); !strings.HasPrefix(string(got), "400 ") {
+		t.Errorf("half a line: %q", got)
+	}
+	const first = "app.downstream_requests.entry.completed=0\napp.downstream_requests.entry.rejected=0\n" +
+		"app.downstream_requests.entry.failed=0\napp.downstream_requests.look.completed=0\n"
+	if got := side.call(t, "show-stat\n"); !strings.HasPrefix(got, first) || !strings.HasSuffix(got, "\nEOF\n") {
+		t.Errorf("figures %q", got)
+	}
+}
+
+// Callers that say nothing keep nobody from an answer, and hold no more connections than are set aside.
+func TestSilentCallersMakeRoom(t *testing.T) {
+	side := start(t, nil, newStub(t, echo).address)
+	var silent []net.Conn
+	for range 3 * consoleConns {
+		c := side.reach(t)
+		_, _ = io.WriteString(c, "read")
+		silent = append(silent, c)
+	}
+	if got := side.call(t, "ready\n"); !strings.HasPrefix(got, "200 ") {
+		t.Fatalf("ready: %q", got)
+	}
+	for _, c := range silent[:consoleConns] {
+		if _, err := bufio.NewReader(c).ReadString(0); err == nil || strings.Contains(err.Error(), "timeout") {
+			t.Fatalf("the longest silent: %v, want a close", err)
+		}
+	}
+}
+
+// Each way that a request can end is counted once, and nothing stays pending.
+func TestFiguresByOutcome(t *testing.T) {
+	held := make(chan struct{})
+	s := newStub(t, func(c net.Conn, r received) bool {
+		switch r.body {
+		case "break":
+			return false
+		case "err":
+			_, err := io.WriteString(c, "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
+			return err == nil
+		case "hold":
+			<-held
+			return false
+		}
+		return echo(c, r)
+	})
+	defer close(held)
+	side := start(t, nil, s.address)
+	side.figures(t, map[string]string{"members": "1", "members_unavailable": "0", "pending": "0", "upstream_requests": "0"})
+	for _, c := range []struct {
+		body, timeout string
+		status        int
+	}{{"err", "20000m", http.StatusBadGateway}, {"break", "20000m", http.StatusBadGateway}, {"hold", "150m", http.StatusGatewayTimeout}} {
+		do(t, side.request(t, "POST", "/entry", "fine")) // keeps the server from its rest
+		if res, _ := do(t, side.request(t, "POST", "/entry", c.body, "X-Timeout", c.timeout)); res.StatusCode != c.status {
+			t.Fatalf("%s: %s", c.body, res.Status)
+		}
+	}
+	if res, _ := do(t, side.request(t, "GET", "/look", "", "X-Timeout", "0m")); res.StatusCode != http.StatusServiceUnavailable {
+		t.Fatalf("out of time: %s", res.Status)
+	}
+	const entry, look = "downstream_requests.entry.", "downstream_requests.look."
+	side.figures(t, map[string]string{
+		entry + "completed": "3", entry + "rejected": "0", entry + "failed": "3",
+		look + "completed": "0", look + "rejected": "1", look + "failed": "0",
+		"upstream_requests": "6", "pending": "0",
+	})
+	ctx, leave := context.WithCancel(context.Background())
+	go func() { _, _ = http.DefaultClient.Do(side.request(t, "POST", "/entry", "hold").WithContext(ctx)) }()
+	side.figures(t, map[string]string{"pending": "1", "upstream_requests": "7"})
+	leave()
+	side.figures(t, map[string]string{"pending": "0", entry + "completed": "3"})
+}
+
+// A server is unavailable while it is out by hand, while the module rests it, and once while both hold.
+func TestUnavailableByHandAndByChoice(t *testing.T) {
+	fine, bad := newStub(t, echo), newStub(t, func(c net.Conn, _ received) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	})
+	// So many balancers that a server rests for long.
+	side := start(t, func(_, settings map[string]any) { settings["balancers"] = 400.0 }, fine.address, bad.address)
+	unavailable := func(n string) {
+		t.Helper()
+		side.figures(t, map[string]string{"members": "2", "members_unavailable": n})
+	}
+	unavailable("0")
+	side.call(t, "disable-server s-0\n")
+	unavailable("1")
+	for range 4 { // the one that errs is left
+		do(t, side.request(t, "POST", "/entry", "1"))
+	}
+	unavailable("2")
+	side.call(t, "disable-server s-1\n")
+	unavailable("2")
+	side.call(t, "enable-server s-0\n")
+	unavailable("1")
+	side.call(t, "enable-server s-1\n")
+	unavailable("0")
+}
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -29,11 +29,27 @@
 	loop    *loop
 	clients *clients
 	held    atomic.Int64 // requests with no answer yet
+	ended   []tally      // those that had theirs, by class
 	ready   atomic.Bool  // what GET /up tells
 }
 
+// tally counts the requests of a class by their answer.
+type tally struct{ completed, rejected, failed atomic.Uint64 }
+
+// count takes that a request was answered.
+func (t *tally) count(status int) {
+	switch status {
+	case http.StatusOK:
+		t.completed.Add(1)
+	case http.StatusServiceUnavailable:
+		t.rejected.Add(1)
+	default:
+		t.failed.Add(1)
+	}
+}
+
 func newFront(cfg *Config, c clock, l *loop, k *clients) *front {
-	return &front{cfg: cfg, clock: c, loop: l, clients: k}
+	return &front{cfg: cfg, clock: c, loop: l, clients: k, ended: make([]tally, len(cfg.Policy.Classes))}
 }
 
 // server is the HTTP server that serves the application.
@@ -86,10 +102,10 @@
 	switch held := f.held.Add(1); {
 	case f.clients.open() > f.cfg.clientConns():
 		w.Header().Set("Connection", "close") // descriptors run out: this one is needed
-		refuse(w, f.pause())
+		f.answer(w, q.Class, answer{status: http.StatusServiceUnavailable, pause: f.pause()})
 		return
 	case f.cfg.MostOpen > 0 && held > int64(f.cfg.MostOpen):
-		refuse(w, f.pause())
+		f.answer(w, q.Class, answer{status: http.StatusServiceUnavailable, pause: f.pause()})
 		return
 	}
 	m := &message{method: r.Method, url: r.URL, host: r.Host, header: endToEnd(r.Header), body: body}
@@ -98,7 +114,7 @@
 	select {
 	case a := <-reply:
 		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTime)) // fails only on a closed connection
-		a.write(w)
+		f.answer(w, q.Class, a)
 	case <-r.Context().Done(): // the client has closed its connection
 		f.loop.gone(id)
 		panic(http.ErrAbortHandler) // net/http's way to close it with no answer
@@ -170,6 +186,12 @@
 	return time.Duration(min(n*float64(unit), float64(longestWait))), true
 }
 
+// answer sends a request's final answer, and is the one place that counts it.
+func (f *front) answer(w http.ResponseWriter, class int, a answer) {
+	f.ended[class].count(a.status)
+	a.write(w)
+}
+
 // write sends the final answer to the client.
 func (a answer) write(w http.ResponseWriter) {
 	switch a.status {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	countersEvery = 5 * time.Second // how often the module's counters go to the log
+	countersEvery = 5 * time.Second        // how often the module's counters go to the log
+	membersEvery  = 100 * time.Millisecond // and what it knows of its servers to the console
 	eventQueue    = 256
 )
 
@@ -29,6 +30,9 @@
 	calls    func() map[string]int // and of discovery's
 	most     int                   // attempts for one request at most
 
+	members   atomic.Pointer[members] // the last word on the servers, for the console
+	membersAt time.Duration           // when it was published
+
 	lastID   atomic.Uint64
 	events   chan func(now time.Duration)
 	now      time.Duration // the time of the event under way
@@ -39,6 +43,9 @@
 	timer    *time.Timer      // set for the first of them
 }
 
+// members counts the servers in the list, and those that the module avoids.
+type members struct{ listed, unavailable int }
+
 // request is one in the table. It stays until it has its answer and all its attempts have ended.
 type request struct {
 	message  *message
@@ -72,9 +79,56 @@
 	if l.b, err = policy.New(cfg.Policy, cfg.Seed, l); err != nil {
 		return nil, err
 	}
+	l.members.Store(new(members))
 	return l, nil
 }
 
+// publish tells the console of the servers, now and then: the module is woken more often than that.
+func (l *loop) publish() {
+	if l.now-l.membersAt < membersEvery {
+		return
+	}
+	l.membersAt = l.now
+	var m members
+	m.listed, m.unavailable = l.b.Members(l.now)
+	l.members.Store(&m)
+}
+
+// server takes a server out by hand, or brings it back, and returns once the module has done so. One that
+// is neither listed nor out is an error.
+func (l *loop) server(ctx context.Context, instance string, out bool) error {
+	id, done := serverID(instance), make(chan bool, 1)
+	act := func(now time.Duration) {
+		_, listed := l.address[id]
+		switch {
+		case !listed && !l.b.Out(id):
+			done <- false
+			return
+		case out:
+			l.b.TakeOut(now, id)
+		default:
+			l.b.BringBack(now, id, now)
+		}
+		slog.Info("by hand", "server", instance, "out", out)
+		l.membersAt = 0 // to be published at once
+		done <- true
+	}
+	select {
+	case l.events <- act:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case known := <-done:
+		if !known {
+			return fmt.Errorf("no server has the id %q", instance)
+		}
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // post hands over an event. It waits where many are under way; the loop itself never waits for
 // those who post.
 func (l *loop) post(event func(now time.Duration)) { l.events <- event }
@@ -89,6 +143,7 @@
 	defer counters.Stop()
 	for {
 		l.settle()
+		l.publish()
 		select {
 		case event := <-l.events:
 			l.now = l.clock.now()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -22,11 +23,18 @@
 	if err != nil {
 		return err
 	}
-	return serve(ctx, cfg, listener, reload)
+	var door net.Listener
+	if cfg.Console != "" {
+		if door, err = net.Listen("tcp", cfg.Console); err != nil {
+			listener.Close()
+			return fmt.Errorf("console: %w", err)
+		}
+	}
+	return serve(ctx, cfg, listener, door, reload)
 }
 
-// serve wires the parts and starts them.
-func serve(ctx context.Context, cfg *Config, listener net.Listener, reload <-chan os.Signal) error {
+// serve wires the parts and starts them. There is a console where door is not nil.
+func serve(ctx context.Context, cfg *Config, listener, door net.Listener, reload <-chan os.Signal) error {
 	c := newClock()
 	up := newUpstream(cfg, c)
 	l, err := newLoop(cfg, c, up)
@@ -45,6 +53,11 @@
 	go l.run(running, cfg.Known)
 	go d.run(running)
 	f.ready.Store(true)
+	if door != nil {
+		c := &console{ready: f.ready.Load, stat: f.stat, server: l.server}
+		go c.serve(running, door)
+		slog.Info("console", "listen", door.Addr())
+	}
 	server := f.server()
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(k) }()
--- a/internal/sidecar/stub_test.go
+++ b/internal/sidecar/stub_test.go
@@ -151,6 +151,7 @@
 // running is a whole sidecar over loopback.
 type running struct {
 	url   string
+	door  string // the console's address
 	stop  func()
 	ended chan error
 }
@@ -177,9 +178,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	door, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &running{url: "http://" + l.Addr().String(), stop: cancel, ended: make(chan error, 1)}
-	go func() { s.ended <- serve(ctx, cfg, l, nil) }()
+	s := &running{url: "http://" + l.Addr().String(), door: door.Addr().String(), stop: cancel, ended: make(chan error, 1)}
+	go func() { s.ended <- serve(ctx, cfg, l, door, nil) }()
 	t.Cleanup(func() {
 		cancel()
 		http.DefaultClient.CloseIdleConnections()
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -56,6 +57,7 @@
 	reports     []string
 	columns     wire.Columns
 	probePath   string
+	written     atomic.Uint64 // attempts whose last byte was written
 
 	mu      sync.Mutex
 	idle    map[string][]*conn // by address, the most recently used last
@@ -210,6 +212,9 @@
 		u.discard(c)
 		return nil, nil, unsent()
 	}
+	if req.Header.Get("X-Request-Id") != "" { // no probe
+		u.written.Add(1)
+	}
 	res, body, err := c.answer(req)
 	switch {
 	case err == nil && !res.Close && c.r.Buffered() == 0 && x.begin(nil):
--- a/policy/api.go
+++ b/policy/api.go
@@ -9,7 +9,7 @@
 // Times are durations since a fixed moment of the embedding program's choice; they must never go
 // back, and all calls for one Balancer come from one goroutine, in the order of what happened. The
 // order of calls: New, Start, List with the servers known so far, then Request, Outcome, Wake,
-// List, Probed, ClientGone and StreamBegun as they occur. Each Host.Send brings exactly one Outcome,
+// List, Probed, ClientGone, StreamBegun, TakeOut and BringBack as they occur. Each Host.Send brings exactly one Outcome,
 // also after the request has been answered; each Host.Wake one call of Wake, late rather than never.
 // A request is answered once: by an Outcome with Settled set, or by Host.Refuse or Host.Fail.
 //
--- /dev/null
+++ b/policy/hand_test.go
@@ -0,0 +1,105 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against sends of any kind to a server that is taken out by hand, whatever the list says of it meanwhile.
+func TestTakenOutByHandStaysOut(t *testing.T) {
+	b, h := start(t, testConfig(), ready(1, 2))
+	b.TakeOut(0, 1)
+	b.TakeOut(0, 1) // twice is once
+	now, id := time.Duration(0), RequestID(0)
+	serve := func(what string, ending Ending) {
+		t.Helper()
+		for range 20 {
+			now += 20 * ms
+			ask(b, now, id, safeClass)
+			end(b, now+5*ms, id, 0, ending) // an attempt that did not run is tried again elsewhere
+			end(b, now+6*ms, id, 1, Served)
+			id++
+		}
+		if n := h.sentTo(1); n > 0 {
+			t.Fatalf("%s: %d sends to a server that is out", what, n)
+		}
+	}
+	serve("taken out", Served)
+	serve("with retries", TurnedAway)
+	b.List(now, ListFull, ready(1, 2))
+	serve("in a whole list", Served)
+	b.List(now, ListDelta, []Server{{ID: 1, State: Draining, Weight: 1}})
+	b.List(now, ListDelta, []Server{{ID: 1, State: Ready, Weight: 1, Started: now}})
+	serve("restarted", Served)
+	b.List(now, ListDelta, []Server{{ID: 1, State: Gone, Weight: 1}})
+	b.List(now, ListDelta, ready(1))
+	serve("gone and back", Served)
+	if listed, unavailable := b.Members(now); listed != 2 || unavailable != 1 {
+		t.Errorf("%d members, %d unavailable, want 2 and 1", listed, unavailable)
+	}
+	b.BringBack(now, 1, now)
+	if listed, unavailable := b.Members(now); listed != 2 || unavailable != 0 || b.Out(1) {
+		t.Errorf("after one call back: %d members, %d unavailable, out %v", listed, unavailable, b.Out(1))
+	}
+}
+
+// What runs there finishes, what waits goes to others, and a request bound to it is not sent there again.
+func TestTakeOutLeavesWhatRuns(t *testing.T) {
+	b, h := start(t, testConfig(), ready(1))
+	ask(b, 0, 1, safeClass)
+	b.TakeOut(ms, 1)
+	if len(h.cancelled) != 0 {
+		t.Fatal("what ran there was called off")
+	}
+	ask(b, 2*ms, 2, safeClass) // waits: nobody may serve
+	end(b, 10*ms, 1, 0, Errored)
+	b.Wake(20 * ms)
+	if len(h.sends) != 1 {
+		t.Fatalf("sends %v, want only the first", h.sends)
+	}
+	b.List(30*ms, ListDelta, ready(2))
+	if h.sentTo(2) == 0 || h.sentTo(1) != 1 {
+		t.Fatalf("sends %v, want what waited at the other server", h.sends)
+	}
+}
+
+// Guards against a server that is never used again after the call back, or is met with its full share at once.
+func TestBroughtBackCold(t *testing.T) {
+	b, h := start(t, testConfig(), ready(1, 2, 3, 4))
+	b.TakeOut(0, 1)
+	var id RequestID
+	serve := func(from, to time.Duration) int {
+		before := h.sentTo(1)
+		for now := from; now < to; now += 20 * ms {
+			id++
+			ask(b, now, id, safeClass)
+			end(b, now+5*ms, id, 0, Served)
+			b.Wake(now + 10*ms)
+		}
+		return h.sentTo(1) - before
+	}
+	serve(0, time.Second)
+	b.BringBack(time.Second, 1, time.Second)
+	if n := serve(time.Second, 2*time.Second); n == 0 || n > 8 {
+		t.Errorf("%d sends in the first second, want some, but fewer than a warm server's 12", n)
+	}
+	if n := serve(9*time.Second, 10*time.Second); n < 11 || n > 14 {
+		t.Errorf("%d sends in a second once it is warm, want its quarter of 50", n)
+	}
+}
+
+// A server that is out and not listed can be called back; listed again, it is as cold as the call back made it.
+func TestBroughtBackUnlisted(t *testing.T) {
+	b, _ := start(t, testConfig(), ready(1, 2))
+	b.TakeOut(0, 1)
+	b.List(0, ListDelta, []Server{{ID: 1, State: Gone, Weight: 1}})
+	b.BringBack(time.Second, 1, time.Second)
+	b.List(2*time.Second, ListDelta, ready(1))
+	if s := b.server(1); s == nil || !s.mayServe(2*time.Second) || s.warmAt != 9*time.Second {
+		t.Errorf("listed again: %+v, want it in service and cold until 9s", s)
+	}
+	b.BringBack(20*time.Second, 2, 20*time.Second) // was never out
+	if s := b.server(2); s.warmAt != 0 {
+		t.Error("a call back of a server that was not out made it cold")
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -53,6 +54,7 @@
 		return nil, err
 	}
 	b := &Balancer{cfg: cfg, host: host, requests: make(map[RequestID]*request), lines: make(map[uint64]*line)}
+	b.away, b.back = make(map[ServerID]bool), make(map[ServerID]time.Duration)
 	b.parts = make([]compartment, len(cfg.tenants()))
 	b.rng = rand.New(rand.NewPCG(seed, 0))
 	b.pace, b.every = cfg.Classes[0].Aim/8, turnEvery.Seconds()
@@ -201,7 +203,7 @@
 	if r.line != nil && (o.Ending == TimedOut || o.Ending == Broken || o.Ending == Cancelled) {
 		r.line.restEnd = max(r.line.restEnd, now+b.cfg.OrderSettle)
 	}
-	if a.to.State != Ready {
+	if !a.to.stands() {
 		b.close(now, a.to)
 	}
 	b.judge(now, r, a, o.Ending)
@@ -227,7 +229,7 @@
 	if b.closeAt > 0 && now >= b.closeAt {
 		b.closeAt = 0
 		for _, s := range b.servers {
-			if s.State == Draining {
+			if !s.stands() {
 				b.host.Close(s.ID)
 			}
 		}
@@ -344,10 +346,8 @@
 	switch {
 	case r.over || r.begun || now >= r.deadline || len(r.attempts) >= b.cfg.MaxAttempts:
 		return false // rule 1, and the limit on attempts
-	case s.State != Ready:
+	case !s.mayServe(now):
 		return false // rule 3: at once, long before the grace is over
-	case now < s.rested:
-		return false
 	case now < s.warmAt && now < s.coldAt:
 		return false // rule 4
 	case r.out > 0 || !r.mayRepeat(now, s):
@@ -360,6 +360,22 @@
 	return true
 }
 
+// stands says whether a server takes part: the list has it ready, and nobody has taken it out by hand.
+func (s *server) stands() bool { return s.State == Ready && !s.away }
+
+// mayServe says whether a server may be sent anything now: it takes part and does not rest from failures.
+func (s *server) mayServe(now time.Duration) bool { return s.stands() && now >= s.rested }
+
+// Members counts the listed servers, and those of them that nothing is sent to now, by hand or by choice.
+func (b *Balancer) Members(now time.Duration) (listed, unavailable int) {
+	for _, s := range b.servers {
+		if !s.mayServe(now) {
+			unavailable++
+		}
+	}
+	return len(b.servers), unavailable
+}
+
 // inTurn says whether a request is the first of its key, and no earlier attempt may still run.
 func (r *request) inTurn(now time.Duration) bool {
 	return r.line == nil || r.line.waiting[0] == r && (len(r.attempts) > 0 || now >= r.line.restEnd)
@@ -466,6 +482,9 @@
 		}
 		if !s.ours { // at a random point of its round: balancers must not begin in step
 			s.ours, s.due = true, b.turn+b.rng.Float64()*b.gap(b.rateAt, s)
+			if b.back[s.ID] > 0 { // or it would wait long for a cold one's turn
+				s.due = b.turn
+			}
 		}
 		left--
 		b.reach += s.Weight
@@ -598,12 +617,45 @@
 		// All balancers are told at about the same time: their first sends are spread too.
 		s.coldAt = now + time.Duration(b.rng.Float64()*float64(b.coldGap(now, s)))
 	}
-	s.Server = e
-	if s.State == Draining {
+	s.Server, s.away, s.warmAt = e, b.away[e.ID], max(s.warmAt, b.back[e.ID])
+	if !s.stands() {
+		b.close(now, s)
+	}
+}
+
+// TakeOut keeps everything new from a server until BringBack, whatever the list says of it meanwhile and
+// whether it is listed or not. What runs there finishes. Taken out twice, it is out once.
+func (b *Balancer) TakeOut(now time.Duration, id ServerID) {
+	b.away[id] = true
+	if s := b.server(id); s != nil && !s.away {
+		s.away = true
 		b.close(now, s)
+		b.weigh()
 	}
 }
 
+// BringBack ends TakeOut, as of the moment at. Operators restart servers meanwhile, and the list tells that
+// late: so the server comes back as a cold one, with its turn next.
+func (b *Balancer) BringBack(now time.Duration, id ServerID, at time.Duration) {
+	if !b.away[id] {
+		return
+	}
+	delete(b.away, id)
+	maps.DeleteFunc(b.back, func(_ ServerID, warmAt time.Duration) bool { return now >= warmAt })
+	b.back[id] = at + b.cfg.ColdTime
+	s := b.server(id)
+	if s == nil {
+		return
+	}
+	*s = server{Server: s.Server, out: s.out, warmAt: max(s.warmAt, b.back[id]), strain: 1}
+	s.coldAt = now + time.Duration(b.rng.Float64()*float64(b.coldGap(now, s))) // other balancers hear of it too
+	b.weigh()
+	b.feed(now)
+}
+
+// Out says whether a server is taken out by hand.
+func (b *Balancer) Out(id ServerID) bool { return b.away[id] }
+
 // ask subscribes to the list. Without any word it asks again before its silence counts as being told.
 func (b *Balancer) ask(now time.Duration) {
 	b.askAt = now + cmp.Or(b.cfg.AskWithin*3/4, lastPause)
@@ -617,7 +669,7 @@
 	if !due || !b.cfg.MayProbe || b.cfg.Reports&HasInFlight == 0 {
 		return
 	}
-	if b.sampled == nil || b.sampled.State != Ready {
+	if b.sampled == nil || !b.sampled.stands() {
 		b.sampled = b.arc[b.rng.IntN(len(b.arc))]
 	}
 	b.sampleAt = now + toldFor
--- a/policy/state.go
+++ b/policy/state.go
@@ -23,6 +23,7 @@
 	silent time.Duration // it has not answered since; 0: it has
 	warmAt time.Duration // cold until then, by the list or by our own guess
 	coldAt time.Duration // while cold: nothing more before this
+	away   bool          // taken out by hand
 }
 
 type attemptState int
@@ -137,14 +138,16 @@
 	askAt    time.Duration // when to ask for the list next; 0: no need
 	askFails int
 	feedFrom int
-	lines    map[uint64]*line // by key
-	taken    window           // requests
-	more     window           // attempts after a request's first
-	sampled  *server          // whose reports are compared
-	sampleAt time.Duration    // when it is asked again
-	pairs    int              // pairs of reports compared
-	fresh    int              // and those that differed
-	closeAt  time.Duration    // when connections to draining servers are closed once more; 0: not due
+	lines    map[uint64]*line           // by key
+	taken    window                     // requests
+	more     window                     // attempts after a request's first
+	sampled  *server                    // whose reports are compared
+	sampleAt time.Duration              // when it is asked again
+	pairs    int                        // pairs of reports compared
+	fresh    int                        // and those that differed
+	away     map[ServerID]bool          // taken out by hand, listed or not
+	back     map[ServerID]time.Duration // brought back by hand lately: cold until then, though the list may not tell
+	closeAt  time.Duration              // when connections to draining servers are closed once more; 0: not due
 	count    Counters
 }
 
@@ -192,11 +195,11 @@
 	return nil
 }
 
-// weigh adds up the weights of the ready servers.
+// weigh adds up the weights of the servers that take part.
 func (b *Balancer) weigh() {
 	b.weight = 0
 	for _, s := range b.servers {
-		if s.State == Ready {
+		if s.stands() {
 			b.weight += s.Weight
 		}
 	}
@@ -217,10 +220,10 @@
 	}
 }
 
-// ready returns the ready servers, in order of their ids.
+// ready returns the servers that take part, in order of their ids.
 func (b *Balancer) ready() (all []*server) {
 	for _, s := range b.servers {
-		if s.State == Ready {
+		if s.stands() {
 			all = append(all, s)
 		}
 	}
