Let servers that are cold in the first list have their first send in time

Seen: with two processes in the module's tests, a server that is cold in the first list had no send at all in a second. Each upgrade and each restart during a release begins with such a list.

Cause: List entered the lines, and put off the first send to a cold server, before weigh had added up the weights; its part of the traffic came to nothing, and the gap to coldGap's bound of 100 s (enter, List). Now the first sends are spread once the weights are known; the same order holds for servers brought back by hand.

Ruled out: that the quota or the number of balancers keep it back; with the same server listed as cold in a later list the first send comes within the gap of its part.

--- a/policy/hand_test.go
+++ b/policy/hand_test.go
@@ -126,3 +126,21 @@
 		t.Errorf("%d sends alone, %d from each of two, want half", alone, each)
 	}
 }
+
+// Guards against servers that are cold in the first list of all being left out until they are warm: there were no
+// weights yet to take their part of, so that their first send was put off by up to 100 s.
+func TestColdInTheFirstList(t *testing.T) {
+	list := ready(1, 2)
+	list[0].Started = 1
+	for seed := range uint64(20) {
+		b, h := startSeeded(t, testConfig(), seed, list)
+		for i := range 50 {
+			now := time.Duration(i) * 20 * ms
+			ask(b, now, RequestID(i), safeClass)
+			end(b, now+5*ms, RequestID(i), 0, Served)
+		}
+		if h.sentTo(1) == 0 {
+			t.Fatalf("seed %d: no send in the first second, due at %v", seed, b.server(1).coldAt)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -600,32 +600,44 @@
 	if kind != ListDelta {
 		b.allGone() // until the list names them
 	}
+	var started []*server
 	for _, e := range entries {
-		b.enter(now, e)
+		if s := b.enter(now, e); s != nil {
+			started = append(started, s)
+		}
 	}
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return s.State == Gone })
 	if b.mean == 0 {
 		b.deriveSlots() // no quotas: the first list is all there is to go by
 	}
 	b.weigh()
+	for _, s := range started { // only now are the weights known that a cold one's part is taken of
+		b.spreadFirst(now, s)
+	}
 	b.feed(now)
 }
 
-// enter takes over one line of the list.
-func (b *Balancer) enter(now time.Duration, e Server) {
+// spreadFirst puts off the first send to a server that is cold from now on: all balancers are told at about
+// the same time.
+func (b *Balancer) spreadFirst(now time.Duration, s *server) {
+	s.coldAt = now + time.Duration(b.rng.Float64()*float64(b.coldGap(now, s)))
+}
+
+// enter takes over one line of the list. It returns the server if this line tells of its start.
+func (b *Balancer) enter(now time.Duration, e Server) (started *server) {
 	if !(e.Weight > 0) || math.IsInf(e.Weight, 0) {
 		e.Weight = 1 // no weights, even turns
 	}
 	s := b.listed(e.ID)
 	if e.Started > 0 && e.Started > s.Started { // cold, and nothing known of it holds any more
 		*s = server{Server: e, out: s.out, warmAt: max(s.warmAt, e.Started+b.cfg.ColdTime), strain: 1}
-		// All balancers are told at about the same time: their first sends are spread too.
-		s.coldAt = now + time.Duration(b.rng.Float64()*float64(b.coldGap(now, s)))
+		started = s
 	}
 	s.Server, s.away, s.warmAt = e, b.away[e.ID], max(s.warmAt, b.back[e.ID])
 	if !s.stands() {
 		b.close(now, s)
 	}
+	return started
 }
 
 // TakeOut keeps everything new from a server until BringBack, whatever the list says of it meanwhile and
@@ -653,8 +665,8 @@
 		return
 	}
 	*s = server{Server: s.Server, out: s.out, warmAt: max(s.warmAt, b.back[id]), strain: 1}
-	s.coldAt = now + time.Duration(b.rng.Float64()*float64(b.coldGap(now, s))) // other balancers hear of it too
 	b.weigh()
+	b.spreadFirst(now, s)
 	b.feed(now)
 }
 
