Pass long bodies on as they come, with time by progress and places beside the slots

Causes: bodies were held whole, and unreadable past 64 KiB (conn.answer, front.ServeHTTP); a request had 2.25 s to come, whatever its size (readTime); its client's time began with its head (arrived). Ruled out by counters and a trace of aborts: servers that break off and clients that stand still (`broken` and `still` were 0), aborted handlers (none). A connection used again behind such a refusal made net/http panic in a test (a second read of the body): it is closed now.

--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -226,11 +226,11 @@
 		}
 		i.b.ClientGone(now, policy.RequestID(job))
 	case wire.EvHeaders:
-		job, err := rec.Job()
+		job, hop, err := rec.Headers()
 		if err != nil {
 			return err
 		}
-		i.b.StreamBegun(policy.RequestID(job))
+		i.b.StreamBegun(now, policy.RequestID(job), int(hop))
 	case wire.EvCheckResult:
 		up, end, report, err := rec.CheckResult()
 		if err != nil {
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -8,6 +8,7 @@
 	"os"
 	"sync"
 	"syscall"
+	"time"
 )
 
 // reusePort is SO_REUSEPORT on Linux, which package syscall does not name.
@@ -54,6 +55,8 @@
 	framing framing
 	failed  error
 
+	since time.Time // when it was accepted, or its latest request's head had come
+
 	number uint64 // in order of arrival; what follows is guarded by clients.mu
 	known  bool   // a whole request has come on it
 	state  http.ConnState
@@ -158,7 +161,7 @@
 		l.barred++
 		return false
 	}
-	k.number = l.entered
+	k.number, k.since = l.entered, time.Now()
 	l.entered++
 	l.conns[k] = struct{}{}
 	l.peak = max(l.peak, len(l.conns))
@@ -188,6 +191,9 @@
 	k := c.(*clientConn)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if s == http.StateIdle { // what came before was an earlier request's
+		k.since = time.Time{}
+	}
 	if k.state = s; s == http.StateClosed || s == http.StateHijacked {
 		delete(l.conns, k)
 	}
@@ -200,6 +206,17 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+// waited tells how long the head of the connection's first request has taken; of later ones only the body counts.
+func (l *clients) waited(ctx context.Context) time.Duration {
+	k := ctx.Value(connKey{}).(*clientConn)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if k.since.IsZero() {
+		return 0
+	}
+	return time.Since(k.since)
+}
+
 // took notes that a whole request has come on the connection of ctx: it no longer makes room for
 // others. It returns false where it has done so just now.
 func (l *clients) took(ctx context.Context) bool {
--- a/internal/sidecar/console.go
+++ b/internal/sidecar/console.go
@@ -143,6 +143,7 @@
 		}
 	}
 	members := f.loop.members.Load()
+	// A long body that still comes belongs to no request taken.
 	fmt.Fprintf(w, "app.upstream_requests=%d\napp.pending=%d\napp.members=%d\napp.members_unavailable=%d\nEOF\n",
-		f.loop.upstream.written.Load(), f.held.Load(), members.listed, members.unavailable)
+		f.loop.upstream.written.Load(), f.held.Load()-f.uploads.Load(), members.listed, members.unavailable)
 }
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -4,10 +4,13 @@
 	"errors"
 	"hash/fnv"
 	"io"
+	"net"
 	"net/http"
 	"net/textproto"
+	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,7 +18,7 @@
 )
 
 const (
-	readTime    = 2250 * time.Millisecond // a client may take this long over a request; one that connects is owed an end in 3 s
+	headTime    = 2500 * time.Millisecond // a client may take this long over a head; one that connects is owed an end in 3 s
 	writeTime   = 2 * time.Second         // and this long to take its answer
 	clientIdle  = 2250 * time.Millisecond // a connection may stand idle for so long; it is safe to close after 2 s
 	headerLimit = 32 << 10
@@ -29,8 +32,14 @@
 	loop    *loop
 	clients *clients
 	held    atomic.Int64 // requests with no answer yet
+	uploads atomic.Int64 // and of these, those whose last byte is still to come: they are not taken yet
 	ended   []tally      // those that had theirs, by class
-	ready   atomic.Bool  // what GET /up tells
+	streams struct {     // answers passed on as they come, for the log
+		begun  atomic.Int64
+		broken atomic.Int64 // by their server, or cut off as it stood still
+		still  atomic.Int64 // cut off as the client did
+	}
+	ready atomic.Bool // what GET /up tells
 }
 
 // tally counts the requests of a class by their answer.
@@ -55,7 +64,7 @@
 // server is the HTTP server that serves the application.
 func (f *front) server() *http.Server {
 	return &http.Server{
-		Handler: f, ReadTimeout: readTime, WriteTimeout: readTime + writeTime, IdleTimeout: clientIdle, MaxHeaderBytes: headerLimit,
+		Handler: f, ReadHeaderTimeout: headTime, WriteTimeout: writeTime, IdleTimeout: clientIdle, MaxHeaderBytes: headerLimit,
 		DisableGeneralOptionsHandler: true, // it would answer OPTIONS * with 200: nobody is owed that here
 		ConnState:                    f.clients.stateOf, ConnContext: f.clients.with,
 	}
@@ -64,18 +73,22 @@
 // counters are for the log.
 func (f *front) counters() map[string]int {
 	counts := f.clients.counters()
-	counts["held"] = int(f.held.Load())
+	counts["held"], counts["uploads"] = int(f.held.Load()), int(f.uploads.Load())
+	counts["streams"], counts["broken"] = int(f.streams.begun.Load()), int(f.streams.broken.Load())
+	counts["still"] = int(f.streams.still.Load())
 	return counts
 }
 
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	arrived := f.clock.now() // the client's time began when it sent, so before the body is read
 	if r.URL.Path == "/up" && r.Method == http.MethodGet {
 		if !f.ready.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
 	}
+	if r.ContentLength != 0 { // until receive knows better: a body that nobody reads holds no connection
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyStill)) // fails only on a closed one
+	}
 	if len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1) {
 		// What follows such a body is not checked (see framing), and HTTP/1.0 knows no chunks.
 		w.Header().Set("Connection", "close")
@@ -85,16 +98,12 @@
 		reject(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit))
-	var tooLong *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLong):
-		reject(w, err.Error(), http.StatusRequestEntityTooLarge)
-		return
-	case err != nil:
-		reject(w, "body: "+err.Error(), http.StatusBadRequest)
+	m := &message{method: r.Method, url: r.URL, host: r.Host, header: endToEnd(r.Header), length: r.ContentLength, left: left}
+	if err := f.receive(w, r, m); err != nil {
+		f.rejectBody(w, err)
 		return
 	}
+	arrived := f.clock.now() // the client's time began with the last byte; that of a longer body's is still to come
 	if !f.clients.took(r.Context()) {
 		panic(http.ErrAbortHandler) // its connection has made room for others
 	}
@@ -105,25 +114,115 @@
 	}
 	switch held := f.held.Add(1); {
 	case full && !leaving:
-		f.answer(w, q.Class, answer{status: http.StatusServiceUnavailable, pause: f.pause()})
+		f.reply(w, r, q.Class, answer{status: http.StatusServiceUnavailable, pause: f.pause()}, m.rest)
 		return
 	case f.cfg.MostOpen > 0 && held > int64(f.cfg.MostOpen):
-		f.answer(w, q.Class, answer{status: http.StatusServiceUnavailable, pause: f.pause()})
+		f.reply(w, r, q.Class, answer{status: http.StatusServiceUnavailable, pause: f.pause()}, m.rest)
 		return
 	}
-	m := &message{method: r.Method, url: r.URL, host: r.Host, header: endToEnd(r.Header), body: body}
-	reply := make(chan answer, 1)
+	reply, broken := make(chan answer, 1), (chan error)(nil)
+	if m.rest != nil {
+		broken = m.rest.failed
+		f.uploads.Add(1)
+		m.rest.whole = sync.OnceFunc(func() { f.uploads.Add(-1) })
+		defer m.rest.whole()
+	}
 	id := f.loop.ask(q, m, arrived+left, reply)
 	select {
 	case a := <-reply:
-		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTime)) // fails only on a closed connection
-		f.answer(w, q.Class, a)
+		f.reply(w, r, q.Class, a, m.rest)
+	case err := <-broken:
+		f.loop.gone(id)
+		m.rest.stop()
+		f.rejectBody(w, err)
 	case <-r.Context().Done(): // the client has closed its connection
 		f.loop.gone(id)
+		if m.rest != nil {
+			m.rest.stop()
+		}
 		panic(http.ErrAbortHandler) // net/http's way to close it with no answer
 	}
 }
 
+// receive reads a request's body into m: whole, or as far as it is held.
+func (f *front) receive(w http.ResponseWriter, r *http.Request, m *message) error {
+	if r.ContentLength > bodyMost {
+		return errTooLong
+	}
+	body := &paced{body: r.Body, deadline: http.NewResponseController(w).SetReadDeadline, waited: f.clients.waited(r.Context())}
+	var err error
+	if r.ContentLength >= 0 {
+		m.body = make([]byte, min(r.ContentLength, bodyHeld))
+		_, err = io.ReadFull(body, m.body)
+	} else {
+		m.body, err = io.ReadAll(io.LimitReader(body, bodyHeld))
+	}
+	switch {
+	case err != nil:
+		return err
+	case r.ContentLength > bodyHeld || r.ContentLength < 0 && len(m.body) == bodyHeld:
+		m.rest = newUpload(body)
+	default:
+		m.length = int64(len(m.body))
+	}
+	return nil
+}
+
+// rejectBody answers a request whose body has not come, and ends the connection.
+func (f *front) rejectBody(w http.ResponseWriter, err error) {
+	status := http.StatusBadRequest
+	var late net.Error
+	switch {
+	case errors.Is(err, errTooLong):
+		status = http.StatusRequestEntityTooLarge
+	case errors.As(err, &late) && late.Timeout():
+		status = http.StatusRequestTimeout
+	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTime)) // fails only on a closed connection
+	reject(w, "body: "+err.Error(), status)
+}
+
+// reply passes a final answer on. Its request's body may not have come to its end by then.
+func (f *front) reply(w http.ResponseWriter, r *http.Request, class int, a answer, rest *upload) {
+	out := http.NewResponseController(w)
+	_ = out.SetWriteDeadline(time.Now().Add(writeTime)) // fails only on a closed connection, as this and the next do
+	switch {
+	case a.stream != nil:
+		f.pass(w, r, class, a)
+	case rest != nil && !rest.ended.Load():
+		rest.stop()
+		_ = out.EnableFullDuplex()            // or the answer would wait for the rest of the body
+		w.Header().Set("Connection", "close") // net/http may still read on when it takes the next request
+		f.answer(w, class, a)
+		_ = out.Flush()
+		rest.drain()
+	default:
+		f.answer(w, class, a)
+	}
+}
+
+// pass sends an answer on as it comes from its server, and is where such a one is counted. A client that gets no
+// end must see that.
+func (f *front) pass(w http.ResponseWriter, r *http.Request, class int, a answer) {
+	a.head(w)
+	if n := a.stream.length(); n >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
+	}
+	f.streams.begun.Add(1)
+	if err := a.stream.copyTo(r.Context(), w); err != nil {
+		switch {
+		case errors.Is(err, errBroken):
+			f.streams.broken.Add(1)
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			f.streams.still.Add(1)
+		}
+		f.ended[class].count(http.StatusBadGateway)
+		a.stream.leave()
+		panic(http.ErrAbortHandler)
+	}
+	f.ended[class].count(http.StatusOK)
+}
+
 // read takes what a request says of itself. What is missing or malformed is an error, whose text
 // is for the client.
 func (f *front) read(r *http.Request) (q policy.Request, left time.Duration, err error) {
@@ -199,21 +298,27 @@
 func (a answer) write(w http.ResponseWriter) {
 	switch a.status {
 	case http.StatusOK:
-		for name, values := range endToEnd(a.header) {
-			w.Header()[name] = values
-		}
-		if a.header["Content-Type"] == nil {
-			w.Header()["Content-Type"] = nil // not to be guessed
-		}
+		a.head(w)
 		w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 		_, _ = w.Write(a.body) // it fails if the client has gone: nobody is left to tell
 	case http.StatusServiceUnavailable:
 		refuse(w, a.pause)
 	default:
+		w.Header().Set("Content-Length", "0")
 		w.WriteHeader(a.status)
 	}
 }
 
+// head sets the headers of a served answer, but for its length.
+func (a answer) head(w http.ResponseWriter) {
+	for name, values := range endToEnd(a.header) {
+		w.Header()[name] = values
+	}
+	if a.header["Content-Type"] == nil {
+		w.Header()["Content-Type"] = nil // not to be guessed
+	}
+}
+
 // pause is the advice with the front's own refusals: no longer than clients heed.
 func (f *front) pause() time.Duration { return min(time.Second, f.cfg.Policy.MaxRetryAfter) }
 
@@ -222,6 +327,7 @@
 	if pause > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', 3, 64))
 	}
+	w.Header().Set("Content-Length", "0") // else it has no end before its handler's
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -54,6 +54,7 @@
 	deadline time.Duration
 	attempts []*exchange // by number; nil: was not sent
 	out      int         // attempts with no Outcome yet
+	stream   *stream     // its answer, where that is passed on as it comes
 	over     bool        // it has its final answer, or its client has gone
 	timedOut bool        // its last attempt did: what a failure is called
 }
@@ -63,6 +64,7 @@
 	status int
 	header http.Header
 	body   []byte
+	stream *stream       // served, and passed on as it comes
 	pause  time.Duration // refused: when to come back
 }
 
@@ -262,6 +264,14 @@
 // The number that it returns names the request for gone.
 func (l *loop) ask(q policy.Request, m *message, deadline time.Duration, reply chan<- answer) policy.RequestID {
 	q.ID = policy.RequestID(l.lastID.Add(1))
+	if m.rest != nil {
+		q.Coming = true
+		whole := m.rest.whole
+		m.rest.whole = func() {
+			whole()
+			l.post(func(now time.Duration) { l.uploaded(now, q.ID) })
+		}
+	}
 	l.post(func(now time.Duration) {
 		q.Left = deadline - now
 		l.requests[q.ID] = &request{message: m, deadline: deadline, reply: reply}
@@ -273,13 +283,26 @@
 // gone takes that a request's client has closed its connection.
 func (l *loop) gone(id policy.RequestID) {
 	l.post(func(now time.Duration) {
-		if r := l.requests[id]; r != nil && !r.over {
+		r := l.requests[id]
+		switch {
+		case r == nil:
+		case r.stream != nil:
+			r.stream.leave()
+		case !r.over:
 			l.finish(id, r, nil)
 			l.b.ClientGone(now, id)
 		}
 	})
 }
 
+// uploaded takes that the last byte of a request's body has gone out: the client's time begins.
+func (l *loop) uploaded(now time.Duration, id policy.RequestID) {
+	if r := l.requests[id]; r != nil && !r.over {
+		r.deadline = now + r.message.left
+		l.b.BodyEnded(now, id, r.message.left)
+	}
+}
+
 // finish ends a request with its one answer, or with none where the client has gone.
 func (l *loop) finish(id policy.RequestID, r *request, a *answer) {
 	r.over = true
@@ -302,6 +325,19 @@
 	}
 }
 
+// began takes that an attempt's answer has begun to stream: it goes to the client as it comes, and can't be called
+// off any more.
+func (l *loop) began(id policy.RequestID, number int, res result) {
+	r := l.requests[id]
+	if r.over {
+		res.stream.leave()
+		return
+	}
+	r.attempts[number], r.stream = nil, res.stream
+	l.finish(id, r, &answer{status: http.StatusOK, header: res.header, stream: res.stream})
+	l.b.StreamBegun(l.now, id, number)
+}
+
 // ended takes the end of an attempt. The first answer of an upstream goes to the client at once
 // and settles the request.
 func (l *loop) ended(id policy.RequestID, number int, res result) {
@@ -310,7 +346,7 @@
 	if res.ending == policy.Served && !r.over {
 		l.finish(id, r, &answer{status: http.StatusOK, header: res.header, body: res.body})
 	}
-	l.outcome(policy.Outcome{ID: id, Attempt: number, Ending: res.ending, Load: res.load})
+	l.outcome(policy.Outcome{ID: id, Attempt: number, Ending: res.ending, Load: res.load, Spent: r.message.spent()})
 }
 
 // Send starts an attempt, given up after timeout or at the client's deadline. Where the request is
@@ -323,16 +359,22 @@
 	number, left := len(r.attempts), r.deadline-l.now
 	r.out++
 	address := l.address[to]
-	if r.over || number >= l.most || left <= 0 || timeout < 0 || address == "" {
+	if spent := r.message.spent(); r.over || number >= l.most || left <= 0 || timeout < 0 || address == "" || spent {
 		r.attempts = append(r.attempts, nil)
-		l.notSent = append(l.notSent, policy.Outcome{ID: id, Attempt: number, Ending: policy.NotSent})
+		l.notSent = append(l.notSent, policy.Outcome{ID: id, Attempt: number, Ending: policy.NotSent, Spent: spent})
 		return
 	}
 	if timeout == 0 || timeout > left {
 		timeout = left
 	}
 	r.attempts = append(r.attempts, l.upstream.send(address, r.message, l.now+timeout, func(res result) {
-		l.post(func(time.Duration) { l.ended(id, number, res) })
+		l.post(func(time.Duration) {
+			if res.stream != nil {
+				l.began(id, number, res)
+			} else {
+				l.ended(id, number, res)
+			}
+		})
 	}))
 }
 
--- /dev/null
+++ b/internal/sidecar/stream.go
@@ -0,0 +1,265 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	bodyMost  = 32 << 20                // bytes of a request's body at most
+	bodyTime  = 2700 * time.Millisecond // a client may take this long over a request, and
+	bodyPace  = 48 << 10                // a second more for each so many bytes of its body,
+	bodyStill = 2 * time.Second         // but may not stand still for so long; a peer that connects is owed an end in 3 s
+	pieceSize = 16 << 10                // bytes of a piece of a long answer,
+	pieces    = 4                       // of which so many wait for the client
+	holdTime  = 10 * time.Millisecond   // an answer whose length is not told begins so long after its head
+)
+
+var (
+	errStopped = errors.New("its request is over")
+	errTooLong = errors.New("the body is too long")
+	errBroken  = errors.New("the server's answer broke off")
+)
+
+// paced reads a request's body, and bounds the time that its client takes: it may be slow, but neither drip
+// nor stop. Time that passes between reads is the sidecar's own.
+type paced struct {
+	body     io.Reader
+	deadline func(time.Time) error // sets that of the connection's reads
+	waited   time.Duration         // for the client, its head included
+	n        int64                 // bytes so far
+}
+
+// due is when the next byte has to come.
+func (p *paced) due(now time.Time) time.Time {
+	left := bodyTime + time.Duration(p.n)*time.Second/bodyPace - p.waited
+	return now.Add(min(left, bodyStill))
+}
+
+func (p *paced) Read(b []byte) (int, error) {
+	now := time.Now()
+	_ = p.deadline(p.due(now)) // fails only on a closed connection, as the read then does
+	n, err := p.body.Read(b)
+	p.waited += time.Since(now)
+	if p.n += int64(n); p.n > bodyMost {
+		return n, errTooLong
+	}
+	if err == io.EOF {
+		_ = p.deadline(time.Time{}) // what the client waits for now is its answer
+	}
+	return n, err
+}
+
+// upload is the part of a request's body that is not held. It is read once, by the attempt that sends it on.
+type upload struct {
+	body    *paced
+	whole   func()      // hears that the last byte has gone out
+	failed  chan error  // hears why it did not come, from the client's side
+	taken   atomic.Bool // part of it has been read
+	ended   atomic.Bool // all of it has
+	stopped atomic.Bool // nobody may read on
+
+	mu       sync.Mutex // held by a read under way
+	deadline func(time.Time) error
+}
+
+// newUpload makes the rest of a body that has come in part.
+func newUpload(body *paced) *upload {
+	u := &upload{body: body, failed: make(chan error, 1), deadline: body.deadline}
+	body.deadline = func(t time.Time) error { // a read under way may set its own behind that of interrupt
+		err := u.deadline(t)
+		if u.stopped.Load() {
+			err = u.deadline(time.Unix(1, 0))
+		}
+		return err
+	}
+	return u
+}
+
+func (u *upload) Read(b []byte) (int, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.stopped.Load() {
+		return 0, errStopped
+	}
+	u.taken.Store(true)
+	n, err := u.body.Read(b)
+	switch {
+	case err == io.EOF:
+		u.ended.Store(true)
+	case err != nil && !u.stopped.Swap(true):
+		u.failed <- err
+	}
+	return n, err
+}
+
+// interrupt ends the read under way and lets none follow.
+func (u *upload) interrupt() {
+	u.stopped.Store(true)
+	_ = u.body.deadline(time.Unix(1, 0)) // fails only on a closed connection
+}
+
+// stop returns once nobody reads any more: from then on the body is the handler's own again.
+func (u *upload) stop() {
+	u.interrupt()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+}
+
+// drain reads what its client still sends of a request that has its answer: a close in the middle of that could
+// take the answer from it.
+func (u *upload) drain() {
+	u.body.deadline = u.deadline
+	_, _ = io.Copy(io.Discard, u.body) // an error ends the connection, by what is left unread
+}
+
+// steady writes a long body to a server, which may read it slowly but not stand still.
+type steady struct{ *conn }
+
+func (s steady) Write(b []byte) (int, error) {
+	_ = s.conn.SetWriteDeadline(time.Now().Add(stillTime)) // fails only on a closed connection
+	return s.conn.Write(b)
+}
+
+// piecePool has the buffers that long answers go through.
+var piecePool = sync.Pool{New: func() any { return new([pieceSize]byte) }}
+
+// piece is a part of a long answer, in a buffer of the pool.
+type piece struct {
+	buffer *[pieceSize]byte
+	n      int
+}
+
+// stream is an answer that is passed on as it comes: from its server's connection by the attempt's goroutine, to the
+// client by its handler. Between them wait some pieces; whoever is faster waits for the other.
+type stream struct {
+	res *http.Response
+	c   *conn
+	x   *exchange
+
+	mu    sync.Mutex
+	begun bool
+	due   bool   // it is to begin with its next byte
+	held  []byte // what came before it began
+
+	pieces chan piece    // what has come since; closed at its end
+	err    error         // what broke it; set before pieces is closed
+	gone   chan struct{} // closed where the client has left
+	left   sync.Once
+}
+
+func newStream(res *http.Response, c *conn, x *exchange) *stream {
+	return &stream{res: res, c: c, x: x, due: res.ContentLength > bodyHeld, pieces: make(chan piece, pieces), gone: make(chan struct{})}
+}
+
+// length is what the answer tells of its body's length, or -1.
+func (s *stream) length() int64 { return s.res.ContentLength }
+
+// run reads the answer from its connection. One that ends before it has begun is returned whole; else begin hears
+// that it has, and run returns when it has ended.
+func (s *stream) run(begin func(*http.Response, *stream)) ([]byte, error) {
+	start := func() { // with the lock held
+		s.begun = true
+		begin(s.res, s)
+	}
+	hold := time.AfterFunc(holdTime, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.due = true
+		if !s.begun && len(s.held) > 0 {
+			_ = s.c.SetReadDeadline(time.Now().Add(stillTime)) // fails only on a closed connection
+			start()
+		}
+	})
+	defer hold.Stop()
+	defer close(s.pieces)
+	for {
+		p := piece{buffer: piecePool.Get().(*[pieceSize]byte)}
+		n, err := s.res.Body.Read(p.buffer[:])
+		p.n = n
+		s.mu.Lock()
+		if !s.begun {
+			s.held = append(s.held, p.buffer[:n]...)
+			piecePool.Put(p.buffer)
+			p.n = 0
+			switch {
+			case err == io.EOF && len(s.held) <= bodyHeld:
+				s.begun = true // nothing is left for hold to begin
+				s.mu.Unlock()
+				return s.held, nil
+			case err != nil && err != io.EOF:
+				s.begun = true
+			case len(s.held) > bodyHeld || s.due && n > 0:
+				start()
+			}
+		}
+		begun := s.begun
+		s.mu.Unlock()
+		if p.n > 0 {
+			select {
+			case s.pieces <- p:
+			case <-s.gone:
+				piecePool.Put(p.buffer)
+			}
+		}
+		if err == io.EOF {
+			return nil, nil
+		}
+		if err != nil {
+			s.err = err
+			return nil, err
+		}
+		if begun { // however long it is: bounded is what is held of it
+			s.c.limit.N = math.MaxInt64
+			_ = s.c.SetReadDeadline(time.Now().Add(stillTime)) // fails only on a closed connection, as the read then does
+		}
+	}
+}
+
+// leave ends a stream that its client does not wait for any more.
+func (s *stream) leave() {
+	s.left.Do(func() {
+		close(s.gone)
+		s.x.cancel()
+	})
+}
+
+// copyTo passes a stream on as it comes, until its end, an error or the client's leaving.
+func (s *stream) copyTo(ctx context.Context, w http.ResponseWriter) error {
+	out := http.NewResponseController(w)
+	write := func(b []byte) error {
+		_ = out.SetWriteDeadline(time.Now().Add(stillTime)) // fails only on a closed connection, as the write then does
+		if _, err := w.Write(b); err != nil {
+			return err
+		}
+		return out.Flush()
+	}
+	if err := write(s.held); err != nil {
+		return err
+	}
+	for {
+		select {
+		case p, more := <-s.pieces:
+			if !more && s.err != nil {
+				return fmt.Errorf("%w: %w", errBroken, s.err)
+			}
+			if !more {
+				return nil
+			}
+			err := write(p.buffer[:p.n])
+			piecePool.Put(p.buffer)
+			if err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -23,9 +23,10 @@
 )
 
 const (
-	bodyLimit   = 64 << 10  // bytes of a body, either way
-	answerLimit = 512 << 10 // bytes of a whole answer on the wire, headers and framing included
-	interimMost = 8         // 1xx answers that are read over before the one that counts
+	bodyHeld    = 64 << 10        // bytes of a body, either way, that are held at once
+	answerLimit = 512 << 10       // bytes on the wire of an answer that is held whole, and of any answer's head
+	stillTime   = 5 * time.Second // one side of a long body may stand still for so long
+	interimMost = 8               // 1xx answers that are read over before the one that counts
 	idleMargin  = time.Second
 )
 
@@ -34,15 +35,22 @@
 	method string
 	url    *url.URL
 	host   string
-	header http.Header // end-to-end ones; not changed any more
-	body   []byte
+	header http.Header   // end-to-end ones; not changed any more
+	body   []byte        // the whole of it, or what is held
+	rest   *upload       // what follows the held part; nil: nothing does
+	length int64         // of both together; -1: not told
+	left   time.Duration // how long the client waits once its last byte has gone out, where rest follows
 }
 
-// result is how an attempt ended.
+// spent tells whether the message can't be sent again, as part of its body is gone.
+func (m *message) spent() bool { return m.rest != nil && m.rest.taken.Load() }
+
+// result is how an attempt ended. Where stream is set, its answer has begun, and the end is still to come.
 type result struct {
 	ending policy.Ending
 	header http.Header
 	body   []byte
+	stream *stream
 	load   policy.Load
 }
 
@@ -137,16 +145,21 @@
 	return x.cancelled
 }
 
-// send starts an attempt that is given up at until. Its end goes to done, once.
+// send starts an attempt that is given up at until; the time of one whose body still comes begins with its last
+// byte. Its end goes to done, once, and before that the beginning of an answer that streams.
 func (u *upstream) send(address string, m *message, until time.Duration, done func(result)) *exchange {
 	x := new(exchange)
 	go func() {
 		header := maps.Clone(m.header)
 		req := &http.Request{Method: m.method, URL: m.url, Host: m.host, Header: header}
-		if len(m.body) > 0 {
+		switch {
+		case m.rest != nil:
+			req.Body, req.ContentLength = io.NopCloser(io.MultiReader(bytes.NewReader(m.body), m.rest)), m.length
+		case len(m.body) > 0:
 			req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(m.body)), int64(len(m.body))
 		}
-		res, body, ending := u.exchange(x, address, req, until)
+		begin := func(res *http.Response, s *stream) { done(result{header: res.Header, stream: s}) }
+		res, body, ending := u.exchange(x, address, req, m, until, begin)
 		if res == nil {
 			done(result{ending: ending})
 			return
@@ -170,7 +183,7 @@
 			Method: http.MethodGet, URL: &url.URL{Path: u.probePath}, Host: address,
 			Header: http.Header{"User-Agent": nil},
 		}
-		res, body, _ := u.exchange(new(exchange), address, req, now+u.dialTimeout)
+		res, body, _ := u.exchange(new(exchange), address, req, nil, now+u.dialTimeout, nil)
 		if res == nil {
 			told(false, policy.Load{})
 			return
@@ -179,11 +192,14 @@
 	}()
 }
 
-// exchange sends a request and reads its answer. Without a whole answer the ending says what is
-// known: NoConnection until the last byte of the request is written, as it cannot have run before.
-func (u *upstream) exchange(x *exchange, address string, req *http.Request, until time.Duration) (*http.Response, []byte, policy.Ending) {
+// exchange sends a request, m where it is an attempt's, and reads its answer. Without a whole answer the ending says
+// what is known: NoConnection until the last byte of the request is written, as it cannot have run before. An answer
+// that is not held whole goes to begin, if there is one, and is over when exchange returns.
+func (u *upstream) exchange(
+	x *exchange, address string, req *http.Request, m *message, until time.Duration, begin func(*http.Response, *stream),
+) (*http.Response, []byte, policy.Ending) {
 	unsent := func() policy.Ending {
-		if x.givenUp() {
+		if x.givenUp() || m != nil && m.rest != nil && m.rest.stopped.Load() {
 			return policy.Cancelled
 		}
 		u.count(&u.failed.unsent)
@@ -193,29 +209,35 @@
 	if err != nil {
 		return nil, nil, unsent()
 	}
-	if !x.begin(func() { c.Conn.Close() }) { // given up in the meantime: nothing may go out any more
+	stop := func() { c.Conn.Close() }
+	if m != nil && m.rest != nil {
+		stop = func() { c.Conn.Close(); m.rest.interrupt() }
+	}
+	if !x.begin(stop) { // given up in the meantime: nothing may go out any more
 		u.keepIdle(address, c)
 		return nil, nil, policy.Cancelled
 	}
-	left := until - u.clock.now()
-	if req.Header.Get("X-Request-Id") != "" {
+	if m != nil {
+		left := until - u.clock.now()
+		if m.rest != nil {
+			left = m.left
+		}
 		req.Header.Set("X-Timeout", strconv.FormatInt(max(1, left.Milliseconds()), 10)+"m")
 	}
-	// One write: it tells whether the last byte went out.
-	var out bytes.Buffer
-	if err := req.Write(&out); err != nil {
-		u.discard(c)
-		return nil, nil, unsent()
-	}
-	_ = c.SetDeadline(u.clock.at(until)) // fails only on a closed connection, as the write then does
-	if _, err := c.Write(out.Bytes()); err != nil {
+	if until, err = u.write(c, req, m, until); err != nil {
 		u.discard(c)
 		return nil, nil, unsent()
 	}
-	if req.Header.Get("X-Request-Id") != "" { // no probe
-		u.written.Add(1)
+	_ = c.SetDeadline(u.clock.at(until)) // fails only on a closed connection, as the read then does
+	res, err := c.head(req)
+	var body []byte
+	switch {
+	case err != nil:
+	case begin != nil && res.StatusCode == http.StatusOK && (res.ContentLength < 0 || res.ContentLength > bodyHeld):
+		body, err = newStream(res, c, x).run(begin)
+	default:
+		body, err = c.body(res)
 	}
-	res, body, err := c.answer(req)
 	switch {
 	case err == nil && !res.Close && c.r.Buffered() == 0 && x.begin(nil):
 		u.keepIdle(address, c)
@@ -232,7 +254,7 @@
 	case errors.As(err, &timeout) && timeout.Timeout():
 		u.count(&u.failed.timedOut)
 		return nil, nil, policy.TimedOut
-	case c.limit.N < answerLimit:
+	case res != nil || c.limit.N < answerLimit:
 		u.count(&u.failed.unreadable)
 	case c.kept:
 		u.count(&u.failed.resetKept)
@@ -242,30 +264,61 @@
 	return nil, nil, policy.Broken // or malformed: it may have run
 }
 
+// write sends a request's head and body, and returns until when its answer may take: a client's time begins with
+// its last byte.
+func (u *upstream) write(c *conn, req *http.Request, m *message, until time.Duration) (time.Duration, error) {
+	if m != nil && m.rest != nil {
+		out := bufio.NewWriterSize(steady{c}, pieceSize)
+		if err := req.Write(out); err != nil {
+			return 0, err
+		}
+		if err := out.Flush(); err != nil {
+			return 0, err
+		}
+		u.written.Add(1)
+		m.rest.whole()
+		return u.clock.now() + m.left, nil
+	}
+	// One write: it tells whether the last byte went out.
+	var out bytes.Buffer
+	if err := req.Write(&out); err != nil {
+		return 0, err
+	}
+	_ = c.SetDeadline(u.clock.at(until)) // fails only on a closed connection, as the write then does
+	if _, err := c.Write(out.Bytes()); err != nil {
+		return 0, err
+	}
+	if m != nil {
+		u.written.Add(1)
+	}
+	return until, nil
+}
+
 func (u *upstream) count(of *int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	*of++
 }
 
-// answer reads one whole answer.
-func (c *conn) answer(req *http.Request) (*http.Response, []byte, error) {
+// head reads the head of an answer.
+func (c *conn) head(req *http.Request) (*http.Response, error) {
 	c.limit.N = answerLimit
 	for range interimMost {
 		res, err := http.ReadResponse(c.r, req)
-		if err != nil {
-			return nil, nil, err
-		}
-		if res.StatusCode/100 == 1 {
-			continue
+		if err != nil || res.StatusCode/100 != 1 {
+			return res, err
 		}
-		body, err := io.ReadAll(io.LimitReader(res.Body, bodyLimit+1))
-		if err == nil && len(body) > bodyLimit {
-			err = errors.New("the body is too long")
-		}
-		return res, body, err
 	}
-	return nil, nil, errors.New("too many interim answers")
+	return nil, errors.New("too many interim answers")
+}
+
+// body reads the body of an answer that is held whole.
+func (c *conn) body(res *http.Response) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(res.Body, bodyHeld+1))
+	if err == nil && len(body) > bodyHeld {
+		err = errors.New("the body is too long")
+	}
+	return body, err
 }
 
 // connect returns a kept connection that still stands, or opens one.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -378,7 +378,18 @@
 	return up, ending, report, c.done(r.Code)
 }
 
-// Job reads the request that a ClientLeft or Headers record names.
+// Headers reads which attempt's answer has begun.
+func (r Record) Headers() (job uint32, hop uint8, err error) {
+	c := cursor{b: r.Fields}
+	c.u32()
+	job = c.u32()
+	c.f64()
+	hop = c.u8()
+	c.addr()
+	return job, hop, c.done(r.Code)
+}
+
+// Job reads the request that a ClientLeft record names.
 func (r Record) Job() (uint32, error) {
 	c := cursor{b: r.Fields}
 	c.u32()
--- a/policy/api.go
+++ b/policy/api.go
@@ -9,7 +9,7 @@
 // Times are durations since a fixed moment of the embedding program's choice; they must never go
 // back, and all calls for one Balancer come from one goroutine, in the order of what happened. The
 // order of calls: New, Start, List with the servers known so far, then Request, Outcome, Wake,
-// List, Probed, ClientGone, StreamBegun, TakeOut and BringBack as they occur. Each Host.Send brings exactly one Outcome,
+// List, Probed, ClientGone, BodyEnded, StreamBegun, TakeOut, BringBack and Share as they occur. Each Host.Send brings exactly one Outcome,
 // also after the request has been answered; each Host.Wake one call of Wake, late rather than never.
 // A request is answered once: by an Outcome with Settled set, or by Host.Refuse or Host.Fail.
 //
@@ -147,6 +147,7 @@
 	Left   time.Duration // until the client gives up
 	Work   time.Duration // expected work; 0 where unknown
 	Repeat bool          // known to be a client's own further try
+	Coming bool          // its body still comes: its time begins with BodyEnded
 }
 
 // Ending says how an attempt ended.
@@ -172,6 +173,7 @@
 	Attempt int // numbered from 0 in the order of Host.Send for this request
 	Ending  Ending
 	Settled bool // the request is over; nothing more is owed for it
+	Spent   bool // the request can't be sent again: part of its body is gone
 	Load    Load // the server's report, where one came along
 }
 
@@ -234,4 +236,6 @@
 	Queued    uint64 // requests that had to wait for a slot or a server
 	Refused   uint64
 	Failed    uint64
+	Slow      uint64 // attempts that went at their client's pace: a long body, or a long answer
+	SlowFull  uint64 // and those of them that held a slot, as no place beside was free
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -21,6 +21,7 @@
 	spread      = 2.0  // and this many standard deviations of such a count more
 	serverSlots = 3.0  // slots for each server first listed, where no quota is known
 	placesShare = 0.15 // queue places for each slot: short, just enough to keep slots fed
+	besideSlots = 4    // places for each slot, for attempts that go at their client's pace
 
 	rateOver    = 10 * time.Second      // our traffic is measured over about this long
 	turnEvery   = 1 * time.Second       // turns are taken among so few servers that each gets one this often
@@ -117,6 +118,7 @@
 		return
 	}
 	r := &request{id: q.ID, class: &b.classes[q.Class], home: &b.parts[q.Tenant]}
+	r.coming = q.Coming
 	r.deadline = now + min(q.Left, time.Hour)
 	r.useful, r.wanted = r.deadline, min(r.deadline, now+r.class.Aim)
 	if stretch := r.class.AimStretch; r.class.LateShare == 0 && (stretch == 0 || q.Work > 0) {
@@ -192,21 +194,24 @@
 	if o.Ending == TurnedAway || o.Ending == NoConnection || o.Ending == NotSent {
 		a.state = neverRan
 	}
-	b.hold(r, a.to, -1)
-	if !r.over && o.Ending != NotSent {
-		b.asked.sent++
-		b.asked.all++
-	}
-	if !r.over && o.Ending == Served && now <= r.wanted {
-		b.asked.good += min(1, 2*float64(r.wanted-now)/float64(r.class.Aim))
+	r.spent = r.spent || o.Spent
+	if !r.begun {
+		b.answered(now, r, o.Ending)
 	}
+	b.paced(r, a, false)
+	b.hold(r, a.to, -1)
 	if r.line != nil && (o.Ending == TimedOut || o.Ending == Broken || o.Ending == Cancelled) {
 		r.line.restEnd = max(r.line.restEnd, now+b.cfg.OrderSettle)
 	}
 	if !a.to.stands() {
 		b.close(now, a.to)
 	}
-	b.judge(now, r, a, o.Ending)
+	switch {
+	case !r.begun:
+		b.judge(now, r, a, o.Ending)
+	case o.Ending != Served && o.Ending != Cancelled: // how long the stream took tells nothing
+		b.judge(now, r, a, Broken)
+	}
 	switch {
 	case r.over && r.out == 0:
 		b.forget(r)
@@ -218,6 +223,78 @@
 	b.feed(now)
 }
 
+// answered counts an attempt that ended, or whose answer has begun, for what is let in.
+func (b *Balancer) answered(now time.Duration, r *request, end Ending) {
+	if r.over || end == NotSent {
+		return
+	}
+	b.asked.sent++
+	b.asked.all++
+	if end == Served && now <= r.wanted {
+		b.asked.good += min(1, 2*float64(r.wanted-now)/float64(r.class.Aim))
+	}
+}
+
+// BodyEnded takes that the last byte of a request has gone out: its time begins. A server begins with the
+// last byte too, so that what came before tells nothing of it.
+func (b *Balancer) BodyEnded(now time.Duration, id RequestID, left time.Duration) {
+	r := b.requests[id]
+	if r == nil || r.over || !r.coming {
+		return
+	}
+	r.coming = false
+	r.deadline = now + min(left, time.Hour)
+	r.useful, r.wanted = r.deadline, min(r.deadline, now+r.class.Aim)
+	for i := range r.attempts {
+		if a := &r.attempts[i]; a.state == inFlight {
+			a.sent = now
+			b.paced(r, a, false)
+		}
+	}
+}
+
+// StreamBegun takes that the answer of an attempt has begun to stream: the client owns it now. It counts as
+// answered; a place of its tenant's it keeps until its Outcome.
+func (b *Balancer) StreamBegun(now time.Duration, id RequestID, attempt int) {
+	r := b.requests[id]
+	if r == nil || r.begun || attempt < 0 || attempt >= len(r.attempts) {
+		return
+	}
+	a := &r.attempts[attempt]
+	if a.state != inFlight {
+		return
+	}
+	r.begun = true
+	b.answered(now, r, Served)
+	b.judge(now, r, a, Served)
+	b.paced(r, a, true)
+	b.feed(now)
+}
+
+// paced takes that an attempt goes at its client's pace from now on (on), while its body comes or its answer
+// streams, or no longer does. Then it is no work of its server's, and has a place beside its compartment's
+// slots if there is one: as many slow clients as there are slots would wall off their tenant for seconds.
+func (b *Balancer) paced(r *request, a *attempt, on bool) {
+	if a.paced == on {
+		return
+	}
+	n := 1
+	if a.paced = on; on {
+		n = -1
+		if a.beside = r.home.beside < r.home.slots*besideSlots; !a.beside {
+			b.count.SlowFull++
+		}
+		b.count.Slow++
+	}
+	a.to.out += n
+	b.out += n
+	if a.beside {
+		r.home.used += n
+		r.home.beside -= n
+	}
+	a.beside = a.beside && on
+}
+
 // Wake takes that a time asked for with Host.Wake has come.
 func (b *Balancer) Wake(now time.Duration) {
 	if now < b.wakeAt {
@@ -243,7 +320,8 @@
 		}
 		ends := now+2*max(busyTick, b.cfg.Tick) > r.deadline || now >= r.lateIn()
 		waited := r.out == 0 && (ends || !r.mayRepeat(now, nil))
-		if !r.begun && (waited || now >= r.deadline) {
+		sending := r.coming && r.out > 0 // it takes the client's time, not ours
+		if !r.begun && !sending && (waited || now >= r.deadline) {
 			b.finish(r)
 		}
 	}
@@ -297,7 +375,8 @@
 
 // further gives a request whose attempts have all failed another one, or ends it.
 func (b *Balancer) further(now time.Duration, r *request) {
-	if len(r.attempts) >= b.cfg.MaxAttempts || !r.mayRepeat(now, nil) || now >= r.lateIn() || b.spent(now) {
+	over := r.spent || len(r.attempts) >= b.cfg.MaxAttempts || now >= r.lateIn()
+	if over || !r.mayRepeat(now, nil) || b.spent(now) {
 		b.finish(r)
 		return
 	}
@@ -416,6 +495,7 @@
 	if b.far(s) {
 		b.count.Crossed++
 	}
+	b.paced(r, &r.attempts[len(r.attempts)-1], r.coming)
 	b.host.Send(r.id, s.ID, r.useful-now)
 	return true
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -35,9 +35,11 @@
 )
 
 type attempt struct {
-	to    *server
-	sent  time.Duration
-	state attemptState
+	to     *server
+	sent   time.Duration
+	state  attemptState
+	paced  bool // it goes at its client's pace
+	beside bool // and has a place beside the slots for that
 }
 
 type request struct {
@@ -53,6 +55,8 @@
 	asksUntil time.Duration
 	asked     int   // so many times
 	line      *line // its key's, where it must go in turn
+	coming    bool  // its body still comes
+	spent     bool  // and can't be sent again
 	begun     bool  // its answer streams: it is the client's now
 	over      bool  // ended; kept until its attempts have ended too
 }
@@ -80,6 +84,7 @@
 // compartment holds one tenant's slots and queue, walled off from the others'.
 type compartment struct {
 	slots, used, places int
+	beside              int // attempts at their client's pace that have a place beside the slots
 	queue               []*request
 }
 
@@ -249,13 +254,6 @@
 // far says that a server is in another zone, where crossing has a price.
 func (b *Balancer) far(s *server) bool { return b.cfg.CrossZonePrice > 0 && s.Zone != b.cfg.Zone }
 
-// StreamBegun takes that a request's answer has begun to stream: the client owns it now.
-func (b *Balancer) StreamBegun(id RequestID) {
-	if r := b.requests[id]; r != nil {
-		r.begun = true
-	}
-}
-
 // forget drops a request that is over and has no attempt out; the next in its line may go.
 func (b *Balancer) forget(r *request) {
 	delete(b.requests, r.id)
