--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -17,6 +17,7 @@
 	bodyTime  = 2700 * time.Millisecond // a client may take this long over a request, and
 	bodyPace  = 48 << 10                // a second more for each so many bytes of its body,
 	bodyStill = 2 * time.Second         // but may not stand still for so long; a peer that connects is owed an end in 3 s
+	unread    = 15 * time.Second        // a client may leave its answer unread: the room for 64 kB/s is told in steps of 6 s
 	pieceSize = 16 << 10                // bytes of a piece of a long answer,
 	pieces    = 4                       // of which so many wait for the client
 	holdTime  = 10 * time.Millisecond   // an answer whose length is not told begins so long after its head
@@ -235,7 +236,7 @@
 func (s *stream) copyTo(ctx context.Context, w http.ResponseWriter) error {
 	out := http.NewResponseController(w)
 	write := func(b []byte) error {
-		_ = out.SetWriteDeadline(time.Now().Add(stillTime)) // fails only on a closed connection, as the write then does
+		_ = out.SetWriteDeadline(time.Now().Add(unread)) // fails only on a closed connection, as the write then does
 		if _, err := w.Write(b); err != nil {
 			return err
 		}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -25,7 +25,7 @@
 const (
 	bodyHeld    = 64 << 10        // bytes of a body, either way, that are held at once
 	answerLimit = 512 << 10       // bytes on the wire of an answer that is held whole, and of any answer's head
-	stillTime   = 5 * time.Second // one side of a long body may stand still for so long
+	stillTime   = 5 * time.Second // a server may stand still for so long in a long body
 	interimMost = 8               // 1xx answers that are read over before the one that counts
 	idleMargin  = time.Second
 )
