--- a/policy/api.go
+++ b/policy/api.go
@@ -229,6 +229,8 @@
 	Ordinary  uint64 // first sends by the ordinary path: a slot, and the server whose turn it was
 	Walled    uint64 // sends moved on because a server held its portion
 	Held      uint64 // times that a request with a slot free was held back, as all servers were crowded
+	NoSlot    uint64 // times that one found its tenant's slots full
+	NoServer  uint64 // times that one with a slot free found no server that may have it: portions, rests, cold ones
 	Throttled uint64 // requests refused at once, as too few were lately answered in time
 	Crossed   uint64 // sends of any kind to another zone, where that has a price
 	Retries   uint64 // further attempts after one that failed
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -343,6 +343,7 @@
 // dispatch sends a request if a slot of its compartment and a server are free.
 func (b *Balancer) dispatch(now time.Duration, r *request) bool {
 	if r.home.used >= r.home.slots {
+		b.count.NoSlot++
 		return false
 	}
 	// The wall over all attempts: one each from many balancers is a crowd too, and servers' own walls leave
@@ -356,7 +357,11 @@
 		return false
 	}
 	s := b.pick(now, r)
-	return s != nil && b.send(now, r, s)
+	if s == nil {
+		b.count.NoServer++
+		return false
+	}
+	return b.send(now, r, s)
 }
 
 // whole is the wall over all attempts while no server is crowded: what our own traffic holds at the
@@ -445,16 +450,6 @@
 // mayServe says whether a server may be sent anything now: it takes part and does not rest from failures.
 func (s *server) mayServe(now time.Duration) bool { return s.stands() && now >= s.rested }
 
-// Members counts the listed servers, and those of them that nothing is sent to now, by hand or by choice.
-func (b *Balancer) Members(now time.Duration) (listed, unavailable int) {
-	for _, s := range b.servers {
-		if !s.mayServe(now) {
-			unavailable++
-		}
-	}
-	return len(b.servers), unavailable
-}
-
 // inTurn says whether a request is the first of its key, and no earlier attempt may still run.
 func (r *request) inTurn(now time.Duration) bool {
 	return r.line == nil || r.line.waiting[0] == r && (len(r.attempts) > 0 || now >= r.line.restEnd)
@@ -750,9 +745,6 @@
 	b.feed(now)
 }
 
-// Out says whether a server is taken out by hand.
-func (b *Balancer) Out(id ServerID) bool { return b.away[id] }
-
 // ask subscribes to the list. Without any word it asks again before its silence counts as being told.
 func (b *Balancer) ask(now time.Duration) {
 	b.askAt = now + cmp.Or(b.cfg.AskWithin*3/4, lastPause)
--- a/policy/state.go
+++ b/policy/state.go
@@ -254,6 +254,19 @@
 // far says that a server is in another zone, where crossing has a price.
 func (b *Balancer) far(s *server) bool { return b.cfg.CrossZonePrice > 0 && s.Zone != b.cfg.Zone }
 
+// Members counts the listed servers, and those of them that nothing is sent to now, by hand or by choice.
+func (b *Balancer) Members(now time.Duration) (listed, unavailable int) {
+	for _, s := range b.servers {
+		if !s.mayServe(now) {
+			unavailable++
+		}
+	}
+	return len(b.servers), unavailable
+}
+
+// Out says whether a server is taken out by hand.
+func (b *Balancer) Out(id ServerID) bool { return b.away[id] }
+
 // forget drops a request that is over and has no attempt out; the next in its line may go.
 func (b *Balancer) forget(r *request) {
 	delete(b.requests, r.id)
