Spread the first calls to discovery where many balancers start in one moment

Where more than sharersMost balancers share the servers, each now asks at a random moment of the first 2 s, which is within what may pass before news binds; where nothing is known of any server it asks at once.

The test fails without it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -45,6 +45,7 @@
 	restAfter  = 2                      // so many failures are no chance: the server rests
 	failsMost  = 8                      // and more count no more: three answers clear it
 	restEach   = 100 * time.Millisecond // at first it is tested this often, by all who share it together
+	firstAsk   = 2 * time.Second        // many balancers that start at once first ask for the list over this
 	firstPause = 250 * time.Millisecond // before the list is asked for again after a failed call,
 	lastPause  = 4 * time.Second        // doubled after each up to this
 )
@@ -98,7 +99,10 @@
 // Start begins the Balancer's life; it must be the first event.
 func (b *Balancer) Start(now time.Duration) {
 	b.rateAt = now // the mean of all balancers holds from now on; the clock's zero may be long ago
-	if b.cfg.AskList {
+	switch {
+	case b.cfg.AskList && b.cfg.Balancers > sharersMost:
+		b.askAt = now + 1 + time.Duration(b.rng.Float64()*float64(firstAsk))
+	case b.cfg.AskList:
 		b.ask(now)
 	}
 	b.sampleAt = now + time.Duration(b.rng.Int64N(int64(4*toldFor))) // not all balancers at once
@@ -672,6 +676,9 @@
 	if kind != ListCached && b.cfg.AskList {
 		b.askAt, b.askFails = 0, 0
 	}
+	if kind == ListCached && b.cfg.AskList && len(entries) == 0 {
+		b.ask(now) // nothing is known: no time to spare
+	}
 	if kind != ListDelta {
 		b.allGone() // until the list names them
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -676,6 +676,44 @@
 	}
 }
 
+// Guards against many balancers that start at once and call discovery in one moment, so that most calls fail.
+func TestFirstCallsAreSpread(t *testing.T) {
+	var early, late int
+	for seed := range uint64(40) {
+		cfg := testConfig()
+		cfg.AskList, cfg.Balancers = true, 40
+		h := newFakeHost()
+		b, err := New(cfg, seed, h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Start(0)
+		b.List(0, ListCached, ready(1))
+		for now := 100 * ms; now <= 2*time.Second+100*ms; now += 100 * ms {
+			b.Wake(now)
+			if now == time.Second {
+				early += h.asks
+			}
+		}
+		late += h.asks
+	}
+	if early < 10 || early > 30 || late < 40 {
+		t.Errorf("%d of 40 asked in the first second, %d in two; want about half, and all", early, late)
+	}
+	cfg := testConfig()
+	cfg.AskList, cfg.Balancers = true, 40
+	h := newFakeHost()
+	b, err := New(cfg, 1, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Start(0)
+	b.List(0, ListCached, nil)
+	if h.asks != 1 {
+		t.Errorf("asked %d times with nothing known, want once and at once", h.asks)
+	}
+}
+
 func TestMemoryStaysBounded(t *testing.T) {
 	b, h := start(t, testConfig(), ready(1, 2))
 	ended := 0
