Let idle clients and strangers make room before slow ones, in descriptors that upstreams leave

Cause: shedOne took the oldest connection that had no whole request yet, which in a burst of strangers is a slow client's; connections idle between requests never made room, and the share of upstreams was kept free though they used a seventh. Now the room goes by who is needed least, and by who stands still longest; connections without an open request may use what upstreams leave, and upstreams get it back at once (yield).

The tests fail without it: who makes room, and what clients take.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -29,20 +30,24 @@
 	return shared.Listen(ctx, "tcp", address)
 }
 
-// clients is the listener that the application connects to. Anyone may connect, so it holds only so
-// many connections: past that, the one that has waited longest for its first request makes room. The
-// application sends at once when it has connected; whoever is slow to is a stranger.
+// silentTime is how long a connection may be silent, or idle, before it makes room ahead of others that are needed more.
+const silentTime = 250 * time.Millisecond
+
+// clients is the listener that the application connects to. Anyone may connect, so it holds only so many
+// connections; past that, one with no open request makes room. Such connections may also take the descriptors that
+// upstreams have no use for now, and are closed when that changes.
 type clients struct {
 	net.Listener
+	upstreams func() int // connections to upstreams now
+
 	mu      sync.Mutex
-	room    int        // connections held while others can make room
-	most    int        // and at all, where each has had a request
+	room    int        // connections with open requests at most
+	all     int        // and connections of any kind, those to upstreams included
 	leaving bool       // another process takes those that come from now on
 	queued  []net.Conn // had come by then
 	conns   map[*clientConn]struct{}
-	entered uint64 // connections so far
 	peak    int    // the most at once, since the last count
-	shed    int    // closed to make room
+	shed    [3]int // closed to make room: silent, idle, with half a request
 	barred  int    // closed at once, as there was none
 }
 
@@ -55,28 +60,44 @@
 	framing framing
 	failed  error
 
-	since time.Time // when it was accepted, or its latest request's head had come
+	spoke atomic.Int64 // when the last of its bytes came, in Unix nanoseconds; 0: none has
 
-	number uint64 // in order of arrival; what follows is guarded by clients.mu
-	known  bool   // a whole request has come on it
-	state  http.ConnState
+	since time.Time // when it was accepted, or went idle; what follows is guarded by clients.mu
+	known bool      // a whole request has come on it
+	state http.ConnState
 }
 
 // newClients makes the application's listener, with room for all that one process may hold.
-func newClients(cfg *Config, l net.Listener) *clients {
-	k := &clients{Listener: l, conns: make(map[*clientConn]struct{})}
-	k.share(cfg.clientConns(1))
+func newClients(cfg *Config, l net.Listener, upstreams func() int) *clients {
+	k := &clients{Listener: l, upstreams: upstreams, conns: make(map[*clientConn]struct{})}
+	k.share(cfg.clientConns(1), cfg.allConns(1))
 	return k
 }
 
-// share takes the application's share of the descriptors as the room, and goes half of the
-// reserve beyond it for connections that have all had requests.
-func (l *clients) share(room int) {
+// share takes the application's share of the descriptors as the room, and what it may hold together with upstreams.
+func (l *clients) share(room, all int) {
+	upstreams := l.upstreams()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.room, l.all = room, all
+	for len(l.conns) > l.allowed(upstreams) && l.shedOne() {
+	}
+}
+
+// allowed is how many connections may be held while others can make room: the application's share at least, and
+// what upstreams leave but for some that they may soon want. The caller holds the lock.
+func (l *clients) allowed(upstreams int) int { return max(l.room, l.all-upstreams-l.room/6) }
+
+// yield makes room for one more connection to an upstream, beside so many. It returns false if there is none.
+func (l *clients) yield(upstreams int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.room, l.most = room, room+room/6
-	for len(l.conns) > l.room && l.shedOne() {
+	for len(l.conns)+upstreams >= l.all {
+		if !l.shedOne() {
+			return false
+		}
 	}
+	return true
 }
 
 // leave stops listening, for a second process that listens here too. Connections that have come but were not
@@ -155,35 +176,53 @@
 
 // enter counts a connection in, if need be at the cost of another. It returns false if there is no room.
 func (l *clients) enter(k *clientConn) bool {
+	upstreams := l.upstreams()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.conns) >= l.room && !l.shedOne() && len(l.conns) >= l.most {
+	if len(l.conns) >= l.allowed(upstreams) && !l.shedOne() && len(l.conns) >= l.room+l.room/6 {
 		l.barred++
 		return false
 	}
-	k.number, k.since = l.entered, time.Now()
-	l.entered++
+	k.since = time.Now()
 	l.conns[k] = struct{}{}
 	l.peak = max(l.peak, len(l.conns))
 	return true
 }
 
-// shedOne closes the connection that has waited longest for its first request. It returns false if all
-// have had theirs. The caller holds the lock.
+// shedOne closes the connection that is needed least: one that has long been silent since it came, else one that
+// stands idle between requests, else one whose first request is under way; of each, the one that has been so, or
+// has sent nothing more, for longest. The application sends at once when it has connected, and if a close crosses a
+// request on an idle connection, that is sent again; a slow client's half request would be lost, but that is slow
+// and goes on, while a stranger's stands still. It returns false if all have requests open. The caller holds the lock.
 func (l *clients) shedOne() bool {
-	var first *clientConn
+	now := time.Now()
+	var first [3]*clientConn
+	var still [3]time.Duration
 	for c := range l.conns {
-		if !c.known && (first == nil || c.number < first.number) {
-			first = c
+		kind, waited, spoke := 2, now.Sub(c.since), c.spoke.Load()
+		switch {
+		case c.known && c.state != http.StateIdle:
+			continue
+		case c.known && waited > silentTime:
+			kind = 1
+		case !c.known && spoke > 0:
+			waited = now.Sub(time.Unix(0, spoke))
+		case !c.known && waited > silentTime:
+			kind = 0
+		}
+		if first[kind] == nil || waited > still[kind] {
+			first[kind], still[kind] = c, waited
 		}
 	}
-	if first == nil {
-		return false
+	for kind, c := range first {
+		if c != nil {
+			c.Conn.Close()
+			delete(l.conns, c)
+			l.shed[kind]++
+			return true
+		}
 	}
-	first.Conn.Close()
-	delete(l.conns, first)
-	l.shed++
-	return true
+	return false
 }
 
 // stateOf follows what the server makes of a connection.
@@ -191,8 +230,8 @@
 	k := c.(*clientConn)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if s == http.StateIdle { // what came before was an earlier request's
-		k.since = time.Time{}
+	if s == http.StateIdle {
+		k.since = time.Now()
 	}
 	if k.state = s; s == http.StateClosed || s == http.StateHijacked {
 		delete(l.conns, k)
@@ -211,7 +250,7 @@
 	k := ctx.Value(connKey{}).(*clientConn)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if k.since.IsZero() {
+	if k.known {
 		return 0
 	}
 	return time.Since(k.since)
@@ -230,11 +269,11 @@
 	return true
 }
 
-// crowded tells whether more connections are held than there is room for, and whether this process leaves.
-func (l *clients) crowded() (full, leaving bool) {
+// crowded tells whether so many open requests are more than there is room for, and whether this process leaves.
+func (l *clients) crowded(open int64) (full, leaving bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.conns) > l.room, l.leaving
+	return open > int64(l.room), l.leaving
 }
 
 // counters are for the log: the connections by what they are at, and the most that there were since
@@ -242,7 +281,7 @@
 func (l *clients) counters() map[string]int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	counts := map[string]int{"peak": l.peak, "shed": l.shed, "barred": l.barred}
+	counts := map[string]int{"peak": l.peak, "silent": l.shed[0], "idled": l.shed[1], "half": l.shed[2], "barred": l.barred}
 	for c := range l.conns {
 		counts[c.state.String()]++
 	}
@@ -257,6 +296,9 @@
 		return 0, c.failed
 	}
 	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.spoke.Store(time.Now().UnixNano())
+	}
 	if good, bad := c.framing.follow(p[:n]); bad != nil {
 		c.failed = bad
 		if good == 0 {
--- /dev/null
+++ b/internal/sidecar/clients_test.go
@@ -0,0 +1,89 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+)
+
+// Connections make room in the order of how little they are needed, and those with an open request do not.
+func TestWhoMakesRoom(t *testing.T) {
+	l := newClients(testConfig(t, listed(1, "ready"), nil), nil, noUpstreams)
+	names := make(map[*clientConn]string)
+	for _, c := range []struct {
+		name  string
+		age   time.Duration
+		spoke time.Duration // ago; 0: never
+		known bool
+		state http.ConnState
+	}{
+		{"open request", time.Hour, time.Hour, true, http.StateActive},
+		{"slow, goes on", 2 * time.Second, 50 * time.Millisecond, false, http.StateNew},
+		{"half a request", time.Second, time.Second, false, http.StateActive},
+		{"idle, newer", time.Second, time.Second, true, http.StateIdle},
+		{"idle", 2 * time.Second, time.Second, true, http.StateIdle},
+		{"silent", time.Second, 0, false, http.StateNew},
+		{"just come", 0, 0, false, http.StateNew},
+	} {
+		near, far := net.Pipe()
+		t.Cleanup(func() { near.Close(); far.Close() })
+		k := &clientConn{Conn: near}
+		if !l.enter(k) {
+			t.Fatal("no room")
+		}
+		k.since, k.known, k.state = k.since.Add(-c.age), c.known, c.state
+		if c.spoke > 0 {
+			k.spoke.Store(time.Now().Add(-c.spoke).UnixNano())
+		}
+		names[k] = c.name
+	}
+	var order []string
+	for l.shedOne() {
+		for k, name := range names {
+			if _, held := l.conns[k]; !held {
+				order = append(order, name)
+				delete(names, k)
+			}
+		}
+	}
+	want := []string{"silent", "idle", "idle, newer", "half a request", "slow, goes on", "just come"}
+	if !slices.Equal(order, want) {
+		t.Errorf("room is made by %q, want %q", order, want)
+	}
+}
+
+// Clients may take the descriptors that upstreams leave, and give them back once upstreams want them.
+func TestClientsTakeWhatUpstreamsLeave(t *testing.T) {
+	cfg := testConfig(t, listed(1, "ready"), nil)
+	upstreams := 10
+	l := newClients(cfg, nil, func() int { return upstreams })
+	var all []*clientConn
+	for range cfg.Sockets {
+		near, far := net.Pipe()
+		t.Cleanup(func() { near.Close(); far.Close() })
+		k := &clientConn{Conn: near}
+		if !l.enter(k) {
+			t.Fatal("no room")
+		}
+		all = append(all, k)
+	}
+	if n := len(l.conns); n <= l.room || n+upstreams > cfg.allConns(1) {
+		t.Errorf("%d held beside %d upstreams, want more than %d and %d together at most", n, upstreams, l.room, cfg.allConns(1))
+	}
+	for ; upstreams < cfg.upstreamConns(1); upstreams++ {
+		if !l.yield(upstreams) || len(l.conns)+upstreams >= cfg.allConns(1) {
+			t.Fatalf("%d held beside %d upstreams and one to come", len(l.conns), upstreams)
+		}
+	}
+	for _, k := range all {
+		if _, held := l.conns[k]; held {
+			l.took(l.with(context.Background(), k))
+		}
+	}
+	if l.yield(cfg.allConns(1)) {
+		t.Error("connections with open requests made room")
+	}
+}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -174,4 +174,7 @@
 
 func (c *Config) upstreamConns(n int) int { return c.freeFiles(n) / 2 }
 
+// allConns is how many connections of both kinds one of n processes may hold.
+func (c *Config) allConns(n int) int { return c.freeFiles(n) * 15 / 16 }
+
 func (c *Config) freeFiles(n int) int { return max(c.Sockets/n-c.ownFiles(), 8) }
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -108,11 +108,12 @@
 		panic(http.ErrAbortHandler) // its connection has made room for others
 	}
 	defer f.held.Add(-1)
-	full, leaving := f.clients.crowded()
+	held := f.held.Add(1)
+	full, leaving := f.clients.crowded(held)
 	if full || leaving { // descriptors run out, or another process serves here: this one ends with its answer
 		w.Header().Set("Connection", "close")
 	}
-	switch held := f.held.Add(1); {
+	switch {
 	case full && !leaving:
 		f.reply(w, r, q.Class, answer{status: http.StatusServiceUnavailable, pause: f.pause()}, m.rest)
 		return
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -44,7 +44,8 @@
 	d := newDiscovery(cfg, l.list, l.listFailed)
 	l.watch, l.asked = d.ask, d.counters
 	l.handover = newHandover(cfg.Shared, cfg.Name)
-	k := newClients(cfg, listener)
+	k := newClients(cfg, listener, up.connections)
+	up.yield = k.yield
 	f := newFront(cfg, c, l, k)
 	l.clients = f.counters
 	slog.Info("serving", "name", cfg.Name, "listen", listener.Addr(), "servers", len(cfg.Known.servers))
@@ -54,7 +55,7 @@
 	share := func(n int) {
 		limitMemory(cfg.MemoryMB, n)
 		up.share(cfg.upstreamConns(n))
-		k.share(cfg.clientConns(n))
+		k.share(cfg.clientConns(n), cfg.allConns(n))
 		l.post(func(time.Duration) { l.b.Share(n) })
 	}
 	go l.run(running, cfg.Known)
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -64,7 +64,8 @@
 	reports     []string
 	columns     wire.Columns
 	probePath   string
-	written     atomic.Uint64 // attempts whose last byte was written
+	written     atomic.Uint64            // attempts whose last byte was written
+	yield       func(upstreams int) bool // has clients make room for one more connection than so many
 
 	mu      sync.Mutex
 	most    int                // connections at most
@@ -101,6 +102,7 @@
 		keep:      cfg.ConnIdle - min(idleMargin, cfg.ConnIdle/4),
 		most:      cfg.upstreamConns(1),
 		probePath: "/alive",
+		yield:     func(int) bool { return true },
 		idle:      make(map[string][]*conn),
 	}
 	if cfg.Policy.Reports != 0 {
@@ -372,7 +374,7 @@
 		}
 		u.drop(address, len(list)) // even the last used is too old
 	}
-	if u.open >= u.most && !u.dropOldest() {
+	if (u.open >= u.most || !u.yield(u.open)) && !u.dropOldest() {
 		return nil, errors.New("no descriptor is left for a connection")
 	}
 	u.open++
@@ -380,6 +382,13 @@
 	return nil, nil
 }
 
+// connections tells how many there are, in use, idle or being opened.
+func (u *upstream) connections() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.open
+}
+
 // share allows so many connections from now on, and closes idle ones above that.
 func (u *upstream) share(most int) {
 	u.mu.Lock()
