--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -196,6 +196,9 @@
 			Share: s.number("rules.further_ratio", 0),
 		},
 	}
+	if s.text("caps.retry_after") == "false" {
+		c.MaxRetryAfter = 0 // clients are given no advice
+	}
 	if s.text("telemetry.how") != "silent" {
 		c.Reports = s.Columns().fields()
 	}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -334,3 +334,18 @@
 		}
 	}
 }
+
+// Clients that are given no advice get none; where the settings do not say, it may be given.
+func TestRetryAfterIsGivenWhereAllowed(t *testing.T) {
+	for line, want := range map[string]time.Duration{
+		"": 800 * time.Millisecond, "caps.retry_after=true\n": 800 * time.Millisecond, "caps.retry_after=false\n": 0,
+	} {
+		s, err := ParseSettings([]byte("balancers=1\ncaps.max_retry_after_ms=800\n" + line))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c, err := s.Config(); err != nil || c.MaxRetryAfter != want {
+			t.Errorf("%q: %v, error %v, want %v", line, c.MaxRetryAfter, err, want)
+		}
+	}
+}
