Set the process's own descriptors aside before clients take what upstreams leave

Cause: what the process itself and the console hold came out of the reserve of a sixteenth, which nobody reached before; with 96 descriptors and every door full it would be 98. Ten and the console's are set aside now. The test fails without it.

--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -87,3 +87,17 @@
 		t.Error("connections with open requests made room")
 	}
 }
+
+// With limits cut by half too, what clients, upstreams, operators and the process itself may hold fits.
+func TestDescriptorsAreSetAside(t *testing.T) {
+	for _, sockets := range []float64{96, 128, 192, 1024} {
+		cfg := testConfig(t, listed(1, "ready"), func(file, _ map[string]any) {
+			file["console"] = "127.0.0.1:0"
+			file["limits"].(map[string]any)["sockets"] = sockets
+		})
+		const process = 10 // standard streams, poller and its wake-up, listeners, lock, discovery twice
+		if all := cfg.allConns(1) + consoleConns + process; all > cfg.Sockets {
+			t.Errorf("%d descriptors may be held of %d", all, cfg.Sockets)
+		}
+	}
+}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -160,12 +160,14 @@
 }
 
 // ownFiles are the descriptors set aside before clients and upstreams divide the rest: the process's own
-// (standard streams, poller, listeners, discovery at two addresses) and, where there is a console, its callers'.
+// (standard streams, poller, listener, lock, discovery at two addresses) and, where there is a console, its listener's
+// and its callers'. Clients may take all that upstreams leave, so that no more is free than is set aside.
 func (c *Config) ownFiles() int {
-	if c.Console == "" {
-		return 0 // the reserve suffices
+	own := 10
+	if c.Console != "" {
+		own += consoleConns + 2
 	}
-	return min(consoleConns+4, c.Sockets/4)
+	return min(own, c.Sockets/4)
 }
 
 // clientConns and upstreamConns divide the descriptors of one of n processes: half for upstreams, most of the
