--- a/internal/sidecar/console_test.go
+++ b/internal/sidecar/console_test.go
@@ -183,3 +183,31 @@
 	side.call(t, "enable-server s-1\n")
 	unavailable("0")
 }
+
+// The console says no once the process is stopping, and yes while clients that connect are served.
+func TestReadyEndsWithTheStop(t *testing.T) {
+	release := make(chan struct{})
+	s := newStub(t, func(c net.Conn, r received) bool {
+		<-release
+		return echo(c, r)
+	})
+	side := start(t, nil, s.address)
+	c := side.dial(t)
+	if _, err := io.WriteString(c, head("1", "Content-Length: 0")); err != nil {
+		t.Fatal(err)
+	}
+	wait(t, "the request", s.seen)
+	if got := side.call(t, "ready\n"); !strings.HasPrefix(got, "200 ") {
+		t.Fatalf("ready: %q", got)
+	}
+	side.stop() // it ends once the request has its answer
+	for end := time.Now().Add(generous); !strings.HasPrefix(side.call(t, "ready\n"), "400 "); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("it is ready while it is stopping")
+		}
+	}
+	close(release)
+	if err := wait(t, "the end", side.ended); err != nil {
+		t.Error(err)
+	}
+}
