--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -13,6 +13,7 @@
 	"runtime/debug"
 	"time"
 
+	"arrowgw/internal/balance"
 	"arrowgw/internal/wire"
 	"arrowgw/policy"
 )
@@ -54,12 +55,12 @@
 // lists of the wire and the reply under way.
 type host struct {
 	reply     wire.Reply
-	pages     map[uint16][]policy.Server
+	pages     map[uint16][]balance.Server
 	instances map[uint32]*instance
 }
 
 func newHost() *host {
-	return &host{pages: make(map[uint16][]policy.Server), instances: make(map[uint32]*instance)}
+	return &host{pages: make(map[uint16][]balance.Server), instances: make(map[uint32]*instance)}
 }
 
 // instance is one sidecar; it carries out its Balancer's decisions.
@@ -74,25 +75,25 @@
 // logEvery is how often an instance's counters go to the log.
 const logEvery = 10 * time.Second
 
-func (i *instance) Send(id policy.RequestID, to policy.ServerID, timeout time.Duration) {
+func (i *instance) Send(id balance.RequestID, to balance.ServerID, timeout time.Duration) {
 	i.host.reply.CallOut(i.number, uint32(id), wire.Upstream(to), timeout)
 }
 
-func (i *instance) Refuse(id policy.RequestID, pause time.Duration) {
+func (i *instance) Refuse(id balance.RequestID, pause time.Duration) {
 	i.host.reply.PushBack(i.number, uint32(id), pause)
 }
 
-func (i *instance) Fail(id policy.RequestID) { i.host.reply.Lose(i.number, uint32(id)) }
+func (i *instance) Fail(id balance.RequestID) { i.host.reply.Lose(i.number, uint32(id)) }
 
-func (i *instance) Cancel(id policy.RequestID, attempt int) {
+func (i *instance) Cancel(id balance.RequestID, attempt int) {
 	i.host.reply.Recall(i.number, uint32(id), uint8(attempt))
 }
 
-func (i *instance) Wake(d time.Duration)     { i.host.reply.SetAlarm(i.number, d, 0) }
-func (i *instance) Probe(to policy.ServerID) { i.host.reply.Inspect(i.number, wire.Upstream(to)) }
-func (i *instance) Close(to policy.ServerID) { i.host.reply.Release(i.number, wire.Upstream(to)) }
-func (i *instance) WatchList()               { i.host.reply.Tail(i.number, true) }
-func (i *instance) Log(line string)          { i.host.reply.WriteLog(i.number, line) }
+func (i *instance) Wake(d time.Duration)      { i.host.reply.SetAlarm(i.number, d, 0) }
+func (i *instance) Probe(to balance.ServerID) { i.host.reply.Inspect(i.number, wire.Upstream(to)) }
+func (i *instance) Close(to balance.ServerID) { i.host.reply.Release(i.number, wire.Upstream(to)) }
+func (i *instance) WatchList()                { i.host.reply.Tail(i.number, true) }
+func (i *instance) Log(line string)           { i.host.reply.WriteLog(i.number, line) }
 
 // batch hands the events of one batch to their instances, in order.
 func (h *host) batch(b wire.Batch) error {
@@ -201,7 +202,7 @@
 		if err != nil {
 			return err
 		}
-		r := policy.Request{ID: policy.RequestID(a.Job), Class: int(a.Kind), Tenant: int(a.Tenant), Left: a.Left}
+		r := balance.Request{ID: balance.RequestID(a.Job), Class: int(a.Kind), Tenant: int(a.Tenant), Left: a.Left}
 		r.Key = a.Key
 		r.Repeat = a.Bits&wire.BitRepeat != 0
 		if a.Bits&wire.BitHint != 0 {
@@ -213,8 +214,8 @@
 		if err != nil {
 			return err
 		}
-		i.b.Outcome(now, policy.Outcome{
-			ID: policy.RequestID(f.Job), Attempt: int(f.Hop), Ending: ending(f.Ending), Settled: f.Settled,
+		i.b.Outcome(now, balance.Outcome{
+			ID: balance.RequestID(f.Job), Attempt: int(f.Hop), Ending: ending(f.Ending), Settled: f.Settled,
 			Load: i.loads.Load(f.Pressure),
 		})
 	case wire.EvWake:
@@ -224,19 +225,19 @@
 		if err != nil {
 			return err
 		}
-		i.b.ClientGone(now, policy.RequestID(job))
+		i.b.ClientGone(now, balance.RequestID(job))
 	case wire.EvHeaders:
 		job, hop, err := rec.Headers()
 		if err != nil {
 			return err
 		}
-		i.b.StreamBegun(now, policy.RequestID(job), int(hop))
+		i.b.StreamBegun(now, balance.RequestID(job), int(hop))
 	case wire.EvCheckResult:
 		up, end, report, err := rec.CheckResult()
 		if err != nil {
 			return err
 		}
-		i.b.Probed(now, policy.ServerID(up), end == wire.EndServed, i.loads.Load(report))
+		i.b.Probed(now, balance.ServerID(up), end == wire.EndServed, i.loads.Load(report))
 	case wire.EvFleet:
 		kind, _, page, err := rec.Fleet()
 		if err != nil {
@@ -248,16 +249,16 @@
 }
 
 func (i *instance) fleet(now time.Duration, kind uint8, page uint16) error {
-	var k policy.ListKind
+	var k balance.ListKind
 	switch kind {
 	case wire.FleetFull:
-		k = policy.ListFull
+		k = balance.ListFull
 	case wire.FleetDelta:
-		k = policy.ListDelta
+		k = balance.ListDelta
 	case wire.FleetCached:
-		k = policy.ListCached
+		k = balance.ListCached
 	case wire.FleetFailed:
-		i.b.List(now, policy.ListFailed, nil)
+		i.b.List(now, balance.ListFailed, nil)
 		return nil
 	default:
 		return nil // a kind of a later version
@@ -270,39 +271,39 @@
 	return nil
 }
 
-func ending(code uint16) policy.Ending {
+func ending(code uint16) balance.Ending {
 	switch code {
 	case wire.EndServed:
-		return policy.Served
+		return balance.Served
 	case wire.EndTurnedAway:
-		return policy.TurnedAway
+		return balance.TurnedAway
 	case wire.EndTimedOut:
-		return policy.TimedOut
+		return balance.TimedOut
 	case wire.EndNoConnection:
-		return policy.NoConnection
+		return balance.NoConnection
 	case wire.EndBroken:
-		return policy.Broken
+		return balance.Broken
 	case wire.EndCancelled:
-		return policy.Cancelled
+		return balance.Cancelled
 	case wire.EndNotSent:
-		return policy.NotSent
+		return balance.NotSent
 	}
-	return policy.Errored // it may have run, as may whatever is not known
+	return balance.Errored // it may have run, as may whatever is not known
 }
 
-func servers(entries []wire.Entry) []policy.Server {
-	list := make([]policy.Server, len(entries))
+func servers(entries []wire.Entry) []balance.Server {
+	list := make([]balance.Server, len(entries))
 	for i, e := range entries {
-		list[i] = policy.Server{
-			ID: policy.ServerID(e.Upstream), Zone: int(e.Area), Cell: int(e.Cohort), Weight: e.Rating, Started: e.Boot,
+		list[i] = balance.Server{
+			ID: balance.ServerID(e.Upstream), Zone: int(e.Area), Cell: int(e.Cohort), Weight: e.Rating, Started: e.Boot,
 		}
 		switch e.Status {
 		case wire.StateReady:
-			list[i].State = policy.Ready
+			list[i].State = balance.Ready
 		case wire.StateGone:
-			list[i].State = policy.Gone
+			list[i].State = balance.Gone
 		default:
-			list[i].State = policy.Draining // nothing new, whatever it is
+			list[i].State = balance.Draining // nothing new, whatever it is
 		}
 	}
 	return list
--- a/cmd/simhost/main_test.go
+++ b/cmd/simhost/main_test.go
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
+	"arrowgw/internal/balance"
 	"arrowgw/internal/wire"
-	"arrowgw/policy"
 )
 
 const settings = `balancers=2
@@ -247,10 +247,10 @@
 }
 
 func TestEndings(t *testing.T) {
-	for code, want := range map[uint16]policy.Ending{
-		wire.EndServed: policy.Served, wire.EndErrored: policy.Errored, wire.EndTurnedAway: policy.TurnedAway,
-		wire.EndTimedOut: policy.TimedOut, wire.EndNoConnection: policy.NoConnection, wire.EndBroken: policy.Broken,
-		wire.EndCancelled: policy.Cancelled, wire.EndNotSent: policy.NotSent, 999: policy.Errored,
+	for code, want := range map[uint16]balance.Ending{
+		wire.EndServed: balance.Served, wire.EndErrored: balance.Errored, wire.EndTurnedAway: balance.TurnedAway,
+		wire.EndTimedOut: balance.TimedOut, wire.EndNoConnection: balance.NoConnection, wire.EndBroken: balance.Broken,
+		wire.EndCancelled: balance.Cancelled, wire.EndNotSent: balance.NotSent, 999: balance.Errored,
 	} {
 		if got := ending(code); got != want {
 			t.Errorf("ending %d becomes %v, want %v", code, got, want)
@@ -263,8 +263,8 @@
 		{Upstream: 9, Area: 1, Cohort: 3, Status: wire.StateReady, Rating: 2.5, Boot: time.Second},
 		{Status: wire.StateGone}, {Status: wire.StateDraining}, {Status: 77},
 	})
-	if got[0] != (policy.Server{ID: 9, Zone: 1, Cell: 3, State: policy.Ready, Weight: 2.5, Started: time.Second}) ||
-		got[1].State != policy.Gone || got[2].State != policy.Draining || got[3].State != policy.Draining {
+	if got[0] != (balance.Server{ID: 9, Zone: 1, Cell: 3, State: balance.Ready, Weight: 2.5, Started: time.Second}) ||
+		got[1].State != balance.Gone || got[2].State != balance.Draining || got[3].State != balance.Draining {
 		t.Fatalf("servers %+v", got)
 	}
 }
--- a/policy/api.go
+++ b/internal/balance/balance.go
@@ -1,22 +1,7 @@
-// Package policy decides, for one client-side load balancer (a sidecar), when
-// and where each request is sent, sent again, refused or failed.
-//
-// A Balancer is single-threaded and deterministic: it has no goroutines, no
-// clock and no I/O. The program that embeds it calls one method per event and
-// passes the time; the Balancer answers through the Host it was given. This
-// file is the interface; every decision is in policy.go.
-//
-// Times are durations since a fixed moment of the embedding program's choice; they must never go
-// back, and all calls for one Balancer come from one goroutine, in the order of what happened. The
-// order of calls: New, Start, List with the servers known so far, then Request, Outcome, Wake,
-// List, Probed, ClientGone, BodyEnded, StreamBegun, TakeOut, BringBack and Share as they occur. Each Host.Send brings exactly one Outcome,
-// also after the request has been answered; each Host.Wake one call of Wake, late rather than never.
-// A request is answered once: by an Outcome with Settled set, or by Host.Refuse or Host.Fail.
-//
-// Bad input does no harm: a request that names no class or tenant, or has no time left, is refused;
-// an outcome, probe or departure of something unknown is passed over, and so is a repeated one.
-// New returns an error that names the field for settings that cannot be used.
-package policy
+// Package balance is the vocabulary that the decision module and the programs that embed it share: the settings a
+// module starts with, the events that it is told, and the actions that it asks for. It decides nothing; package
+// policy does.
+package balance
 
 import "time"
 
--- a/policy/config.go
+++ b/internal/balance/check.go
@@ -1,12 +1,13 @@
-package policy
+package balance
 
 import (
 	"fmt"
 	"math"
 )
 
-// check returns an error that names the first unusable field of a Config.
-func check(cfg Config) error {
+// Check returns an error that names the first unusable field.
+func (c *Config) Check() error {
+	cfg := *c
 	bad := func(f float64) bool { return math.IsNaN(f) || math.IsInf(f, 0) || f < 0 }
 	switch {
 	case cfg.Balancers < 1:
@@ -58,17 +59,8 @@
 	return nil
 }
 
-// known says whether a request names a class and a tenant that there are, and has time left. Where
-// no tenants are set it gives the request the one for all.
-func (b *Balancer) known(q *Request) bool {
-	if len(b.cfg.Tenants) == 0 {
-		q.Tenant = 0
-	}
-	return q.Class >= 0 && q.Class < len(b.classes) && q.Tenant >= 0 && q.Tenant < len(b.parts) && q.Left > 0
-}
-
-// tenants returns the tenants, or one for all where none are set.
-func (c *Config) tenants() []Tenant {
+// Compartments returns the tenants, or one for all where none are set.
+func (c *Config) Compartments() []Tenant {
 	if len(c.Tenants) == 0 {
 		return []Tenant{{Share: 1}}
 	}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -11,8 +11,8 @@
 	"strings"
 	"time"
 
+	"arrowgw/internal/balance"
 	"arrowgw/internal/wire"
-	"arrowgw/policy"
 )
 
 // Config is what a sidecar is told at its start.
@@ -28,7 +28,7 @@
 	MemoryMB int // the process is killed above this; 0: no limit is known
 	Sockets  int // descriptors it may hold
 
-	Policy  policy.Config
+	Policy  balance.Config
 	Classes map[string]int // class by name
 	Tenants map[string]int // tenant by name; empty where there are none
 	Zones   map[string]int // zone by name
--- a/internal/sidecar/config_test.go
+++ b/internal/sidecar/config_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"arrowgw/policy"
+	"arrowgw/internal/balance"
 )
 
 func TestConfig(t *testing.T) {
@@ -15,8 +15,8 @@
 		t.Errorf("config %+v", c)
 	}
 	p := c.Policy
-	if p.MaxAttempts != 3 || p.Classes[0].Effect != policy.Keyed || p.Classes[1].Effect != policy.Unsafe ||
-		p.Tenants[1].Quota != 50 || p.ColdTime != 5*time.Second || p.Reports&policy.HasInFlight == 0 {
+	if p.MaxAttempts != 3 || p.Classes[0].Effect != balance.Keyed || p.Classes[1].Effect != balance.Unsafe ||
+		p.Tenants[1].Quota != 50 || p.ColdTime != 5*time.Second || p.Reports&balance.HasInFlight == 0 {
 		t.Errorf("the module's config %+v", p)
 	}
 }
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -15,7 +15,7 @@
 	"sync"
 	"time"
 
-	"arrowgw/policy"
+	"arrowgw/internal/balance"
 )
 
 const (
@@ -35,16 +35,16 @@
 type listing struct {
 	version int64
 	whole   bool
-	servers []policy.Server
-	address map[policy.ServerID]string
+	servers []balance.Server
+	address map[balance.ServerID]string
 }
 
 // serverID names a server by a hash of its instanceId: the same at every sidecar and after a
 // restart, as the module spreads the sidecars over the servers by the order of their ids.
-func serverID(instance string) policy.ServerID {
+func serverID(instance string) balance.ServerID {
 	h := fnv.New64a()
 	_, _ = io.WriteString(h, instance) // a hash takes everything
-	return policy.ServerID(h.Sum64())
+	return balance.ServerID(h.Sum64())
 }
 
 // parseListing reads an answer. One malformed entry makes the whole answer unusable.
@@ -68,12 +68,12 @@
 	if answer.Generation == nil {
 		return listing{}, errors.New("no generation")
 	}
-	l := listing{version: *answer.Generation, whole: answer.Reset, address: make(map[policy.ServerID]string)}
+	l := listing{version: *answer.Generation, whole: answer.Reset, address: make(map[balance.ServerID]string)}
 	for i, e := range answer.Instances {
 		if e.InstanceID == "" {
 			return listing{}, fmt.Errorf("instance %d has no instanceId", i)
 		}
-		s := policy.Server{ID: serverID(e.InstanceID), Zone: -1, Cell: e.Cell, Weight: e.Weight}
+		s := balance.Server{ID: serverID(e.InstanceID), Zone: -1, Cell: e.Cell, Weight: e.Weight}
 		if zone, ok := zones[e.Zone]; ok {
 			s.Zone = zone
 		}
@@ -83,15 +83,15 @@
 		s.Started = time.Duration(max(0, e.StartedAtMs) * float64(time.Millisecond))
 		switch e.Lifecycle {
 		case "ready":
-			s.State = policy.Ready
+			s.State = balance.Ready
 		case "gone":
-			s.State = policy.Gone
+			s.State = balance.Gone
 		default:
-			s.State = policy.Draining // nothing new, whatever it is
+			s.State = balance.Draining // nothing new, whatever it is
 		}
 		if _, _, err := net.SplitHostPort(e.HostPort); err == nil {
 			l.address[s.ID] = e.HostPort
-		} else if s.State != policy.Gone {
+		} else if s.State != balance.Gone {
 			return listing{}, fmt.Errorf("instance %s: hostPort: %w", e.InstanceID, err)
 		}
 		l.servers = append(l.servers, s)
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"arrowgw/policy"
+	"arrowgw/internal/balance"
 )
 
 func TestParseListing(t *testing.T) {
@@ -21,11 +21,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := []policy.Server{
-		{ID: serverID("s-1"), Zone: 1, Cell: 3, State: policy.Ready, Weight: 1.5, Started: 1500500 * time.Microsecond},
-		{ID: serverID("s-2"), Zone: -1, State: policy.Draining},
-		{ID: serverID("s-3"), Zone: -1, State: policy.Draining},
-		{ID: serverID("s-4"), Zone: -1, State: policy.Gone},
+	want := []balance.Server{
+		{ID: serverID("s-1"), Zone: 1, Cell: 3, State: balance.Ready, Weight: 1.5, Started: 1500500 * time.Microsecond},
+		{ID: serverID("s-2"), Zone: -1, State: balance.Draining},
+		{ID: serverID("s-3"), Zone: -1, State: balance.Draining},
+		{ID: serverID("s-4"), Zone: -1, State: balance.Gone},
 	}
 	if l.version != 41 || l.whole || len(l.servers) != len(want) || l.address[want[1].ID] != "127.0.0.1:81" {
 		t.Fatalf("list %+v", l)
@@ -194,20 +194,20 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l.take(moved, policy.ListDelta)
+	l.take(moved, balance.ListDelta)
 	if l.address[id] != "127.0.0.1:82" {
 		t.Errorf("address %q after the move", l.address[id])
 	}
-	l.take(listing{}, policy.ListDelta)
+	l.take(listing{}, balance.ListDelta)
 	if len(l.address) != 1 {
 		t.Errorf("addresses %v after no change", l.address)
 	}
-	l.take(listing{servers: []policy.Server{{ID: id, State: policy.Gone}}}, policy.ListDelta)
+	l.take(listing{servers: []balance.Server{{ID: id, State: balance.Gone}}}, balance.ListDelta)
 	if len(l.address) != 0 {
 		t.Errorf("addresses %v, the server is gone", l.address)
 	}
-	l.take(moved, policy.ListDelta)
-	l.take(listing{whole: true}, policy.ListFull)
+	l.take(moved, balance.ListDelta)
+	l.take(listing{whole: true}, balance.ListFull)
 	if len(l.address) != 0 {
 		t.Errorf("addresses %v after a whole list of none", l.address)
 	}
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"arrowgw/policy"
+	"arrowgw/internal/balance"
 )
 
 const (
@@ -226,7 +226,7 @@
 
 // read takes what a request says of itself. What is missing or malformed is an error, whose text
 // is for the client.
-func (f *front) read(r *http.Request) (q policy.Request, left time.Duration, err error) {
+func (f *front) read(r *http.Request) (q balance.Request, left time.Duration, err error) {
 	h := r.Header
 	if h.Get("X-Request-ID") == "" {
 		return q, 0, errors.New("X-Request-ID is missing")
@@ -240,13 +240,13 @@
 		return q, 0, errors.New("the path is of another class than X-Priority-Class")
 	}
 	method := http.MethodPost
-	if f.cfg.Policy.Classes[q.Class].Effect == policy.Safe {
+	if f.cfg.Policy.Classes[q.Class].Effect == balance.Safe {
 		method = http.MethodGet
 	}
 	if r.Method != method {
 		return q, 0, errors.New("the method is not that of the class")
 	}
-	if f.cfg.Policy.Classes[q.Class].Effect == policy.Keyed && h.Get("Idempotency-Key") == "" {
+	if f.cfg.Policy.Classes[q.Class].Effect == balance.Keyed && h.Get("Idempotency-Key") == "" {
 		return q, 0, errors.New("Idempotency-Key is missing")
 	}
 	if len(f.cfg.Tenants) > 0 {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"arrowgw/internal/balance"
 	"arrowgw/policy"
 )
 
@@ -37,11 +38,11 @@
 	lastID   atomic.Uint64
 	events   chan func(now time.Duration)
 	now      time.Duration // the time of the event under way
-	requests map[policy.RequestID]*request
-	address  map[policy.ServerID]string
-	notSent  []policy.Outcome // owed once the event under way is over
-	wakes    []time.Duration  // when Wake is due, in order
-	timer    *time.Timer      // set for the first of them
+	requests map[balance.RequestID]*request
+	address  map[balance.ServerID]string
+	notSent  []balance.Outcome // owed once the event under way is over
+	wakes    []time.Duration   // when Wake is due, in order
+	timer    *time.Timer       // set for the first of them
 }
 
 // members counts the servers in the list, and those that the module avoids.
@@ -75,8 +76,8 @@
 		asked:    func() map[string]int { return nil },
 		handover: new(handover),
 		events:   make(chan func(time.Duration), eventQueue),
-		requests: make(map[policy.RequestID]*request),
-		address:  make(map[policy.ServerID]string),
+		requests: make(map[balance.RequestID]*request),
+		address:  make(map[balance.ServerID]string),
 		timer:    time.NewTimer(time.Hour),
 	}
 	var err error
@@ -171,7 +172,7 @@
 		l.byHand(l.now, instance, s.Out, time.Duration(s.AtMs)*time.Millisecond)
 	}
 	known.whole = true
-	l.take(known, policy.ListCached)
+	l.take(known, balance.ListCached)
 	counters := time.NewTicker(countersEvery)
 	defer counters.Stop()
 	for {
@@ -223,18 +224,18 @@
 
 // list takes news from discovery.
 func (l *loop) list(news listing) {
-	kind := policy.ListDelta
+	kind := balance.ListDelta
 	if news.whole {
-		kind = policy.ListFull
+		kind = balance.ListFull
 	}
 	l.post(func(time.Duration) { l.take(news, kind) })
 }
 
 func (l *loop) listFailed() {
-	l.post(func(now time.Duration) { l.b.List(now, policy.ListFailed, nil) })
+	l.post(func(now time.Duration) { l.b.List(now, balance.ListFailed, nil) })
 }
 
-func (l *loop) take(news listing, kind policy.ListKind) {
+func (l *loop) take(news listing, kind balance.ListKind) {
 	gone := make(map[string]bool) // addresses that nothing can be sent to any more
 	if news.whole {
 		for _, address := range l.address {
@@ -247,7 +248,7 @@
 			gone[old] = true
 			delete(l.address, s.ID)
 		}
-		if s.State != policy.Gone {
+		if s.State != balance.Gone {
 			l.address[s.ID] = news.address[s.ID]
 		}
 	}
@@ -262,8 +263,8 @@
 
 // ask takes a request on. Its final answer goes to reply, which must have room for it.
 // The number that it returns names the request for gone.
-func (l *loop) ask(q policy.Request, m *message, deadline time.Duration, reply chan<- answer) policy.RequestID {
-	q.ID = policy.RequestID(l.lastID.Add(1))
+func (l *loop) ask(q balance.Request, m *message, deadline time.Duration, reply chan<- answer) balance.RequestID {
+	q.ID = balance.RequestID(l.lastID.Add(1))
 	if m.rest != nil {
 		q.Coming = true
 		whole := m.rest.whole
@@ -281,7 +282,7 @@
 }
 
 // gone takes that a request's client has closed its connection.
-func (l *loop) gone(id policy.RequestID) {
+func (l *loop) gone(id balance.RequestID) {
 	l.post(func(now time.Duration) {
 		r := l.requests[id]
 		switch {
@@ -296,7 +297,7 @@
 }
 
 // uploaded takes that the last byte of a request's body has gone out: the client's time begins.
-func (l *loop) uploaded(now time.Duration, id policy.RequestID) {
+func (l *loop) uploaded(now time.Duration, id balance.RequestID) {
 	if r := l.requests[id]; r != nil && !r.over {
 		r.deadline = now + r.message.left
 		l.b.BodyEnded(now, id, r.message.left)
@@ -304,7 +305,7 @@
 }
 
 // finish ends a request with its one answer, or with none where the client has gone.
-func (l *loop) finish(id policy.RequestID, r *request, a *answer) {
+func (l *loop) finish(id balance.RequestID, r *request, a *answer) {
 	r.over = true
 	if a != nil {
 		r.reply <- *a
@@ -315,7 +316,7 @@
 }
 
 // outcome tells the module how an attempt ended, once for each.
-func (l *loop) outcome(o policy.Outcome) {
+func (l *loop) outcome(o balance.Outcome) {
 	r := l.requests[o.ID]
 	r.out--
 	o.Settled = r.over
@@ -327,7 +328,7 @@
 
 // began takes that an attempt's answer has begun to stream: it goes to the client as it comes, and can't be called
 // off any more.
-func (l *loop) began(id policy.RequestID, number int, res result) {
+func (l *loop) began(id balance.RequestID, number int, res result) {
 	r := l.requests[id]
 	if r.over {
 		res.stream.leave()
@@ -340,18 +341,18 @@
 
 // ended takes the end of an attempt. The first answer of an upstream goes to the client at once
 // and settles the request.
-func (l *loop) ended(id policy.RequestID, number int, res result) {
+func (l *loop) ended(id balance.RequestID, number int, res result) {
 	r := l.requests[id]
-	r.timedOut = res.ending == policy.TimedOut
-	if res.ending == policy.Served && !r.over {
+	r.timedOut = res.ending == balance.TimedOut
+	if res.ending == balance.Served && !r.over {
 		l.finish(id, r, &answer{status: http.StatusOK, header: res.header, body: res.body})
 	}
-	l.outcome(policy.Outcome{ID: id, Attempt: number, Ending: res.ending, Load: res.load, Spent: r.message.spent()})
+	l.outcome(balance.Outcome{ID: id, Attempt: number, Ending: res.ending, Load: res.load, Spent: r.message.spent()})
 }
 
 // Send starts an attempt, given up after timeout or at the client's deadline. Where the request is
 // over or out of attempts or time, or the server is not listed, nothing is sent.
-func (l *loop) Send(id policy.RequestID, to policy.ServerID, timeout time.Duration) {
+func (l *loop) Send(id balance.RequestID, to balance.ServerID, timeout time.Duration) {
 	r := l.requests[id]
 	if r == nil {
 		return // over, with all attempts ended: the module has forgotten it too
@@ -361,7 +362,7 @@
 	address := l.address[to]
 	if spent := r.message.spent(); r.over || number >= l.most || left <= 0 || timeout < 0 || address == "" || spent {
 		r.attempts = append(r.attempts, nil)
-		l.notSent = append(l.notSent, policy.Outcome{ID: id, Attempt: number, Ending: policy.NotSent, Spent: spent})
+		l.notSent = append(l.notSent, balance.Outcome{ID: id, Attempt: number, Ending: balance.NotSent, Spent: spent})
 		return
 	}
 	if timeout == 0 || timeout > left {
@@ -379,14 +380,14 @@
 }
 
 // Refuse ends a request; trying again is harmless.
-func (l *loop) Refuse(id policy.RequestID, pause time.Duration) {
+func (l *loop) Refuse(id balance.RequestID, pause time.Duration) {
 	if r := l.requests[id]; r != nil && !r.over {
 		l.finish(id, r, &answer{status: http.StatusServiceUnavailable, pause: pause})
 	}
 }
 
 // Fail ends a request with no promise.
-func (l *loop) Fail(id policy.RequestID) {
+func (l *loop) Fail(id balance.RequestID) {
 	r := l.requests[id]
 	if r == nil || r.over {
 		return
@@ -399,7 +400,7 @@
 }
 
 // Cancel calls off an attempt; its Outcome still comes.
-func (l *loop) Cancel(id policy.RequestID, attempt int) {
+func (l *loop) Cancel(id balance.RequestID, attempt int) {
 	if r := l.requests[id]; r != nil && attempt >= 0 && attempt < len(r.attempts) && r.attempts[attempt] != nil {
 		r.attempts[attempt].cancel()
 	}
@@ -418,20 +419,20 @@
 }
 
 // Probe asks a server for a load report.
-func (l *loop) Probe(to policy.ServerID) {
-	told := func(ok bool, load policy.Load) {
+func (l *loop) Probe(to balance.ServerID) {
+	told := func(ok bool, load balance.Load) {
 		l.post(func(now time.Duration) { l.b.Probed(now, to, ok, load) })
 	}
 	address := l.address[to]
 	if address == "" { // no longer listed; Host's methods must not call back, so from outside
-		go told(false, policy.Load{})
+		go told(false, balance.Load{})
 		return
 	}
 	l.upstream.probe(address, l.now, told)
 }
 
 // Close closes the idle connections to a server.
-func (l *loop) Close(to policy.ServerID) { l.upstream.close(l.address[to]) }
+func (l *loop) Close(to balance.ServerID) { l.upstream.close(l.address[to]) }
 
 // WatchList subscribes to the server list.
 func (l *loop) WatchList() { l.watch() }
--- a/internal/sidecar/loop_test.go
+++ b/internal/sidecar/loop_test.go
@@ -6,7 +6,7 @@
 	"testing"
 	"time"
 
-	"arrowgw/policy"
+	"arrowgw/internal/balance"
 )
 
 // idleLoop is a loop whose goroutine is the test itself, with one server in its list.
@@ -20,7 +20,7 @@
 	}
 	l.now = c.now()
 	l.b.Start(l.now)
-	l.take(cfg.Known, policy.ListCached)
+	l.take(cfg.Known, balance.ListCached)
 	return l
 }
 
@@ -34,7 +34,7 @@
 }
 
 // hold enters a request that the module does not know, so that the test can decide for it.
-func (l *loop) hold(id policy.RequestID) (*request, chan answer) {
+func (l *loop) hold(id balance.RequestID) (*request, chan answer) {
 	reply := make(chan answer, 1)
 	r := &request{message: testMessage("1"), reply: reply, deadline: l.now + generous}
 	l.requests[id] = r
@@ -66,7 +66,7 @@
 	l.Refuse(7, time.Second)
 	l.Fail(7)
 	l.Send(7, to, 0)
-	if len(reply) != 0 || len(l.notSent) != 1 || l.notSent[0] != (policy.Outcome{ID: 7, Attempt: 1, Ending: policy.NotSent}) {
+	if len(reply) != 0 || len(l.notSent) != 1 || l.notSent[0] != (balance.Outcome{ID: 7, Attempt: 1, Ending: balance.NotSent}) {
 		t.Errorf("%d more answers, not sent %+v, want none and attempt 1", len(reply), l.notSent)
 	}
 	l.settle()
@@ -113,9 +113,9 @@
 	l.Send(8, to, -time.Second)
 	l.now += 2 * generous
 	l.Send(8, to, 0)
-	want := []policy.Outcome{
-		{ID: 7, Attempt: 3, Ending: policy.NotSent}, {ID: 8, Attempt: 0, Ending: policy.NotSent},
-		{ID: 8, Attempt: 1, Ending: policy.NotSent}, {ID: 8, Attempt: 2, Ending: policy.NotSent},
+	want := []balance.Outcome{
+		{ID: 7, Attempt: 3, Ending: balance.NotSent}, {ID: 8, Attempt: 0, Ending: balance.NotSent},
+		{ID: 8, Attempt: 1, Ending: balance.NotSent}, {ID: 8, Attempt: 2, Ending: balance.NotSent},
 	}
 	if len(l.notSent) != len(want) {
 		t.Fatalf("not sent %+v, want %+v", l.notSent, want)
@@ -139,7 +139,7 @@
 	s := newStub(t, silent)
 	l := idleLoop(t, s.address)
 	reply := make(chan answer, 1)
-	id := l.ask(policy.Request{Class: 0}, testMessage("1"), l.now+generous, reply)
+	id := l.ask(balance.Request{Class: 0}, testMessage("1"), l.now+generous, reply)
 	l.next(t)
 	wait(t, "the request", s.seen)
 	l.gone(id)
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -18,8 +18,8 @@
 	"syscall"
 	"time"
 
+	"arrowgw/internal/balance"
 	"arrowgw/internal/wire"
-	"arrowgw/policy"
 )
 
 const (
@@ -47,11 +47,11 @@
 
 // result is how an attempt ended. Where stream is set, its answer has begun, and the end is still to come.
 type result struct {
-	ending policy.Ending
+	ending balance.Ending
 	header http.Header
 	body   []byte
 	stream *stream
-	load   policy.Load
+	load   balance.Load
 }
 
 // upstream carries attempts and probes to the servers, over connections that it keeps. It is not
@@ -166,12 +166,12 @@
 			done(result{ending: ending})
 			return
 		}
-		out := result{ending: policy.Errored, load: u.load(res.Header.Get("X-Server-Load"))}
+		out := result{ending: balance.Errored, load: u.load(res.Header.Get("X-Server-Load"))}
 		switch never := res.Header.Get("X-Not-Processed") == "1"; {
 		case res.StatusCode == http.StatusOK:
-			out.ending, out.header, out.body = policy.Served, res.Header, body
+			out.ending, out.header, out.body = balance.Served, res.Header, body
 		case never && (res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusGatewayTimeout):
-			out.ending = policy.TurnedAway
+			out.ending = balance.TurnedAway
 		}
 		done(out)
 	}()
@@ -179,7 +179,7 @@
 }
 
 // probe asks a server for its load report. The result goes to told, once.
-func (u *upstream) probe(address string, now time.Duration, told func(ok bool, load policy.Load)) {
+func (u *upstream) probe(address string, now time.Duration, told func(ok bool, load balance.Load)) {
 	go func() {
 		req := &http.Request{
 			Method: http.MethodGet, URL: &url.URL{Path: u.probePath}, Host: address,
@@ -187,7 +187,7 @@
 		}
 		res, body, _ := u.exchange(new(exchange), address, req, nil, now+u.dialTimeout, nil)
 		if res == nil {
-			told(false, policy.Load{})
+			told(false, balance.Load{})
 			return
 		}
 		told(res.StatusCode == http.StatusOK, u.load(string(body)))
@@ -199,13 +199,13 @@
 // that is not held whole goes to begin, if there is one, and is over when exchange returns.
 func (u *upstream) exchange(
 	x *exchange, address string, req *http.Request, m *message, until time.Duration, begin func(*http.Response, *stream),
-) (*http.Response, []byte, policy.Ending) {
-	unsent := func() policy.Ending {
+) (*http.Response, []byte, balance.Ending) {
+	unsent := func() balance.Ending {
 		if x.givenUp() || m != nil && m.rest != nil && m.rest.stopped.Load() {
-			return policy.Cancelled
+			return balance.Cancelled
 		}
 		u.count(&u.failed.unsent)
-		return policy.NoConnection
+		return balance.NoConnection
 	}
 	c, err := u.connect(x, address, until)
 	if err != nil {
@@ -217,7 +217,7 @@
 	}
 	if !x.begin(stop) { // given up in the meantime: nothing may go out any more
 		u.keepIdle(address, c)
-		return nil, nil, policy.Cancelled
+		return nil, nil, balance.Cancelled
 	}
 	if m != nil {
 		left := until - u.clock.now()
@@ -247,15 +247,15 @@
 		u.discard(c)
 	}
 	if err == nil {
-		return res, body, policy.Served
+		return res, body, balance.Served
 	}
 	var timeout net.Error
 	switch {
 	case x.givenUp():
-		return nil, nil, policy.Cancelled
+		return nil, nil, balance.Cancelled
 	case errors.As(err, &timeout) && timeout.Timeout():
 		u.count(&u.failed.timedOut)
-		return nil, nil, policy.TimedOut
+		return nil, nil, balance.TimedOut
 	case res != nil || c.limit.N < answerLimit:
 		u.count(&u.failed.unreadable)
 	case c.kept:
@@ -263,7 +263,7 @@
 	default:
 		u.count(&u.failed.reset)
 	}
-	return nil, nil, policy.Broken // or malformed: it may have run
+	return nil, nil, balance.Broken // or malformed: it may have run
 }
 
 // write sends a request's head and body, and returns until when its answer may take: a client's time begins with
@@ -502,10 +502,10 @@
 }
 
 // load reads a report of the form "TEXT name=value, name=value".
-func (u *upstream) load(report string) policy.Load {
+func (u *upstream) load(report string) balance.Load {
 	report, ok := strings.CutPrefix(strings.TrimSpace(report), "TEXT ")
 	if !ok {
-		return policy.Load{}
+		return balance.Load{}
 	}
 	values := wire.Report{N: min(len(u.reports), len(wire.Report{}.Values))}
 	for i := range values.N {
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"arrowgw/policy"
+	"arrowgw/internal/balance"
 )
 
 func testUpstream(t *testing.T) *upstream {
@@ -36,25 +36,25 @@
 	long := strings.Repeat("x", bodyHeld+1)
 	for name, c := range map[string]struct {
 		answer string
-		ending policy.Ending
+		ending balance.Ending
 		kept   bool
 	}{
-		"served":              {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", policy.Served, true},
-		"chunked":             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", policy.Served, true},
-		"interim first":       {"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", policy.Served, true},
-		"to be closed":        {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi", policy.Served, false},
-		"until the end":       {"HTTP/1.1 200 OK\r\n\r\nhi", policy.Served, false},
-		"bytes left over":     {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhiHTTP/1.1 200 OK\r\n", policy.Served, false},
-		"error":               {"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", policy.Errored, true},
-		"turned away":         {"HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", policy.TurnedAway, true},
-		"over already":        {"HTTP/1.1 504 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", policy.TurnedAway, true},
-		"503 with no promise": {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", policy.Errored, true},
-		"500 with a promise":  {"HTTP/1.1 500 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", policy.Errored, true},
-		"no HTTP":             {"SMTP ready\r\n\r\n", policy.Broken, false},
-		"cut short":           {"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhi", policy.Broken, false},
-		"error too long":      {fmt.Sprintf("HTTP/1.1 500 No\r\nContent-Length: %d\r\n\r\n%s", len(long), long), policy.Broken, false},
-		"headers without end": {"HTTP/1.1 200 OK\r\n" + strings.Repeat("X-A: "+long+"\r\n", 9), policy.Broken, false},
-		"broken":              {"", policy.Broken, false},
+		"served":              {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", balance.Served, true},
+		"chunked":             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", balance.Served, true},
+		"interim first":       {"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", balance.Served, true},
+		"to be closed":        {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi", balance.Served, false},
+		"until the end":       {"HTTP/1.1 200 OK\r\n\r\nhi", balance.Served, false},
+		"bytes left over":     {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhiHTTP/1.1 200 OK\r\n", balance.Served, false},
+		"error":               {"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", balance.Errored, true},
+		"turned away":         {"HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", balance.TurnedAway, true},
+		"over already":        {"HTTP/1.1 504 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", balance.TurnedAway, true},
+		"503 with no promise": {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", balance.Errored, true},
+		"500 with a promise":  {"HTTP/1.1 500 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", balance.Errored, true},
+		"no HTTP":             {"SMTP ready\r\n\r\n", balance.Broken, false},
+		"cut short":           {"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhi", balance.Broken, false},
+		"error too long":      {fmt.Sprintf("HTTP/1.1 500 No\r\nContent-Length: %d\r\n\r\n%s", len(long), long), balance.Broken, false},
+		"headers without end": {"HTTP/1.1 200 OK\r\n" + strings.Repeat("X-A: "+long+"\r\n", 9), balance.Broken, false},
+		"broken":              {"", balance.Broken, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newStub(t, func(conn net.Conn, r received) bool {
@@ -67,7 +67,7 @@
 			u := testUpstream(t)
 			if got := attempt(t, u, s.address, "1", generous); got.ending != c.ending {
 				t.Fatalf("ending %v, want %v", got.ending, c.ending)
-			} else if got.ending == policy.Served && string(got.body) != "hi" {
+			} else if got.ending == balance.Served && string(got.body) != "hi" {
 				t.Fatalf("body %q, want hi", got.body)
 			}
 			if idle := len(u.idle[s.address]); idle != 0 != c.kept || u.open != idle {
@@ -88,8 +88,8 @@
 	})
 	u := testUpstream(t)
 	attempt(t, u, s.address, "1", generous)
-	if got := attempt(t, u, s.address, "2", generous); got.ending != policy.Broken {
-		t.Fatalf("ending %v, want %v", got.ending, policy.Broken)
+	if got := attempt(t, u, s.address, "2", generous); got.ending != balance.Broken {
+		t.Fatalf("ending %v, want %v", got.ending, balance.Broken)
 	}
 	if first, second := wait(t, "1", s.seen), wait(t, "2", s.seen); first.conn != second.conn || len(s.seen) > 0 {
 		t.Fatalf("connections %d and %d, %d more requests; want one connection and no more", first.conn, second.conn, len(s.seen))
@@ -119,8 +119,8 @@
 			t.Fatal("the closed connection passes for usable")
 		}
 	}
-	if got := attempt(t, u, s.address, "2", generous); got.ending != policy.Served {
-		t.Fatalf("ending %v, want %v", got.ending, policy.Served)
+	if got := attempt(t, u, s.address, "2", generous); got.ending != balance.Served {
+		t.Fatalf("ending %v, want %v", got.ending, balance.Served)
 	}
 	if u.stale != 1 || u.dialled != 2 || u.open != 1 {
 		t.Errorf("stale %d, dialled %d, open %d, want 1, 2, 1", u.stale, u.dialled, u.open)
@@ -165,14 +165,14 @@
 	u := testUpstream(t)
 	u.most = 1
 	attempt(t, u, a.address, "1", generous)
-	if got := attempt(t, u, b.address, "2", generous); got.ending != policy.Served || u.open != 1 {
+	if got := attempt(t, u, b.address, "2", generous); got.ending != balance.Served || u.open != 1 {
 		t.Errorf("ending %v, %d open, want served over the one connection", got.ending, u.open)
 	}
 	done := make(chan result, 1)
 	x := u.send(mute.address, testMessage("3"), u.clock.now()+generous, func(r result) { done <- r })
 	wait(t, "the request", mute.seen)
-	if got := attempt(t, u, a.address, "4", generous); got.ending != policy.NoConnection {
-		t.Errorf("ending %v, want %v", got.ending, policy.NoConnection)
+	if got := attempt(t, u, a.address, "4", generous); got.ending != balance.NoConnection {
+		t.Errorf("ending %v, want %v", got.ending, balance.NoConnection)
 	}
 	x.cancel()
 	wait(t, "the cancelled attempt", done)
@@ -186,8 +186,8 @@
 	address := l.Addr().String()
 	l.Close()
 	u := testUpstream(t)
-	if got := attempt(t, u, address, "1", generous); got.ending != policy.NoConnection || u.open != 0 {
-		t.Fatalf("ending %v, %d open, want %v and none", got.ending, u.open, policy.NoConnection)
+	if got := attempt(t, u, address, "1", generous); got.ending != balance.NoConnection || u.open != 0 {
+		t.Fatalf("ending %v, %d open, want %v and none", got.ending, u.open, balance.NoConnection)
 	}
 }
 
@@ -216,10 +216,10 @@
 func TestSilentServer(t *testing.T) {
 	s := newStub(t, silent)
 	u := testUpstream(t)
-	if got := attempt(t, u, s.address, "1", 30*time.Millisecond); got.ending != policy.TimedOut {
+	if got := attempt(t, u, s.address, "1", 30*time.Millisecond); got.ending != balance.TimedOut {
 		// where the machine was too busy to send at all in that time, it never ran
-		if got.ending != policy.NoConnection || len(s.seen) > 0 {
-			t.Fatalf("ending %v, want %v", got.ending, policy.TimedOut)
+		if got.ending != balance.NoConnection || len(s.seen) > 0 {
+			t.Fatalf("ending %v, want %v", got.ending, balance.TimedOut)
 		}
 	}
 	if u.open != 0 {
@@ -236,8 +236,8 @@
 	wait(t, "the request", s.seen)
 	x.cancel()
 	x.cancel()
-	if got := wait(t, "its end", done); got.ending != policy.Cancelled {
-		t.Errorf("ending %v, want %v", got.ending, policy.Cancelled)
+	if got := wait(t, "its end", done); got.ending != balance.Cancelled {
+		t.Errorf("ending %v, want %v", got.ending, balance.Cancelled)
 	}
 	wait(t, "the connection to close", s.closed)
 	if len(done) > 0 || u.open != 0 {
@@ -255,8 +255,8 @@
 	x.cancel()
 	req := &http.Request{Method: http.MethodGet, URL: &url.URL{Path: "/look"}, Header: http.Header{"X-Request-Id": {"2"}}}
 	for i := range 2 { // over the kept connection, then over a new one
-		if _, _, ending := u.exchange(x, s.address, req, testMessage("2"), u.clock.now()+generous, nil); ending != policy.Cancelled {
-			t.Errorf("ending %v, want %v", ending, policy.Cancelled)
+		if _, _, ending := u.exchange(x, s.address, req, testMessage("2"), u.clock.now()+generous, nil); ending != balance.Cancelled {
+			t.Errorf("ending %v, want %v", ending, balance.Cancelled)
 		}
 		x.cancel() // once more: the connection is not its own any more
 		if list := u.idle[s.address]; i == 0 && (len(list) != 1 || !list[0].usable()) {
@@ -285,7 +285,7 @@
 func TestProbe(t *testing.T) {
 	type told struct {
 		ok   bool
-		load policy.Load
+		load balance.Load
 	}
 	for status, want := range map[int]bool{200: true, 503: false} {
 		s := newStub(t, func(c net.Conn, r received) bool {
@@ -298,10 +298,10 @@
 		})
 		u := testUpstream(t)
 		done := make(chan told, 2)
-		u.probe(s.address, u.clock.now(), func(ok bool, load policy.Load) { done <- told{ok, load} })
+		u.probe(s.address, u.clock.now(), func(ok bool, load balance.Load) { done <- told{ok, load} })
 		got := wait(t, "the result", done)
-		load := policy.Load{
-			Has:      policy.HasInFlight | policy.HasService | policy.HasServed,
+		load := balance.Load{
+			Has:      balance.HasInFlight | balance.HasService | balance.HasServed,
 			InFlight: 7, Served: 2.5, Service: 40 * time.Millisecond,
 		}
 		if got.ok != want || got.load != load {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"arrowgw/policy"
+	"arrowgw/internal/balance"
 )
 
 // Settings are the start-up settings of an instance, by path.
@@ -117,26 +117,26 @@
 }
 
 // Columns are the fields of a load report in their order on the wire; 0 stands for one not known.
-type Columns []policy.LoadFields
+type Columns []balance.LoadFields
 
 // Columns tells what the load reports hold.
 func (s *Settings) Columns() Columns {
 	var c Columns
 	for name := range strings.SplitSeq(s.text("telemetry.columns"), ",") {
-		c = append(c, map[string]policy.LoadFields{
-			"busy_reqs": policy.HasInFlight,
-			"pending":   policy.HasQueued,
-			"cpu_share": policy.HasBusy,
-			"svc_ms":    policy.HasService,
-			"served_ps": policy.HasServed,
-			"failed_ps": policy.HasErrors,
+		c = append(c, map[string]balance.LoadFields{
+			"busy_reqs": balance.HasInFlight,
+			"pending":   balance.HasQueued,
+			"cpu_share": balance.HasBusy,
+			"svc_ms":    balance.HasService,
+			"served_ps": balance.HasServed,
+			"failed_ps": balance.HasErrors,
 		}[name])
 	}
 	return c
 }
 
 // fields is the set of all columns.
-func (c Columns) fields() (all policy.LoadFields) {
+func (c Columns) fields() (all balance.LoadFields) {
 	for _, f := range c {
 		all |= f
 	}
@@ -144,8 +144,8 @@
 }
 
 // Load reads a report by its columns. A value that is no usable number counts as absent.
-func (c Columns) Load(r Report) policy.Load {
-	var l policy.Load
+func (c Columns) Load(r Report) balance.Load {
+	var l balance.Load
 	for i := range min(r.N, len(c)) {
 		v := float64(r.Values[i])
 		if !(v >= 0) || math.IsInf(v, 0) {
@@ -153,17 +153,17 @@
 		}
 		l.Has |= c[i]
 		switch c[i] {
-		case policy.HasInFlight:
+		case balance.HasInFlight:
 			l.InFlight = v
-		case policy.HasQueued:
+		case balance.HasQueued:
 			l.Queued = v
-		case policy.HasBusy:
+		case balance.HasBusy:
 			l.Busy = v
-		case policy.HasService:
+		case balance.HasService:
 			l.Service = Millis(v)
-		case policy.HasServed:
+		case balance.HasServed:
 			l.Served = v
-		case policy.HasErrors:
+		case balance.HasErrors:
 			l.Errors = v
 		}
 	}
@@ -171,8 +171,8 @@
 }
 
 // Config turns the settings into the module's own.
-func (s *Settings) Config() (policy.Config, error) {
-	c := policy.Config{
+func (s *Settings) Config() (balance.Config, error) {
+	c := balance.Config{
 		Balancers:      s.count("balancers"),
 		Index:          s.count("me"),
 		Zone:           s.count("zone"),
@@ -190,7 +190,7 @@
 		ColdTime:       Millis(s.number("rules.cold_ms", 0)),
 		ColdMultiple:   s.number("rules.fall_multiple", 0),
 		CrossZonePrice: s.number("charges.cross_zone", 0),
-		Budget: policy.RetryBudget{
+		Budget: balance.RetryBudget{
 			Span:  Millis(s.number("rules.budget_span_ms", 0)),
 			Free:  s.number("rules.extra_free", 0),
 			Share: s.number("rules.further_ratio", 0),
@@ -204,34 +204,34 @@
 	}
 	for i := range s.count("classes.count") {
 		p := fmt.Sprintf("classes.%d.", i)
-		k := policy.Class{
+		k := balance.Class{
 			Aim:        Millis(s.number(p+"aim_ms", 0)),
 			AimStretch: s.number(p+"aim_stretch", 0),
 			Deadline:   Millis(s.number(p+"hard_limit_ms", 0)),
 			LateShare:  s.number(p+"late_share", 0),
 			Worth:      s.number(p+"worth", 0),
 			Window:     Millis(s.number(p+"window_ms", 0)),
-			Effect:     policy.Unsafe, // an unknown word is taken for the strictest
-			Scope:      policy.ScopeCell,
+			Effect:     balance.Unsafe, // an unknown word is taken for the strictest
+			Scope:      balance.ScopeCell,
 			InOrder:    s.flag(p + "fifo_by_key"),
 		}
 		switch s.text(p + "semantics") {
 		case "free":
-			k.Effect = policy.Safe
+			k.Effect = balance.Safe
 		case "guarded":
-			k.Effect = policy.Keyed
+			k.Effect = balance.Keyed
 		}
 		switch s.text(p + "dedup_scope") {
 		case "all":
-			k.Scope = policy.ScopeAll
+			k.Scope = balance.ScopeAll
 		case "zone":
-			k.Scope = policy.ScopeZone
+			k.Scope = balance.ScopeZone
 		}
 		c.Classes = append(c.Classes, k)
 	}
 	for i := range s.count("orgs.count") {
 		p := fmt.Sprintf("orgs.%d.", i)
-		c.Tenants = append(c.Tenants, policy.Tenant{
+		c.Tenants = append(c.Tenants, balance.Tenant{
 			Share: s.number(p+"share", 0),
 			Quota: s.number(p+"quota_per_s", 0),
 		})
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"arrowgw/policy"
+	"arrowgw/internal/balance"
 )
 
 func unhex(t testing.TB, s string) []byte {
@@ -84,19 +84,19 @@
 	if err != nil || up != entries[1].Upstream || end != EndServed || report.N != 4 || report.Values[3] != 7 {
 		t.Fatalf("probe of %x: %d, report %+v, error %v", up, end, report, err)
 	}
-	columns := Columns{policy.HasBusy, policy.HasService, policy.HasServed, policy.HasInFlight}
-	want := policy.Load{Has: columns.fields(), Busy: 0.5, Service: 14500 * time.Microsecond, Served: 140, InFlight: 7}
+	columns := Columns{balance.HasBusy, balance.HasService, balance.HasServed, balance.HasInFlight}
+	want := balance.Load{Has: columns.fields(), Busy: 0.5, Service: 14500 * time.Microsecond, Served: 140, InFlight: 7}
 	if l := columns.Load(report); l != want {
 		t.Fatalf("load %+v, want %+v", l, want)
 	}
-	if l := (Columns{0, policy.HasBusy}).Load(report); l.Has != policy.HasBusy || l.Busy != 14.5 {
+	if l := (Columns{0, balance.HasBusy}).Load(report); l.Has != balance.HasBusy || l.Busy != 14.5 {
 		t.Fatalf("load %+v, want the second column alone", l)
 	}
 	report.Values[0] = float32(math.NaN())
-	if l := columns.Load(report); l.Has&policy.HasBusy != 0 {
+	if l := columns.Load(report); l.Has&balance.HasBusy != 0 {
 		t.Fatalf("load %+v: a value that is no number counts", l)
 	}
-	if l := columns.Load(Report{}); l != (policy.Load{}) {
+	if l := columns.Load(Report{}); l != (balance.Load{}) {
 		t.Fatalf("absent load %+v, want it unknown", l)
 	}
 	rec, _, _ = Next(unhex(t, "1a04 0b000000 03000000 03 29000000 0700"))
@@ -242,17 +242,17 @@
 		!c.AskList || c.ColdFrom != 0.32 || c.CrossZonePrice != 0.03 {
 		t.Errorf("config %+v", c)
 	}
-	if k := c.Classes[0]; k.Effect != policy.Keyed || k.Scope != policy.ScopeCell || k.Window != 600*time.Millisecond {
+	if k := c.Classes[0]; k.Effect != balance.Keyed || k.Scope != balance.ScopeCell || k.Window != 600*time.Millisecond {
 		t.Errorf("class 0 %+v", k)
 	}
-	if c.Classes[1].Effect != policy.Unsafe {
+	if c.Classes[1].Effect != balance.Unsafe {
 		t.Error("an unknown effect is not taken for the strictest")
 	}
-	if b := (policy.RetryBudget{Span: 10 * time.Second, Free: 1, Share: 0.2}); c.Budget != b ||
+	if b := (balance.RetryBudget{Span: 10 * time.Second, Free: 1, Share: 0.2}); c.Budget != b ||
 		c.CloseWithin != 300*time.Millisecond || c.OrderSettle != 250*time.Millisecond || !c.Classes[1].InOrder {
 		t.Errorf("config of the further rules %+v", c)
 	}
-	want := Columns{policy.HasErrors, policy.HasService, policy.HasServed, policy.HasInFlight}
+	want := Columns{balance.HasErrors, balance.HasService, balance.HasServed, balance.HasInFlight}
 	if c.Tenants[0].Quota != 342 || c.Tenants[0].Share != 0.79 {
 		t.Errorf("tenant %+v", c.Tenants[0])
 	}
@@ -322,7 +322,7 @@
 		t.Fatal(err)
 	}
 	got, err := b.Config()
-	if err != nil || !reflect.DeepEqual(got, want) || len(got.Classes) != 2 || got.Reports != policy.HasService|policy.HasInFlight {
+	if err != nil || !reflect.DeepEqual(got, want) || len(got.Classes) != 2 || got.Reports != balance.HasService|balance.HasInFlight {
 		t.Errorf("config %+v, error %v, want %+v", got, err, want)
 	}
 	if b.Text("weights") != "" || b.Count("orgs.count") != 1 || b.Duration("classes.1.aim_ms") != 600*time.Millisecond {
--- a/policy/bench_test.go
+++ b/policy/bench_test.go
@@ -4,25 +4,27 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"arrowgw/internal/balance"
 )
 
 // BenchmarkRequest measures a request and its outcome over list sizes: the growth with the list is what counts.
 func BenchmarkRequest(b *testing.B) {
-	for _, servers := range []ServerID{10, 70, 290} {
+	for _, servers := range []balance.ServerID{10, 70, 290} {
 		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
 			cfg := testConfig()
 			cfg.Balancers = 150
-			cfg.Tenants = []Tenant{{Share: 1, Quota: 2000}}
-			var list []Server
+			cfg.Tenants = []balance.Tenant{{Share: 1, Quota: 2000}}
+			var list []balance.Server
 			for id := range servers {
-				list = append(list, Server{ID: id, State: Ready, Weight: 1})
+				list = append(list, balance.Server{ID: id, State: balance.Ready, Weight: 1})
 			}
 			x, _ := start(b, cfg, list)
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				now := time.Duration(i) * 75 * ms
-				ask(x, now, RequestID(i), safeClass)
-				end(x, now+20*ms, RequestID(i), 0, Served)
+				ask(x, now, balance.RequestID(i), safeClass)
+				end(x, now+20*ms, balance.RequestID(i), 0, balance.Served)
 				x.Wake(now + 40*ms)
 			}
 		})
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,32 +4,33 @@
 	"fmt"
 	"time"
 
+	"arrowgw/internal/balance"
 	"arrowgw/policy"
 )
 
 // sidecar is the program that embeds the module: it carries out its decisions.
 type sidecar struct{}
 
-func (sidecar) Send(id policy.RequestID, to policy.ServerID, timeout time.Duration) {
+func (sidecar) Send(id balance.RequestID, to balance.ServerID, timeout time.Duration) {
 	fmt.Printf("send request %d, for at most %v\n", id, timeout)
 }
-func (sidecar) Refuse(id policy.RequestID, pause time.Duration) {
+func (sidecar) Refuse(id balance.RequestID, pause time.Duration) {
 	fmt.Printf("refuse request %d\n", id)
 }
-func (sidecar) Fail(id policy.RequestID)                { fmt.Printf("fail request %d\n", id) }
-func (sidecar) Cancel(id policy.RequestID, attempt int) {}
-func (sidecar) Wake(d time.Duration)                    {} // call b.Wake after d
-func (sidecar) Close(to policy.ServerID)                {}
-func (sidecar) Probe(to policy.ServerID)                {}
-func (sidecar) WatchList()                              {}
-func (sidecar) Log(line string)                         { fmt.Println(line) }
+func (sidecar) Fail(id balance.RequestID)                { fmt.Printf("fail request %d\n", id) }
+func (sidecar) Cancel(id balance.RequestID, attempt int) {}
+func (sidecar) Wake(d time.Duration)                     {} // call b.Wake after d
+func (sidecar) Close(to balance.ServerID)                {}
+func (sidecar) Probe(to balance.ServerID)                {}
+func (sidecar) WatchList()                               {}
+func (sidecar) Log(line string)                          { fmt.Println(line) }
 
 func Example() {
-	b, err := policy.New(policy.Config{
+	b, err := policy.New(balance.Config{
 		Balancers:   1,
 		MaxAttempts: 2,
 		Slots:       1,
-		Classes:     []policy.Class{{Aim: time.Second, Deadline: 2 * time.Second, Worth: 1, Effect: policy.Unsafe}},
+		Classes:     []balance.Class{{Aim: time.Second, Deadline: 2 * time.Second, Worth: 1, Effect: balance.Unsafe}},
 	}, 42, sidecar{})
 	if err != nil {
 		fmt.Println(err)
@@ -37,12 +38,12 @@
 	}
 	now := time.Duration(0) // since any moment the program picks
 	b.Start(now)
-	b.List(now, policy.ListFull, []policy.Server{{ID: 7, State: policy.Ready, Weight: 1}})
-	for id := range policy.RequestID(3) { // one slot, one queue place: the third is refused
-		b.Request(now, policy.Request{ID: id, Left: 2 * time.Second})
+	b.List(now, balance.ListFull, []balance.Server{{ID: 7, State: balance.Ready, Weight: 1}})
+	for id := range balance.RequestID(3) { // one slot, one queue place: the third is refused
+		b.Request(now, balance.Request{ID: id, Left: 2 * time.Second})
 	}
 	now += 80 * time.Millisecond
-	b.Outcome(now, policy.Outcome{ID: 0, Attempt: 0, Ending: policy.Served, Settled: true})
+	b.Outcome(now, balance.Outcome{ID: 0, Attempt: 0, Ending: balance.Served, Settled: true})
 	// Output:
 	// send request 0, for at most 1s
 	// refuse request 2
--- a/policy/hand_test.go
+++ b/policy/hand_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"arrowgw/internal/balance"
 )
 
 // Guards against sends of any kind to a server that is taken out by hand, whatever the list says of it meanwhile.
@@ -10,30 +12,30 @@
 	b, h := start(t, testConfig(), ready(1, 2))
 	b.TakeOut(0, 1)
 	b.TakeOut(0, 1) // twice is once
-	now, id := time.Duration(0), RequestID(0)
-	serve := func(what string, ending Ending) {
+	now, id := time.Duration(0), balance.RequestID(0)
+	serve := func(what string, ending balance.Ending) {
 		t.Helper()
 		for range 20 {
 			now += 20 * ms
 			ask(b, now, id, safeClass)
 			end(b, now+5*ms, id, 0, ending) // an attempt that did not run is tried again elsewhere
-			end(b, now+6*ms, id, 1, Served)
+			end(b, now+6*ms, id, 1, balance.Served)
 			id++
 		}
 		if n := h.sentTo(1); n > 0 {
 			t.Fatalf("%s: %d sends to a server that is out", what, n)
 		}
 	}
-	serve("taken out", Served)
-	serve("with retries", TurnedAway)
-	b.List(now, ListFull, ready(1, 2))
-	serve("in a whole list", Served)
-	b.List(now, ListDelta, []Server{{ID: 1, State: Draining, Weight: 1}})
-	b.List(now, ListDelta, []Server{{ID: 1, State: Ready, Weight: 1, Started: now}})
-	serve("restarted", Served)
-	b.List(now, ListDelta, []Server{{ID: 1, State: Gone, Weight: 1}})
-	b.List(now, ListDelta, ready(1))
-	serve("gone and back", Served)
+	serve("taken out", balance.Served)
+	serve("with retries", balance.TurnedAway)
+	b.List(now, balance.ListFull, ready(1, 2))
+	serve("in a whole list", balance.Served)
+	b.List(now, balance.ListDelta, []balance.Server{{ID: 1, State: balance.Draining, Weight: 1}})
+	b.List(now, balance.ListDelta, []balance.Server{{ID: 1, State: balance.Ready, Weight: 1, Started: now}})
+	serve("restarted", balance.Served)
+	b.List(now, balance.ListDelta, []balance.Server{{ID: 1, State: balance.Gone, Weight: 1}})
+	b.List(now, balance.ListDelta, ready(1))
+	serve("gone and back", balance.Served)
 	if listed, unavailable := b.Members(now); listed != 2 || unavailable != 1 {
 		t.Errorf("%d members, %d unavailable, want 2 and 1", listed, unavailable)
 	}
@@ -52,12 +54,12 @@
 		t.Fatal("what ran there was called off")
 	}
 	ask(b, 2*ms, 2, safeClass) // waits: nobody may serve
-	end(b, 10*ms, 1, 0, Errored)
+	end(b, 10*ms, 1, 0, balance.Errored)
 	b.Wake(20 * ms)
 	if len(h.sends) != 1 {
 		t.Fatalf("sends %v, want only the first", h.sends)
 	}
-	b.List(30*ms, ListDelta, ready(2))
+	b.List(30*ms, balance.ListDelta, ready(2))
 	if h.sentTo(2) == 0 || h.sentTo(1) != 1 {
 		t.Fatalf("sends %v, want what waited at the other server", h.sends)
 	}
@@ -67,13 +69,13 @@
 func TestBroughtBackCold(t *testing.T) {
 	b, h := start(t, testConfig(), ready(1, 2, 3, 4))
 	b.TakeOut(0, 1)
-	var id RequestID
+	var id balance.RequestID
 	serve := func(from, to time.Duration) int {
 		before := h.sentTo(1)
 		for now := from; now < to; now += 20 * ms {
 			id++
 			ask(b, now, id, safeClass)
-			end(b, now+5*ms, id, 0, Served)
+			end(b, now+5*ms, id, 0, balance.Served)
 			b.Wake(now + 10*ms)
 		}
 		return h.sentTo(1) - before
@@ -92,9 +94,9 @@
 func TestBroughtBackUnlisted(t *testing.T) {
 	b, _ := start(t, testConfig(), ready(1, 2))
 	b.TakeOut(0, 1)
-	b.List(0, ListDelta, []Server{{ID: 1, State: Gone, Weight: 1}})
+	b.List(0, balance.ListDelta, []balance.Server{{ID: 1, State: balance.Gone, Weight: 1}})
 	b.BringBack(time.Second, 1, time.Second)
-	b.List(2*time.Second, ListDelta, ready(1))
+	b.List(2*time.Second, balance.ListDelta, ready(1))
 	if s := b.server(1); s == nil || !s.mayServe(2*time.Second) || s.warmAt != 9*time.Second {
 		t.Errorf("listed again: %+v, want it in service and cold until 9s", s)
 	}
@@ -110,12 +112,12 @@
 		b, h := start(t, testConfig(), ready(1))
 		b.Share(n)
 		ended := 0
-		b.List(0, ListDelta, []Server{{ID: 1, State: Ready, Weight: 1, Started: 1}})
+		b.List(0, balance.ListDelta, []balance.Server{{ID: 1, State: balance.Ready, Weight: 1, Started: 1}})
 		for i := range 50 {
 			now := time.Duration(i) * 20 * ms
-			ask(b, now, RequestID(i), safeClass)
+			ask(b, now, balance.RequestID(i), safeClass)
 			for ; ended < len(h.sends); ended++ {
-				end(b, now+5*ms, h.sends[ended].id, 0, Served)
+				end(b, now+5*ms, h.sends[ended].id, 0, balance.Served)
 			}
 			b.Wake(now + 10*ms)
 		}
@@ -136,8 +138,8 @@
 		b, h := startSeeded(t, testConfig(), seed, list)
 		for i := range 50 {
 			now := time.Duration(i) * 20 * ms
-			ask(b, now, RequestID(i), safeClass)
-			end(b, now+5*ms, RequestID(i), 0, Served)
+			ask(b, now, balance.RequestID(i), safeClass)
+			end(b, now+5*ms, balance.RequestID(i), 0, balance.Served)
 		}
 		if h.sentTo(1) == 0 {
 			t.Fatalf("seed %d: no send in the first second, due at %v", seed, b.server(1).coldAt)
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -4,55 +4,57 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"arrowgw/internal/balance"
 )
 
 const ms = time.Millisecond
 
 // sent is one attempt that a test host was asked to start.
 type sent struct {
-	id      RequestID
-	to      ServerID
+	id      balance.RequestID
+	to      balance.ServerID
 	timeout time.Duration
 }
 
 // fakeHost records the actions of a Balancer.
 type fakeHost struct {
 	sends     []sent
-	refused   map[RequestID]time.Duration
-	failed    map[RequestID]bool
-	cancelled []RequestID
+	refused   map[balance.RequestID]time.Duration
+	failed    map[balance.RequestID]bool
+	cancelled []balance.RequestID
 	wakes     []time.Duration
-	probes    []ServerID
-	closes    []ServerID
+	probes    []balance.ServerID
+	closes    []balance.ServerID
 	asks      int
 	log       []string
 	trace     []string
 }
 
 func newFakeHost() *fakeHost {
-	return &fakeHost{refused: map[RequestID]time.Duration{}, failed: map[RequestID]bool{}}
+	return &fakeHost{refused: map[balance.RequestID]time.Duration{}, failed: map[balance.RequestID]bool{}}
 }
 
 func (h *fakeHost) note(format string, args ...any) {
 	h.trace = append(h.trace, fmt.Sprintf(format, args...))
 }
 
-func (h *fakeHost) Send(id RequestID, to ServerID, timeout time.Duration) {
+func (h *fakeHost) Send(id balance.RequestID, to balance.ServerID, timeout time.Duration) {
 	h.sends = append(h.sends, sent{id, to, timeout})
 	h.note("send %d %d %v", id, to, timeout)
 }
 
-func (h *fakeHost) Refuse(id RequestID, pause time.Duration) {
+func (h *fakeHost) Refuse(id balance.RequestID, pause time.Duration) {
 	h.refused[id] = pause
 	h.note("refuse %d %v", id, pause)
 }
 
-func (h *fakeHost) Fail(id RequestID) {
+func (h *fakeHost) Fail(id balance.RequestID) {
 	h.failed[id] = true
 	h.note("fail %d", id)
 }
 
-func (h *fakeHost) Cancel(id RequestID, attempt int) {
+func (h *fakeHost) Cancel(id balance.RequestID, attempt int) {
 	h.cancelled = append(h.cancelled, id)
 	h.note("cancel %d %d", id, attempt)
 }
@@ -62,12 +64,12 @@
 	h.note("wake %v", d)
 }
 
-func (h *fakeHost) Probe(to ServerID) {
+func (h *fakeHost) Probe(to balance.ServerID) {
 	h.probes = append(h.probes, to)
 	h.note("probe %d", to)
 }
 
-func (h *fakeHost) Close(to ServerID) {
+func (h *fakeHost) Close(to balance.ServerID) {
 	h.closes = append(h.closes, to)
 	h.note("close %d", to)
 }
@@ -83,7 +85,7 @@
 }
 
 // sentTo counts the attempts sent to a server.
-func (h *fakeHost) sentTo(id ServerID) int {
+func (h *fakeHost) sentTo(id balance.ServerID) int {
 	n := 0
 	for _, s := range h.sends {
 		if s.to == id {
@@ -102,17 +104,17 @@
 	unsafeClass
 )
 
-func testConfig() Config {
-	class := func(e Effect, s Scope) Class {
-		return Class{Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, Effect: e, Scope: s, Window: 700 * ms}
+func testConfig() balance.Config {
+	class := func(e balance.Effect, s balance.Scope) balance.Class {
+		return balance.Class{Aim: time.Second, Deadline: 3 * time.Second, Worth: 1, Effect: e, Scope: s, Window: 700 * ms}
 	}
-	return Config{
+	return balance.Config{
 		Balancers: 2,
-		Classes: []Class{
-			class(Safe, ScopeAll), class(Keyed, ScopeAll), class(Keyed, ScopeZone), class(Keyed, ScopeCell),
-			class(Unsafe, ScopeAll),
+		Classes: []balance.Class{
+			class(balance.Safe, balance.ScopeAll), class(balance.Keyed, balance.ScopeAll), class(balance.Keyed, balance.ScopeZone), class(balance.Keyed, balance.ScopeCell),
+			class(balance.Unsafe, balance.ScopeAll),
 		},
-		Tenants:       []Tenant{{Share: 0.75, Quota: 75}, {Share: 0.25, Quota: 25}},
+		Tenants:       []balance.Tenant{{Share: 0.75, Quota: 75}, {Share: 0.25, Quota: 25}},
 		Slots:         8,
 		MaxAttempts:   3,
 		MayCancel:     true,
@@ -125,22 +127,22 @@
 	}
 }
 
-func ready(ids ...ServerID) []Server {
-	var list []Server
+func ready(ids ...balance.ServerID) []balance.Server {
+	var list []balance.Server
 	for _, id := range ids {
-		list = append(list, Server{ID: id, State: Ready, Weight: 1})
+		list = append(list, balance.Server{ID: id, State: balance.Ready, Weight: 1})
 	}
 	return list
 }
 
 // start makes a Balancer that holds a list of servers.
-func start(t testing.TB, cfg Config, list []Server) (*Balancer, *fakeHost) {
+func start(t testing.TB, cfg balance.Config, list []balance.Server) (*Balancer, *fakeHost) {
 	t.Helper()
 	return startSeeded(t, cfg, 1, list)
 }
 
 // startSeeded is start with a seed, for tests of many balancers.
-func startSeeded(t testing.TB, cfg Config, seed uint64, list []Server) (*Balancer, *fakeHost) {
+func startSeeded(t testing.TB, cfg balance.Config, seed uint64, list []balance.Server) (*Balancer, *fakeHost) {
 	t.Helper()
 	h := newFakeHost()
 	b, err := New(cfg, seed, h)
@@ -148,16 +150,16 @@
 		t.Fatalf("New: %v", err)
 	}
 	b.Start(0)
-	b.List(0, ListFull, list)
+	b.List(0, balance.ListFull, list)
 	return b, h
 }
 
 // ask hands in a request of tenant 0.
-func ask(b *Balancer, now time.Duration, id RequestID, class int) {
-	b.Request(now, Request{ID: id, Class: class, Left: 2 * time.Second})
+func ask(b *Balancer, now time.Duration, id balance.RequestID, class int) {
+	b.Request(now, balance.Request{ID: id, Class: class, Left: 2 * time.Second})
 }
 
 // end ends an attempt of a request.
-func end(b *Balancer, now time.Duration, id RequestID, attempt int, e Ending) {
-	b.Outcome(now, Outcome{ID: id, Attempt: attempt, Ending: e, Settled: e == Served})
+func end(b *Balancer, now time.Duration, id balance.RequestID, attempt int, e balance.Ending) {
+	b.Outcome(now, balance.Outcome{ID: id, Attempt: attempt, Ending: e, Settled: e == balance.Served})
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,6 +1,24 @@
-// The interface (types, events, actions) is api.go; every decision is here: start, events,
-// compartments, the gate that all sends pass, server choice and health, list, reports, endings.
-
+// Package policy decides, for one client-side load balancer (a sidecar), when
+// and where each request is sent, sent again, refused or failed.
+//
+// A Balancer is single-threaded and deterministic: it has no goroutines, no
+// clock and no I/O. The program that embeds it calls one method per event and
+// passes the time; the Balancer answers through the Host it was given. Package
+// balance has the words for both. Here is every decision: the start, events,
+// compartments, the gate that all sends pass, server choice and health, list,
+// reports and endings in policy.go, what is held and counted in state.go.
+//
+// Times are durations since a fixed moment of the embedding program's choice; they must never go
+// back, and all calls for one Balancer come from one goroutine, in the order of what happened. The
+// order of calls: New, Start, List with the servers known so far, then Request, Outcome, Wake,
+// List, Probed, ClientGone, BodyEnded, StreamBegun, TakeOut, BringBack and Share as they occur. Each
+// Host.Send brings exactly one Outcome, also after the request has been answered; each Host.Wake one call
+// of Wake, late rather than never.
+// A request is answered once: by an Outcome with Settled set, or by Host.Refuse or Host.Fail.
+//
+// Bad input does no harm: a request that names no class or tenant, or has no time left, is refused;
+// an outcome, probe or departure of something unknown is passed over, and so is a repeated one.
+// New returns an error that names the field for settings that cannot be used.
 package policy
 
 import (
@@ -11,6 +29,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"arrowgw/internal/balance"
 )
 
 const (
@@ -50,14 +70,18 @@
 	lastPause  = 4 * time.Second        // doubled after each up to this
 )
 
+// unsettled are the endings after which an attempt may still run.
+var unsettled = []balance.Ending{balance.TimedOut, balance.Broken, balance.Cancelled}
+
 // New makes a Balancer, or returns an error that names the unusable field.
-func New(cfg Config, seed uint64, host Host) (*Balancer, error) {
-	if err := check(cfg); err != nil {
+func New(cfg balance.Config, seed uint64, host balance.Host) (*Balancer, error) {
+	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
-	b := &Balancer{cfg: cfg, host: host, requests: make(map[RequestID]*request), lines: make(map[uint64]*line)}
-	b.away, b.back, b.share = make(map[ServerID]bool), make(map[ServerID]time.Duration), 1
-	b.parts = make([]compartment, len(cfg.tenants()))
+	b := &Balancer{cfg: cfg, host: host, lines: make(map[uint64]*line), share: 1}
+	b.requests, b.away = make(map[balance.RequestID]*request), make(map[balance.ServerID]bool)
+	b.back = make(map[balance.ServerID]time.Duration)
+	b.parts = make([]compartment, len(cfg.Compartments()))
 	b.rng = rand.New(rand.NewPCG(seed, 0))
 	b.pace, b.every = cfg.Classes[0].Aim/8, turnEvery.Seconds()
 	for _, c := range cfg.Classes {
@@ -75,7 +99,7 @@
 // what the largest of n random parts of the traffic comes to, ln n + 0.58 even ones, and two
 // standard deviations of such a count, so as not to refuse on chance.
 func (b *Balancer) deriveSlots() {
-	tenants, shares := b.cfg.tenants(), 0.0
+	tenants, shares := b.cfg.Compartments(), 0.0
 	for _, t := range tenants {
 		shares += t.Share
 		b.quota += t.Quota
@@ -111,7 +135,7 @@
 
 // Request takes a request on. It is answered once, by an Outcome that settles it or through the
 // Host, before its time left is up. An id still held is passed over; one unusable is refused.
-func (b *Balancer) Request(now time.Duration, q Request) {
+func (b *Balancer) Request(now time.Duration, q balance.Request) {
 	if _, held := b.requests[q.ID]; held {
 		return
 	}
@@ -188,14 +212,14 @@
 }
 
 // Outcome takes the end of an attempt. What is unknown or came before is passed over.
-func (b *Balancer) Outcome(now time.Duration, o Outcome) {
+func (b *Balancer) Outcome(now time.Duration, o balance.Outcome) {
 	r := b.requests[o.ID]
 	if r == nil || o.Attempt < 0 || o.Attempt >= len(r.attempts) || r.attempts[o.Attempt].state != inFlight {
 		return
 	}
 	a := &r.attempts[o.Attempt]
 	a.state = mayHaveRun
-	if o.Ending == TurnedAway || o.Ending == NoConnection || o.Ending == NotSent {
+	if o.Ending == balance.TurnedAway || o.Ending == balance.NoConnection || o.Ending == balance.NotSent {
 		a.state = neverRan
 	}
 	r.spent = r.spent || o.Spent
@@ -204,7 +228,7 @@
 	}
 	b.paced(r, a, false)
 	b.hold(r, a.to, -1)
-	if r.line != nil && (o.Ending == TimedOut || o.Ending == Broken || o.Ending == Cancelled) {
+	if r.line != nil && slices.Contains(unsettled, o.Ending) {
 		r.line.restEnd = max(r.line.restEnd, now+b.cfg.OrderSettle)
 	}
 	if !a.to.stands() {
@@ -213,13 +237,13 @@
 	switch {
 	case !r.begun:
 		b.judge(now, r, a, o.Ending)
-	case o.Ending != Served && o.Ending != Cancelled: // how long the stream took tells nothing
-		b.judge(now, r, a, Broken)
+	case o.Ending != balance.Served && o.Ending != balance.Cancelled: // how long the stream took tells nothing
+		b.judge(now, r, a, balance.Broken)
 	}
 	switch {
 	case r.over && r.out == 0:
 		b.forget(r)
-	case !r.over && (o.Settled || o.Ending == Served || r.begun):
+	case !r.over && (o.Settled || o.Ending == balance.Served || r.begun):
 		b.settle(r)
 	case !r.over && r.out == 0:
 		b.further(now, r)
@@ -228,20 +252,20 @@
 }
 
 // answered counts an attempt that ended, or whose answer has begun, for what is let in.
-func (b *Balancer) answered(now time.Duration, r *request, end Ending) {
-	if r.over || end == NotSent {
+func (b *Balancer) answered(now time.Duration, r *request, end balance.Ending) {
+	if r.over || end == balance.NotSent {
 		return
 	}
 	b.asked.sent++
 	b.asked.all++
-	if end == Served && now <= r.wanted {
+	if end == balance.Served && now <= r.wanted {
 		b.asked.good += min(1, 2*float64(r.wanted-now)/float64(r.class.Aim))
 	}
 }
 
 // BodyEnded takes that the last byte of a request has gone out: its time begins. A server begins with the
 // last byte too, so that what came before tells nothing of it.
-func (b *Balancer) BodyEnded(now time.Duration, id RequestID, left time.Duration) {
+func (b *Balancer) BodyEnded(now time.Duration, id balance.RequestID, left time.Duration) {
 	r := b.requests[id]
 	if r == nil || r.over || !r.coming {
 		return
@@ -259,7 +283,7 @@
 
 // StreamBegun takes that the answer of an attempt has begun to stream: the client owns it now. It counts as
 // answered; a place of its tenant's it keeps until its Outcome.
-func (b *Balancer) StreamBegun(now time.Duration, id RequestID, attempt int) {
+func (b *Balancer) StreamBegun(now time.Duration, id balance.RequestID, attempt int) {
 	r := b.requests[id]
 	if r == nil || r.begun || attempt < 0 || attempt >= len(r.attempts) {
 		return
@@ -269,8 +293,8 @@
 		return
 	}
 	r.begun = true
-	b.answered(now, r, Served)
-	b.judge(now, r, a, Served)
+	b.answered(now, r, balance.Served)
+	b.judge(now, r, a, balance.Served)
 	b.paced(r, a, true)
 	b.feed(now)
 }
@@ -419,14 +443,14 @@
 func (r *request) mayRepeat(now time.Duration, s *server) bool {
 	first := r.ran()
 	switch {
-	case first == nil || r.class.Effect == Safe:
+	case first == nil || r.class.Effect == balance.Safe:
 		return true
-	case r.class.Effect == Unsafe || now >= first.sent+r.class.Window:
+	case r.class.Effect == balance.Unsafe || now >= first.sent+r.class.Window:
 		return false
-	case s == nil || r.class.Scope == ScopeAll:
+	case s == nil || r.class.Scope == balance.ScopeAll:
 		return true
 	}
-	return s.Zone == first.to.Zone && (r.class.Scope == ScopeZone || s.Cell == first.to.Cell)
+	return s.Zone == first.to.Zone && (r.class.Scope == balance.ScopeZone || s.Cell == first.to.Cell)
 }
 
 // mayGo is the gate: whether the rules let a request go to a server now.
@@ -449,7 +473,7 @@
 }
 
 // stands says whether a server takes part: the list has it ready, and nobody has taken it out by hand.
-func (s *server) stands() bool { return s.State == Ready && !s.away }
+func (s *server) stands() bool { return s.State == balance.Ready && !s.away }
 
 // mayServe says whether a server may be sent anything now: it takes part and does not rest from failures.
 func (s *server) mayServe(now time.Duration) bool { return s.stands() && now >= s.rested }
@@ -619,9 +643,10 @@
 
 // judge learns how a server fares: strain stretches the gap between its turns. It guards against any cause,
 // slowness, errors, silence, refusals, a limit shared with others. The turns left show when it is well again.
-func (b *Balancer) judge(now time.Duration, r *request, a *attempt, end Ending) {
+func (b *Balancer) judge(now time.Duration, r *request, a *attempt, end balance.Ending) {
 	s, took := a.to, now-a.sent
-	if end == Served || end == TimedOut && s.strain < failStrain/2 { // a strained one alone is no crowd
+	lost := end == balance.TimedOut && s.strain < failStrain/2 // a strained one alone is no crowd
+	if end == balance.Served || lost {
 		x := float64(took) / float64(r.class.Aim)
 		s.used += (x*x - s.used) / 8
 		b.crowd += (x*x - b.crowd) * min(0.5, max(1.0/16, (now-b.crowdAt).Seconds()/10)) // if rare, each tells more
@@ -629,9 +654,9 @@
 	}
 	x := failStrain
 	switch end {
-	case Cancelled, NotSent:
+	case balance.Cancelled, balance.NotSent:
 		return
-	case Served:
+	case balance.Served:
 		x = min(x, float64(took)/float64(r.class.pace))
 		r.class.pace += (took - r.class.pace) / 16
 		b.pace += (took - b.pace) / 32
@@ -640,7 +665,7 @@
 			b.host.Log(fmt.Sprintf("server %x answers again after %v", s.ID, now-s.silent))
 		}
 		s.silent = 0
-	case TimedOut, NoConnection:
+	case balance.TimedOut, balance.NoConnection:
 		if s.silent == 0 {
 			s.silent = now
 		}
@@ -655,8 +680,8 @@
 // rest keeps sends from a server that fails time and again, longer each time. Each balancer learns for
 // itself that a server is lost and pays for it with requests, and again with each test; where many share
 // a server, their tests alone keep a crowded one from its rest. So the more they are, the longer each waits.
-func (b *Balancer) rest(now time.Duration, s *server, end Ending) {
-	if end == Served { // halved, not cleared: one that errs may answer one request in four
+func (b *Balancer) rest(now time.Duration, s *server, end balance.Ending) {
+	if end == balance.Served { // halved, not cleared: one that errs may answer one request in four
 		s.fails, s.rested = s.fails/2, 0
 		return
 	}
@@ -667,19 +692,19 @@
 }
 
 // List takes news of the server list.
-func (b *Balancer) List(now time.Duration, kind ListKind, entries []Server) {
-	if kind == ListFailed {
+func (b *Balancer) List(now time.Duration, kind balance.ListKind, entries []balance.Server) {
+	if kind == balance.ListFailed {
 		b.askAt = now + b.backoff(firstPause, b.askFails)
 		b.askFails++
 		return
 	}
-	if kind != ListCached && b.cfg.AskList {
+	if kind != balance.ListCached && b.cfg.AskList {
 		b.askAt, b.askFails = 0, 0
 	}
-	if kind == ListCached && b.cfg.AskList && len(entries) == 0 {
+	if kind == balance.ListCached && b.cfg.AskList && len(entries) == 0 {
 		b.ask(now) // nothing is known: no time to spare
 	}
-	if kind != ListDelta {
+	if kind != balance.ListDelta {
 		b.allGone() // until the list names them
 	}
 	var started []*server
@@ -688,7 +713,7 @@
 			started = append(started, s)
 		}
 	}
-	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return s.State == Gone })
+	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return s.State == balance.Gone })
 	if b.mean == 0 {
 		b.deriveSlots() // no quotas: the first list is all there is to go by
 	}
@@ -706,7 +731,7 @@
 }
 
 // enter takes over one line of the list. It returns the server if this line tells of its start.
-func (b *Balancer) enter(now time.Duration, e Server) (started *server) {
+func (b *Balancer) enter(now time.Duration, e balance.Server) (started *server) {
 	if !(e.Weight > 0) || math.IsInf(e.Weight, 0) {
 		e.Weight = 1 // no weights, even turns
 	}
@@ -724,7 +749,7 @@
 
 // TakeOut keeps everything new from a server until BringBack, whatever the list says of it meanwhile and
 // whether it is listed or not. What runs there finishes. Taken out twice, it is out once.
-func (b *Balancer) TakeOut(now time.Duration, id ServerID) {
+func (b *Balancer) TakeOut(now time.Duration, id balance.ServerID) {
 	b.away[id] = true
 	if s := b.server(id); s != nil && !s.away {
 		s.away = true
@@ -735,12 +760,12 @@
 
 // BringBack ends TakeOut, as of the moment at. Operators restart servers meanwhile, and the list tells that
 // late: so the server comes back as a cold one, with its turn next.
-func (b *Balancer) BringBack(now time.Duration, id ServerID, at time.Duration) {
+func (b *Balancer) BringBack(now time.Duration, id balance.ServerID, at time.Duration) {
 	if !b.away[id] {
 		return
 	}
 	delete(b.away, id)
-	maps.DeleteFunc(b.back, func(_ ServerID, warmAt time.Duration) bool { return now >= warmAt })
+	maps.DeleteFunc(b.back, func(_ balance.ServerID, warmAt time.Duration) bool { return now >= warmAt })
 	b.back[id] = at + b.cfg.ColdTime
 	s := b.server(id)
 	if s == nil {
@@ -762,7 +787,7 @@
 // must not steer single sends. All balancers would crowd to where it was empty (i50e019).
 func (b *Balancer) sample(now time.Duration) {
 	due := b.share == 1 && b.pairs < pairsMost && now >= b.sampleAt && len(b.arc) > 0
-	if !due || !b.cfg.MayProbe || b.cfg.Reports&HasInFlight == 0 {
+	if !due || !b.cfg.MayProbe || b.cfg.Reports&balance.HasInFlight == 0 {
 		return
 	}
 	if b.sampled == nil || !b.sampled.stands() {
@@ -776,7 +801,7 @@
 // inquire asks the server whose turn it is what it holds, where its last word is old: among many
 // balancers, what one has out there itself tells next to nothing.
 func (b *Balancer) inquire(now time.Duration, r *request) bool {
-	if !b.cfg.MayProbe || b.cfg.Reports&HasInFlight == 0 || b.fresh < pairsMost-1 || r.asked >= askMost {
+	if !b.cfg.MayProbe || b.cfg.Reports&balance.HasInFlight == 0 || b.fresh < pairsMost-1 || r.asked >= askMost {
 		return false
 	}
 	s, _ := b.turnOf(now, r, b.arc)
@@ -790,9 +815,9 @@
 }
 
 // Probed takes the result of a probe.
-func (b *Balancer) Probed(now time.Duration, id ServerID, ok bool, l Load) {
+func (b *Balancer) Probed(now time.Duration, id balance.ServerID, ok bool, l balance.Load) {
 	s := b.server(id)
-	told := s != nil && ok && l.Has&HasInFlight != 0
+	told := s != nil && ok && l.Has&balance.HasInFlight != 0
 	if s != nil && s == b.sampled && b.pairs < pairsMost && (!told || s.toldAt > 0 && now-s.toldAt >= toldFor) {
 		b.pairs++ // one that does not tell is no fresh one
 		if told && l != s.load {
@@ -826,7 +851,8 @@
 	switch {
 	case r.over:
 		return
-	case r.ran() == nil || r.class.Effect == Safe || (r.class.Effect == Keyed && r.class.Scope == ScopeAll):
+	case r.ran() == nil, r.class.Effect == balance.Safe,
+		r.class.Effect == balance.Keyed && r.class.Scope == balance.ScopeAll:
 		b.count.Refused++
 		pause := time.Duration((1 + b.rng.Float64()) * float64(b.pace)) // spread: not all at once
 		b.host.Refuse(r.id, min(b.cfg.MaxRetryAfter, pause))
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"arrowgw/internal/balance"
 )
 
 func TestSlotsAndQueue(t *testing.T) {
@@ -13,7 +15,7 @@
 	if b.SlotsFree(0) != 6 || b.SlotsFree(1) != 2 || b.QueueFree(0) != 1 || b.QueueFree(1) != 1 {
 		t.Fatalf("walls: slots %d %d, places %d %d", b.SlotsFree(0), b.SlotsFree(1), b.QueueFree(0), b.QueueFree(1))
 	}
-	for id := range RequestID(10) {
+	for id := range balance.RequestID(10) {
 		ask(b, 0, id, safeClass)
 	}
 	if len(h.sends) != 6 || b.QueueFree(0) != 0 {
@@ -25,11 +27,11 @@
 	if b.SlotsFree(1) != 2 {
 		t.Fatalf("tenant 1 lost slots to tenant 0")
 	}
-	b.Request(0, Request{ID: 20, Class: safeClass, Tenant: 1, Left: 2 * time.Second})
+	b.Request(0, balance.Request{ID: 20, Class: safeClass, Tenant: 1, Left: 2 * time.Second})
 	if len(h.sends) != 7 {
 		t.Fatalf("the other compartment did not send past the full one")
 	}
-	end(b, 50*ms, 0, 0, Served)
+	end(b, 50*ms, 0, 0, balance.Served)
 	if len(h.sends) != 8 || h.sends[7].id != 6 {
 		t.Fatalf("a freed slot did not go to the first in the queue: %v", h.sends)
 	}
@@ -38,7 +40,9 @@
 // Guards against: a client's later tries are served when nothing can be earned by them any more.
 func TestLateTriesGiveWay(t *testing.T) {
 	b, h := start(t, testConfig(), ready(1, 2))
-	left := func(id RequestID, d time.Duration) { b.Request(0, Request{ID: id, Class: safeClass, Left: d}) }
+	left := func(id balance.RequestID, d time.Duration) {
+		b.Request(0, balance.Request{ID: id, Class: safeClass, Left: d})
+	}
 	left(1, 2800*ms) // first tries come with this much of the class's 3 s
 	left(2, 2500*ms) // begun half a second ago
 	left(3, 1500*ms) // begun 1.5 s ago, late already, but answers are quick
@@ -55,14 +59,14 @@
 // Guards against clients that wait less than others for good are taken for late.
 func TestPatienceMayChange(t *testing.T) {
 	b, h := start(t, testConfig(), ready(1, 2))
-	for id := range RequestID(400) {
+	for id := range balance.RequestID(400) {
 		now := time.Duration(id) * 20 * ms
 		left := 2800 * ms
 		if id >= 20 {
 			left = 2200 * ms
 		}
-		b.Request(now, Request{ID: id, Class: safeClass, Left: left})
-		end(b, now+5*ms, id, 0, Served)
+		b.Request(now, balance.Request{ID: id, Class: safeClass, Left: left})
+		end(b, now+5*ms, id, 0, balance.Served)
 	}
 	if last := h.sends[len(h.sends)-1]; last.timeout != time.Second {
 		t.Fatalf("time-out %v: the aim of a first try is still cut", last.timeout)
@@ -73,9 +77,9 @@
 	cfg := testConfig()
 	cfg.MarksRepeat = true
 	b, h := start(t, cfg, ready(1, 2))
-	b.Request(0, Request{ID: 1, Class: safeClass, Left: 2800 * ms})
-	b.Request(0, Request{ID: 2, Class: safeClass, Left: 2500 * ms})
-	b.Request(0, Request{ID: 3, Class: safeClass, Left: 2500 * ms, Repeat: true})
+	b.Request(0, balance.Request{ID: 1, Class: safeClass, Left: 2800 * ms})
+	b.Request(0, balance.Request{ID: 2, Class: safeClass, Left: 2500 * ms})
+	b.Request(0, balance.Request{ID: 3, Class: safeClass, Left: 2500 * ms, Repeat: true})
 	if h.sends[1].timeout != time.Second || h.sends[2].timeout != 500*ms {
 		t.Fatalf("sends %v: want only the marked one cut", h.sends)
 	}
@@ -104,7 +108,7 @@
 	if len(h.refused) != 0 {
 		t.Fatal("refused with over twice the usual time left")
 	}
-	b.List(760*ms, ListFull, ready(1))
+	b.List(760*ms, balance.ListFull, ready(1))
 	if _, refused := h.refused[1]; !refused {
 		t.Fatalf("sent %v with less than twice the usual time left after a wait", h.sends)
 	}
@@ -114,10 +118,10 @@
 	list := ready(1, 2, 3)
 	list[2].Weight = 2
 	b, h := start(t, testConfig(), list)
-	for id := range RequestID(40) {
+	for id := range balance.RequestID(40) {
 		now := time.Duration(id) * 20 * ms
 		ask(b, now, id, safeClass)
-		end(b, now+10*ms, id, 0, Served)
+		end(b, now+10*ms, id, 0, balance.Served)
 	}
 	if n := h.sentTo(3); n < 19 || n > 21 || h.sentTo(1)-h.sentTo(2) > 1 || h.sentTo(2)-h.sentTo(1) > 1 {
 		t.Fatalf("turns %d %d %d, want 10 10 20, or one more or less", h.sentTo(1), h.sentTo(2), h.sentTo(3))
@@ -128,12 +132,12 @@
 }
 
 func TestZeroWeightsMeanEvenTurns(t *testing.T) {
-	list := []Server{{ID: 1, State: Ready}, {ID: 2, State: Ready, Weight: math.NaN()}}
+	list := []balance.Server{{ID: 1, State: balance.Ready}, {ID: 2, State: balance.Ready, Weight: math.NaN()}}
 	b, h := start(t, testConfig(), list)
-	for id := range RequestID(10) {
+	for id := range balance.RequestID(10) {
 		now := time.Duration(id) * 20 * ms
 		ask(b, now, id, safeClass)
-		end(b, now+10*ms, id, 0, Served)
+		end(b, now+10*ms, id, 0, balance.Served)
 	}
 	if n := h.sentTo(1); n < 4 || n > 6 {
 		t.Fatalf("turns %d %d, want 5 5", h.sentTo(1), h.sentTo(2))
@@ -146,7 +150,7 @@
 	b, h := start(t, cfg, ready(1, 2))
 	ask(b, 0, 1, safeClass)
 	ask(b, 0, 2, keyedAll)
-	b.Request(0, Request{ID: 3, Class: keyedCell, Left: 300 * ms})
+	b.Request(0, balance.Request{ID: 3, Class: keyedCell, Left: 300 * ms})
 	if got := h.sends[0].timeout; got != time.Second {
 		t.Errorf("time-out %v, want the aim", got)
 	}
@@ -162,19 +166,19 @@
 	for _, c := range []struct {
 		name  string
 		class int
-		ends  Ending
+		ends  balance.Ending
 		again bool
 		fails bool // where it is not sent again
 	}{
-		{"safe after an error", safeClass, Errored, true, false},
-		{"keyed after a reset", keyedAll, Broken, true, false},
-		{"unsafe turned away", unsafeClass, TurnedAway, true, false},
-		{"unsafe without a connection", unsafeClass, NoConnection, true, false},
-		{"unsafe never sent", unsafeClass, NotSent, true, false},
-		{"unsafe after an error", unsafeClass, Errored, false, true},
-		{"unsafe after a reset", unsafeClass, Broken, false, true},
-		{"unsafe after a time-out", unsafeClass, TimedOut, false, true},
-		{"unsafe after an unknown end", unsafeClass, Ending(99), false, true},
+		{"safe after an error", safeClass, balance.Errored, true, false},
+		{"keyed after a reset", keyedAll, balance.Broken, true, false},
+		{"unsafe turned away", unsafeClass, balance.TurnedAway, true, false},
+		{"unsafe without a connection", unsafeClass, balance.NoConnection, true, false},
+		{"unsafe never sent", unsafeClass, balance.NotSent, true, false},
+		{"unsafe after an error", unsafeClass, balance.Errored, false, true},
+		{"unsafe after a reset", unsafeClass, balance.Broken, false, true},
+		{"unsafe after a time-out", unsafeClass, balance.TimedOut, false, true},
+		{"unsafe after an unknown end", unsafeClass, balance.Ending(99), false, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b, h := start(t, testConfig(), ready(1, 2, 3))
@@ -197,7 +201,7 @@
 	b, h := start(t, testConfig(), ready(1, 2, 3, 4, 5))
 	ask(b, 0, 1, unsafeClass)
 	for i := range 3 {
-		end(b, time.Duration(i+1)*ms, 1, i, NoConnection)
+		end(b, time.Duration(i+1)*ms, 1, i, balance.NoConnection)
 	}
 	if _, ok := h.refused[1]; len(h.sends) != 3 || !ok {
 		t.Fatalf("sends %d, refused %v; want 3 and a refusal: it provably never ran", len(h.sends), ok)
@@ -205,22 +209,22 @@
 }
 
 func TestKeyedStaysInItsGroup(t *testing.T) {
-	list := []Server{
-		{ID: 1, State: Ready, Weight: 1, Zone: 0, Cell: 10}, {ID: 2, State: Ready, Weight: 1, Zone: 0, Cell: 11},
-		{ID: 3, State: Ready, Weight: 1, Zone: 1, Cell: 12}, {ID: 4, State: Ready, Weight: 1, Zone: 1, Cell: 12},
+	list := []balance.Server{
+		{ID: 1, State: balance.Ready, Weight: 1, Zone: 0, Cell: 10}, {ID: 2, State: balance.Ready, Weight: 1, Zone: 0, Cell: 11},
+		{ID: 3, State: balance.Ready, Weight: 1, Zone: 1, Cell: 12}, {ID: 4, State: balance.Ready, Weight: 1, Zone: 1, Cell: 12},
 	}
-	byID := func(id ServerID) Server { return list[id-1] }
-	for id := range RequestID(8) { // the turns make the first attempt meet every server
+	byID := func(id balance.ServerID) balance.Server { return list[id-1] }
+	for id := range balance.RequestID(8) { // the turns make the first attempt meet every server
 		for _, class := range []int{keyedZone, keyedCell} {
 			b, h := start(t, testConfig(), list)
 			for warm := range id {
 				ask(b, 0, 100+warm, safeClass)
-				end(b, ms, 100+warm, 0, Served)
+				end(b, ms, 100+warm, 0, balance.Served)
 			}
 			h.sends = nil
 			ask(b, 2*ms, 1, class)
 			first := byID(h.sends[0].to)
-			end(b, 30*ms, 1, 0, Broken)
+			end(b, 30*ms, 1, 0, balance.Broken)
 			if len(h.sends) < 2 {
 				if class == keyedZone || first.Zone == 1 {
 					t.Fatalf("class %d from server %d was not sent again", class, first.ID)
@@ -236,25 +240,25 @@
 }
 
 func TestKeyedGroupCountsFromTheAttemptThatMayHaveRun(t *testing.T) {
-	list := []Server{{ID: 1, State: Ready, Weight: 1, Zone: 0}, {ID: 2, State: Ready, Weight: 1, Zone: 1},
-		{ID: 3, State: Ready, Weight: 1, Zone: 1}}
+	list := []balance.Server{{ID: 1, State: balance.Ready, Weight: 1, Zone: 0}, {ID: 2, State: balance.Ready, Weight: 1, Zone: 1},
+		{ID: 3, State: balance.Ready, Weight: 1, Zone: 1}}
 	b, h := start(t, testConfig(), list)
 	for h.sentTo(1) == 0 || len(h.sends) == 0 || h.sends[len(h.sends)-1].to != 1 {
-		id := RequestID(100 + len(h.sends))
+		id := balance.RequestID(100 + len(h.sends))
 		ask(b, 0, id, safeClass)
-		end(b, ms, id, 0, Served)
+		end(b, ms, id, 0, balance.Served)
 	}
-	b.List(ms, ListDelta, []Server{{ID: 3, State: Gone}})
+	b.List(ms, balance.ListDelta, []balance.Server{{ID: 3, State: balance.Gone}})
 	h.sends = nil
 	ask(b, 2*ms, 1, keyedZone) // it is the turn of server 2, in zone 1
 	if h.sends[0].to != 2 {
 		t.Fatalf("set-up: first attempt went to %d", h.sends[0].to)
 	}
-	end(b, 3*ms, 1, 0, TurnedAway) // it never ran there, so zone 1 does not bind
+	end(b, 3*ms, 1, 0, balance.TurnedAway) // it never ran there, so zone 1 does not bind
 	if len(h.sends) != 2 || h.sends[1].to != 1 {
 		t.Fatalf("sends %v, want a second attempt at server 1", h.sends)
 	}
-	end(b, 4*ms, 1, 1, Broken) // may have run in zone 0: server 2 is barred now
+	end(b, 4*ms, 1, 1, balance.Broken) // may have run in zone 0: server 2 is barred now
 	if len(h.sends) != 2 {
 		t.Fatalf("sent outside the group: %v", h.sends)
 	}
@@ -263,33 +267,33 @@
 func TestKeyedWindowAndRefusal(t *testing.T) {
 	b, h := start(t, testConfig(), ready(1, 2, 3))
 	ask(b, 0, 1, keyedAll)
-	end(b, 700*ms, 1, 0, Errored) // the window of 700 ms since its send is over
+	end(b, 700*ms, 1, 0, balance.Errored) // the window of 700 ms since its send is over
 	if _, refused := h.refused[1]; len(h.sends) != 1 || !refused {
 		t.Fatalf("sends %d, refused %v; want 1 and a refusal, as all servers drop repeats", len(h.sends), refused)
 	}
 	b.asked = recent{}
 	ask(b, 800*ms, 2, keyedZone)
-	end(b, 1500*ms, 2, 0, Errored)
+	end(b, 1500*ms, 2, 0, balance.Errored)
 	if !h.failed[2] {
 		t.Fatal("a keyed request that may have run, with a group of one zone, must be failed and not refused")
 	}
 }
 
 func TestDrainingServerGetsNothingMore(t *testing.T) {
-	for _, state := range []State{Draining, Gone} {
+	for _, state := range []balance.State{balance.Draining, balance.Gone} {
 		b, h := start(t, testConfig(), ready(1, 2))
-		b.List(10*ms, ListDelta, []Server{{ID: 1, State: state, Weight: 1}})
-		for id := range RequestID(10) {
+		b.List(10*ms, balance.ListDelta, []balance.Server{{ID: 1, State: state, Weight: 1}})
+		for id := range balance.RequestID(10) {
 			ask(b, 10*ms, id, safeClass)
-			end(b, 20*ms, id, 0, Served)
+			end(b, 20*ms, id, 0, balance.Served)
 		}
 		if h.sentTo(1) != 0 || h.sentTo(2) != 10 {
 			t.Fatalf("state %v: sent %d to it", state, h.sentTo(1))
 		}
 	}
 	b, h := start(t, testConfig(), ready(1, 2))
-	b.List(10*ms, ListFull, ready(2)) // absent from a full list
-	for id := range RequestID(4) {
+	b.List(10*ms, balance.ListFull, ready(2)) // absent from a full list
+	for id := range balance.RequestID(4) {
 		ask(b, 10*ms, id, safeClass)
 	}
 	if h.sentTo(1) != 0 {
@@ -304,13 +308,13 @@
 		list := ready(1, 2)
 		b, h := start(t, cfg, list)
 		list[0].Started = 10 * time.Second // restarted under the same id
-		b.List(10*time.Second, ListDelta, list[:1])
-		id := RequestID(0)
+		b.List(10*time.Second, balance.ListDelta, list[:1])
+		id := balance.RequestID(0)
 		sends := map[bool]int{} // by whether in the first window
 		for now := 10 * time.Second; now < 20*time.Second; now += 2 * ms {
 			before := h.sentTo(1)
 			ask(b, now, id, safeClass)
-			end(b, now+ms, id, 0, Served)
+			end(b, now+ms, id, 0, balance.Served)
 			id++
 			if h.sentTo(1) > before && now < 11*time.Second {
 				sends[true]++
@@ -331,16 +335,16 @@
 func TestSilentServerLosesItsTurn(t *testing.T) {
 	b, h := start(t, testConfig(), ready(1, 2, 3))
 	now := time.Duration(0)
-	for id := range RequestID(300) {
+	for id := range balance.RequestID(300) {
 		ask(b, now, id, safeClass)
 		if last := h.sends[len(h.sends)-1]; last.id == id && last.to != 1 {
-			end(b, now+5*ms, id, 0, Served)
+			end(b, now+5*ms, id, 0, balance.Served)
 		}
 		now += 10 * ms
 		b.Wake(now)
 		for i := range h.sends { // server 1 answers nothing: time-outs after the aim
 			if s := h.sends[i]; s.to == 1 && b.requests[s.id] != nil && b.requests[s.id].attempts[0].sent+s.timeout <= now {
-				end(b, now, s.id, 0, TimedOut)
+				end(b, now, s.id, 0, balance.TimedOut)
 			}
 		}
 	}
@@ -377,10 +381,10 @@
 	} {
 		cfg := testConfig()
 		cfg.Balancers = c.balancers
-		cfg.Tenants = []Tenant{{Share: 1, Quota: 50 * float64(c.balancers)}}
+		cfg.Tenants = []balance.Tenant{{Share: 1, Quota: 50 * float64(c.balancers)}}
 		b, h := start(t, cfg, ready(1, 2, 3, 4, 5, 6))
 		b.crowd = c.crowd
-		for id := range RequestID(6) {
+		for id := range balance.RequestID(6) {
 			ask(b, 0, id, safeClass)
 		}
 		if len(h.sends) != c.want || b.Counters().Held != uint64(6-c.want) {
@@ -396,7 +400,7 @@
 	cfg := testConfig()
 	cfg.Balancers = 80 // 1.25 requests a second each, an aim of 1 s
 	b, h := start(t, cfg, ready(1, 2, 3, 4, 5, 6))
-	for id := range RequestID(6) {
+	for id := range balance.RequestID(6) {
 		ask(b, 0, id, safeClass)
 	}
 	if len(h.sends) != 4 || b.Counters().Held != 2 {
@@ -404,9 +408,9 @@
 	}
 	b, _ = start(t, cfg, ready(1, 2, 3, 4, 5, 6))
 	for i := range 300 { // ten a second
-		id, now := RequestID(i), time.Duration(i)*100*ms
+		id, now := balance.RequestID(i), time.Duration(i)*100*ms
 		ask(b, now, id, safeClass)
-		end(b, now+10*ms, id, 0, Served)
+		end(b, now+10*ms, id, 0, balance.Served)
 	}
 	if got := b.whole(); got != 8 {
 		t.Fatalf("a wall of %v over all attempts, want the 8 slots for 10 requests a second", got)
@@ -420,8 +424,8 @@
 		cfg := testConfig()
 		cfg.Balancers = balancers
 		b, h := start(t, cfg, ready(1))
-		now, id, last := time.Duration(0), RequestID(0), time.Duration(0)
-		try := func(e Ending) (rest time.Duration) {
+		now, id, last := time.Duration(0), balance.RequestID(0), time.Duration(0)
+		try := func(e balance.Ending) (rest time.Duration) {
 			t.Helper()
 			id, b.asked = id+1, recent{}
 			ask(b, now, id, unsafeClass)
@@ -431,9 +435,9 @@
 			end(b, now, id, 0, e)
 			return b.server(1).rested - now
 		}
-		try(Errored)
+		try(balance.Errored)
 		for i := range 10 {
-			rest := try(Errored)
+			rest := try(balance.Errored)
 			if d := min(lastPause, time.Duration(balancers)*restEach<<i); rest < d/2 || rest > d*3/2 {
 				t.Fatalf("%d balancers: a rest of %v after %d failures, want about %v", balancers, rest, i+2, d)
 			}
@@ -448,15 +452,15 @@
 		if last < lastPause/2 {
 			t.Fatalf("%d balancers: a rest of %v at last, want about %v", balancers, last, lastPause)
 		}
-		try(Served)
-		if rest := try(Errored); rest < restEach {
+		try(balance.Served)
+		if rest := try(balance.Errored); rest < restEach {
 			t.Fatalf("%d balancers: a rest of %v, one answer clears a server that fails mostly", balancers, rest)
 		}
 		now = b.server(1).rested
 		for range 3 {
-			try(Served)
+			try(balance.Served)
 		}
-		if rest := try(Errored); rest > 0 {
+		if rest := try(balance.Errored); rest > 0 {
 			t.Fatalf("%d balancers: a rest of %v after three answers and one failure", balancers, rest)
 		}
 	}
@@ -468,9 +472,9 @@
 	if got := b.whole(); got != 8 {
 		t.Fatalf("a wall of %v over all attempts, want all 8 slots", got)
 	}
-	for i, end := range []Ending{Errored, NoConnection, TimedOut, Errored} {
+	for i, end := range []balance.Ending{balance.Errored, balance.NoConnection, balance.TimedOut, balance.Errored} {
 		r := &request{class: &b.classes[0]}
-		b.judge(0, r, &attempt{to: b.server(ServerID(1 + i%2))}, end)
+		b.judge(0, r, &attempt{to: b.server(balance.ServerID(1 + i%2))}, end)
 	}
 	if got := b.whole(); got != 4 {
 		t.Fatalf("a wall of %v over all attempts, want 4 while two of four servers fail", got)
@@ -480,20 +484,20 @@
 // Guards against all walls together let servers pass into their slower state.
 func TestReportedLoadWallsTheFleet(t *testing.T) {
 	cfg := testConfig()
-	cfg.MayProbe, cfg.Reports = true, HasInFlight
+	cfg.MayProbe, cfg.Reports = true, balance.HasInFlight
 	b, h := start(t, cfg, ready(1, 2))
-	b.Probed(ms, 1, true, Load{Has: HasInFlight, InFlight: 50})
-	b.Probed(ms, 2, true, Load{Has: HasInFlight, InFlight: 0})
-	for id := range RequestID(4) {
+	b.Probed(ms, 1, true, balance.Load{Has: balance.HasInFlight, InFlight: 50})
+	b.Probed(ms, 2, true, balance.Load{Has: balance.HasInFlight, InFlight: 0})
+	for id := range balance.RequestID(4) {
 		ask(b, 2*ms, id, safeClass)
 	}
 	if h.sentTo(1) != 0 || h.sentTo(2) != 4 || len(h.probes) != 0 {
 		t.Fatalf("sent %d to the full server, %d probes while reports are fresh", h.sentTo(1), len(h.probes))
 	}
-	b.Probed(2*ms, 9, true, Load{Has: HasInFlight, InFlight: 1})   // a server not listed
-	b.Probed(2*ms, 1, false, Load{Has: HasInFlight, InFlight: -1}) // a failed probe
-	b.Probed(2*time.Second, 1, true, Load{Has: HasInFlight, InFlight: 0})
-	for id := RequestID(10); id < 12; id++ {
+	b.Probed(2*ms, 9, true, balance.Load{Has: balance.HasInFlight, InFlight: 1})   // a server not listed
+	b.Probed(2*ms, 1, false, balance.Load{Has: balance.HasInFlight, InFlight: -1}) // a failed probe
+	b.Probed(2*time.Second, 1, true, balance.Load{Has: balance.HasInFlight, InFlight: 0})
+	for id := balance.RequestID(10); id < 12; id++ {
 		ask(b, 2*time.Second, id, safeClass)
 	}
 	if h.sentTo(1) == 0 {
@@ -505,7 +509,7 @@
 // out at a server tells nothing of its load, and reports asked for in rotation are old when its turn comes.
 func TestAsksBeforeItSendsWhereReportsAreOld(t *testing.T) {
 	cfg := testConfig()
-	cfg.MayProbe, cfg.Reports = true, HasInFlight
+	cfg.MayProbe, cfg.Reports = true, balance.HasInFlight
 	b, h := start(t, cfg, ready(1, 2, 3, 4))
 	b.pairs, b.fresh = pairsMost, pairsMost // reports were found fresh
 	ask(b, 0, 1, safeClass)
@@ -513,11 +517,11 @@
 		t.Fatalf("%d probes, %d sends; want the server whose turn it is asked first", len(h.probes), len(h.sends))
 	}
 	first := h.probes[0]
-	b.Probed(6*ms, first, true, Load{Has: HasInFlight, InFlight: 50})
+	b.Probed(6*ms, first, true, balance.Load{Has: balance.HasInFlight, InFlight: 50})
 	if len(h.probes) != 2 || h.probes[1] == first || len(h.sends) != 0 {
 		t.Fatalf("probes %v: want the next one asked, as the first is full", h.probes)
 	}
-	b.Probed(12*ms, h.probes[1], true, Load{Has: HasInFlight, InFlight: 1})
+	b.Probed(12*ms, h.probes[1], true, balance.Load{Has: balance.HasInFlight, InFlight: 1})
 	if len(h.sends) != 1 || h.sends[0].to != h.probes[1] {
 		t.Fatalf("sends %v: want one to the server that has room", h.sends)
 	}
@@ -540,18 +544,18 @@
 // Guards against a fleet shrinks, and what is left is handed the portions of what went.
 func TestPortionsDoNotGrowWhenServersLeave(t *testing.T) {
 	cfg := testConfig()
-	cfg.MayProbe, cfg.Reports = true, HasInFlight
+	cfg.MayProbe, cfg.Reports = true, balance.HasInFlight
 	b, h := start(t, cfg, ready(1, 2, 3, 4))
-	b.List(ms, ListFull, ready(1))
-	b.Probed(ms, 1, true, Load{Has: HasInFlight, InFlight: 0})
-	for id := range RequestID(6) {
+	b.List(ms, balance.ListFull, ready(1))
+	b.Probed(ms, 1, true, balance.Load{Has: balance.HasInFlight, InFlight: 0})
+	for id := range balance.RequestID(6) {
 		ask(b, ms, id, safeClass)
 	}
 	if h.sentTo(1) != 2 {
 		t.Fatalf("%d of 8 slots at the last of four servers, want its portion of 2", h.sentTo(1))
 	}
 	// All balancers hold 100/s x 1 s x 0.12 = 12 at the quotas, a fourth of it at one server.
-	b.Probed(2*ms, 1, true, Load{Has: HasInFlight, InFlight: 5})
+	b.Probed(2*ms, 1, true, balance.Load{Has: balance.HasInFlight, InFlight: 5})
 	if !b.fuller(2*ms, &request{}, b.server(1)) {
 		t.Fatal("the last of four servers may hold more than a fourth and one of the whole fleet's attempts")
 	}
@@ -565,14 +569,14 @@
 		t.Fatalf("asked %d times at the start", h.asks)
 	}
 	gaps, last, asked := []time.Duration{}, time.Duration(0), 1
-	b.List(0, ListFailed, nil)
+	b.List(0, balance.ListFailed, nil)
 	for now := 10 * ms; now < 40*time.Second; now += 10 * ms {
 		b.Wake(now)
 		if h.asks > asked {
 			asked = h.asks
 			gaps = append(gaps, now-last)
 			last = now
-			b.List(now, ListFailed, nil)
+			b.List(now, balance.ListFailed, nil)
 		}
 	}
 	if len(gaps) < 4 || slices.Max(gaps) >= cfg.AskWithin || gaps[0] >= gaps[len(gaps)-1] {
@@ -581,7 +585,7 @@
 	if b.server(1) == nil {
 		t.Fatal("a failed call dropped the old list")
 	}
-	b.List(40*time.Second, ListFull, ready(1))
+	b.List(40*time.Second, balance.ListFull, ready(1))
 	for now := 40 * time.Second; now < 60*time.Second; now += 10 * ms {
 		b.Wake(now)
 	}
@@ -621,27 +625,27 @@
 
 func TestOddEventsArePassedOver(t *testing.T) {
 	b, h := start(t, testConfig(), ready(1, 2))
-	b.Request(0, Request{ID: 1, Class: 99, Left: time.Second})
-	b.Request(0, Request{ID: 2, Class: -1, Left: time.Second})
-	b.Request(0, Request{ID: 3, Tenant: 7, Left: time.Second})
-	b.Request(0, Request{ID: 4, Left: 0})
-	b.Request(0, Request{ID: 5, Left: -time.Second})
+	b.Request(0, balance.Request{ID: 1, Class: 99, Left: time.Second})
+	b.Request(0, balance.Request{ID: 2, Class: -1, Left: time.Second})
+	b.Request(0, balance.Request{ID: 3, Tenant: 7, Left: time.Second})
+	b.Request(0, balance.Request{ID: 4, Left: 0})
+	b.Request(0, balance.Request{ID: 5, Left: -time.Second})
 	if len(h.refused) != 5 || len(h.sends) != 0 {
 		t.Fatalf("refused %d, sent %d; want 5 and 0", len(h.refused), len(h.sends))
 	}
 	ask(b, 0, 6, safeClass)
 	ask(b, 0, 6, safeClass) // held already
-	end(b, 0, 6, 3, Served)
-	end(b, 0, 6, -1, Served)
-	end(b, 0, 77, 0, Served)
+	end(b, 0, 6, 3, balance.Served)
+	end(b, 0, 6, -1, balance.Served)
+	end(b, 0, 77, 0, balance.Served)
 	b.ClientGone(0, 77)
 	b.StreamBegun(0, 77, 0)
 	b.BodyEnded(0, 77, time.Second)
 	if len(h.sends) != 1 || b.SlotsFree(0) != 5 {
 		t.Fatalf("sends %d, slots free %d; want 1 and 5", len(h.sends), b.SlotsFree(0))
 	}
-	end(b, ms, 6, 0, Served)
-	end(b, ms, 6, 0, Served) // twice
+	end(b, ms, 6, 0, balance.Served)
+	end(b, ms, 6, 0, balance.Served) // twice
 	if b.SlotsFree(0) != 6 {
 		t.Fatalf("slots free %d after a repeated outcome, want 6", b.SlotsFree(0))
 	}
@@ -654,7 +658,7 @@
 	if len(h.cancelled) != 1 || b.SlotsFree(0) != 5 {
 		t.Fatal("the attempt was not called off, or its slot freed before it ended")
 	}
-	end(b, 2*ms, 1, 0, Cancelled)
+	end(b, 2*ms, 1, 0, balance.Cancelled)
 	if len(h.refused)+len(h.failed) != 0 || len(b.requests) != 0 || b.SlotsFree(0) != 6 {
 		t.Fatalf("answers %d, held %d", len(h.refused)+len(h.failed), len(b.requests))
 	}
@@ -670,7 +674,7 @@
 	if len(h.refused)+len(h.failed)+len(h.cancelled) != 0 || len(h.sends) != 1 {
 		t.Fatal("a stream that had begun was answered, called off or sent again")
 	}
-	b.Outcome(11*time.Second, Outcome{ID: 1, Ending: Broken, Settled: true})
+	b.Outcome(11*time.Second, balance.Outcome{ID: 1, Ending: balance.Broken, Settled: true})
 	if len(b.requests) != 0 {
 		t.Fatal("the ended stream is still held")
 	}
@@ -688,7 +692,7 @@
 			t.Fatal(err)
 		}
 		b.Start(0)
-		b.List(0, ListCached, ready(1))
+		b.List(0, balance.ListCached, ready(1))
 		for now := 100 * ms; now <= 2*time.Second+100*ms; now += 100 * ms {
 			b.Wake(now)
 			if now == time.Second {
@@ -708,7 +712,7 @@
 		t.Fatal(err)
 	}
 	b.Start(0)
-	b.List(0, ListCached, nil)
+	b.List(0, balance.ListCached, nil)
 	if h.asks != 1 {
 		t.Errorf("asked %d times with nothing known, want once and at once", h.asks)
 	}
@@ -717,27 +721,27 @@
 func TestMemoryStaysBounded(t *testing.T) {
 	b, h := start(t, testConfig(), ready(1, 2))
 	ended := 0
-	for id := range RequestID(20000) {
+	for id := range balance.RequestID(20000) {
 		now := time.Duration(id) * 5 * ms
 		ask(b, now, id, safeClass)
 		switch id % 3 {
 		case 0:
-			end(b, now+ms, id, 0, Served)
+			end(b, now+ms, id, 0, balance.Served)
 		case 1:
 			b.ClientGone(now+ms, id)
-			end(b, now+2*ms, id, 0, Cancelled)
+			end(b, now+2*ms, id, 0, balance.Cancelled)
 		case 2:
-			end(b, now+ms, id, 0, Broken)
-			end(b, now+2*ms, id, 1, Served)
+			end(b, now+ms, id, 0, balance.Broken)
+			end(b, now+2*ms, id, 1, balance.Served)
 		}
 		if id%100 == 0 {
-			b.List(now, ListDelta, []Server{{ID: ServerID(1000 + id), State: Ready, Weight: 1}})
-			b.List(now, ListDelta, []Server{{ID: ServerID(1000 + id), State: Gone}})
+			b.List(now, balance.ListDelta, []balance.Server{{ID: balance.ServerID(1000 + id), State: balance.Ready, Weight: 1}})
+			b.List(now, balance.ListDelta, []balance.Server{{ID: balance.ServerID(1000 + id), State: balance.Gone}})
 		}
 		b.Wake(now + 3*ms)
 		for ; ended < len(h.sends); ended++ { // those that had to wait too
-			end(b, now+4*ms, h.sends[ended].id, 0, Served)
-			end(b, now+4*ms, h.sends[ended].id, 1, Served)
+			end(b, now+4*ms, h.sends[ended].id, 0, balance.Served)
+			end(b, now+4*ms, h.sends[ended].id, 1, balance.Served)
 		}
 	}
 	b.Wake(time.Hour)
@@ -763,29 +767,29 @@
 	}
 	cfg.Tenants, cfg.Balancers = nil, 4 // no tenants and no quota: one compartment, sized by the first list
 	b, h := start(t, cfg, ready(1, 2))
-	b.Request(0, Request{ID: 1, Tenant: 5, Left: time.Second})
+	b.Request(0, balance.Request{ID: 1, Tenant: 5, Left: time.Second})
 	if len(b.parts) != 1 || b.slots != 7 || len(h.sends) != 1 {
 		t.Fatalf("without tenants: %d compartments, %d slots, %d sends", len(b.parts), b.slots, len(h.sends))
 	}
 }
 
 func TestNewNamesTheUnusableField(t *testing.T) {
-	for field, spoil := range map[string]func(*Config){
-		"Balancers":     func(c *Config) { c.Balancers = 0 },
-		"Classes":       func(c *Config) { c.Classes = nil },
-		"MaxAttempts":   func(c *Config) { c.MaxAttempts = 0 },
-		"Slots":         func(c *Config) { c.Slots = -1 },
-		"ColdFrom":      func(c *Config) { c.ColdFrom = 1.5 },
-		"ColdMultiple":  func(c *Config) { c.ColdMultiple = math.Inf(1) },
-		"ColdTime":      func(c *Config) { c.ColdTime = -1 },
-		"Tick":          func(c *Config) { c.Tick = -1 },
-		"Aim":           func(c *Config) { c.Classes[2].Aim = 0 },
-		"Deadline":      func(c *Config) { c.Classes[0].Deadline = -1 },
-		"LateShare":     func(c *Config) { c.Classes[0].LateShare = math.NaN() },
-		"Share":         func(c *Config) { c.Tenants[1].Share = -0.1 },
-		"Quota":         func(c *Config) { c.Tenants[1].Quota = math.NaN() },
-		"adds up to 0":  func(c *Config) { c.Tenants = []Tenant{{Quota: 5}} },
-		"MaxRetryAfter": func(c *Config) { c.MaxRetryAfter = -1 },
+	for field, spoil := range map[string]func(*balance.Config){
+		"Balancers":     func(c *balance.Config) { c.Balancers = 0 },
+		"Classes":       func(c *balance.Config) { c.Classes = nil },
+		"MaxAttempts":   func(c *balance.Config) { c.MaxAttempts = 0 },
+		"Slots":         func(c *balance.Config) { c.Slots = -1 },
+		"ColdFrom":      func(c *balance.Config) { c.ColdFrom = 1.5 },
+		"ColdMultiple":  func(c *balance.Config) { c.ColdMultiple = math.Inf(1) },
+		"ColdTime":      func(c *balance.Config) { c.ColdTime = -1 },
+		"Tick":          func(c *balance.Config) { c.Tick = -1 },
+		"Aim":           func(c *balance.Config) { c.Classes[2].Aim = 0 },
+		"Deadline":      func(c *balance.Config) { c.Classes[0].Deadline = -1 },
+		"LateShare":     func(c *balance.Config) { c.Classes[0].LateShare = math.NaN() },
+		"Share":         func(c *balance.Config) { c.Tenants[1].Share = -0.1 },
+		"Quota":         func(c *balance.Config) { c.Tenants[1].Quota = math.NaN() },
+		"adds up to 0":  func(c *balance.Config) { c.Tenants = []balance.Tenant{{Quota: 5}} },
+		"MaxRetryAfter": func(c *balance.Config) { c.MaxRetryAfter = -1 },
 	} {
 		cfg := testConfig()
 		spoil(&cfg)
@@ -799,21 +803,21 @@
 // the same servers unwell everywhere in 1.3 s): their first turns must spread by weight, each server's too.
 func TestFirstTurnsSpreadOverAFleet(t *testing.T) {
 	const balancers, servers = 1200, 60
-	sent := map[ServerID]int{}
+	sent := map[balance.ServerID]int{}
 	cfg := testConfig()
 	cfg.Balancers, cfg.Slots = balancers, 0
 	for n := range balancers {
 		cfg.Index = n
 		list := ready()
-		for id := range ServerID(servers) {
-			list = append(list, Server{ID: id * 7, State: Ready, Weight: 1 + 2*float64(id%2)})
+		for id := range balance.ServerID(servers) {
+			list = append(list, balance.Server{ID: id * 7, State: balance.Ready, Weight: 1 + 2*float64(id%2)})
 		}
 		b, h := startSeeded(t, cfg, uint64(n), list)
 		ask(b, 0, 1, safeClass)
 		sent[h.sends[0].to]++
 	}
 	light, heavy, most := 0, 0, 0
-	for id := range ServerID(servers) {
+	for id := range balance.ServerID(servers) {
 		n := sent[id*7]
 		most = max(most, n)
 		if id%2 == 0 {
@@ -831,15 +835,15 @@
 // to all of them and never learns of a hung one; together they still load all servers alike.
 func TestArcsFollowTrafficAndCoverTheList(t *testing.T) {
 	const balancers, servers = 50, 100
-	cover := map[ServerID]int{}
+	cover := map[balance.ServerID]int{}
 	cfg := testConfig()
 	cfg.Balancers = balancers
-	cfg.Tenants = []Tenant{{Share: 1, Quota: 9 * balancers}}
+	cfg.Tenants = []balance.Tenant{{Share: 1, Quota: 9 * balancers}}
 	for n := range balancers {
 		cfg.Index = n
-		var list []Server
-		for id := range ServerID(servers) {
-			list = append(list, Server{ID: id, State: Ready, Weight: 1})
+		var list []balance.Server
+		for id := range balance.ServerID(servers) {
+			list = append(list, balance.Server{ID: id, State: balance.Ready, Weight: 1})
 		}
 		b, _ := start(t, cfg, list)
 		if got := len(b.arc); got != 9 { // 9 requests a second, a turn every second
@@ -860,8 +864,8 @@
 	cfg.Balancers = 3
 	b, _ := start(t, cfg, ready(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20))
 	for i := range 1200 { // ten times as much
-		ask(b, time.Duration(i)*10*ms, RequestID(i), safeClass)
-		end(b, time.Duration(i)*10*ms+5*ms, RequestID(i), 0, Served)
+		ask(b, time.Duration(i)*10*ms, balance.RequestID(i), safeClass)
+		end(b, time.Duration(i)*10*ms+5*ms, balance.RequestID(i), 0, balance.Served)
 	}
 	if got := len(b.arc); got != 20 {
 		t.Fatalf("a busy balancer keeps to %d of 20 servers", got)
@@ -877,7 +881,7 @@
 			t.Fatal(err)
 		}
 		b.Start(began)
-		b.List(began, ListFull, ready(1, 2))
+		b.List(began, balance.ListFull, ready(1, 2))
 		ask(b, began+20*ms, 1, safeClass)
 		if b.rate < 49 || b.rate > 51 { // half of the quotas
 			t.Errorf("started at %v: %.1f requests a second after the first, want about 50", began, b.rate)
@@ -890,13 +894,13 @@
 // each take turns among all servers.
 func TestFewShareAServerOfALargeFleet(t *testing.T) {
 	list := ready()
-	for id := range ServerID(60) {
-		list = append(list, Server{ID: id, State: Ready, Weight: 1})
+	for id := range balance.ServerID(60) {
+		list = append(list, balance.Server{ID: id, State: balance.Ready, Weight: 1})
 	}
 	for balancers, want := range map[int]int{5: 60, 80: 7} {
 		cfg := testConfig()
 		cfg.Balancers = balancers
-		cfg.Tenants = []Tenant{{Share: 1, Quota: 2000}}
+		cfg.Tenants = []balance.Tenant{{Share: 1, Quota: 2000}}
 		b, _ := start(t, cfg, list)
 		if got := len(b.arc); got != want && got != want+1 { // 25 or 400 requests a second each
 			t.Errorf("%d balancers: an arc of %d of 60 servers, want %d", balancers, got, want)
@@ -918,34 +922,34 @@
 	const balancers, servers = 400, 40
 	cfg := testConfig()
 	cfg.Balancers, cfg.Slots = balancers, 0
-	cfg.Tenants = []Tenant{{Share: 1, Quota: 4 * balancers}}
+	cfg.Tenants = []balance.Tenant{{Share: 1, Quota: 4 * balancers}}
 	var times []time.Duration
 	for n := range balancers {
 		cfg.Index = n
 		list := ready()
-		for id := range ServerID(servers) {
-			list = append(list, Server{ID: id, State: Ready, Weight: 1})
+		for id := range balance.ServerID(servers) {
+			list = append(list, balance.Server{ID: id, State: balance.Ready, Weight: 1})
 		}
 		b, h := startSeeded(t, cfg, uint64(n), list)
-		for id := range ServerID(servers) {
+		for id := range balance.ServerID(servers) {
 			if id != 5 {
 				b.server(id).due = math.Inf(1) // the others are down: all would go to the cold one
 			}
 		}
-		b.List(10*time.Second, ListDelta, []Server{{ID: 5, State: Ready, Weight: 1, Started: 10 * time.Second}})
+		b.List(10*time.Second, balance.ListDelta, []balance.Server{{ID: 5, State: balance.Ready, Weight: 1, Started: 10 * time.Second}})
 		for i := range 400 {
 			now := 10*time.Second + time.Duration(i)*10*ms
 			before := h.sentTo(5)
 			if i%10 == n%10 {
-				ask(b, now, RequestID(i), unsafeClass)
+				ask(b, now, balance.RequestID(i), unsafeClass)
 				if last := h.sends[len(h.sends)-1]; last.to != 5 {
-					end(b, now, last.id, 0, Served)
+					end(b, now, last.id, 0, balance.Served)
 				}
 			}
 			b.Wake(now)
 			if h.sentTo(5) > before {
 				times = append(times, now)
-				end(b, now, RequestID(i), 0, Served)
+				end(b, now, balance.RequestID(i), 0, balance.Served)
 			}
 		}
 	}
@@ -968,7 +972,7 @@
 }
 
 // inOrder is a config with one class whose keys go in turn.
-func inOrder(settle time.Duration) Config {
+func inOrder(settle time.Duration) balance.Config {
 	cfg := testConfig()
 	cfg.Classes = cfg.Classes[:1]
 	cfg.Classes[0].InOrder, cfg.OrderSettle, cfg.Slots = true, settle, 20
@@ -978,17 +982,17 @@
 // Rule 5: one at a time for a key, in order of arrival; other keys and keyless requests go on.
 func TestRequestsOfOneKeyGoInTurn(t *testing.T) {
 	b, h := start(t, inOrder(100*ms), ready(1, 2, 3))
-	for id := range RequestID(3) {
-		b.Request(0, Request{ID: id, Key: 9, Left: 2 * time.Second})
+	for id := range balance.RequestID(3) {
+		b.Request(0, balance.Request{ID: id, Key: 9, Left: 2 * time.Second})
 	}
-	b.Request(0, Request{ID: 3, Key: 8, Left: 2 * time.Second})
-	b.Request(0, Request{ID: 4, Left: 2 * time.Second})
-	if got := sentIDs(h); !slices.Equal(got, []RequestID{0, 3, 4}) {
+	b.Request(0, balance.Request{ID: 3, Key: 8, Left: 2 * time.Second})
+	b.Request(0, balance.Request{ID: 4, Left: 2 * time.Second})
+	if got := sentIDs(h); !slices.Equal(got, []balance.RequestID{0, 3, 4}) {
 		t.Fatalf("sent %v, want the first of each key", got)
 	}
-	end(b, 10*ms, 0, 0, TurnedAway) // its own further try is not delayed, and nothing passes it
-	end(b, 20*ms, 0, 1, Served)
-	if got := sentIDs(h); !slices.Equal(got, []RequestID{0, 3, 4, 0, 1}) {
+	end(b, 10*ms, 0, 0, balance.TurnedAway) // its own further try is not delayed, and nothing passes it
+	end(b, 20*ms, 0, 1, balance.Served)
+	if got := sentIDs(h); !slices.Equal(got, []balance.RequestID{0, 3, 4, 0, 1}) {
 		t.Fatalf("sent %v, want 0 again and then 1", got)
 	}
 	b.ClientGone(30*ms, 1)
@@ -996,13 +1000,13 @@
 	if got := sentIDs(h); len(got) != 5 {
 		t.Fatalf("sent %v though the attempt of 1 is still out", got)
 	}
-	end(b, 50*ms, 1, 0, Cancelled)
+	end(b, 50*ms, 1, 0, balance.Cancelled)
 	b.Wake(140 * ms)
 	if got := sentIDs(h); len(got) != 5 {
 		t.Fatalf("sent %v though the cancelled attempt may still run", got)
 	}
 	b.Wake(160 * ms)
-	if got := sentIDs(h); !slices.Equal(got, []RequestID{0, 3, 4, 0, 1, 2}) {
+	if got := sentIDs(h); !slices.Equal(got, []balance.RequestID{0, 3, 4, 0, 1, 2}) {
 		t.Fatalf("sent %v, want 2 once the key has rested", got)
 	}
 }
@@ -1012,20 +1016,20 @@
 	cfg := inOrder(0)
 	cfg.Tenants, cfg.Slots = nil, 10 // two queue places
 	b, h := start(t, cfg, ready(1, 2))
-	for id := range RequestID(2) {
-		b.Request(0, Request{ID: id, Key: 9, Left: 2 * time.Second})
+	for id := range balance.RequestID(2) {
+		b.Request(0, balance.Request{ID: id, Key: 9, Left: 2 * time.Second})
 	}
-	for id := RequestID(2); b.Counters().Queued < 2; id++ {
-		b.Request(0, Request{ID: id, Left: 2 * time.Second})
+	for id := balance.RequestID(2); b.Counters().Queued < 2; id++ {
+		b.Request(0, balance.Request{ID: id, Left: 2 * time.Second})
 	}
 	n := len(h.sends)
-	end(b, ms, h.sends[n-1].id, 0, Served)
+	end(b, ms, h.sends[n-1].id, 0, balance.Served)
 	if len(h.sends) != n+1 || h.sends[n].id == 1 {
 		t.Fatalf("sends %+v, want the one behind the key", h.sends[n:])
 	}
 }
 
-func sentIDs(h *fakeHost) (ids []RequestID) {
+func sentIDs(h *fakeHost) (ids []balance.RequestID) {
 	for _, s := range h.sends {
 		ids = append(ids, s.id)
 	}
@@ -1035,15 +1039,15 @@
 // Rule 6: further attempts stay within the budget of their own window.
 func TestRetryBudget(t *testing.T) {
 	cfg := testConfig()
-	cfg.Budget = RetryBudget{Span: time.Second, Free: 1, Share: 0.5}
+	cfg.Budget = balance.RetryBudget{Span: time.Second, Free: 1, Share: 0.5}
 	b, h := start(t, cfg, ready(1, 2, 3))
-	try := func(now time.Duration, id RequestID, class int) int {
+	try := func(now time.Duration, id balance.RequestID, class int) int {
 		n := len(h.sends)
 		b.asked = recent{}
 		ask(b, now, id, class)
-		end(b, now, id, 0, TurnedAway)
+		end(b, now, id, 0, balance.TurnedAway)
 		if len(h.sends) > n+1 {
-			end(b, now, id, 1, Served)
+			end(b, now, id, 1, balance.Served)
 		}
 		return len(h.sends) - n
 	}
@@ -1065,14 +1069,14 @@
 // A budget of nothing is a budget; none at all is no limit.
 func TestRetryBudgetZeroAndAbsent(t *testing.T) {
 	for _, c := range []struct {
-		budget RetryBudget
+		budget balance.RetryBudget
 		want   int
-	}{{RetryBudget{Span: time.Second}, 1}, {RetryBudget{}, 2}} {
+	}{{balance.RetryBudget{Span: time.Second}, 1}, {balance.RetryBudget{}, 2}} {
 		cfg := testConfig()
 		cfg.Budget = c.budget
 		b, h := start(t, cfg, ready(1, 2, 3))
 		ask(b, 0, 1, safeClass)
-		end(b, 0, 1, 0, TurnedAway)
+		end(b, 0, 1, 0, balance.TurnedAway)
 		if len(h.sends) != c.want {
 			t.Errorf("budget %+v: %d sends, want %d", c.budget, len(h.sends), c.want)
 		}
@@ -1085,11 +1089,11 @@
 	cfg.CloseWithin = 300 * ms
 	b, h := start(t, cfg, ready(1))
 	ask(b, 0, 1, safeClass)
-	b.List(10*ms, ListDelta, []Server{{ID: 1, State: Draining}})
+	b.List(10*ms, balance.ListDelta, []balance.Server{{ID: 1, State: balance.Draining}})
 	if len(h.closes) != 1 {
 		t.Fatalf("%d closes at the notice", len(h.closes))
 	}
-	end(b, 400*ms, 1, 0, Served)
+	end(b, 400*ms, 1, 0, balance.Served)
 	if len(h.closes) != 2 {
 		t.Fatalf("%d closes after the outcome", len(h.closes))
 	}
@@ -1098,7 +1102,7 @@
 		t.Fatalf("%d closes within the time", len(h.closes))
 	}
 	b, h = start(t, testConfig(), ready(1))
-	b.List(10*ms, ListDelta, []Server{{ID: 1, State: Draining}})
+	b.List(10*ms, balance.ListDelta, []balance.Server{{ID: 1, State: balance.Draining}})
 	if len(h.closes) != 0 {
 		t.Fatal("closed though no time is set")
 	}
@@ -1106,10 +1110,10 @@
 
 // Guards against: a server that fails what it gets, for whatever reason, keeps its turns, or never gets them back.
 func TestStrainedServerLosesTurnsAndComesBack(t *testing.T) {
-	for _, ending := range []Ending{Errored, TurnedAway, NoConnection, Broken, TimedOut} {
+	for _, ending := range []balance.Ending{balance.Errored, balance.TurnedAway, balance.NoConnection, balance.Broken, balance.TimedOut} {
 		b, h := start(t, testConfig(), ready(1, 2, 3, 4))
-		now, id := time.Duration(0), RequestID(0)
-		run := func(n int, bad Ending) int {
+		now, id := time.Duration(0), balance.RequestID(0)
+		run := func(n int, bad balance.Ending) int {
 			before := h.sentTo(1)
 			for range n {
 				now += 50 * ms
@@ -1118,7 +1122,7 @@
 				ask(b, now, id, unsafeClass)
 				for k := len(h.sends); k > 0 && h.sends[k-1].id == id; k = len(h.sends) {
 					n := len(b.requests[id].attempts)
-					end(b, now+5*ms, id, n-1, map[bool]Ending{true: bad, false: Served}[h.sends[k-1].to == 1])
+					end(b, now+5*ms, id, n-1, map[bool]balance.Ending{true: bad, false: balance.Served}[h.sends[k-1].to == 1])
 					if len(h.sends) == k {
 						break
 					}
@@ -1129,8 +1133,8 @@
 		if n := run(400, ending); n > 40 {
 			t.Errorf("ending %d: a server that only fails got %d of 400 sends, evenly 100", ending, n)
 		}
-		run(200, Served)
-		if n := run(100, Served); n < 12 {
+		run(200, balance.Served)
+		if n := run(100, balance.Served); n < 12 {
 			t.Errorf("ending %d: well again it got %d of 100 sends, evenly 25", ending, n)
 		}
 	}
@@ -1138,9 +1142,9 @@
 
 // Guards against incident i47e131: a thousand balancers with a slot each go on sending what comes back late.
 func TestAdmissionFollowsAnswersInTime(t *testing.T) {
-	sent := func(end1 Ending, took time.Duration) int {
+	sent := func(end1 balance.Ending, took time.Duration) int {
 		b, h := start(t, testConfig(), ready(1, 2, 3, 4))
-		for id := range RequestID(200) {
+		for id := range balance.RequestID(200) {
 			now := time.Duration(id) * 500 * ms
 			n := len(h.sends)
 			ask(b, now, id, unsafeClass)
@@ -1150,13 +1154,13 @@
 		}
 		return len(h.sends)
 	}
-	if n := sent(Served, 100*ms); n != 200 {
+	if n := sent(balance.Served, 100*ms); n != 200 {
 		t.Errorf("%d of 200 sent while all are answered in time", n)
 	}
-	if n := sent(Served, 1500*ms); n > 150 { // incident id1dbbf: late answers are no sign of room
+	if n := sent(balance.Served, 1500*ms); n > 150 { // incident id1dbbf: late answers are no sign of room
 		t.Errorf("%d of 200 sent while all are answered late", n)
 	}
-	if n := sent(TimedOut, time.Second); n > 120 || n < 20 {
+	if n := sent(balance.TimedOut, time.Second); n > 120 || n < 20 {
 		t.Errorf("%d of 200 sent while none is answered, want far fewer, but some", n)
 	}
 }
@@ -1164,10 +1168,10 @@
 // One tenth of failures, as from one bad server of ten, must not refuse anything.
 func TestAdmissionIsPatientWithFewFailures(t *testing.T) {
 	b, h := start(t, testConfig(), ready(1, 2, 3, 4))
-	for id := range RequestID(300) {
+	for id := range balance.RequestID(300) {
 		now := time.Duration(id) * 100 * ms
 		ask(b, now, id, unsafeClass)
-		end(b, now+50*ms, id, 0, map[bool]Ending{true: Errored, false: Served}[id%10 == 9])
+		end(b, now+50*ms, id, 0, map[bool]balance.Ending{true: balance.Errored, false: balance.Served}[id%10 == 9])
 	}
 	if len(h.sends) != 300 {
 		t.Fatalf("%d of 300 sent", len(h.sends))
@@ -1180,13 +1184,13 @@
 	b, h := start(t, testConfig(), ready(1, 2, 3, 4))
 	const every = 5 * ms // 200 a second
 	let, ended := make([]int, 16), 0
-	for id := range RequestID(16 * 200) {
+	for id := range balance.RequestID(16 * 200) {
 		now := time.Duration(id) * every
 		b.Wake(now)
 		ask(b, now, id, unsafeClass)
-		outcome := Errored
+		outcome := balance.Errored
 		if now >= 5*time.Second { // the trouble is over
-			outcome = Served
+			outcome = balance.Served
 		}
 		for ; ended < len(h.sends); ended++ {
 			let[now/time.Second]++
@@ -1227,9 +1231,9 @@
 	list := ready(1, 2, 3, 4)
 	list[2].Zone, list[3].Zone = 1, 1
 	b, h := start(t, cfg, list)
-	for id := range RequestID(300) {
+	for id := range balance.RequestID(300) {
 		ask(b, time.Duration(id)*20*ms, id, safeClass)
-		end(b, time.Duration(id)*20*ms+5*ms, id, 0, Served)
+		end(b, time.Duration(id)*20*ms+5*ms, id, 0, balance.Served)
 	}
 	if far := h.sentTo(1) + h.sentTo(2); far < 50 || far > 70 || b.Counters().Crossed != uint64(far) {
 		t.Fatalf("%d of 300 sends crossed, %d counted; want a fifth", far, b.Counters().Crossed)
@@ -1240,13 +1244,13 @@
 func TestStaleReportsDoNotSteer(t *testing.T) {
 	for _, stale := range []bool{false, true} {
 		cfg := testConfig()
-		cfg.MayProbe, cfg.Reports = true, HasInFlight|HasBusy
+		cfg.MayProbe, cfg.Reports = true, balance.HasInFlight|balance.HasBusy
 		b, h := start(t, cfg, ready(1, 2, 3))
 		seen := 0
 		for now := time.Duration(0); now < 3*time.Second; now += 10 * ms {
 			b.Wake(now)
 			for ; seen < len(h.probes); seen++ {
-				l := Load{Has: cfg.Reports, InFlight: 1, Busy: now.Seconds()}
+				l := balance.Load{Has: cfg.Reports, InFlight: 1, Busy: now.Seconds()}
 				if stale {
 					l.Busy = 0.5
 				}
@@ -1265,13 +1269,13 @@
 func TestServerBackFromSilenceIsSpared(t *testing.T) {
 	b, h := start(t, testConfig(), ready(1))
 	ask(b, 0, 1, unsafeClass)
-	end(b, time.Second, 1, 0, TimedOut)
+	end(b, time.Second, 1, 0, balance.TimedOut)
 	b.asked = recent{}
 	ask(b, 1100*ms, 2, unsafeClass)
-	end(b, 2100*ms, 2, 0, TimedOut)
+	end(b, 2100*ms, 2, 0, balance.TimedOut)
 	b.asked = recent{}
 	ask(b, 3*time.Second, 3, unsafeClass)
-	end(b, 3100*ms, 3, 0, Served)
+	end(b, 3100*ms, 3, 0, balance.Served)
 	if b.server(1).warmAt != 3100*ms+8*time.Second || len(h.log) == 0 {
 		t.Fatalf("cold until %v, log %q", b.server(1).warmAt, h.log)
 	}
@@ -1280,13 +1284,13 @@
 // Guards against incident i85adde: probes that fail tell nothing, and sampling went on for ever.
 func TestSamplingEndsWhereProbesFail(t *testing.T) {
 	cfg := testConfig()
-	cfg.MayProbe, cfg.Reports = true, HasInFlight
+	cfg.MayProbe, cfg.Reports = true, balance.HasInFlight
 	b, h := start(t, cfg, ready(1, 2, 3))
 	seen := 0
 	for now := time.Duration(0); now < 10*time.Second; now += 10 * ms {
 		b.Wake(now)
 		for ; seen < len(h.probes); seen++ {
-			b.Probed(now, h.probes[seen], false, Load{})
+			b.Probed(now, h.probes[seen], false, balance.Load{})
 		}
 	}
 	if len(h.probes) > 2*pairsMost {
@@ -1318,7 +1322,7 @@
 // server of the arc full, and all send to it all the same.
 func TestArcsGrowWhereReportsAreFresh(t *testing.T) {
 	cfg := testConfig()
-	cfg.MayProbe, cfg.Reports = true, HasInFlight|HasBusy
+	cfg.MayProbe, cfg.Reports = true, balance.HasInFlight|balance.HasBusy
 	b, h := start(t, cfg, ready(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20))
 	b.rate, b.rateAt = 4, 0
 	b.cut()
@@ -1326,7 +1330,7 @@
 	for seen, now := 0, time.Duration(0); now < time.Second; now += 10 * ms {
 		b.Wake(now)
 		for ; seen < len(h.probes); seen++ {
-			b.Probed(now, h.probes[seen], true, Load{Has: cfg.Reports, InFlight: 1, Busy: now.Seconds()})
+			b.Probed(now, h.probes[seen], true, balance.Load{Has: cfg.Reports, InFlight: 1, Busy: now.Seconds()})
 		}
 	}
 	b.rate, b.rateAt = 4, time.Second
@@ -1345,7 +1349,7 @@
 			b.server(1).strain = failStrain
 		}
 		ask(b, 0, 1, unsafeClass)
-		end(b, time.Second, 1, 0, TimedOut)
+		end(b, time.Second, 1, 0, balance.TimedOut)
 		if crowd := b.crowd > 0; crowd == strained {
 			t.Errorf("strained %v: a time-out counts as crowding %v", strained, crowd)
 		}
--- a/policy/random_test.go
+++ b/policy/random_test.go
@@ -7,32 +7,34 @@
 	"slices"
 	"testing"
 	"time"
+
+	"arrowgw/internal/balance"
 )
 
 // world drives a Balancer with legal events in arbitrary order and checks the
 // rules at every action. It models no server timing: it picks what happens.
 type world struct {
 	t       testing.TB
-	cfg     Config
+	cfg     balance.Config
 	b       *Balancer
 	now     time.Duration
-	next    RequestID
-	held    map[RequestID]*asked
-	order   []RequestID // ids of held, in order, so that a run can be repeated
-	listed  map[ServerID]Server
+	next    balance.RequestID
+	held    map[balance.RequestID]*asked
+	order   []balance.RequestID // ids of held, in order, so that a run can be repeated
+	listed  map[balance.ServerID]balance.Server
 	trace   []string
 	watches int
 	taken   []time.Duration // requests, for the budget
 	more    []time.Duration // further attempts
 	calm    bool            // the list changes seldom
 	rests   map[uint64]time.Duration
-	colds   map[ServerID][]time.Duration // sends to a server that is cold, since it was listed so
-	closing map[ServerID]time.Duration   // when idle connections must be closed, by server
+	colds   map[balance.ServerID][]time.Duration // sends to a server that is cold, since it was listed so
+	closing map[balance.ServerID]time.Duration   // when idle connections must be closed, by server
 }
 
 // asked is what the world knows of one request.
 type asked struct {
-	q        Request
+	q        balance.Request
 	deadline time.Duration
 	tries    []tried
 	answered bool
@@ -40,15 +42,15 @@
 }
 
 type tried struct {
-	to   Server
+	to   balance.Server
 	sent time.Duration
-	end  Ending
+	end  balance.Ending
 	out  bool
 }
 
 func (a *asked) mayHaveRun() *tried {
 	for i := range a.tries {
-		if e := a.tries[i].end; a.tries[i].out || (e != TurnedAway && e != NoConnection && e != NotSent) {
+		if e := a.tries[i].end; a.tries[i].out || (e != balance.TurnedAway && e != balance.NoConnection && e != balance.NotSent) {
 			return &a.tries[i]
 		}
 	}
@@ -59,13 +61,13 @@
 	w.trace = append(w.trace, fmt.Sprintf(format, args...))
 }
 
-func (w *world) Send(id RequestID, to ServerID, timeout time.Duration) {
+func (w *world) Send(id balance.RequestID, to balance.ServerID, timeout time.Duration) {
 	w.note("send %d %d %v", id, to, timeout)
 	a, s := w.held[id], w.listed[to]
 	switch {
 	case a == nil || a.answered:
 		w.t.Fatalf("rule 1: attempt for request %d, which is over", id)
-	case s.State != Ready:
+	case s.State != balance.Ready:
 		w.t.Fatalf("rule 3: attempt at server %d in state %d", to, s.State)
 	case timeout <= 0 || w.now+timeout > a.deadline:
 		w.t.Fatalf("rule 1: time-out %v at %v runs past the deadline %v", timeout, w.now, a.deadline)
@@ -75,12 +77,12 @@
 	class := w.cfg.Classes[a.q.Class]
 	if first := a.mayHaveRun(); first != nil {
 		switch {
-		case class.Effect == Unsafe:
+		case class.Effect == balance.Unsafe:
 			w.t.Fatalf("rule 2: unsafe request %d sent again though it may have run", id)
-		case class.Effect == Keyed && w.now-first.sent >= class.Window:
+		case class.Effect == balance.Keyed && w.now-first.sent >= class.Window:
 			w.t.Fatalf("rule 2: keyed request %d sent again %v after the first send", id, w.now-first.sent)
-		case class.Effect == Keyed && class.Scope == ScopeZone && s.Zone != first.to.Zone,
-			class.Effect == Keyed && class.Scope == ScopeCell && s.Cell != first.to.Cell:
+		case class.Effect == balance.Keyed && class.Scope == balance.ScopeZone && s.Zone != first.to.Zone,
+			class.Effect == balance.Keyed && class.Scope == balance.ScopeCell && s.Cell != first.to.Cell:
 			w.t.Fatalf("rule 2: keyed request %d sent outside its group", id)
 		}
 	}
@@ -120,7 +122,7 @@
 }
 
 // cold checks this balancer's part of a cold server's budget, of which it may have an even one at most.
-func (w *world) cold(s Server) {
+func (w *world) cold(s balance.Server) {
 	age := w.now - s.Started
 	if s.Started == 0 || age >= w.cfg.ColdTime {
 		return
@@ -169,13 +171,13 @@
 }
 
 // mustClose starts that time anew: an event at a server that drains.
-func (w *world) mustClose(id ServerID) {
-	if w.cfg.CloseWithin > 0 && w.listed[id].State == Draining {
+func (w *world) mustClose(id balance.ServerID) {
+	if w.cfg.CloseWithin > 0 && w.listed[id].State == balance.Draining {
 		w.closing[id] = w.now + w.cfg.CloseWithin
 	}
 }
 
-func (w *world) answer(id RequestID) *asked {
+func (w *world) answer(id balance.RequestID) *asked {
 	a := w.held[id]
 	if a == nil || a.answered {
 		w.t.Fatalf("rule 1: second answer for request %d, or one for a request not held", id)
@@ -187,11 +189,11 @@
 	return a
 }
 
-func (w *world) Refuse(id RequestID, pause time.Duration) {
+func (w *world) Refuse(id balance.RequestID, pause time.Duration) {
 	w.note("refuse %d %v", id, pause)
 	a := w.answer(id)
 	class := w.cfg.Classes[a.q.Class]
-	if a.mayHaveRun() != nil && (class.Effect == Unsafe || class.Effect == Keyed && class.Scope != ScopeAll) {
+	if a.mayHaveRun() != nil && (class.Effect == balance.Unsafe || class.Effect == balance.Keyed && class.Scope != balance.ScopeAll) {
 		w.t.Fatalf("rule 2: request %d refused though it may have run", id)
 	}
 	if pause < 0 || pause > w.cfg.MaxRetryAfter {
@@ -199,34 +201,34 @@
 	}
 }
 
-func (w *world) Fail(id RequestID)                { w.note("fail %d", id); w.answer(id) }
-func (w *world) Cancel(id RequestID, attempt int) { w.note("cancel %d %d", id, attempt) }
-func (w *world) Wake(d time.Duration)             { w.note("wake %v", d) }
-func (w *world) Probe(to ServerID)                { w.note("probe %d", to) }
-func (w *world) Close(to ServerID)                { w.note("close %d", to); delete(w.closing, to) }
-func (w *world) WatchList()                       { w.note("watch"); w.watches++ }
-func (w *world) Log(line string)                  { w.note("log %s", line) }
+func (w *world) Fail(id balance.RequestID)                { w.note("fail %d", id); w.answer(id) }
+func (w *world) Cancel(id balance.RequestID, attempt int) { w.note("cancel %d %d", id, attempt) }
+func (w *world) Wake(d time.Duration)                     { w.note("wake %v", d) }
+func (w *world) Probe(to balance.ServerID)                { w.note("probe %d", to) }
+func (w *world) Close(to balance.ServerID)                { w.note("close %d", to); delete(w.closing, to) }
+func (w *world) WatchList()                               { w.note("watch"); w.watches++ }
+func (w *world) Log(line string)                          { w.note("log %s", line) }
 
 // drive runs a world; pick(n) chooses among n possibilities.
 func drive(t testing.TB, steps int, pick func(n int) int) []string {
 	cfg := testConfig()
 	cfg.AskList, cfg.MayProbe = true, true
-	cfg.Reports = []LoadFields{0, HasInFlight, HasInFlight | HasBusy, HasBusy | HasService}[pick(4)]
+	cfg.Reports = []balance.LoadFields{0, balance.HasInFlight, balance.HasInFlight | balance.HasBusy, balance.HasBusy | balance.HasService}[pick(4)]
 	cfg.Balancers = []int{2, 50}[pick(2)]
 	cfg.CloseWithin = time.Duration(pick(2)) * 100 * ms
 	cfg.OrderSettle = time.Duration(pick(3)) * 50 * ms
 	cfg.Slots = []int{0, 8, 40}[pick(3)]
 	if pick(2) == 0 {
-		cfg.Budget = RetryBudget{Span: time.Second, Free: float64(pick(3)), Share: float64(pick(3)) / 5}
+		cfg.Budget = balance.RetryBudget{Span: time.Second, Free: float64(pick(3)), Share: float64(pick(3)) / 5}
 	}
 	for i := range cfg.Classes {
 		cfg.Classes[i].InOrder = pick(2) == 0
 	}
 	cfg.CrossZonePrice = float64(pick(2)) * 0.02
-	w := &world{t: t, cfg: cfg, held: map[RequestID]*asked{}, listed: map[ServerID]Server{}, now: time.Hour}
-	w.colds = map[ServerID][]time.Duration{}
+	w := &world{t: t, cfg: cfg, held: map[balance.RequestID]*asked{}, listed: map[balance.ServerID]balance.Server{}, now: time.Hour}
+	w.colds = map[balance.ServerID][]time.Duration{}
 	w.calm = pick(2) == 0
-	w.rests, w.closing = map[uint64]time.Duration{}, map[ServerID]time.Duration{}
+	w.rests, w.closing = map[uint64]time.Duration{}, map[balance.ServerID]time.Duration{}
 	b, err := New(cfg, uint64(pick(1000)), w)
 	if err != nil {
 		t.Fatal(err)
@@ -262,7 +264,7 @@
 	switch pick(10) {
 	case 0, 1, 2:
 		w.next++
-		q := Request{ID: w.next, Class: pick(len(w.cfg.Classes)), Tenant: pick(2)}
+		q := balance.Request{ID: w.next, Class: pick(len(w.cfg.Classes)), Tenant: pick(2)}
 		q.Left = time.Duration(1+pick(2000)) * ms
 		q.Key = uint64(pick(4))
 		w.held[q.ID] = &asked{q: q, deadline: w.now + q.Left, turn: int(w.next)}
@@ -278,7 +280,7 @@
 			w.list(pick)
 		}
 	case 8:
-		w.b.Probed(w.now, ServerID(pick(8)), pick(2) == 0, w.load(pick(200)))
+		w.b.Probed(w.now, balance.ServerID(pick(8)), pick(2) == 0, w.load(pick(200)))
 	case 9:
 		if len(w.order) > 0 {
 			if id := w.order[pick(len(w.order))]; !w.held[id].answered {
@@ -298,23 +300,23 @@
 		id := w.order[pick(len(w.order))]
 		for i := range w.held[id].tries {
 			if w.held[id].tries[i].out {
-				w.end(id, i, []Ending{Served, Errored, TurnedAway, NoConnection, Broken, Cancelled, NotSent}[pick(7)])
+				w.end(id, i, []balance.Ending{balance.Served, balance.Errored, balance.TurnedAway, balance.NoConnection, balance.Broken, balance.Cancelled, balance.NotSent}[pick(7)])
 				return
 			}
 		}
 	}
 }
 
-func (w *world) end(id RequestID, i int, e Ending) {
+func (w *world) end(id balance.RequestID, i int, e balance.Ending) {
 	a := w.held[id]
 	a.tries[i].out, a.tries[i].end = false, e
-	settled := a.answered || e == Served
+	settled := a.answered || e == balance.Served
 	a.answered = settled
-	if w.cfg.Classes[a.q.Class].InOrder && (e == TimedOut || e == Broken || e == Cancelled) {
+	if w.cfg.Classes[a.q.Class].InOrder && (e == balance.TimedOut || e == balance.Broken || e == balance.Cancelled) {
 		w.rests[a.q.Key] = w.now + w.cfg.OrderSettle
 	}
 	w.mustClose(a.tries[i].to.ID)
-	w.b.Outcome(w.now, Outcome{ID: id, Attempt: i, Ending: e, Settled: settled, Load: w.load(int(id))})
+	w.b.Outcome(w.now, balance.Outcome{ID: id, Attempt: i, Ending: e, Settled: settled, Load: w.load(int(id))})
 }
 
 // timeouts ends the attempts whose request's deadline has come, and wakes the
@@ -324,44 +326,44 @@
 	for _, id := range w.order {
 		for i := range w.held[id].tries {
 			if a := w.held[id]; a.tries[i].out && w.now >= a.deadline {
-				w.end(id, i, TimedOut)
+				w.end(id, i, balance.TimedOut)
 			}
 		}
 	}
 }
 
 func (w *world) list(pick func(int) int) {
-	entry := func() Server {
-		id := ServerID(pick(8))
-		s := Server{ID: id, Zone: int(id) % 2, Cell: int(id) / 2 % 2 * 2, State: State(pick(3)), Weight: float64(pick(4))}
+	entry := func() balance.Server {
+		id := balance.ServerID(pick(8))
+		s := balance.Server{ID: id, Zone: int(id) % 2, Cell: int(id) / 2 % 2 * 2, State: balance.State(pick(3)), Weight: float64(pick(4))}
 		s.Cell += s.Zone // no two zones share a cell
 		if pick(4) == 0 {
 			s.Started = w.now - time.Duration(pick(10000))*ms
 		}
 		return s
 	}
-	kind := ListKind(pick(4))
-	if kind == ListFailed {
+	kind := balance.ListKind(pick(4))
+	if kind == balance.ListFailed {
 		w.b.List(w.now, kind, nil)
 		return
 	}
-	var entries []Server
+	var entries []balance.Server
 	before := maps.Clone(w.listed)
-	if kind != ListDelta {
+	if kind != balance.ListDelta {
 		clear(w.listed)
 	}
 	for range pick(8) {
 		s := entry()
-		if slices.ContainsFunc(entries, func(o Server) bool { return o.ID == s.ID }) {
+		if slices.ContainsFunc(entries, func(o balance.Server) bool { return o.ID == s.ID }) {
 			continue
 		}
 		entries = append(entries, s)
-		if old, ok := before[s.ID]; !ok || s.Started > old.Started || old.State == Gone {
+		if old, ok := before[s.ID]; !ok || s.Started > old.Started || old.State == balance.Gone {
 			delete(w.colds, s.ID)
 		}
 		w.listed[s.ID] = s
 	}
-	if kind != ListDelta {
+	if kind != balance.ListDelta {
 		clear(w.closing)
 	}
 	for _, s := range entries {
@@ -372,11 +374,11 @@
 }
 
 // load is a report of what the settings say that reports hold, now and then of nothing.
-func (w *world) load(n int) Load {
+func (w *world) load(n int) balance.Load {
 	if n%3 == 0 {
-		return Load{}
+		return balance.Load{}
 	}
-	return Load{Has: w.cfg.Reports, InFlight: float64(n % 40), Busy: float64(n%11) / 10,
+	return balance.Load{Has: w.cfg.Reports, InFlight: float64(n % 40), Busy: float64(n%11) / 10,
 		Service: time.Duration(n%7) * 20 * ms}
 }
 
@@ -406,7 +408,7 @@
 		}
 	}
 	if len(w.order) > 60 { // forget what is over
-		w.order = slices.DeleteFunc(w.order, func(id RequestID) bool {
+		w.order = slices.DeleteFunc(w.order, func(id balance.RequestID) bool {
 			a := w.held[id]
 			over := a.answered && !slices.ContainsFunc(a.tries, func(tr tried) bool { return tr.out })
 			if over {
--- a/policy/state.go
+++ b/policy/state.go
@@ -6,17 +6,19 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"arrowgw/internal/balance"
 )
 
 type server struct {
-	Server
+	balance.Server
 	out    int           // this balancer's attempts there
 	ours   bool          // in our arc
 	due    float64       // smooth weighted round robin: when its next turn is, in turns' own time
 	strain float64       // time that its answers take, against the usual; failures count too
 	used   float64       // mean square of the share of the aim that its answers take, lately
 	toldAt time.Duration // it last reported its load; 0: never
-	load   Load          // what it told then
+	load   balance.Load  // what it told then
 	others float64       // and then held this many requests that are not ours
 	fails  int           // attempts that failed lately; an answer halves them
 	rested time.Duration // it gets nothing before this
@@ -43,7 +45,7 @@
 }
 
 type request struct {
-	id        RequestID
+	id        balance.RequestID
 	class     *class
 	home      *compartment
 	deadline  time.Duration // the client's
@@ -105,19 +107,19 @@
 func (c *recent) turnedBack() { c.all += 1 - c.good/max(1, c.sent) }
 
 type class struct {
-	Class
+	balance.Class
 	pace    time.Duration // usual time of an answer
 	longest time.Duration // the time left that first tries come with: the most seen, followed down
 }
 
 // Balancer makes the decisions of one sidecar.
 type Balancer struct {
-	cfg      Config
-	host     Host
+	cfg      balance.Config
+	host     balance.Host
 	rng      *rand.Rand
 	classes  []class
 	parts    []compartment
-	requests map[RequestID]*request
+	requests map[balance.RequestID]*request
 	open     []*request // in order of arrival; ended ones are swept out by Wake
 	servers  []*server  // in order of their ids
 	slots    int        // of all compartments
@@ -143,22 +145,22 @@
 	askAt    time.Duration // when to ask for the list next; 0: no need
 	askFails int
 	feedFrom int
-	lines    map[uint64]*line           // by key
-	taken    window                     // requests
-	more     window                     // attempts after a request's first
-	sampled  *server                    // whose reports are compared
-	sampleAt time.Duration              // when it is asked again
-	pairs    int                        // pairs of reports compared
-	fresh    int                        // and those that differed
-	share    int                        // processes that act as this balancer
-	away     map[ServerID]bool          // taken out by hand, listed or not
-	back     map[ServerID]time.Duration // brought back by hand lately: cold until then, though the list may not tell
-	closeAt  time.Duration              // when connections to draining servers are closed once more; 0: not due
-	count    Counters
+	lines    map[uint64]*line                   // by key
+	taken    window                             // requests
+	more     window                             // attempts after a request's first
+	sampled  *server                            // whose reports are compared
+	sampleAt time.Duration                      // when it is asked again
+	pairs    int                                // pairs of reports compared
+	fresh    int                                // and those that differed
+	share    int                                // processes that act as this balancer
+	away     map[balance.ServerID]bool          // taken out by hand, listed or not
+	back     map[balance.ServerID]time.Duration // brought back by hand lately: cold until then
+	closeAt  time.Duration                      // when idle connections are closed once more; 0: not due
+	count    balance.Counters
 }
 
 // Counters returns what was done so far.
-func (b *Balancer) Counters() Counters { return b.count }
+func (b *Balancer) Counters() balance.Counters { return b.count }
 
 // SlotsFree returns the free slots in a tenant's compartment.
 func (b *Balancer) SlotsFree(tenant int) int { return b.parts[tenant].slots - b.parts[tenant].used }
@@ -189,12 +191,13 @@
 }
 
 // find returns where in the list a server of that name is, or would be.
-func (b *Balancer) find(id ServerID) (int, bool) {
-	return slices.BinarySearchFunc(b.servers, id, func(s *server, id ServerID) int { return cmp.Compare(s.ID, id) })
+func (b *Balancer) find(id balance.ServerID) (int, bool) {
+	by := func(s *server, id balance.ServerID) int { return cmp.Compare(s.ID, id) }
+	return slices.BinarySearchFunc(b.servers, id, by)
 }
 
 // server returns the listed server of that name, or nil.
-func (b *Balancer) server(id ServerID) *server {
+func (b *Balancer) server(id balance.ServerID) *server {
 	if i, ok := b.find(id); ok {
 		return b.servers[i]
 	}
@@ -204,10 +207,8 @@
 // weigh adds up the weights of the servers that take part.
 func (b *Balancer) weigh() {
 	b.weight = 0
-	for _, s := range b.servers {
-		if s.stands() {
-			b.weight += s.Weight
-		}
+	for _, s := range b.ready() {
+		b.weight += s.Weight
 	}
 	b.full = max(b.full, b.weight)
 	b.cut()
@@ -265,7 +266,7 @@
 }
 
 // Out says whether a server is taken out by hand.
-func (b *Balancer) Out(id ServerID) bool { return b.away[id] }
+func (b *Balancer) Out(id balance.ServerID) bool { return b.away[id] }
 
 // forget drops a request that is over and has no attempt out; the next in its line may go.
 func (b *Balancer) forget(r *request) {
@@ -291,7 +292,7 @@
 }
 
 // listed returns the server of that name, entered where it was not listed yet.
-func (b *Balancer) listed(id ServerID) *server {
+func (b *Balancer) listed(id balance.ServerID) *server {
 	i, ok := b.find(id)
 	if !ok {
 		b.servers = slices.Insert(b.servers, i, &server{strain: 1})
@@ -302,14 +303,23 @@
 // allGone marks all servers as gone.
 func (b *Balancer) allGone() {
 	for _, s := range b.servers {
-		s.State = Gone
+		s.State = balance.Gone
 	}
 }
 
 // ClientGone takes that a client quit: nothing more is owed for the request.
-func (b *Balancer) ClientGone(now time.Duration, id RequestID) {
+func (b *Balancer) ClientGone(now time.Duration, id balance.RequestID) {
 	if r := b.requests[id]; r != nil && !r.over {
 		b.settle(r)
 		b.feed(now)
 	}
 }
+
+// known says whether a request names a class and a tenant that there are, and has time left. Where
+// no tenants are set it gives the request the one for all.
+func (b *Balancer) known(q *balance.Request) bool {
+	if len(b.cfg.Tenants) == 0 {
+		q.Tenant = 0
+	}
+	return q.Class >= 0 && q.Class < len(b.classes) && q.Tenant >= 0 && q.Tenant < len(b.parts) && q.Left > 0
+}
--- a/policy/stream_test.go
+++ b/policy/stream_test.go
@@ -3,13 +3,15 @@
 import (
 	"testing"
 	"time"
+
+	"arrowgw/internal/balance"
 )
 
 // Guards against slow clients that fill their tenant's slots for seconds, and their servers' portions.
 func TestSlowClientsHaveAPlaceBesideTheSlots(t *testing.T) {
 	b, h := start(t, testConfig(), ready(1, 2, 3, 4, 5, 6, 7, 8)) // tenant 0: 6 slots
-	for id := range RequestID(5) {
-		b.Request(0, Request{ID: id, Class: safeClass, Left: time.Second, Coming: true})
+	for id := range balance.RequestID(5) {
+		b.Request(0, balance.Request{ID: id, Class: safeClass, Left: time.Second, Coming: true})
 	}
 	ask(b, 0, 5, safeClass)
 	b.StreamBegun(ms, 5, 0)
@@ -28,9 +30,9 @@
 	if b.SlotsFree(0) != 5 || b.out != 1 {
 		t.Fatalf("%d slots free, %d out, want 5 and 1: its body has come, so it is its server's work", b.SlotsFree(0), b.out)
 	}
-	end(b, now+50*ms, 0, 0, Served)
-	for id := RequestID(1); id < 6; id++ {
-		b.Outcome(now, Outcome{ID: id, Ending: Broken, Settled: true})
+	end(b, now+50*ms, 0, 0, balance.Served)
+	for id := balance.RequestID(1); id < 6; id++ {
+		b.Outcome(now, balance.Outcome{ID: id, Ending: balance.Broken, Settled: true})
 	}
 	if b.SlotsFree(0) != 6 || b.out != 0 || len(b.requests) != 0 {
 		t.Fatalf("%d slots free, %d out, %d held after all have ended", b.SlotsFree(0), b.out, len(b.requests))
@@ -45,7 +47,7 @@
 // The places beside the slots are bounded as the slots are: past them a slow client holds a slot.
 func TestPlacesBesideTheSlotsAreBounded(t *testing.T) {
 	b, h := start(t, testConfig(), ready(1, 2, 3, 4, 5, 6, 7, 8))
-	for id := range RequestID(6*(1+besideSlots) + 10) {
+	for id := range balance.RequestID(6*(1+besideSlots) + 10) {
 		ask(b, 0, id, safeClass)
 		b.StreamBegun(0, id, 0)
 	}
@@ -57,14 +59,14 @@
 // A client's time begins with its last byte, and so does what is learnt of its server.
 func TestTimeBeginsWithTheBodysEnd(t *testing.T) {
 	b, h := start(t, testConfig(), ready(1))
-	b.Request(0, Request{ID: 1, Class: safeClass, Left: 500 * ms, Coming: true})
+	b.Request(0, balance.Request{ID: 1, Class: safeClass, Left: 500 * ms, Coming: true})
 	b.Wake(5 * time.Second)
 	b.BodyEnded(5*time.Second, 1, 500*ms)
-	b.Outcome(5*time.Second+100*ms, Outcome{ID: 1, Ending: Served, Settled: true})
+	b.Outcome(5*time.Second+100*ms, balance.Outcome{ID: 1, Ending: balance.Served, Settled: true})
 	if s := b.server(1); s.strain > 1 || b.asked.good == 0 {
 		t.Errorf("strain %v, good %v: its client's time counted against the server", s.strain, b.asked.good)
 	}
-	b.Request(6*time.Second, Request{ID: 2, Class: unsafeClass, Left: 500 * ms, Coming: true})
+	b.Request(6*time.Second, balance.Request{ID: 2, Class: unsafeClass, Left: 500 * ms, Coming: true})
 	b.BodyEnded(6*time.Second, 2, 500*ms)
 	b.Wake(6*time.Second + 600*ms)
 	if !h.failed[2] {
@@ -81,13 +83,13 @@
 	if good == 0 || strain > 1 {
 		t.Fatalf("good %v, strain %v as it begins", good, strain)
 	}
-	b.Outcome(20*time.Second, Outcome{ID: 1, Ending: Served, Settled: true})
+	b.Outcome(20*time.Second, balance.Outcome{ID: 1, Ending: balance.Served, Settled: true})
 	if s := b.server(1); b.asked.good != good || s.strain != strain || b.crowd > 0.1 {
 		t.Errorf("its length told: good %v, strain %v, crowd %v", b.asked.good, s.strain, b.crowd)
 	}
 	ask(b, 20*time.Second, 2, safeClass)
 	b.StreamBegun(20*time.Second, 2, 0)
-	b.Outcome(40*time.Second, Outcome{ID: 2, Ending: TimedOut, Settled: true})
+	b.Outcome(40*time.Second, balance.Outcome{ID: 2, Ending: balance.TimedOut, Settled: true})
 	if s := b.server(1); s.fails != 1 || b.crowd > 0.1 {
 		t.Errorf("a broken stream: %d failures, crowd %v, want one and none", s.fails, b.crowd)
 	}
@@ -96,14 +98,14 @@
 // A request whose body has gone in part is not sent again, though nothing of it ran.
 func TestSpentRequestIsRefused(t *testing.T) {
 	b, h := start(t, testConfig(), ready(1, 2))
-	b.Request(0, Request{ID: 1, Class: safeClass, Left: time.Second, Coming: true})
-	b.Outcome(10*ms, Outcome{ID: 1, Ending: NoConnection, Spent: true})
+	b.Request(0, balance.Request{ID: 1, Class: safeClass, Left: time.Second, Coming: true})
+	b.Outcome(10*ms, balance.Outcome{ID: 1, Ending: balance.NoConnection, Spent: true})
 	if _, refused := h.refused[1]; !refused || len(h.sends) != 1 {
 		t.Fatalf("sends %v, refused %v, want one and a refusal", h.sends, h.refused)
 	}
 	b, h = start(t, testConfig(), ready(1, 2))
-	b.Request(0, Request{ID: 2, Class: safeClass, Left: time.Second, Coming: true})
-	b.Outcome(10*ms, Outcome{ID: 2, Ending: NoConnection})
+	b.Request(0, balance.Request{ID: 2, Class: safeClass, Left: time.Second, Coming: true})
+	b.Outcome(10*ms, balance.Outcome{ID: 2, Ending: balance.NoConnection})
 	if len(h.sends) != 2 {
 		t.Fatalf("sends %v, want another for what is still held", h.sends)
 	}
