Read a fleet file: strict TOML, with lines and keys in its errors

Need: the parts that join sidecars want a configuration of their own, in which a mistake is told and not passed over.

Its path stands in fleet or EDGE_FLEET; with neither, nothing is different. docs/configuration.md lists the keys, and a test compares it with the program.

Libraries weighed: pelletier/go-toml v2 gives positions for unknown keys and for values; BurntSushi/toml tells which keys were not decoded, but not where; koanf and viper do more than a file needs.

--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,42 @@
+// Package fleet reads the fleet file: the configuration of the parts that join sidecars to each other. Without such a
+// file a sidecar stands alone, and none of these parts is there. Each part has a section of its own.
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
+
+	"arrowgw/internal/conf"
+)
+
+// routesMost is how many routes a file may have.
+const routesMost = 10_000
+
+// File is a fleet file. Its zero value is that of a sidecar that stands alone.
+type File struct {
+	Routes map[string]string `toml:"routes" help:"address (IP:port) by which this process reaches a peer, by the peer's name; one without a route is reached where it says that it is"`
+}
+
+// Read reads the fleet file at path.
+func Read(path string) (*File, error) {
+	var f File
+	if err := conf.Read(path, &f); err != nil {
+		return nil, err
+	}
+	if len(f.Routes) > routesMost {
+		return nil, fmt.Errorf("%s: %d routes, %d are allowed", path, len(f.Routes), routesMost)
+	}
+	var bad []error
+	for _, peer := range slices.Sorted(maps.Keys(f.Routes)) {
+		if _, err := netip.ParseAddrPort(f.Routes[peer]); err != nil {
+			bad = append(bad, fmt.Errorf("%s: key %q: %w", path, "routes."+peer, err))
+		}
+	}
+	if err := errors.Join(bad...); err != nil {
+		return nil, err
+	}
+	return &f, nil
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,45 @@
+package fleet
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"arrowgw/internal/conf"
+)
+
+func TestRead(t *testing.T) {
+	for _, c := range []struct{ text, want string }{
+		{"", ""},
+		{"[routes]\nn1 = '127.0.0.1:7946'\n'a b' = '[::1]:1'", ""},
+		{"[routes]\nn1 = 'localhost'", `key "routes.n1"`},
+		{"[routes]\nn1 = 5", ":2:"},
+		{"[rooutes]\nn1 = '127.0.0.1:1'", `:1: unknown key "rooutes`},
+		{"routes = 'x'", ":1:"},
+	} {
+		path := filepath.Join(t.TempDir(), "fleet.toml")
+		if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := Read(path)
+		if (err == nil) != (c.want == "") || err != nil && (!strings.Contains(err.Error(), c.want) || !strings.Contains(err.Error(), path)) {
+			t.Errorf("%q: error %v, want %q", c.text, err, c.want)
+		}
+	}
+}
+
+// The page that lists the keys has each as the program has it.
+func TestKeysAreListed(t *testing.T) {
+	page, err := os.ReadFile("../../docs/configuration.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, k := range conf.Keys(File{}) {
+		row := fmt.Sprintf("| `%s` | %s | %s | %s | %s |", k.Path, k.Kind, k.Default, k.Bounds, k.Help)
+		if !strings.Contains(string(page), row) {
+			t.Errorf("docs/configuration.md lacks the row\n%s", row)
+		}
+	}
+}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -3,15 +3,19 @@
 package sidecar
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"arrowgw/internal/balance"
+	"arrowgw/internal/fleet"
 	"arrowgw/internal/wire"
 )
 
@@ -21,6 +25,7 @@
 	Listen    string // where the application connects
 	Discovery string // address of discovery
 	Console   string // where operators connect; empty: nowhere
+	FleetPath string // the fleet file; empty: there is none
 	Seed      uint64
 
 	Shared string // folder that a second process has too, in an upgrade; empty: none
@@ -42,11 +47,14 @@
 
 	Known listing // the servers as last known
 
+	Fleet   *fleet.File // of the parts that join sidecars; nil: this one stands alone
+	Unknown []string    // keys of the file that mean nothing to this program
+
 	path string // the file that this was read from; empty in tests
 }
 
 // ReadConfig reads the file that EDGE_CONFIG names. What the environment says in EDGE_NAME,
-// EDGE_LISTEN, EDGE_DISCOVERY and EDGE_CONSOLE stands in for what the file leaves out.
+// EDGE_LISTEN, EDGE_DISCOVERY, EDGE_CONSOLE and EDGE_FLEET stands in for what the file leaves out.
 func ReadConfig(path string) (*Config, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
@@ -57,13 +65,18 @@
 		return nil, err
 	}
 	c.path = path
+	if c.FleetPath != "" {
+		if c.Fleet, err = fleet.Read(c.FleetPath); err != nil {
+			return nil, fmt.Errorf("fleet: %w", err)
+		}
+	}
 	return c, nil
 }
 
 func parseConfig(raw []byte, env func(string) string) (*Config, error) {
 	var file struct {
-		Name, Listen, Discovery, Console, Seed string
-		Limits                                 struct {
+		Name, Listen, Discovery, Console, Fleet, Seed string
+		Limits                                        struct {
 			MemoryMB float64 `json:"memory_mb"`
 			Sockets  float64
 		}
@@ -84,10 +97,12 @@
 		Listen:    given(file.Listen, "EDGE_LISTEN"),
 		Discovery: given(file.Discovery, "EDGE_DISCOVERY"),
 		Console:   given(file.Console, "EDGE_CONSOLE"),
+		FleetPath: given(file.Fleet, "EDGE_FLEET"),
 		Shared:    env("TMPDIR"),
 		MemoryMB:  int(file.Limits.MemoryMB),
 		Sockets:   int(file.Limits.Sockets),
 	}
+	c.Unknown = unknownKeys(raw)
 	for field, address := range map[string]string{"listen": c.Listen, "discovery": c.Discovery, "console": c.Console} {
 		if _, _, err := net.SplitHostPort(address); err != nil && (field != "console" || address != "") {
 			return nil, fmt.Errorf("config: %s: %w", field, err)
@@ -121,6 +136,50 @@
 	return c, nil
 }
 
+// unknownKeys lists the keys at the top of a file that this program has no use for. The platform may add some, so
+// they are no error.
+func unknownKeys(raw []byte) (unknown []string) {
+	known := []string{"name", "listen", "discovery", "console", "fleet", "seed", "limits", "known", "settings"}
+	var keys map[string]json.RawMessage
+	_ = json.Unmarshal(raw, &keys) // it has been read once already
+	for key := range keys {
+		if !slices.ContainsFunc(known, func(k string) bool { return strings.EqualFold(k, key) }) {
+			unknown = append(unknown, key)
+		}
+	}
+	slices.Sort(unknown)
+	return unknown
+}
+
+// Effective is the configuration in force, as Describe tells it.
+type Effective struct {
+	Name      string   `toml:"name"`
+	Listen    string   `toml:"listen"`
+	Discovery string   `toml:"discovery"`
+	Console   string   `toml:"console"`
+	Fleet     string   `toml:"fleet"`
+	MemoryMB  int      `toml:"memory_mb"`
+	Sockets   int      `toml:"sockets"`
+	Balancers int      `toml:"balancers"`
+	Index     int      `toml:"index"`
+	Classes   []string `toml:"classes"`
+	Tenants   []string `toml:"tenants"`
+	Zones     []string `toml:"zones"`
+	Known     int      `toml:"known_servers"`
+}
+
+// Describe tells the configuration in force, for people.
+func (c *Config) Describe() Effective {
+	byPlace := func(places map[string]int) []string {
+		return slices.SortedFunc(maps.Keys(places), func(a, b string) int { return cmp.Compare(places[a], places[b]) })
+	}
+	return Effective{
+		Name: c.Name, Listen: c.Listen, Discovery: c.Discovery, Console: c.Console, Fleet: c.FleetPath,
+		MemoryMB: c.MemoryMB, Sockets: c.Sockets, Balancers: c.Policy.Balancers, Index: c.Policy.Index,
+		Classes: byPlace(c.Classes), Tenants: byPlace(c.Tenants), Zones: byPlace(c.Zones), Known: len(c.Known.servers),
+	}
+}
+
 // take reads the settings: the module's own, and what the sidecar needs besides.
 func (c *Config) take(s *wire.Settings) error {
 	var err error
