--- a/cmd/caperarch/main.go
+++ b/cmd/caperarch/main.go
@@ -4,17 +4,84 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"io"
 	"log/slog"
+	"net"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
+	"time"
 
+	"github.com/spf13/cobra"
+
+	"arrowgw/internal/conf"
+	"arrowgw/internal/fleet"
+	"arrowgw/internal/logs"
 	"arrowgw/internal/sidecar"
 )
 
 func main() {
+	if len(os.Args) < 2 { // as the platform starts it, with no parser's memory
+		if run() != nil {
+			os.Exit(1)
+		}
+		return
+	}
+	root := &cobra.Command{
+		Use: "caperarch", Short: "A sidecar load balancer", SilenceUsage: true, Args: cobra.NoArgs,
+		RunE:              func(*cobra.Command, []string) error { return run() },
+		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
+	}
+	root.AddCommand(
+		&cobra.Command{
+			Use: "run", Short: "Serve, as EDGE_CONFIG says; it is what no command does too", Args: cobra.NoArgs,
+			SilenceErrors: true, // they are in the log
+			RunE:          func(*cobra.Command, []string) error { return run() },
+		},
+		checkCommand(),
+		&cobra.Command{
+			Use: "call ADDRESS LINE...", Short: "Make one call at a sidecar's console, such as show-stat or disable-server ID",
+			Args: cobra.MinimumNArgs(2),
+			RunE: func(c *cobra.Command, args []string) error { return call(c.OutOrStdout(), args[0], args[1:]) },
+		},
+		&cobra.Command{
+			Use: "version", Short: "Say which program this is", Args: cobra.NoArgs,
+			RunE: func(c *cobra.Command, _ []string) error { return version(c.OutOrStdout()) },
+		},
+	)
+	if root.Execute() != nil { // which has told why
+		os.Exit(1)
+	}
+}
+
+// checkCommand reads the configuration and says what is wrong with it, or what would be in force.
+func checkCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use: "check", Short: "Read the configuration, say what is wrong with it, or what would be in force", Args: cobra.NoArgs,
+	}
+	config := c.Flags().String("config", os.Getenv("EDGE_CONFIG"), "the sidecar's configuration, a JSON file; EDGE_CONFIG if not given")
+	fleetFile := c.Flags().String("fleet", "", "the fleet file (TOML), in place of the one that the configuration names")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		return check(c.OutOrStdout(), c.ErrOrStderr(), *config, *fleetFile)
+	}
+	return c
+}
+
+// run serves until it is told to stop. An error is in the log by then.
+func run() (err error) {
+	defer func() {
+		if err != nil {
+			slog.Error("ends", "error", err)
+		}
+	}()
+	if err := logs.Setup(os.Stderr, os.Getenv); err != nil {
+		return err
+	}
 	// It has one core at most, and the heap is small: more threads and frequent collections only cost.
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(400)
@@ -24,11 +91,85 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	cfg, err := sidecar.ReadConfig(os.Getenv("EDGE_CONFIG"))
-	if err == nil {
-		err = sidecar.Run(ctx, cfg, reload)
+	if err != nil {
+		return err
+	}
+	return sidecar.Run(ctx, cfg, reload)
+}
+
+// check prints the configuration in force, or fails with what is wrong.
+func check(out, notes io.Writer, config, fleetFile string) error {
+	if config == "" && fleetFile == "" {
+		return errors.New("nothing to check: give --config or --fleet")
+	}
+	var shown struct {
+		Sidecar *sidecar.Effective `toml:"sidecar,omitempty"`
+		Fleet   *fleet.File        `toml:"fleet,omitempty"`
+	}
+	if config != "" {
+		cfg, err := sidecar.ReadConfig(config)
+		if err != nil {
+			return err
+		}
+		told := cfg.Describe()
+		shown.Sidecar, shown.Fleet = &told, cfg.Fleet
+		for _, key := range cfg.Unknown {
+			fmt.Fprintf(notes, "caperarch: %s: key %q means nothing to this program; it is passed over\n", config, key)
+		}
+	}
+	if fleetFile != "" {
+		var err error
+		if shown.Fleet, err = fleet.Read(fleetFile); err != nil {
+			return err
+		}
+		if shown.Sidecar != nil {
+			shown.Sidecar.Fleet = fleetFile
+		}
 	}
+	return conf.Write(out, shown)
+}
+
+// callTime bounds a call at a console, which owes its answer within a second.
+const callTime = 5 * time.Second
+
+// call makes one call, prints the answer, and fails where the console says no.
+func call(out io.Writer, address string, words []string) error {
+	conn, err := net.DialTimeout("tcp", address, callTime)
 	if err != nil {
-		slog.Error("caperarch ends", "error", err)
-		os.Exit(1)
+		return err
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(callTime)) // fails only on a closed connection
+	if _, err := fmt.Fprintln(conn, strings.Join(words, " ")); err != nil {
+		return err
+	}
+	answer, err := io.ReadAll(conn)
+	_, _ = out.Write(answer) // where nobody reads on, nobody is told
+	switch {
+	case err != nil:
+		return fmt.Errorf("%s: the answer breaks off: %w", address, err)
+	case len(answer) == 0:
+		return fmt.Errorf("%s: no answer", address)
+	case strings.HasPrefix(string(answer), "4"), strings.HasPrefix(string(answer), "5"):
+		return fmt.Errorf("%s: the console says no", address)
+	}
+	return nil
+}
+
+// version prints what the build knows of itself.
+func version(out io.Writer) error {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return errors.New("this build tells nothing of itself")
+	}
+	about := map[string]string{"vcs.revision": "unknown", "vcs.time": "", "vcs.modified": ""}
+	for _, s := range info.Settings {
+		about[s.Key] = s.Value
+	}
+	changed := ""
+	if about["vcs.modified"] == "true" {
+		changed = ", with changes"
 	}
+	fmt.Fprintf(out, "caperarch %s %s%s, %s\n", about["vcs.revision"], about["vcs.time"], changed, info.GoVersion)
+	return nil
 }
--- a/cmd/caperarch/main_test.go
+++ b/cmd/caperarch/main_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -25,13 +27,13 @@
 }
 
 // program is caperarch with a configuration, not started yet.
-func program(t *testing.T, config string) *exec.Cmd {
+func program(t *testing.T, config string, args ...string) *exec.Cmd {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	cmd := exec.Command(os.Args[0])
+	cmd := exec.Command(os.Args[0], args...)
 	cmd.Env = append(os.Environ(), "CAPERARCH_ITSELF=1", "TMPDIR="+t.TempDir(), "EDGE_CONFIG="+path)
 	return cmd
 }
@@ -115,7 +117,7 @@
 	logged("serving")
 	for _, c := range []struct{ config, logged string }{
 		{strings.Replace(usable, "30000", "0", 1), "caps.conn_idle_ms"},
-		{strings.Replace(usable, "127.0.0.1:1", place.Listener.Addr().String(), 1), "discovery moves"},
+		{strings.Replace(usable, "127.0.0.1:1", place.Listener.Addr().String(), 1), "discovery moved"},
 	} {
 		if err := os.WriteFile(path, []byte(c.config), 0o600); err != nil {
 			t.Fatal(err)
@@ -139,3 +141,64 @@
 		t.Errorf("ended with %v", err)
 	}
 }
+
+// Every command says what it is asked, or in one line what is wrong, by its exit code too.
+func TestCommands(t *testing.T) {
+	dir := t.TempDir()
+	file := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	good := file("good.toml", "[routes]\nn1='127.0.0.1:1'\n")
+	bad := file("bad.toml", "[routes]\n\nn1='nowhere'\n")
+	console, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer console.Close()
+	go func() { // answers the first words of a call
+		for {
+			c, err := console.Accept()
+			if err != nil {
+				return
+			}
+			line, _ := bufio.NewReader(c).ReadString('\n')
+			answer := map[string]string{"ready\n": "200 yes\n", "disable-server x\n": "400 no\n"}[line]
+			_, _ = c.Write([]byte(answer))
+			c.Close()
+		}
+	}()
+	door := console.Addr().String()
+	for _, c := range []struct {
+		config string
+		args   []string
+		code   int
+		want   string
+	}{
+		{usable, []string{"check"}, 0, "sockets = 1024"},
+		{strings.Replace(usable, "{", `{"colour":1,`, 1), []string{"check"}, 0, `"colour" means nothing`},
+		{strings.Replace(usable, "30000", "0", 1), []string{"check"}, 1, "caps.conn_idle_ms"},
+		{usable, []string{"check", "--fleet", good}, 0, "n1 = '127.0.0.1:1'"},
+		{usable, []string{"check", "--fleet", bad}, 1, "routes.n1"},
+		{strings.Replace(usable, "{", fmt.Sprintf(`{"fleet":%q,`, bad), 1), []string{"check"}, 1, "routes.n1"},
+		{strings.Replace(usable, "{", fmt.Sprintf(`{"fleet":%q,`, bad), 1), nil, 1, "routes.n1"},
+		{usable, []string{"check", "--config", dir}, 1, "is a directory"},
+		{usable, []string{"call", door, "ready"}, 0, "200 yes"},
+		{usable, []string{"call", door, "disable-server", "x"}, 1, "400 no"},
+		{usable, []string{"call", door, "mumble"}, 1, "no answer"},
+		{usable, []string{"call", "127.0.0.1:1", "ready"}, 1, "refused"},
+		{usable, []string{"version"}, 0, "caperarch"},
+		{usable, []string{"--help"}, 0, "check"},
+		{usable, []string{"serve"}, 1, "unknown command"},
+		{usable, []string{"check", "--flet", good}, 1, "unknown flag"},
+	} {
+		cmd := program(t, c.config, c.args...)
+		out, _ := cmd.CombinedOutput()
+		if cmd.ProcessState.ExitCode() != c.code || !strings.Contains(string(out), c.want) {
+			t.Errorf("%q: exit code %d, want %d and %q:\n%s", c.args, cmd.ProcessState.ExitCode(), c.code, c.want, out)
+		}
+	}
+}
--- a/internal/sidecar/console.go
+++ b/internal/sidecar/console.go
@@ -49,7 +49,7 @@
 		case ctx.Err() != nil || errors.Is(err, net.ErrClosed):
 			return
 		default: // no descriptor is free, say: that passes
-			slog.Error("console", "error", err)
+			slog.Error("console failed", "error", err)
 			select {
 			case <-time.After(replyTime):
 			case <-ctx.Done():
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -151,7 +151,7 @@
 	if address == d.address {
 		return
 	}
-	slog.Info("discovery moves", "from", d.address, "to", address)
+	slog.Info("discovery moved", "from", d.address, "to", address)
 	d.address = address
 	if d.leave != nil {
 		d.leave()
@@ -194,7 +194,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		slog.Warn("discovery", "error", err)
+		slog.Warn("discovery failed", "error", err)
 		d.failed()
 		if d.asked != nil {
 			continue
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -68,16 +68,16 @@
 func newHandover(dir, name string) *handover {
 	h := new(handover)
 	if dir == "" {
-		slog.Info("upgrade: no TMPDIR, so calls by hand end with this process")
+		slog.Info("state not kept", "reason", "TMPDIR is not set: calls by hand end with this process")
 		return h
 	}
 	base := filepath.Join(dir, "sidecar-"+url.PathEscape(name))
 	h.state = base + ".state"
 	if err := h.enter(base + ".lock"); err != nil {
-		slog.Error("upgrade: this process takes itself for the only one", "error", err)
+		slog.Error("upgrade alone", "error", err)
 	}
 	if err := h.load(); err != nil {
-		slog.Error("upgrade: no state taken over", "error", err)
+		slog.Error("state not read", "error", err)
 	}
 	return h
 }
@@ -172,7 +172,7 @@
 	}
 	defer func() { _ = fcntl(h.lock, setLock, writer, syscall.F_UNLCK) }() // fails only on a closed file
 	if err := h.load(); err != nil {
-		slog.Error("upgrade: the state is written anew", "error", err)
+		slog.Error("state rewritten", "error", err)
 	}
 	if err := h.enterCall(instance, out, now); err != nil {
 		return err
@@ -223,7 +223,7 @@
 	defer h.mu.Unlock()
 	if h.lock != nil {
 		if err := h.load(); err != nil {
-			slog.Error("upgrade: calls made to the other process are not known", "error", err)
+			slog.Error("state not read", "error", err)
 		}
 	}
 	return maps.Clone(h.handed)
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -114,7 +114,7 @@
 	}
 	at := l.clock.now()
 	if err := l.handover.save(instance, out, time.Unix(0, int64(at))); err != nil {
-		slog.Error("by hand: it holds, but not over an upgrade", "server", instance, "out", out, "error", err)
+		slog.Error("by hand not kept", "server", instance, "out", out, "error", err)
 	}
 	return l.do(ctx, func(now time.Duration) { l.byHand(now, instance, out, at) })
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -89,7 +89,7 @@
 func (d *discovery) reconfigure(path string) {
 	cfg, err := ReadConfig(path)
 	if err != nil {
-		slog.Error("reconfiguration: the old one stays", "error", err)
+		slog.Error("configuration kept", "error", err)
 		return
 	}
 	d.move(cfg.Discovery)
@@ -107,7 +107,7 @@
 	f.ready.Store(false)
 	if replaced {
 		if err := f.clients.leave(); err != nil {
-			slog.Error("upgrade: connections that had come may be lost", "error", err)
+			slog.Error("connections may be lost", "error", err)
 		}
 	} else {
 		server.SetKeepAlivesEnabled(false)
