--- /dev/null
+++ b/internal/world/server.go
@@ -0,0 +1,402 @@
+// Package world has the models of what surrounds a sidecar: queue servers, the list of servers that discovery keeps,
+// and the requests that clients make. They are drawn from the operators' papers, not from any real machine.
+//
+// No model has a clock, a socket or a goroutine: whoever plays one passes the time and serialises the calls. The lab
+// plays them on real sockets; the same code can be played in virtual time. Times are durations since the start of a
+// run. The same calls with the same seed give the same results.
+package world
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// ServerSpec says what a queue server is like.
+type ServerSpec struct {
+	Cores float64
+	Speed float64 // of a core, against the standard one
+	Slots int     // requests in work at once
+	Room  int     // requests that may wait
+
+	Thrash   float64 // so much of its speed is lost at twice ThrashAt in work, and so on
+	ThrashAt float64
+
+	Keys    int           // keys that it remembers
+	KeyTime time.Duration // and for how long
+	KeyGain float64       // share of the work that a key met lately saves
+
+	ColdFrom   float64       // share of its capacity that it starts with; it rises evenly
+	ColdTime   time.Duration // until it has all
+	FallAt     float64       // sent more than this multiple of what it can do at that moment,
+	FallWithin time.Duration // for this long, a cold one falls over
+
+	ChokeAt   float64       // with this many requests to a core
+	ChokeOver time.Duration // for this long,
+	ChokeSlow float64       // it turns so many times slower
+	ChokeRest time.Duration // until it has been nearly idle for so long
+	ChokeMost time.Duration // or this has passed; 0: it does not choke
+
+	Errors        float64 // share of requests that end in an error
+	CancelRunning bool    // a cancelled request stops also when it is in work
+	Handshake     time.Duration
+	Probe         time.Duration // work of a probe
+}
+
+// nearlyIdle is how many requests to a core a choked server may have and yet count as idle.
+const nearlyIdle = 0.3
+
+// fallSlack is work that a cold server is forgiven in any window: a few requests, for chance.
+const fallSlack = 100 * time.Millisecond
+
+// Job is one request as a server sees it.
+type Job struct {
+	ID     uint64
+	Work   time.Duration // on the standard core
+	Key    uint64        // what it is about; 0: nothing that could be remembered
+	Unique uint64        // a repeat of it is dropped by its zone; 0: it is not
+}
+
+// Verdict is what becomes of a job that arrives.
+type Verdict int
+
+// The verdicts.
+const (
+	Taken    Verdict = iota // it waits or is in work; Advance tells of its end
+	Full                    // turned away, unseen
+	Repeated                // dropped, as its zone has had it: answered at once
+	Down                    // there is nobody
+)
+
+// Ended is a job that is done.
+type Ended struct {
+	ID    uint64
+	At    time.Duration
+	Error bool
+}
+
+// Zone remembers what its servers have had, to drop repeats. The zero value drops none.
+type Zone struct {
+	Window time.Duration
+	had    map[uint64]time.Duration
+}
+
+// repeats says whether a job was had lately, and else enters it.
+func (z *Zone) repeats(now time.Duration, unique uint64) bool {
+	if z == nil || unique == 0 || z.Window == 0 {
+		return false
+	}
+	if at, ok := z.had[unique]; ok && now-at < z.Window {
+		return true
+	}
+	if z.had == nil || len(z.had) > 1<<16 { // past the window many times over
+		z.had = make(map[uint64]time.Duration)
+	}
+	z.had[unique] = now
+	return false
+}
+
+// running is a job in work.
+type running struct {
+	job  Job
+	left float64 // seconds of work on the standard core
+}
+
+// Server is one queue server. Its methods' times never go back.
+type Server struct {
+	spec ServerSpec
+	zone *Zone
+	rng  *rand.Rand
+
+	up      bool
+	fell    bool
+	now     time.Duration
+	started time.Duration // of this life
+	cold    bool          // whether it began cold
+	slow    float64       // times slower, by a fault
+	erring  float64       // share of requests that err, by a fault
+	refuses bool
+
+	work  []running
+	queue []Job
+	debt  float64 // seconds of work that goes first: handshakes and probes
+	met   map[uint64]time.Duration
+	order []uint64 // keys met, the oldest first
+
+	sent       []sent // to a cold server, within the window
+	sentWork   float64
+	crowded    time.Duration // since when it has too many; -1: it has not
+	choked     time.Duration // since when; -1: it is not
+	idle       time.Duration // since when a choked one is nearly idle; -1: it is not
+	Worked     float64       // seconds of work done in all its lives
+	chokeTimes int
+}
+
+type sent struct {
+	at   time.Duration
+	work float64
+}
+
+// NewServer makes a server that has been up for long. zone may be nil.
+func NewServer(spec ServerSpec, zone *Zone, seed uint64) *Server {
+	s := &Server{spec: spec, zone: zone, rng: rand.New(rand.NewPCG(seed, 1)), up: true, slow: 1}
+	s.forget()
+	return s
+}
+
+func (s *Server) forget() {
+	s.work, s.queue, s.debt, s.sent, s.sentWork = nil, nil, 0, nil, 0
+	s.met, s.order = make(map[uint64]time.Duration), nil
+	s.crowded, s.choked, s.idle = -1, -1, -1
+}
+
+// Start begins a life of the server, cold, with nothing left of the one before.
+func (s *Server) Start(now time.Duration) {
+	s.forget()
+	s.up, s.fell, s.cold, s.started, s.now = true, false, true, now, now
+}
+
+// Crash ends its life. What it held is gone.
+func (s *Server) Crash(now time.Duration) {
+	s.forget()
+	s.up, s.now = false, now
+}
+
+// Up says whether it lives; Fell, whether it was pushed over when it was cold.
+func (s *Server) Up() bool { return s.up }
+
+// Fell says whether it was pushed over when it was cold.
+func (s *Server) Fell() bool { return s.fell }
+
+// Choked counts the times that a crowd made it slow.
+func (s *Server) Choked() int { return s.chokeTimes }
+
+// Slow makes it so many times slower; 1 is its usual speed.
+func (s *Server) Slow(times float64) { s.slow = max(times, 1e-3) }
+
+// Err makes a share of its requests end in errors, besides the usual ones.
+func (s *Server) Err(share float64) { s.erring = share }
+
+// Refuse makes it turn everything away, or ends that.
+func (s *Server) Refuse(on bool) { s.refuses = on }
+
+// Held is how many requests it has.
+func (s *Server) Held() int { return len(s.work) + len(s.queue) }
+
+// Warmth is the share of its capacity that it has at a moment.
+func (s *Server) Warmth(now time.Duration) float64 {
+	if !s.cold || s.spec.ColdTime <= 0 {
+		return 1
+	}
+	part := float64(now-s.started) / float64(s.spec.ColdTime)
+	return min(1, s.spec.ColdFrom+(1-s.spec.ColdFrom)*part)
+}
+
+// Capacity is the work in seconds that it can do in a second at a moment, nothing being wrong.
+func (s *Server) Capacity(now time.Duration) float64 {
+	return s.spec.Cores * s.spec.Speed * s.Warmth(now)
+}
+
+// rate is the work in seconds that it does in a second now.
+func (s *Server) rate(now time.Duration) float64 {
+	r := s.Capacity(now) / s.slow
+	if over := float64(len(s.work)) - s.spec.ThrashAt; s.spec.ThrashAt > 0 && over > 0 {
+		r /= 1 + s.spec.Thrash*over/s.spec.ThrashAt
+	}
+	if s.choked >= 0 {
+		r /= s.spec.ChokeSlow
+	}
+	return r
+}
+
+// Connect takes a new connection, whose handshake is work; Inspect a probe.
+func (s *Server) Connect(now time.Duration) { s.burden(now, s.spec.Handshake) }
+
+// Inspect takes a probe.
+func (s *Server) Inspect(now time.Duration) { s.burden(now, s.spec.Probe) }
+
+func (s *Server) burden(now time.Duration, work time.Duration) {
+	if s.up {
+		s.debt += work.Seconds()
+		s.push(now, work.Seconds())
+	}
+}
+
+// push counts work sent to a cold server, which falls over when it is too much.
+func (s *Server) push(now time.Duration, work float64) {
+	if !s.cold || s.spec.FallAt <= 0 || s.Warmth(now) >= 1 {
+		return
+	}
+	for len(s.sent) > 0 && s.sent[0].at <= now-s.spec.FallWithin {
+		s.sentWork -= s.sent[0].work
+		s.sent = s.sent[1:]
+	}
+	s.sent = append(s.sent, sent{now, work})
+	s.sentWork += work
+	if s.sentWork > s.spec.FallAt*s.Capacity(now)*s.spec.FallWithin.Seconds()+fallSlack.Seconds() {
+		s.forget()
+		s.up, s.fell = false, true
+	}
+}
+
+// Arrive takes a job whose last byte has come. Call Advance for the same moment first.
+func (s *Server) Arrive(now time.Duration, j Job) Verdict {
+	switch {
+	case !s.up:
+		return Down
+	case s.refuses || len(s.queue) >= s.spec.Room && len(s.work) >= s.spec.Slots:
+		return Full
+	case s.zone.repeats(now, j.Unique):
+		return Repeated
+	}
+	if s.push(now, j.Work.Seconds()); !s.up {
+		return Down
+	}
+	s.queue = append(s.queue, j)
+	s.fill(now)
+	s.crowd(now)
+	return Taken
+}
+
+// fill puts waiting jobs to work.
+func (s *Server) fill(now time.Duration) {
+	for len(s.queue) > 0 && len(s.work) < s.spec.Slots {
+		j := s.queue[0]
+		s.queue = s.queue[1:]
+		left := j.Work.Seconds()
+		if at, ok := s.met[j.Key]; ok && j.Key != 0 && now-at < s.spec.KeyTime {
+			left *= 1 - s.spec.KeyGain
+		}
+		s.work = append(s.work, running{j, left})
+	}
+}
+
+// remember keeps a key that was met, and forgets the oldest where there is no room.
+func (s *Server) remember(now time.Duration, key uint64) {
+	if key == 0 || s.spec.Keys == 0 {
+		return
+	}
+	if _, ok := s.met[key]; ok {
+		s.order = slices.DeleteFunc(s.order, func(k uint64) bool { return k == key })
+	} else if len(s.order) >= s.spec.Keys {
+		delete(s.met, s.order[0])
+		s.order = s.order[1:]
+	}
+	s.met[key] = now
+	s.order = append(s.order, key)
+}
+
+// crowd sees whether too many have been there for too long, and whether a choked server has come to rest.
+func (s *Server) crowd(now time.Duration) {
+	if s.spec.ChokeMost <= 0 {
+		return
+	}
+	held := float64(s.Held()) / s.spec.Cores
+	since := func(at *time.Duration, holds bool) time.Duration {
+		switch {
+		case !holds:
+			*at = -1
+			return -1
+		case *at < 0:
+			*at = now
+		}
+		return now - *at
+	}
+	if s.choked < 0 {
+		if since(&s.crowded, held > s.spec.ChokeAt) >= s.spec.ChokeOver {
+			s.choked, s.idle = now, -1
+			s.chokeTimes++
+		}
+		return
+	}
+	if since(&s.idle, held <= nearlyIdle) >= s.spec.ChokeRest || now-s.choked >= s.spec.ChokeMost {
+		s.choked, s.crowded = -1, -1
+	}
+}
+
+// Cancel takes that nobody waits for a job any more. It returns whether the job ends with that.
+func (s *Server) Cancel(id uint64) bool {
+	if i := slices.IndexFunc(s.queue, func(j Job) bool { return j.ID == id }); i >= 0 {
+		s.queue = slices.Delete(s.queue, i, i+1)
+		return true
+	}
+	if s.spec.CancelRunning {
+		if i := slices.IndexFunc(s.work, func(r running) bool { return r.job.ID == id }); i >= 0 {
+			s.work = slices.Delete(s.work, i, i+1)
+			return true
+		}
+	}
+	return false
+}
+
+// step is how long a rate that changes is taken for constant.
+const step = 20 * time.Millisecond
+
+// Advance plays on until now, and returns what has ended by then, in order.
+func (s *Server) Advance(now time.Duration) (ended []Ended) {
+	for s.up && s.now < now {
+		next := min(now, s.now+step)
+		if at, ok := s.first(); ok {
+			next = max(s.now, min(next, at))
+		}
+		s.do((next - s.now).Seconds())
+		s.now = next
+		s.work = slices.DeleteFunc(s.work, func(r running) bool {
+			if r.left > 1e-9 {
+				return false
+			}
+			s.remember(next, r.job.Key)
+			ended = append(ended, Ended{r.job.ID, next, s.rng.Float64() < s.spec.Errors+s.erring})
+			return true
+		})
+		s.fill(next)
+		s.crowd(next)
+		if len(s.work) == 0 && s.debt <= 0 && s.choked < 0 {
+			break // nothing happens until somebody comes
+		}
+	}
+	s.now = max(s.now, now)
+	return ended
+}
+
+// do does so many seconds' work: debts first, then all that is in work alike, none by more than a core.
+func (s *Server) do(seconds float64) {
+	able := s.rate(s.now) * seconds
+	paid := min(s.debt, able)
+	s.debt -= paid
+	s.Worked += paid
+	if len(s.work) == 0 {
+		return
+	}
+	each := min((able-paid)/float64(len(s.work)), able/s.spec.Cores)
+	for i := range s.work {
+		done := min(each, s.work[i].left)
+		s.work[i].left -= done
+		s.Worked += done
+	}
+}
+
+// first is when the first job in work ends at the rate of now.
+func (s *Server) first() (time.Duration, bool) {
+	if len(s.work) == 0 {
+		return 0, false
+	}
+	least := slices.MinFunc(s.work, func(a, b running) int { return cmp.Compare(a.left, b.left) }).left
+	each := min(1/float64(len(s.work)), 1/s.spec.Cores) * s.rate(s.now)
+	wait := s.debt/s.rate(s.now) + least/each
+	return s.now + time.Duration(max(1, math.Ceil(min(wait, 3600)*float64(time.Second)))), true
+}
+
+// Next is when Advance has something to tell at the soonest; false: never, as things are.
+func (s *Server) Next() (time.Duration, bool) {
+	if !s.up {
+		return 0, false
+	}
+	at, ok := s.first()
+	if s.cold && s.Warmth(s.now) < 1 {
+		at = min(at, s.now+step) // it gets faster
+	}
+	return at, ok
+}
