--- /dev/null
+++ b/cmd/fleetlab/main.go
@@ -0,0 +1,256 @@
+// Fleetlab plays whole fleets of sidecar processes on this machine's loopback, breaks parts of them and tells what
+// that cost. docs/lab.md is its page.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"arrowgw/internal/conf"
+	"arrowgw/internal/lab"
+	"arrowgw/internal/logs"
+	"arrowgw/scenarios"
+)
+
+// The exit codes.
+const (
+	exitHeld     = 0
+	exitBroken   = 1 // an invariant did not hold
+	exitUnusable = 2 // the input can't be used, or the run could not be played
+)
+
+// errBroken says that a run was played and did not hold; all has been told by then.
+var errBroken = errors.New("an invariant did not hold")
+
+func main() {
+	root := &cobra.Command{
+		Use: "fleetlab", Short: "Play fleets of sidecars on loopback, break parts of them, and judge", SilenceUsage: true, SilenceErrors: true,
+		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
+	}
+	root.AddCommand(try(), list(), play(), compare(), experiment(), sweep())
+	// Ctrl-C ends a run, and all of its processes with it.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err := logs.Setup(os.Stderr, os.Getenv)
+	if err == nil {
+		err = root.ExecuteContext(ctx)
+	}
+	switch {
+	case errors.Is(err, errBroken):
+		os.Exit(exitBroken)
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "fleetlab:", err)
+		os.Exit(exitUnusable)
+	}
+}
+
+// find reads a scenario: by the name of one that comes with the lab, or by the path of a file.
+func find(name string) (*lab.Scenario, error) {
+	if strings.HasSuffix(name, ".toml") || strings.ContainsRune(name, filepath.Separator) {
+		raw, err := os.ReadFile(name)
+		if err != nil {
+			return nil, err
+		}
+		return lab.ReadScenario(name, raw)
+	}
+	raw, err := scenarios.Files.ReadFile(name + ".toml")
+	if err != nil {
+		return nil, fmt.Errorf("there is no scenario %q; see fleetlab list, or give the path of a file", name)
+	}
+	return lab.ReadScenario(name+".toml", raw)
+}
+
+// sizes are the flags that change a scenario's size.
+type sizes struct {
+	sidecars, servers int
+	program           string
+}
+
+func (s *sizes) flags(c *cobra.Command) {
+	c.Flags().IntVar(&s.sidecars, "sidecars", 0, "sidecars, in place of the scenario's number")
+	c.Flags().IntVar(&s.servers, "servers", 0, "queue servers, in place of the scenario's number")
+	c.Flags().StringVar(&s.program, "program", "", "path of the sidecar to play; the tree's own is built if not given")
+}
+
+func (s *sizes) apply(scene *lab.Scenario) error { return scene.Resize(s.sidecars, s.servers) }
+
+func try() *cobra.Command {
+	var s sizes
+	c := &cobra.Command{
+		Use: "try", Short: "Start sidecars, servers, discovery and clients together, kill some, and show what it costs", Args: cobra.NoArgs,
+	}
+	length := c.Flags().Duration("for", 30*time.Second, "how long")
+	s.flags(c)
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		scene, err := find("try")
+		if err != nil {
+			return err
+		}
+		if err := errors.Join(scene.Stretch(*length), s.apply(scene)); err != nil {
+			return err
+		}
+		fmt.Printf("%d sidecars, %d queue servers and their clients, for %v; Ctrl-C ends all\n", scene.Fleet.Sidecars, scene.Fleet.Servers, *length)
+		return tell(c, scene, lab.Options{Seed: 1, Program: s.program, Live: lab.Live(os.Stdout)}, false)
+	}
+	return c
+}
+
+// tell plays a scenario and prints what came of it.
+func tell(c *cobra.Command, scene *lab.Scenario, o lab.Options, asJSON bool) error {
+	res, err := lab.Play(c.Context(), scene, o)
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		if err := res.JSON(os.Stdout); err != nil {
+			return err
+		}
+	} else {
+		res.Print(os.Stdout)
+	}
+	if o.Out != "" {
+		fmt.Fprintf(os.Stderr, "result, report and logs are in %s\n", o.Out)
+	}
+	if !res.Held() {
+		return errBroken
+	}
+	return nil
+}
+
+func list() *cobra.Command {
+	return &cobra.Command{
+		Use: "list", Short: "List the scenarios that come with the lab", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			names, err := fs.Glob(scenarios.Files, "*.toml")
+			if err != nil {
+				return err
+			}
+			for _, name := range names {
+				s, err := find(strings.TrimSuffix(name, ".toml"))
+				if err != nil {
+					return err
+				}
+				fmt.Printf("%-20s %3dx%-3d %5v  %s\n", s.Name, s.Fleet.Sidecars, s.Fleet.Servers, s.For, s.About)
+			}
+			return nil
+		},
+	}
+}
+
+func play() *cobra.Command {
+	var s sizes
+	c := &cobra.Command{Use: "play SCENARIO", Short: "Play a scenario, by name or by its file", Args: cobra.ExactArgs(1)}
+	seed := c.Flags().Uint64("seed", 1, "draws the requests and the targets of faults")
+	out := c.Flags().String("out", "", "folder for result.json, report.html and the logs of every process")
+	asJSON := c.Flags().Bool("json", false, "print the result as JSON")
+	effective := c.Flags().Bool("check", false, "read the scenario and print it with all defaults; play nothing")
+	s.flags(c)
+	c.RunE = func(c *cobra.Command, args []string) error {
+		scene, err := find(args[0])
+		if err != nil {
+			return err
+		}
+		if err := s.apply(scene); err != nil {
+			return err
+		}
+		if *effective {
+			return conf.Write(os.Stdout, scene)
+		}
+		o := lab.Options{Seed: *seed, Program: s.program, Out: *out}
+		if !*asJSON {
+			o.Live = lab.Live(os.Stdout)
+		}
+		return tell(c, scene, o, *asJSON)
+	}
+	return c
+}
+
+// shown are the figures that tables have unless others are asked for.
+var shown = []string{"worth", "refused", "failed", "p99_ms", "attempts", "work", "recovery_s", "cpu_ms", "rss_mib"}
+
+func figureFlag(c *cobra.Command) *[]string {
+	return c.Flags().StringSlice("figures", shown, "the figures to show; all: every one")
+}
+
+func chosen(names []string, results ...*lab.Result) []string {
+	if len(names) == 1 && names[0] == "all" {
+		return lab.FigureNames(results...)
+	}
+	return names
+}
+
+func compare() *cobra.Command {
+	c := &cobra.Command{
+		Use: "compare A B", Short: "Compare the results in two folders, pair by pair: same scenario, size and seed", Args: cobra.ExactArgs(2),
+	}
+	figures := figureFlag(c)
+	c.RunE = func(_ *cobra.Command, args []string) error {
+		a, err := lab.ReadResults(args[0])
+		if err != nil {
+			return err
+		}
+		b, err := lab.ReadResults(args[1])
+		if err != nil {
+			return err
+		}
+		if lab.Compare(os.Stdout, a, b, chosen(*figures, append(a, b...)...)) == 0 {
+			return errors.New("no run of the one has the same scenario, size and seed as one of the other")
+		}
+		return nil
+	}
+	return c
+}
+
+func experiment() *cobra.Command {
+	c := &cobra.Command{
+		Use: "experiment FILE", Args: cobra.ExactArgs(1),
+		Short: "Play a grid of programs, scenarios, sizes and seeds; what the folder holds already is kept",
+	}
+	out := c.Flags().String("out", "", "folder for the results; FILE without its ending if not given")
+	figures := figureFlag(c)
+	c.RunE = func(c *cobra.Command, args []string) error {
+		e, err := lab.ReadExperiment(args[0])
+		if err != nil {
+			return err
+		}
+		dir := *out
+		if dir == "" {
+			dir = strings.TrimSuffix(args[0], filepath.Ext(args[0]))
+		}
+		results, err := e.Run(c.Context(), dir, os.Stderr, find)
+		lab.Summary(os.Stdout, results, chosen(*figures, results...))
+		if err != nil {
+			return err
+		}
+		for _, r := range results {
+			if !r.Held() {
+				return errBroken
+			}
+		}
+		return nil
+	}
+	return c
+}
+
+func sweep() *cobra.Command {
+	return &cobra.Command{
+		Use: "sweep", Short: "Remove what labs that were killed have left, by their own records", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			swept, err := lab.Sweep()
+			for _, s := range swept {
+				fmt.Println(s)
+			}
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/internal/lab/client.go
@@ -0,0 +1,231 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"arrowgw/internal/world"
+)
+
+// answerLimit is how much of an answer a client reads, in bytes.
+const answerLimit = 64 << 10
+
+// clients make the requests of a run when they are due, whatever became of the ones before. The time of an answer
+// counts from when its request was due, so that a sidecar or a lab that stands still is not hidden.
+type clients struct {
+	clock   clock
+	scene   *Scenario
+	history *History
+	net     *subnet
+	late    *lateness
+	classes []world.Class
+	names   []string
+
+	perSidecar []*http.Client
+	once       *http.Client // for requests that are sent once more: each on a connection of its own
+
+	open    sync.WaitGroup
+	mu      sync.Mutex
+	latency []*hdrhistogram.Histogram // of served requests in microseconds, by class
+	seconds []*hdrhistogram.Histogram // and by the second in which they were due
+	count   map[Outcome]*counter      // requests by how they ended, in the second in which they were due
+	inTime  *counter                  // those served within their aim
+	served  []*counter                // by sidecar
+	live    atomic.Int64              // requests open now
+}
+
+func newClients(s *Scenario, c clock, h *History, n *subnet, late *lateness) *clients {
+	k := &clients{clock: c, scene: s, history: h, net: n, late: late, classes: s.classes(), count: make(map[Outcome]*counter)}
+	seconds := int(s.For.D() / time.Second)
+	for range k.classes {
+		k.latency = append(k.latency, hdrhistogram.New(1, 60_000_000, 3))
+	}
+	for range seconds + 2 {
+		k.seconds = append(k.seconds, hdrhistogram.New(1, 60_000_000, 2))
+	}
+	for _, o := range []Outcome{Served, Refused, Failed, GaveUp, Broken, Unreachable} {
+		k.count[o] = newCounter(seconds)
+	}
+	k.inTime = newCounter(seconds)
+	dial := (&net.Dialer{Timeout: time.Second}).DialContext
+	for range s.Fleet.Sidecars {
+		k.served = append(k.served, newCounter(seconds))
+		k.perSidecar = append(k.perSidecar, &http.Client{Transport: &http.Transport{
+			DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 256, IdleConnTimeout: 30 * time.Second,
+		}})
+	}
+	k.once = &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true, DisableKeepAlives: true}}
+	return k
+}
+
+// play makes all requests at their times, until stop is closed, and returns when the last has ended.
+func (k *clients) play(arrivals []world.Arrival, stop <-chan struct{}) {
+	defer func() {
+		k.open.Wait()
+		for _, c := range k.perSidecar {
+			c.CloseIdleConnections()
+		}
+	}()
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for i, a := range arrivals {
+		if wait := a.At - k.clock.now(); wait > 0 {
+			timer.Reset(wait)
+			select {
+			case <-timer.C:
+			case <-stop:
+				return
+			}
+		}
+		k.late.count(a.At, k.clock.now())
+		k.open.Go(func() { k.request(i, a) })
+	}
+}
+
+// request makes a request and its further tries, and counts how it ended.
+func (k *clients) request(n int, a world.Arrival) {
+	k.live.Add(1)
+	defer k.live.Add(-1)
+	class := k.classes[a.Class]
+	end, last := Asked{Arrival: a}, a.At+class.Deadline
+	heeds := float64(n%100) < 100*k.scene.Load.Heed
+	for {
+		t, pause := k.try(n, a, class, last, end.Tries > 0)
+		end.Tries++
+		end.Ended, end.End = t.Ended, t.End
+		if t.End == Served || end.Tries > k.scene.Load.Retries {
+			break
+		}
+		if !heeds || pause == 0 {
+			pause = k.scene.Load.Backoff.D()
+		}
+		if k.clock.now()+pause >= last {
+			break
+		}
+		time.Sleep(pause)
+	}
+	k.history.done(n, end)
+	k.count[end.End].add(a.At, 1)
+	if end.End != Served {
+		return
+	}
+	took := end.Ended - a.At
+	k.served[a.Sidecar].add(a.At, 1)
+	if took <= class.Aim {
+		k.inTime.add(a.At, 1)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	us := min(max(1, took.Microseconds()), 60_000_000)
+	_ = k.latency[a.Class].RecordValue(us) // in range
+	_ = k.seconds[min(max(0, int(a.At/time.Second)), len(k.seconds)-1)].RecordValue(us)
+}
+
+// try makes one try and tells how long the answer asks to wait.
+func (k *clients) try(n int, a world.Arrival, class world.Class, last time.Duration, again bool) (*Try, time.Duration) {
+	now := k.clock.now()
+	patience := max(min(time.Duration(float64(class.Deadline)*k.scene.Load.Try), last-now), time.Millisecond)
+	t := k.history.begin(n, a.Sidecar, a.Class, now)
+	ctx, cancel := context.WithDeadline(context.Background(), k.clock.at(now+patience))
+	defer cancel()
+	a0 := attempt{k: k, t: t}
+	res, body, err := a0.do(ctx, k.perSidecar[a.Sidecar], k.message(t, n, a, class, patience, again))
+	if err != nil && a0.crossed(ctx) {
+		res, body, err = a0.do(ctx, k.once, k.message(t, n, a, class, patience, again))
+	}
+	end, status := Failed, 0
+	switch {
+	case err == nil:
+		status = res.StatusCode
+		switch status {
+		case http.StatusOK:
+			end = Served
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+			end = Refused
+		}
+	case ctx.Err() != nil:
+		end = GaveUp
+	case !a0.connected:
+		end = Unreachable
+	default:
+		end = Broken
+	}
+	k.history.end(t, k.clock.now(), end, status, body, a0.partial)
+	if end != Refused {
+		return t, 0
+	}
+	seconds, _ := strconv.ParseFloat(res.Header.Get("Retry-After"), 64) // none or no number: no pause
+	return t, time.Duration(min(max(seconds, 0), 60) * float64(time.Second))
+}
+
+// message words a try in the protocol.
+func (k *clients) message(t *Try, n int, a world.Arrival, class world.Class, patience time.Duration, again bool) *http.Request {
+	method, body := http.MethodPost, `{"n":1}`
+	if class.Effect == world.Safe {
+		method, body = http.MethodGet, ""
+	}
+	url := fmt.Sprintf("http://%s/%s?work=%v", k.net.at(a.Sidecar, clientPort), class.Name, a.Work)
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		panic(err) // of parts that are all well formed
+	}
+	req.GetBody = nil // or net/http would send a keyed request once more by itself, wherever its connection broke
+	h := req.Header
+	h.Set("X-Request-ID", t.ID)
+	h.Set("X-Priority-Class", class.Name)
+	h.Set("X-Tenant-Id", tenants[a.Tenant].name)
+	h.Set("X-Route-Key", fmt.Sprintf("%016x", a.Key))
+	h.Set("X-Timeout", strconv.FormatInt(patience.Microseconds(), 10)+"u")
+	if class.Effect == world.Keyed {
+		h.Set("Idempotency-Key", fmt.Sprintf("%032x", n+1))
+	}
+	if again {
+		h.Set("X-Retried", "1")
+	}
+	return req
+}
+
+// attempt is a try on one connection after another.
+type attempt struct {
+	k         *clients
+	t         *Try
+	connected bool
+	reused    bool // the connection had carried a request before
+	partial   bool // some of an answer came
+}
+
+func (a *attempt) do(ctx context.Context, client *http.Client, req *http.Request) (*http.Response, string, error) {
+	a.connected, a.reused, a.partial = false, false, false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:              func(i httptrace.GotConnInfo) { a.connected, a.reused = true, i.Reused },
+		GotFirstResponseByte: func() { a.partial = true },
+	})
+	res, err := client.Do(req.WithContext(ctx))
+	if err != nil {
+		return nil, "", err
+	}
+	defer res.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(res.Body, answerLimit+1))
+	if err == nil && len(raw) > answerLimit {
+		err = errors.New("the answer is too long")
+	}
+	return res, string(raw), err
+}
+
+// crossed says whether the sidecar may have closed a kept connection just as the request was on its way: nothing
+// came back, and no server has it. Then clients send it once more, on a new connection.
+func (a *attempt) crossed(ctx context.Context) bool {
+	return ctx.Err() == nil && a.reused && !a.partial && !a.k.history.touched(a.t)
+}
--- /dev/null
+++ b/internal/lab/experiment.go
@@ -0,0 +1,288 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+
+	"arrowgw/internal/conf"
+)
+
+// Experiment is an experiment file: a grid of programs, scenarios, sizes and seeds.
+type Experiment struct {
+	About     string    `toml:"about" need:"yes" help:"what is to be found out"`
+	Scenarios []string  `toml:"scenarios" need:"yes" help:"scenarios by name, or all"`
+	Seeds     int       `toml:"seeds" default:"5" min:"1" max:"1000" help:"seeds 1 to this"`
+	Parallel  int       `toml:"parallel" default:"1" min:"1" max:"64" help:"runs at a time; each wants about two cores"`
+	Sidecars  []int     `toml:"sidecars" help:"numbers of sidecars; none: as each scenario has it"`
+	With      []Subject `toml:"with" help:"the programs and settings to compare; none: this tree"`
+}
+
+// Subject is one program or setting that an experiment plays.
+type Subject struct {
+	Label   string `toml:"label" need:"yes" help:"its name in results"`
+	Program string `toml:"program" help:"path of a sidecar; empty: the one of this tree"`
+	File    string `toml:"file" help:"the fleet file of every sidecar, in TOML, in place of the scenario's"`
+}
+
+// ReadExperiment reads an experiment file.
+func ReadExperiment(path string) (*Experiment, error) {
+	var e Experiment
+	if err := conf.Read(path, &e); err != nil {
+		return nil, err
+	}
+	if len(e.With) == 0 {
+		e.With = []Subject{{Label: "tree"}}
+	}
+	return &e, nil
+}
+
+// cell is one run of an experiment.
+type cell struct {
+	scene   *Scenario
+	options Options
+	label   string
+}
+
+// Run plays all of an experiment that dir does not hold yet: a result there that was made by the same program is
+// kept. find gives a scenario by its name. It tells of each run on w, and returns all results.
+func (e *Experiment) Run(ctx context.Context, dir string, w io.Writer, find func(string) (*Scenario, error)) ([]*Result, error) {
+	cells, err := e.cells(dir, find)
+	if err != nil {
+		return nil, err
+	}
+	var mu sync.Mutex
+	var all []*Result
+	var bad []error
+	places, work := make(chan struct{}, e.Parallel), sync.WaitGroup{}
+	for _, c := range cells {
+		if r, err := ReadResult(filepath.Join(c.options.Out, ResultName)); err == nil && r.Program == digest(c.options.Program) {
+			mu.Lock()
+			all = append(all, r)
+			mu.Unlock()
+			continue
+		}
+		places <- struct{}{}
+		if ctx.Err() != nil {
+			break
+		}
+		work.Go(func() {
+			defer func() { <-places }()
+			r, err := Play(ctx, c.scene, c.options)
+			if err == nil {
+				r.Label = c.label
+				err = r.rewrite(c.options.Out)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				bad = append(bad, fmt.Errorf("%s, seed %d: %w", c.scene.Name, c.options.Seed, err))
+				return
+			}
+			all = append(all, r)
+			fmt.Fprintf(w, "%-10s %-24s seed %-3d worth %.3f  %s\n", c.label, c.scene.Name, c.options.Seed, r.Figures["worth"], r.summary())
+		})
+	}
+	work.Wait()
+	if ctx.Err() != nil {
+		bad = append(bad, errors.New("ended before its time; the same command goes on from here"))
+	}
+	return all, errors.Join(bad...)
+}
+
+// summary is a run's verdicts in a few words.
+func (r *Result) summary() string {
+	var words []string
+	for _, v := range r.Verdicts {
+		if !v.Held {
+			words = append(words, fmt.Sprintf("%s BROKEN %d times", v.Invariant, v.Broken))
+		}
+	}
+	if len(words) == 0 {
+		words = []string{"held"}
+	}
+	if r.Late != "" {
+		words = append(words, "late")
+	}
+	return strings.Join(words, ", ")
+}
+
+// rewrite writes a result again, with its label.
+func (r *Result) rewrite(dir string) error {
+	raw, err := r.encode()
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(dir, ResultName), raw, 0o644)
+}
+
+// cells lists an experiment's runs, seed by seed, so that what is compared is played close together.
+func (e *Experiment) cells(dir string, find func(string) (*Scenario, error)) (all []cell, err error) {
+	tree := ""
+	sizes := e.Sidecars
+	if len(sizes) == 0 {
+		sizes = []int{0}
+	}
+	for seed := 1; seed <= e.Seeds; seed++ {
+		for _, name := range e.Scenarios {
+			for _, size := range sizes {
+				for _, with := range e.With {
+					s, err := find(name)
+					if err != nil {
+						return nil, err
+					}
+					scene, folder := *s, s.Name
+					if size > 0 {
+						scene.Fleet.Sidecars = size
+						folder = fmt.Sprintf("%s-%d", s.Name, size)
+						if err := scene.check(); err != nil {
+							return nil, fmt.Errorf("%s with %d sidecars: %w", name, size, err)
+						}
+					}
+					if with.File != "" {
+						scene.Fleet.File = with.File
+					}
+					c := cell{scene: &scene, label: with.Label}
+					c.options = Options{Seed: uint64(seed), Program: with.Program, Out: filepath.Join(dir, with.Label, folder, fmt.Sprintf("seed-%d", seed))}
+					if c.options.Program == "" {
+						if tree == "" {
+							if err := os.MkdirAll(dir, 0o755); err != nil {
+								return nil, err
+							}
+							if tree, err = Build(dir); err != nil {
+								return nil, err
+							}
+						}
+						c.options.Program = tree
+					}
+					all = append(all, c)
+				}
+			}
+		}
+	}
+	return all, nil
+}
+
+// ReadResults reads a result, or all results below a folder.
+func ReadResults(path string) (all []*Result, err error) {
+	err = filepath.WalkDir(path, func(p string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || p != path && d.Name() != ResultName {
+			return err
+		}
+		r, err := ReadResult(p)
+		all = append(all, r)
+		return err
+	})
+	if err == nil && len(all) == 0 {
+		err = fmt.Errorf("%s holds no result", path)
+	}
+	return all, err
+}
+
+// spread is the least, the median and the most of some values.
+type spread struct{ least, median, most float64 }
+
+func spreadOf(values []float64) spread {
+	v := slices.Sorted(slices.Values(values))
+	n := len(v)
+	return spread{v[0], (v[(n-1)/2] + v[n/2]) / 2, v[n-1]}
+}
+
+// Summary writes a table of results in Markdown: a line for each scenario, with the median over seeds and the spread.
+func Summary(w io.Writer, all []*Result, figures []string) {
+	by := make(map[string][]*Result)
+	for _, r := range all {
+		key := fmt.Sprintf("%s | %s | %dx%d", r.Label, r.Scenario, r.Sidecars, r.Servers)
+		by[key] = append(by[key], r)
+	}
+	fmt.Fprintf(w, "| program | scenario | size | runs | held | late | %s |\n", strings.Join(figures, " | "))
+	fmt.Fprintf(w, "|%s\n", strings.Repeat(" --- |", 6+len(figures)))
+	for _, key := range slices.Sorted(maps.Keys(by)) {
+		held, late := 0, 0
+		for _, r := range by[key] {
+			if r.Held() {
+				held++
+			}
+			if r.Late != "" {
+				late++
+			}
+		}
+		fmt.Fprintf(w, "| %s | %d | %d | %d |", key, len(by[key]), held, late)
+		for _, name := range figures {
+			var values []float64
+			for _, r := range by[key] {
+				if v, ok := r.Figures[name]; ok {
+					values = append(values, v)
+				}
+			}
+			if len(values) == 0 {
+				fmt.Fprint(w, " |")
+				continue
+			}
+			s := spreadOf(values)
+			fmt.Fprintf(w, " %.4g (%.4g to %.4g) |", s.median, s.least, s.most)
+		}
+		fmt.Fprintln(w)
+	}
+}
+
+// Compare pairs the runs of a and b by scenario, size and seed, and writes for each scenario and figure the medians,
+// the ratio b to a with its spread over the pairs, and in how many pairs b was above a. It returns the number of pairs.
+func Compare(w io.Writer, a, b []*Result, figures []string) int {
+	key := func(r *Result) string {
+		return fmt.Sprintf("%s %dx%d seed %d", r.Scenario, r.Sidecars, r.Servers, r.Seed)
+	}
+	first := make(map[string]*Result)
+	for _, r := range a {
+		first[key(r)] = r
+	}
+	pairs := make(map[string][][2]*Result)
+	n := 0
+	for _, r := range b {
+		if p := first[key(r)]; p != nil {
+			name := fmt.Sprintf("%s %dx%d", r.Scenario, r.Sidecars, r.Servers)
+			pairs[name] = append(pairs[name], [2]*Result{p, r})
+			n++
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(pairs)) {
+		fmt.Fprintf(w, "%s, %d pairs\n", name, len(pairs[name]))
+		for _, figure := range figures {
+			var x, y, ratios []float64
+			above := 0
+			for _, p := range pairs[name] {
+				u, okA := p[0].Figures[figure]
+				v, okB := p[1].Figures[figure]
+				if !okA || !okB {
+					continue
+				}
+				x, y = append(x, u), append(y, v)
+				if v > u {
+					above++
+				}
+				if u != 0 {
+					ratios = append(ratios, v/u)
+				}
+			}
+			if len(x) == 0 {
+				continue
+			}
+			ratio := "-"
+			if len(ratios) > 0 {
+				s := spreadOf(ratios)
+				ratio = fmt.Sprintf("%.3f (%.3f to %.3f)", s.median, s.least, s.most)
+			}
+			fmt.Fprintf(w, "  %-20s a %-10.4g b %-10.4g b/a %-26s b above a in %d of %d\n",
+				figure, spreadOf(x).median, spreadOf(y).median, ratio, above, len(x))
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/lab/faults.go
@@ -0,0 +1,302 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"arrowgw/internal/world"
+)
+
+// Mark is a fault as it was played, for the report.
+type Mark struct {
+	At, Until time.Duration // Until is 0 where it was never mended
+	Text      string
+}
+
+// faults plays a plan. Each action has a goroutine while it lasts; all end with the context.
+type faults struct {
+	run  *run
+	rng  *rand.Rand // of damages; guarded by mu
+	work sync.WaitGroup
+
+	mu    sync.Mutex
+	marks []Mark
+	errs  []error
+}
+
+// play plays the plan until the context ends, and returns once all that was begun has ended too.
+func (f *faults) play(ctx context.Context, plan []Action) {
+	defer f.work.Wait()
+	for _, a := range plan {
+		if !sleep(ctx, a.At.D()-f.run.clock.now()) {
+			return
+		}
+		f.mu.Lock()
+		f.marks = append(f.marks, Mark{At: a.At.D(), Text: a.text()})
+		mark := len(f.marks) - 1
+		f.mu.Unlock()
+		f.work.Go(func() {
+			if err := f.act(ctx, a); err != nil && ctx.Err() == nil {
+				f.mu.Lock()
+				f.errs = append(f.errs, fmt.Errorf("fault %s: %w", a.text(), err))
+				f.mu.Unlock()
+			}
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if a.For > 0 || a.Do == "upgrade" {
+				f.marks[mark].Until = f.run.clock.now()
+			}
+		})
+	}
+}
+
+// text words an action for people.
+func (a Action) text() string {
+	words := []string{a.Do}
+	if kinds[a.Do].on != "discovery" && kinds[a.Do].on != "load" {
+		words = append(words, kinds[a.Do].on+"s", fmt.Sprint(a.Targets))
+	}
+	if a.Size != 0 {
+		words = append(words, fmt.Sprintf("size %g", a.Size))
+	}
+	if a.State != "kept" {
+		words = append(words, "state "+a.State)
+	}
+	if a.For > 0 {
+		words = append(words, "for "+a.For.String())
+	}
+	return strings.Join(words, " ")
+}
+
+// sleep waits; false: the context has ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(max(0, d))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// act carries out one action on all its targets: at once, or one after another where it has a pause.
+func (f *faults) act(ctx context.Context, a Action) error {
+	one := map[string]func(context.Context, Action, int) error{
+		"sidecar": f.sidecar, "server": f.server, "discovery": f.discovery, "link": f.link,
+		"load": func(context.Context, Action, int) error { return nil }, // it is in the arrivals
+	}[kinds[a.Do].on]
+	var all sync.WaitGroup
+	errs := make(chan error, len(a.Targets))
+	for i, target := range a.Targets {
+		if i > 0 && a.Pause > 0 && kinds[a.Do].on != "link" && kinds[a.Do].on != "discovery" && !sleep(ctx, a.Pause.D()) {
+			break
+		}
+		all.Go(func() { errs <- one(ctx, a, target) })
+	}
+	all.Wait()
+	close(errs)
+	var bad []error
+	for err := range errs {
+		bad = append(bad, err)
+	}
+	return errors.Join(bad...)
+}
+
+// mended waits until an action's time is over; false: it is for good, or the run ends before.
+func mended(ctx context.Context, a Action) bool { return a.For > 0 && sleep(ctx, a.For.D()) }
+
+func (f *faults) sidecar(ctx context.Context, a Action, i int) error {
+	p := f.run.processes
+	again := func() error {
+		f.run.roster.restarted(i)
+		_, err := p.start(i)
+		return err
+	}
+	switch a.Do {
+	case "kill":
+		p.kill(i)
+		if !mended(ctx, a) {
+			return nil
+		}
+		f.mu.Lock()
+		err := p.damage(i, a.State, f.rng)
+		f.mu.Unlock()
+		return errors.Join(err, again())
+	case "stop":
+		if q := p.of(i); q != nil {
+			p.stop(q)
+		}
+		if mended(ctx, a) {
+			return again()
+		}
+	case "pause":
+		p.pause(i, true)
+		mended(ctx, a)
+		p.pause(i, false)
+	case "upgrade":
+		return p.upgrade(i)
+	case "full":
+		return p.fileLimit(i, uint64(a.Size))
+	}
+	return nil
+}
+
+func (f *faults) server(ctx context.Context, a Action, i int) error {
+	s, r, list := f.run.servers, f.run.roster, f.run.scene.List
+	entry := func(life world.Life) world.Entry { return world.Entry{Server: i, Life: life} }
+	fresh := func() world.Entry {
+		e := entry(world.Ready)
+		e.Started = f.run.clock.now()
+		return e
+	}
+	switch a.Do {
+	case "crash":
+		s.crash(i)
+		r.hear(list.Notice.D(), entry(world.Gone))
+		if mended(ctx, a) {
+			r.hear(list.Notice.D(), fresh())
+			return s.start(i)
+		}
+	case "silence":
+		s.silence(i, true)
+		r.hear(list.Silence.D(), entry(world.Gone))
+		if mended(ctx, a) {
+			s.silence(i, false)
+			r.hear(list.Notice.D(), fresh())
+		}
+	case "drain":
+		r.hear(list.Notice.D(), entry(world.Draining))
+		if mended(ctx, a) {
+			r.hear(list.Notice.D(), entry(world.Ready))
+		}
+	case "slow":
+		s.change(i, func(m *world.Server) { m.Slow(a.Size) })
+		if mended(ctx, a) {
+			s.change(i, func(m *world.Server) { m.Slow(1) })
+		}
+	case "err":
+		s.change(i, func(m *world.Server) { m.Err(a.Size) })
+		if mended(ctx, a) {
+			s.change(i, func(m *world.Server) { m.Err(0) })
+		}
+	case "refuse":
+		s.change(i, func(m *world.Server) { m.Refuse(true) })
+		if mended(ctx, a) {
+			s.change(i, func(m *world.Server) { m.Refuse(false) })
+		}
+	case "out":
+		f.byHand(ctx, "disable-server", i)
+		if mended(ctx, a) {
+			f.byHand(ctx, "enable-server", i)
+		}
+	}
+	return nil
+}
+
+// byHand calls at every sidecar's console, as an operator does: again and again until it says yes.
+func (f *faults) byHand(ctx context.Context, call string, server int) {
+	var all sync.WaitGroup
+	for i := range f.run.scene.Fleet.Sidecars {
+		all.Go(func() {
+			for ctx.Err() == nil {
+				if q := f.run.processes.of(i); q != nil {
+					if call == "enable-server" { // from the moment that it may be heard
+						f.run.history.tell(Told{At: f.run.clock.now(), Sidecar: i, Server: server, ByHand: true})
+					}
+					if answer, err := callConsole(q.console, call+" "+serverName(server)); err == nil && strings.HasPrefix(answer, "200") {
+						if call == "disable-server" {
+							f.run.history.tell(Told{At: f.run.clock.now(), Sidecar: i, Server: server, Out: true, ByHand: true})
+						}
+						return
+					}
+				}
+				sleep(ctx, 100*time.Millisecond)
+			}
+		})
+	}
+	all.Wait()
+}
+
+func (f *faults) discovery(ctx context.Context, a Action, _ int) error {
+	r := f.run.roster
+	switch a.Do {
+	case "away":
+		r.outage(true)
+		if mended(ctx, a) {
+			r.outage(false)
+		}
+	case "stale":
+		r.freeze(true)
+		if mended(ctx, a) {
+			r.freeze(false)
+		}
+	case "crawl":
+		r.crawl(a.Pause.D())
+		if mended(ctx, a) {
+			r.crawl(0)
+		}
+	case "move":
+		if err := r.move(); err != nil {
+			return err
+		}
+		for i := range f.run.scene.Fleet.Sidecars {
+			if err := f.run.processes.reload(i); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (f *faults) link(ctx context.Context, a Action, i int) error {
+	set := func(on bool) {
+		change := func(w *weather) {
+			size := a.Size
+			if !on {
+				size = 0
+			}
+			switch a.Do {
+			case "cut":
+				w.cut = on
+			case "delay":
+				w.delay = 0
+				if on {
+					w.delay = a.Pause.D()
+				}
+			case "reorder":
+				w.jitter = 0
+				if on {
+					w.jitter = max(a.Pause.D(), time.Millisecond)
+				}
+			case "drop":
+				w.drop = size
+			case "duplicate":
+				w.duplicate = size
+			case "limit":
+				w.rate = size
+			}
+		}
+		for _, peer := range a.Peers {
+			if peer == i {
+				continue
+			}
+			if a.Way != "in" {
+				f.run.mesh.set(i, peer, change)
+			}
+			if a.Way != "out" {
+				f.run.mesh.set(peer, i, change)
+			}
+		}
+	}
+	set(true)
+	if mended(ctx, a) {
+		set(false)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/history.go
@@ -0,0 +1,166 @@
+package lab
+
+import (
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	"arrowgw/internal/world"
+)
+
+// History is all that happened in a run, as the stand-ins saw it. Its methods are safe for concurrent use; judging
+// and counting come once the run is over.
+type History struct {
+	mu       sync.Mutex
+	tries    []*Try
+	asked    []Asked  // by arrival
+	strays   []string // what reached a server and no client had sent
+	told     []Told   // what sidecars were told of servers
+	fallen   []string // servers that were pushed over when they were cold
+	ends     []string // processes that ended and should not have, or did not and should
+	over     []string // limits passed
+	killed   []span   // when a sidecar's process was killed, by sidecar
+	stopped  []span   // or told to stop
+	finished map[uint64]time.Duration
+}
+
+// span is a time in a sidecar's life.
+type span struct {
+	sidecar  int
+	from, to time.Duration
+}
+
+// Asked is what became of what a client wanted, over all its tries.
+type Asked struct {
+	world.Arrival
+	Tries int
+	Ended time.Duration
+	End   Outcome
+}
+
+// Outcome is how a try, or all of a request's, ended.
+type Outcome string
+
+// The outcomes. Broken is a connection that ended with no whole answer.
+const (
+	Served      Outcome = "served"
+	Refused     Outcome = "refused"
+	Failed      Outcome = "failed"
+	GaveUp      Outcome = "gave up"
+	Broken      Outcome = "broken"
+	Unreachable Outcome = "unreachable"
+)
+
+// Try is one request on a sidecar's socket.
+type Try struct {
+	ID      string
+	Arrival int
+	Sidecar int
+	Class   int
+	Sent    time.Duration
+	Ended   time.Duration
+	End     Outcome
+	Status  int
+	Partial bool   // some of an answer came
+	Body    string // of a served one
+	Reached []Reached
+}
+
+// Reached is a try's arrival at a server.
+type Reached struct {
+	Server  int
+	Sidecar int           // whose address it came by
+	At      time.Duration // of its first bytes
+	Verdict world.Verdict
+	Answer  string // the body, where it was served
+}
+
+// Told is a word on a server that binds a sidecar: to send it nothing new from then on, or that it may.
+type Told struct {
+	At      time.Duration
+	Sidecar int
+	Server  int
+	Out     bool
+	ByHand  bool // by a call at the console, which counts at once; else by discovery, with the rule's grace
+}
+
+// begin enters a try and gives it its id.
+func (h *History) begin(arrival, sidecar, class int, now time.Duration) *Try {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t := &Try{ID: fmt.Sprintf("%016x", len(h.tries)+1), Arrival: arrival, Sidecar: sidecar, Class: class, Sent: now}
+	h.tries = append(h.tries, t)
+	return t
+}
+
+// find returns the try of an id, or nil.
+func (h *History) find(id string) *Try {
+	n, err := strconv.ParseUint(id, 16, 64)
+	if err != nil || len(id) != 16 || n < 1 || n > uint64(len(h.tries)) {
+		return nil
+	}
+	return h.tries[n-1]
+}
+
+// reach takes that a request came to a server; n is its place among the try's arrivals there, or -1 for one that no
+// client sent.
+func (h *History) reach(id string, r Reached) (t *Try, n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if t = h.find(id); t == nil {
+		h.strays = append(h.strays, fmt.Sprintf("at %v server %d got id %.40q by sidecar %d", r.At, r.Server, id, r.Sidecar))
+		return nil, -1
+	}
+	t.Reached = append(t.Reached, r)
+	return t, len(t.Reached) - 1
+}
+
+// settle completes what reach entered.
+func (h *History) settle(t *Try, n int, verdict world.Verdict, answer string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t.Reached[n].Verdict, t.Reached[n].Answer = verdict, answer
+}
+
+// end takes how a try ended.
+func (h *History) end(t *Try, now time.Duration, end Outcome, status int, body string, partial bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t.Ended, t.End, t.Status, t.Body, t.Partial = now, end, status, body, partial
+}
+
+// touched says whether a try has come to a server by now.
+func (h *History) touched(t *Try) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(t.Reached) > 0
+}
+
+// done takes what became of an arrival.
+func (h *History) done(arrival int, a Asked) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.asked[arrival] = a
+}
+
+// tell takes that a sidecar was told something of a server.
+func (h *History) tell(t Told) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.told = append(h.told, t)
+}
+
+// note appends to one of the lists of what went wrong.
+func (h *History) note(list *[]string, format string, args ...any) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	*list = append(*list, fmt.Sprintf(format, args...))
+}
+
+// life takes that a sidecar's process was killed or told to stop, and when it was there again.
+func (h *History) life(list *[]span, s span) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	*list = append(*list, s)
+}
--- /dev/null
+++ b/internal/lab/lab.go
@@ -0,0 +1,135 @@
+// Package lab plays whole fleets of real sidecar processes on loopback: it stands in for what surrounds them (queue
+// servers, discovery, clients, the network between sidecars), breaks parts of it by a timetable, and judges the run.
+//
+// It promises:
+//   - The processes are the real program. Everything else is a stand-in that holds to the platform's protocol.
+//   - The same scenario and seed give the same requests, at the same times, and the same faults with the same targets in
+//     the same order. What becomes of them depends on real sockets and real time.
+//   - Whether an invariant holds is decided over the whole history, from what reached whom in which order. Two of
+//     them ("drains", "cold") compare times; they are judged only where the lab itself ran on time.
+//   - Figures are measured and compared. None of them ever fails a run.
+//   - Nothing of a run outlives it: processes die with the lab, even where it is killed, and what lies in its folder is
+//     swept by the next lab, by the record of the one that is gone.
+//
+// A run has one goroutine for each request that is open, each connection and each relayed packet that is delayed, and
+// bounds each: by the load of its scenario, by a server's sockets, by linkQueue.
+package lab
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// clock tells the time of a run. It is far below zero until begin is called, and goes on from just below zero then:
+// it never goes back.
+type clock struct {
+	made   time.Time
+	offset *atomic.Int64
+}
+
+// prepTime is how far below zero a clock starts; far more than the preparations of a run may take.
+const prepTime = 10 * time.Minute
+
+func newClock() clock {
+	c := clock{time.Now(), new(atomic.Int64)}
+	c.offset.Store(int64(prepTime))
+	return c
+}
+
+// begin has the clock come to zero after d.
+func (c clock) begin(d time.Duration) { c.offset.Store(int64(time.Since(c.made) + d)) }
+
+func (c clock) now() time.Duration { return time.Since(c.made) - time.Duration(c.offset.Load()) }
+
+func (c clock) at(d time.Duration) time.Time { return c.made.Add(d + time.Duration(c.offset.Load())) }
+
+// lateness is how late the lab itself ran: a timer that should go off does so later where the machine is busy.
+type lateness struct {
+	mu   sync.Mutex
+	hist *hdrhistogram.Histogram
+	gaps []gap // the times in which it was very late
+	over int   // and how many more there were
+}
+
+type gap struct{ from, to time.Duration }
+
+const (
+	latePoll  = 5 * time.Millisecond
+	lateGap   = 100 * time.Millisecond // the lab is very late from here on
+	lateTail  = 25 * time.Millisecond  // and a run is late whose 99th percentile is above this,
+	lateParts = 0.02                   // or which was very late in more than this part of its time
+	gapsMost  = 10_000
+)
+
+func newLateness() *lateness { return &lateness{hist: hdrhistogram.New(1, 60_000_000, 3)} }
+
+// watch measures until stop is closed.
+func (l *lateness) watch(c clock, stop <-chan struct{}) {
+	t := time.NewTimer(latePoll)
+	defer t.Stop()
+	for due := c.now() + latePoll; ; {
+		select {
+		case <-stop:
+			return
+		case <-t.C:
+		}
+		now := c.now()
+		l.count(due, now)
+		due = now + latePoll
+		t.Reset(latePoll)
+	}
+}
+
+// count takes that something due was done at a moment.
+func (l *lateness) count(due, done time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_ = l.hist.RecordValue(min(max(1, (done-due).Microseconds()), 60_000_000)) // in range
+	if done-due < lateGap {
+		return
+	}
+	if len(l.gaps) >= gapsMost {
+		l.over++
+		return
+	}
+	l.gaps = append(l.gaps, gap{due, done})
+}
+
+// judge says whether a run of that length was late, and why.
+func (l *lateness) judge(length time.Duration) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var lost time.Duration
+	for _, g := range l.gaps {
+		lost += g.to - g.from
+	}
+	if p99 := time.Duration(l.hist.ValueAtQuantile(99)) * time.Microsecond; p99 > lateTail {
+		return fmt.Sprintf("the lab's timers went off up to %v late in 99 of 100 cases, %v is allowed", p99, lateTail)
+	}
+	if part := float64(lost) / float64(length); part > lateParts || l.over > 0 {
+		return fmt.Sprintf("the lab stood still for %v in all, in gaps of over %v", lost, lateGap)
+	}
+	return ""
+}
+
+// counter counts by second, for plots. It is safe for concurrent use.
+type counter struct{ by []atomic.Int64 }
+
+func newCounter(seconds int) *counter { return &counter{make([]atomic.Int64, seconds+2)} }
+
+// add counts n in the second of a moment; what is outside of the run counts in the nearest.
+func (c *counter) add(at time.Duration, n int64) {
+	c.by[min(max(0, int(at/time.Second)), len(c.by)-1)].Add(n)
+}
+
+func (c *counter) values() []float64 {
+	v := make([]float64, len(c.by))
+	for i := range c.by {
+		v[i] = float64(c.by[i].Load())
+	}
+	return v
+}
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,478 @@
+package lab
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"arrowgw/internal/conf"
+)
+
+// TestMain lets the test program stand in for a sidecar that does wrong, and for a lab that is killed.
+func TestMain(m *testing.M) {
+	switch {
+	case os.Getenv("EDGE_CONFIG") != "":
+		badSidecar()
+	case os.Getenv("LAB_TO_BE_KILLED") != "":
+		s, err := ReadScenario("killed.toml", []byte("about='x'\nfor='60s'\n[fleet]\nsidecars=2\nservers=2\n[load]\nuse=0.1"))
+		if err == nil {
+			_, err = Play(context.Background(), s, Options{Seed: 1, Program: os.Args[0]})
+		}
+		fmt.Println(err)
+	default:
+		code := m.Run()
+		if builtIn != "" {
+			_ = os.RemoveAll(builtIn)
+		}
+		os.Exit(code)
+	}
+}
+
+// badSidecar carries requests as well as it must to be noticed for one thing that it does wrong: the one that the
+// fleet file names.
+func badSidecar() {
+	var cfg struct {
+		Listen, Console, Discovery, Fleet string
+		Known                             listingJSON
+	}
+	raw, _ := os.ReadFile(os.Getenv("EDGE_CONFIG"))
+	_ = json.Unmarshal(raw, &cfg)
+	var file struct {
+		Wrong  string            `toml:"wrong"`
+		Routes map[string]string `toml:"routes"`
+	}
+	if cfg.Fleet != "" {
+		if err := conf.Read(cfg.Fleet, &file); err != nil {
+			panic(err)
+		}
+	}
+	wrong := file.Wrong
+	go func() { // it hears of what changes, and does not care
+		for ; ; time.Sleep(100 * time.Millisecond) {
+			if res, err := http.Get("http://" + cfg.Discovery + "/discovery/hosts"); err == nil {
+				_, _ = io.Copy(io.Discard, res.Body)
+				res.Body.Close()
+			}
+		}
+	}()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM)
+	door, err := net.Listen("tcp", cfg.Console)
+	if err != nil {
+		panic(err)
+	}
+	go func() {
+		for {
+			c, err := door.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = bufio.NewReader(c).ReadString('\n')
+			_, _ = io.WriteString(c, "200 yes\n") // whatever it was
+			c.Close()
+		}
+	}()
+	var n atomic.Int64
+	var hoard [][]byte
+	began := time.Now()
+	send := func(r *http.Request, server int, id string) (*http.Response, []byte) {
+		req, _ := http.NewRequest(r.Method, "http://"+cfg.Known.Instances[server].HostPort+r.URL.String(), strings.NewReader("x"))
+		req.Header = r.Header.Clone()
+		req.Header.Set("X-Request-ID", id)
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return nil, nil
+		}
+		defer res.Body.Close()
+		body, _ := io.ReadAll(res.Body)
+		return res, body
+	}
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/up" {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		i, id := int(n.Add(1)), r.Header.Get("X-Request-ID")
+		server := i % len(cfg.Known.Instances)
+		odd := i%20 == 0
+		if wrong == "push" {
+			server = 0 // all to one
+		}
+		if wrong == "stray" && odd {
+			send(r, server, "00000000ffffffff")
+		}
+		if wrong == "twice" && odd {
+			send(r, (server+1)%len(cfg.Known.Instances), id)
+		}
+		if wrong == "hoard" && odd && len(hoard) < 100 {
+			hoard = append(hoard, bytes.Repeat([]byte{1}, 16<<20))
+		}
+		if wrong == "ends" && time.Since(began) > time.Second {
+			os.Exit(3)
+		}
+		res, body := send(r, server, id)
+		switch {
+		case res == nil:
+			w.WriteHeader(http.StatusBadGateway)
+		case wrong == "loses" && odd:
+			panic(http.ErrAbortHandler)
+		case wrong == "forges" && odd:
+			_, _ = io.WriteString(w, "all is well")
+		case wrong == "denies" && odd && res.StatusCode == http.StatusOK:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		default:
+			w.WriteHeader(res.StatusCode)
+			_, _ = w.Write(body)
+		}
+	}
+	var one sync.Mutex // hoard is shared
+	l, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		panic(err)
+	}
+	go func() {
+		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if wrong == "hoard" {
+				one.Lock()
+				defer one.Unlock()
+			}
+			serve(w, r)
+		}))
+	}()
+	<-stop
+	if wrong == "stays" {
+		select {}
+	}
+	time.Sleep(300 * time.Millisecond)
+}
+
+// scene reads a scenario that a test has as text.
+func scene(t *testing.T, text string) *Scenario {
+	t.Helper()
+	s, err := ReadScenario("test.toml", []byte("about = 'a test'\n"+text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// play plays a scenario and tells which invariants broke.
+func play(t *testing.T, s *Scenario, o Options) (*Result, map[string]Verdict) {
+	t.Helper()
+	res, err := Play(t.Context(), s, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	broken := make(map[string]Verdict)
+	for _, v := range res.Verdicts {
+		if !v.Held {
+			broken[v.Invariant] = v
+		}
+	}
+	return res, broken
+}
+
+// Every invariant is seen to fail where it must: for each there is a sidecar that breaks it and no other, and one
+// that does nothing wrong breaks none.
+func TestEachInvariantCanFail(t *testing.T) {
+	for _, c := range []struct{ wrong, breaks, faults string }{
+		{"", "", ""},
+		{"loses", "answered", ""},
+		{"twice", "once", ""},
+		{"forges", "honest", ""},
+		{"denies", "honest", ""},
+		{"stray", "known", ""},
+		{"hand", "drains", "[[fault]]\nat='500ms'\ndo='out'\ntarget='0'"},
+		{"drain", "drains", "[[fault]]\nat='0s'\ndo='drain'\ntarget='0'"},
+		{"push", "cold", "[[fault]]\nat='200ms'\ndo='crash'\ntarget='0'\nfor='300ms'"},
+		{"hoard", "limits", ""},
+		{"ends", "alive", ""},
+		{"stays", "alive", ""},
+	} {
+		t.Run(strings.TrimSpace(c.wrong+" "+c.breaks), func(t *testing.T) {
+			t.Parallel()
+			s := scene(t, fmt.Sprintf(`for = "4s"
+[fleet]
+sidecars = 2
+servers = 3
+memory_mb = 100
+file = "wrong = '%s'"
+[load]
+use = 0.9
+retries = 0
+[server]
+fall_at = 1
+choke_most = "0s"
+room = 500
+[discovery]
+notice = "100ms"
+%s`, c.wrong, c.faults))
+			if c.breaks == "" || c.breaks == "drains" || c.breaks == "cold" {
+				s.Serve.FallAt = map[string]float64{"cold": 1}[c.breaks] // no server falls for other reasons
+			} else {
+				s.Serve.FallAt = 0
+			}
+			res, broken := play(t, s, Options{Seed: 1, Program: os.Args[0]})
+			for name, v := range broken {
+				if name != c.breaks && !(c.wrong == "ends" && name == "answered") { // what it held ends with it
+					t.Errorf("%s is broken too: %v", name, v.Findings)
+				}
+			}
+			v, found := broken[c.breaks]
+			timed := c.breaks == "drains" || c.breaks == "cold"
+			switch {
+			case c.breaks == "" || timed && res.Late != "":
+			case !found:
+				t.Errorf("%s held", c.breaks)
+			case len(v.Findings) == 0 || len(v.Findings) > listedMost:
+				t.Errorf("%d findings are told", len(v.Findings))
+			}
+		})
+	}
+}
+
+// program is the real sidecar, built once in the folder builtIn.
+var (
+	builtIn string
+	program = sync.OnceValues(func() (path string, err error) {
+		if builtIn, err = os.MkdirTemp("", "lab-test-"); err != nil {
+			return "", err
+		}
+		return Build(builtIn)
+	})
+)
+
+func realProgram(t *testing.T) string {
+	t.Helper()
+	path, err := program()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// The real program, three of them at once, with some killed, paused, upgraded and told of servers under load: whatever
+// happens, every invariant holds, and the result can be read again.
+func TestRealFleetUnderFaults(t *testing.T) {
+	t.Parallel()
+	s := scene(t, `for = "7s"
+[fleet]
+sidecars = 4
+servers = 6
+[load]
+use = 0.4
+[server]
+cold_time = "3s"
+[discovery]
+notice = "300ms"
+[[fault]]
+at = "1s"
+do = "kill"
+target = "0"
+for = "300ms"
+[[fault]]
+at = "1s"
+do = "out"
+target = "5"
+for = "4s"
+[[fault]]
+at = "2s"
+do = "pause"
+target = "1"
+for = "2s"
+[[fault]]
+at = "2500ms"
+do = "crash"
+target = "0-1"
+for = "1s"
+[[fault]]
+at = "3s"
+do = "upgrade"
+target = "2"
+[[fault]]
+at = "4s"
+do = "silence"
+target = "2"
+for = "1s"
+[[fault]]
+at = "4500ms"
+do = "move"`)
+	dir := t.TempDir()
+	res, broken := play(t, s, Options{Seed: 3, Program: realProgram(t), Out: dir})
+	for name, v := range broken {
+		t.Errorf("%s is broken %d times: %s", name, v.Broken, strings.Join(v.Findings, "\n"))
+	}
+	if res.Figures["served"] < 0.3 || res.Figures["requests"] < 300 { // it did carry requests
+		t.Errorf("figures %v", res.Figures)
+	}
+	again, err := ReadResults(dir)
+	if err != nil || len(again) != 1 || !reflect.DeepEqual(again[0].Figures, res.Figures) {
+		t.Errorf("read again: %v, error %v", again, err)
+	}
+	page, err := os.ReadFile(filepath.Join(dir, "report.html"))
+	if err != nil || bytes.Count(page, []byte("<svg")) != 4 || !bytes.Contains(page, []byte("--seed 3")) {
+		t.Errorf("the report has %d plots, error %v", bytes.Count(page, []byte("<svg")), err)
+	}
+	if left, _ := filepath.Glob(filepath.Join(dir, "logs", "*.log")); len(left) != 6 { // four, one again, one upgraded
+		t.Errorf("logs: %v", left)
+	}
+}
+
+func TestSameSeedSamePlan(t *testing.T) {
+	s := scene(t, "[[fault]]\nat='1s'\ndo='kill'\ntarget='50%'\n[[fault]]\nat='0s'\ndo='slow'\nsize=2\ntarget='25%'")
+	if !reflect.DeepEqual(s.Plan(4), s.Plan(4)) || !reflect.DeepEqual(s.arrivals(4), s.arrivals(4)) {
+		t.Error("the same seed gives another plan or other requests")
+	}
+	if plan := s.Plan(4); plan[0].Do != "slow" || len(plan[1].Targets) != 2 {
+		t.Errorf("plan %v", plan)
+	}
+	other := false
+	for seed := range uint64(20) {
+		other = other || !reflect.DeepEqual(s.Plan(seed), s.Plan(4))
+	}
+	if !other {
+		t.Error("twenty seeds give one plan")
+	}
+}
+
+func TestUnusableScenarios(t *testing.T) {
+	for _, c := range []struct{ text, want string }{
+		{"for='0s'", "for"},
+		{"[fleet]\nsidecars=0", "fleet.sidecars"},
+		{"hold=['sound']", "hold"},
+		{"[[fault]]\nat='1s'\ndo='explode'", "explode"},
+		{"[[fault]]\ndo='kill'\ntarget='0'", "fault[0].at"},
+		{"[[fault]]\nat='1s'\ndo='kill'", "target"},
+		{"[[fault]]\nat='1s'\ndo='kill'\ntarget='9'", `"9" is none of 0 to 3`},
+		{"[[fault]]\nat='1s'\ndo='kill'\ntarget='3-1'", "span"},
+		{"[[fault]]\nat='1s'\ndo='kill'\ntarget='0%'", "share"},
+		{"[[fault]]\nat='1s'\ndo='slow'\ntarget='zone q'\nsize=2", "zone"},
+		{"[[fault]]\nat='1s'\ndo='slow'\ntarget='0'", "size is needed"},
+		{"[[fault]]\nat='30s'\ndo='kill'\ntarget='0'", "past the end"},
+		{"[[fault]]\nat='1s'\ndo='cut'\ntarget='0'", "fleet.mesh"},
+		{"[[fault]]\nat='1s'\ndo='burst'\nsize=2", "time (for)"},
+		{"[[fault]]\nat='1s'\ndo='away'\ntarget='1'", "only one"},
+	} {
+		_, err := ReadScenario("f.toml", []byte("about='x'\n"+c.text))
+		if err == nil || !strings.Contains(err.Error(), c.want) || !strings.Contains(err.Error(), "f.toml") {
+			t.Errorf("%q: error %v, want %q", c.text, err, c.want)
+		}
+	}
+}
+
+// A sidecar that does not come up, and one that ends at once, are errors that name it.
+func TestSidecarsThatDoNotStart(t *testing.T) {
+	t.Parallel()
+	s := scene(t, "[fleet]\nsidecars=1\nservers=1\nfile=\"nonsense = 1\"")
+	if _, err := Play(t.Context(), s, Options{Program: realProgram(t)}); err == nil || !strings.Contains(err.Error(), "n0") || !strings.Contains(err.Error(), "nonsense") {
+		t.Errorf("error %v", err)
+	}
+	if _, err := Play(t.Context(), s, Options{Program: "/nonexistent"}); err == nil {
+		t.Error("a program that does not exist was played")
+	}
+	many := scene(t, "[fleet]\nsidecars=400\nservers=400")
+	if _, err := Play(t.Context(), many, Options{}); err == nil || !strings.Contains(err.Error(), "descriptors") {
+		t.Errorf("error %v", err)
+	}
+	claim, err := claimSubnet()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer claim.release()
+	taken, err := claim.listen(0, serverPort, "a test")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	if _, err := newServers(s, 1, newClock(), new(History), claim); err == nil || !strings.Contains(err.Error(), "server 0, for sidecar 0") {
+		t.Errorf("a port that is taken: error %v", err)
+	}
+}
+
+// A lab that is killed takes its processes with it, and the next start removes its folder: by its record only.
+func TestKilledLabLeavesNothing(t *testing.T) {
+	tmp := t.TempDir()
+	if err := os.Chmod(tmp, 0o755); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("TMPDIR", tmp)
+	for dir := tmp; dir != "/"; dir = filepath.Dir(dir) {
+		_ = os.Chmod(dir, 0o755) // sidecars may run as another user
+	}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "LAB_TO_BE_KILLED=1")
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	record := func() (lines []string) {
+		names, _ := filepath.Glob(filepath.Join(base(), "run-*", recordName))
+		for _, name := range names {
+			raw, _ := os.ReadFile(name)
+			lines = append(lines, strings.Fields(strings.ReplaceAll(string(raw), " ", ":"))...)
+		}
+		return lines
+	}
+	until := func(what string, holds func() bool) {
+		t.Helper()
+		for end := time.Now().Add(time.Minute); !holds(); time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("waited in vain: %s", what)
+			}
+		}
+	}
+	until("its sidecars start", func() bool { return len(record()) == 3 })
+	lines := record()
+	if swept, err := Sweep(); err != nil || len(swept) > 0 {
+		t.Errorf("a lab at work was swept: %v, error %v", swept, err)
+	}
+	bystander := exec.Command("sleep", "60") // its number stands in the record, but it began at another time
+	if err := bystander.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = bystander.Process.Kill(); _ = bystander.Wait() }()
+	names, _ := filepath.Glob(filepath.Join(base(), "run-*", recordName))
+	f, err := os.OpenFile(names[0], os.O_APPEND|os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(f, "%d 1\n", bystander.Process.Pid)
+	f.Close()
+	_ = cmd.Process.Kill()
+	_ = cmd.Wait()
+	until("its sidecars end with it", func() bool {
+		for _, line := range lines {
+			pid, start, _ := strings.Cut(line, ":")
+			var n int
+			_, _ = fmt.Sscan(pid, &n)
+			if now, err := startOf(n); err == nil && now == start {
+				return false
+			}
+		}
+		return true
+	})
+	if swept, err := Sweep(); err != nil || len(swept) != 1 {
+		t.Errorf("swept %v, error %v", swept, err)
+	}
+	if left, _ := filepath.Glob(filepath.Join(base(), "run-*")); len(left) > 0 {
+		t.Errorf("left: %v", left)
+	}
+	if bystander.ProcessState != nil || syscall.Kill(bystander.Process.Pid, 0) != nil {
+		t.Error("a process that was none of the lab's was ended")
+	}
+}
--- /dev/null
+++ b/internal/lab/process.go
@@ -0,0 +1,503 @@
+package lab
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"arrowgw/internal/world"
+)
+
+const (
+	readyTime = 10 * time.Second // a sidecar that is not ready by then has failed
+	readyPoll = 10 * time.Millisecond
+	endTime   = 5 * time.Second // a sidecar told to stop has to end by then: the longest deadline, the linger, and room
+	consoles  = 50              // console ports, used in turn by a sidecar's processes
+	tailBytes = 2 << 10         // of a log, for an error
+	ordinary  = 65534           // whom sidecars run as where the lab is root: the platform has them as an ordinary user
+)
+
+// process is one process of a sidecar.
+type process struct {
+	sidecar int
+	turn    int // number among its sidecar's processes
+	cmd     *exec.Cmd
+	console string
+	log     string
+	ended   chan struct{} // closed at its end
+	wanted  bool          // that it ends
+	paused  bool
+}
+
+// processes are all sidecars' processes.
+type processes struct {
+	clock   clock
+	scene   *Scenario
+	history *History
+	net     *subnet
+	roster  *roster
+	program string
+	dir     string // of this run
+	logs    string
+	record  *record
+	seed    uint64
+	starter chan func() // runs on one thread, that lives as long as the lab: the processes die with it
+	closed  sync.Once
+	routes  func(sidecar int) map[string]string
+
+	mu      sync.Mutex
+	current []*process // by sidecar; nil: none
+	turns   []int
+	all     []*process
+	maxRSS  float64 // MiB
+	maxFDs  int
+	cpu     time.Duration // of all that have ended
+}
+
+func newProcesses(s *Scenario, c clock, h *History, n *subnet, r *roster, program, dir, logs string, rec *record, seed uint64) *processes {
+	p := &processes{
+		clock: c, scene: s, history: h, net: n, roster: r, program: program, dir: dir, logs: logs, record: rec, seed: seed,
+		starter: make(chan func()), current: make([]*process, s.Fleet.Sidecars), turns: make([]int, s.Fleet.Sidecars),
+		routes: func(int) map[string]string { return nil },
+	}
+	go func() {
+		runtime.LockOSThread() // a process's death signal goes by the thread that made it
+		for f := range p.starter {
+			f()
+		}
+	}()
+	return p
+}
+
+// stateDir is where a sidecar keeps its state.
+func (p *processes) stateDir(sidecar int) string {
+	return filepath.Join(p.dir, "state", strconv.Itoa(sidecar))
+}
+
+// configure writes a sidecar's configuration for the process of that turn.
+func (p *processes) configure(sidecar, turn int) (path string, err error) {
+	folder := filepath.Join(p.dir, "config")
+	if err := errors.Join(os.MkdirAll(p.stateDir(sidecar), 0o755), os.MkdirAll(folder, 0o755)); err != nil {
+		return "", err
+	}
+	if os.Getuid() == 0 {
+		if err := os.Chown(p.stateDir(sidecar), ordinary, ordinary); err != nil {
+			return "", err
+		}
+	}
+	s := p.scene
+	file := map[string]any{
+		"name": sidecarName(sidecar), "listen": p.net.at(sidecar, clientPort), "discovery": p.roster.address(sidecar),
+		"console": p.net.at(sidecar, consolePort+turn%consoles),
+		"seed":    strconv.FormatUint(rand.New(rand.NewPCG(p.seed, 5+uint64(sidecar)<<16+uint64(turn)<<40)).Uint64(), 16),
+		"limits":  map[string]any{"cores": 1, "memory_mb": s.Fleet.MemoryMB, "sockets": s.Fleet.Sockets},
+		"known":   p.roster.listing(sidecar, firstVersion, true, world.NewRoster(s.Fleet.Servers, firstVersion).Whole()),
+	}
+	file["settings"] = p.settings(sidecar)
+	routes := p.routes(sidecar)
+	if s.Fleet.File != "" || len(routes) > 0 {
+		text := s.Fleet.File + "\n[routes]\n"
+		for name, address := range routes {
+			text += fmt.Sprintf("%q = %q\n", name, address)
+		}
+		text = strings.NewReplacer("{name}", sidecarName(sidecar), "{host}", p.net.host(sidecar), "{peer}", p.net.at(sidecar, peerPort)).Replace(text)
+		fleet := filepath.Join(folder, fmt.Sprintf("%d.toml", sidecar))
+		if err := os.WriteFile(fleet, []byte(text), 0o644); err != nil {
+			return "", err
+		}
+		file["fleet"] = fleet
+	}
+	raw, err := json.Marshal(file)
+	if err != nil {
+		return "", err
+	}
+	path = filepath.Join(folder, fmt.Sprintf("%d.json", sidecar))
+	return path, os.WriteFile(path, raw, 0o644)
+}
+
+// settings are the platform's settings object.
+func (p *processes) settings(sidecar int) map[string]any {
+	s := p.scene
+	var zones []string
+	for z := range s.Fleet.Zones {
+		zones = append(zones, zoneName(z))
+	}
+	ms := func(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+	var classes, orgs []any
+	mean := (&world.LoadSpec{Classes: s.classes()}).MeanWork().Seconds()
+	for _, c := range s.classes() {
+		word := map[world.Effect]string{world.Safe: "free", world.Keyed: "guarded", world.Unsafe: "single_shot"}[c.Effect]
+		classes = append(classes, map[string]any{
+			"name": c.Name, "aim_ms": ms(c.Aim), "hard_limit_ms": ms(c.Deadline), "semantics": word, "dedup_scope": "zone",
+			"window_ms": ms(c.Window), "worth": c.Worth, "late_share": 0, "stream": false,
+		})
+	}
+	for _, t := range tenants {
+		orgs = append(orgs, map[string]any{
+			"name": t.name, "share": t.share, "quota_per_s": t.share * s.Fleet.Quota * s.capacity() / mean,
+		})
+	}
+	return map[string]any{
+		"balancers": s.Fleet.Sidecars, "me": sidecar, "zone": s.zoneOf(sidecar), "zones": zones, "period_ms": 2,
+		"discovery": "ask", "weights": "nominal", "worth_by": "work",
+		"caps": map[string]any{
+			"conn_idle_ms": ms(serverIdle), "dial_timeout_ms": 75, "may_cancel": true, "most_tries": 6, "max_open": 26451,
+			"max_retry_after_ms": 800, "probes": true, "retry_after": true, "second_copies": true, "peers": s.Fleet.Mesh,
+		},
+		"charges": map[string]any{"cross_zone": 0.03}, "client_habits": map[string]any{"marks_retry": true},
+		"classes": classes, "orgs": orgs,
+		"rules": map[string]any{
+			"answer_slack_ms": 8, "ask_within_ms": 10_000, "cold_from": s.Serve.ColdFrom, "cold_ms": ms(s.Serve.ColdTime.D()),
+			"fall_multiple": s.Serve.FallAt, "overload_for_ms": ms(s.Serve.FallFor.D()), "stop_sending_within_ms": ms(drainGrace),
+		},
+		"telemetry": map[string]any{"how": "silent", "columns": []string{}},
+	}
+}
+
+func sidecarName(i int) string { return fmt.Sprintf("n%d", i) }
+
+// start starts a sidecar's next process, and returns once it is ready. One that is not is an error that names it.
+func (p *processes) start(sidecar int) (*process, error) {
+	p.mu.Lock()
+	turn := p.turns[sidecar]
+	p.turns[sidecar]++
+	p.mu.Unlock()
+	config, err := p.configure(sidecar, turn)
+	if err != nil {
+		return nil, err
+	}
+	q := &process{
+		sidecar: sidecar, turn: turn, console: p.net.at(sidecar, consolePort+turn%consoles), ended: make(chan struct{}),
+		log: filepath.Join(p.logs, fmt.Sprintf("%s-%d.log", sidecarName(sidecar), turn)),
+	}
+	out, err := os.Create(q.log)
+	if err != nil {
+		return nil, err
+	}
+	defer out.Close()
+	q.cmd = exec.Command(p.program)
+	q.cmd.Dir, q.cmd.Stdout, q.cmd.Stderr = p.dir, out, out
+	q.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+config, "TMPDIR="+p.stateDir(sidecar), "EDGE_LISTEN=", "EDGE_FLEET=")
+	q.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	if os.Getuid() == 0 {
+		q.cmd.SysProcAttr.Credential = &syscall.Credential{Uid: ordinary, Gid: ordinary}
+	}
+	started := make(chan error)
+	p.starter <- func() { started <- q.cmd.Start() }
+	if err := <-started; err != nil {
+		return nil, fmt.Errorf("sidecar %s: %w", sidecarName(sidecar), err)
+	}
+	if err := p.record.add(q.cmd.Process.Pid); err != nil {
+		_ = q.cmd.Process.Kill()
+		return nil, err
+	}
+	p.mu.Lock()
+	p.current[sidecar] = q
+	p.all = append(p.all, q)
+	p.mu.Unlock()
+	go p.wait(q)
+	return q, p.ready(q)
+}
+
+// wait sees a process to its end.
+func (p *processes) wait(q *process) {
+	err := q.cmd.Wait()
+	p.mu.Lock()
+	p.cpu += q.cmd.ProcessState.UserTime() + q.cmd.ProcessState.SystemTime()
+	wanted := q.wanted
+	if p.current[q.sidecar] == q {
+		p.current[q.sidecar] = nil
+	}
+	p.mu.Unlock()
+	if !wanted {
+		p.history.note(&p.history.ends, "at %v sidecar %s ended though nobody had told it to: %v; its log ends with: %s",
+			p.clock.now(), sidecarName(q.sidecar), err, q.tail())
+	} else if status, _ := q.cmd.ProcessState.Sys().(syscall.WaitStatus); err != nil && !status.Signaled() {
+		p.history.note(&p.history.ends, "at %v sidecar %s was told to stop and ended with %v; its log ends with: %s",
+			p.clock.now(), sidecarName(q.sidecar), err, q.tail())
+	}
+	close(q.ended)
+}
+
+// tail is the end of a process's log.
+func (q *process) tail() string {
+	f, err := os.Open(q.log)
+	if err != nil {
+		return err.Error()
+	}
+	defer f.Close()
+	if info, err := f.Stat(); err == nil && info.Size() > tailBytes {
+		_, _ = f.Seek(-tailBytes, io.SeekEnd) // or it is all shown
+	}
+	raw, _ := io.ReadAll(f)
+	return strings.TrimSpace(string(raw))
+}
+
+// ready waits until the process serves: its console says so, and it answers where clients connect.
+func (p *processes) ready(q *process) error {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: time.Second}
+	end := time.Now().Add(readyTime)
+	var last error
+	for time.Now().Before(end) {
+		select {
+		case <-q.ended:
+			return fmt.Errorf("sidecar %s ended before it was ready: %s", sidecarName(q.sidecar), q.tail())
+		case <-time.After(readyPoll):
+		}
+		answer, err := callConsole(q.console, "ready")
+		if err != nil || !strings.HasPrefix(answer, "200") {
+			last = fmt.Errorf("its console at %s: %q, %w", q.console, answer, err)
+			continue
+		}
+		res, err := client.Get("http://" + p.net.at(q.sidecar, clientPort) + "/up")
+		if err == nil {
+			res.Body.Close()
+			if res.StatusCode == http.StatusOK {
+				return nil
+			}
+			err = errors.New(res.Status)
+		}
+		last = err
+	}
+	return fmt.Errorf("sidecar %s is not ready after %v: %w; its log ends with: %s", sidecarName(q.sidecar), readyTime, last, q.tail())
+}
+
+// callConsole makes one call at a console.
+func callConsole(address, line string) (string, error) {
+	c, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return "", err
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(3 * time.Second)) // fails only on a closed one
+	if _, err := io.WriteString(c, line+"\n"); err != nil {
+		return "", err
+	}
+	answer, err := bufio.NewReader(c).ReadString('\n')
+	return strings.TrimSpace(answer), err
+}
+
+// of is a sidecar's process of now, or nil.
+func (p *processes) of(sidecar int) *process {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.current[sidecar]
+}
+
+// kill ends a sidecar's process at once.
+func (p *processes) kill(sidecar int) {
+	q := p.of(sidecar)
+	if q == nil {
+		return
+	}
+	from := p.clock.now()
+	p.mu.Lock()
+	q.wanted = true
+	p.mu.Unlock()
+	_ = q.cmd.Process.Kill() // it may have ended by itself
+	<-q.ended
+	p.history.life(&p.history.killed, span{sidecar, from, p.clock.now()})
+}
+
+// stop tells a process to stop and waits for its end.
+func (p *processes) stop(q *process) {
+	from := p.clock.now()
+	p.mu.Lock()
+	q.wanted = true
+	p.mu.Unlock()
+	_ = q.cmd.Process.Signal(syscall.SIGTERM) // it may have ended by itself
+	select {
+	case <-q.ended:
+	case <-time.After(endTime):
+		p.history.note(&p.history.ends, "at %v sidecar %s goes on %v after it was told to stop", p.clock.now(), sidecarName(q.sidecar), endTime)
+		_ = q.cmd.Process.Kill()
+		<-q.ended
+	}
+	p.history.life(&p.history.stopped, span{q.sidecar, from, p.clock.now()})
+}
+
+// pause stands a process still, or lets it go on.
+func (p *processes) pause(sidecar int, on bool) {
+	q := p.of(sidecar)
+	if q == nil {
+		return
+	}
+	sig := syscall.SIGCONT
+	if on {
+		sig = syscall.SIGSTOP
+	}
+	p.mu.Lock()
+	q.paused = on
+	p.mu.Unlock()
+	_ = q.cmd.Process.Signal(sig) // it may have ended by itself
+}
+
+// upgrade starts a process beside the old one, which is told to stop once the new one is ready.
+func (p *processes) upgrade(sidecar int) error {
+	old := p.of(sidecar)
+	if _, err := p.start(sidecar); err != nil {
+		return err
+	}
+	if old != nil {
+		p.stop(old)
+	}
+	return nil
+}
+
+// reload has a sidecar read its configuration again.
+func (p *processes) reload(sidecar int) error {
+	q := p.of(sidecar)
+	if q == nil {
+		return nil
+	}
+	if _, err := p.configure(sidecar, q.turn); err != nil {
+		return err
+	}
+	_ = q.cmd.Process.Signal(syscall.SIGHUP) // it may have ended by itself
+	return nil
+}
+
+// fileLimit bounds what files of a process may hold, in place of a disk that is full.
+func (p *processes) fileLimit(sidecar int, bytes uint64) error {
+	q := p.of(sidecar)
+	if q == nil {
+		return nil
+	}
+	limit := &unix.Rlimit{Cur: bytes, Max: unix.RLIM_INFINITY}
+	return unix.Prlimit(q.cmd.Process.Pid, unix.RLIMIT_FSIZE, limit, nil)
+}
+
+// damage does to a state folder what the scenario wants.
+func (p *processes) damage(sidecar int, how string, rng *rand.Rand) error {
+	dir := p.stateDir(sidecar)
+	if how == "readonly" {
+		return os.Chmod(dir, 0o555)
+	}
+	files, err := os.ReadDir(dir)
+	if err != nil {
+		return err
+	}
+	for _, f := range files {
+		path := filepath.Join(dir, f.Name())
+		info, err := os.Stat(path)
+		if err != nil || !info.Mode().IsRegular() {
+			continue
+		}
+		switch how {
+		case "emptied":
+			err = os.Truncate(path, 0)
+		case "truncated":
+			err = os.Truncate(path, info.Size()/2)
+		case "flipped":
+			if info.Size() == 0 {
+				continue
+			}
+			var raw []byte
+			if raw, err = os.ReadFile(path); err == nil {
+				raw[rng.IntN(len(raw))] ^= 1 << rng.IntN(8)
+				err = os.WriteFile(path, raw, info.Mode())
+			}
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// sample looks at what the processes use, and notes limits that are passed.
+func (p *processes) sample() {
+	p.mu.Lock()
+	live := make([]*process, 0, len(p.all))
+	for _, q := range p.all {
+		select {
+		case <-q.ended:
+		default:
+			live = append(live, q)
+		}
+	}
+	p.mu.Unlock()
+	for _, q := range live {
+		rss, fds, ok := usage(q.cmd.Process.Pid)
+		if !ok {
+			continue // it has just ended
+		}
+		p.mu.Lock()
+		p.maxRSS, p.maxFDs = max(p.maxRSS, rss), max(p.maxFDs, fds)
+		p.mu.Unlock()
+		if rss > float64(p.scene.Fleet.MemoryMB) {
+			p.history.note(&p.history.over, "at %v sidecar %s has %.1f MiB of %d", p.clock.now(), sidecarName(q.sidecar), rss, p.scene.Fleet.MemoryMB)
+		}
+		if fds > p.scene.Fleet.Sockets {
+			p.history.note(&p.history.over, "at %v sidecar %s has %d descriptors of %d", p.clock.now(), sidecarName(q.sidecar), fds, p.scene.Fleet.Sockets)
+		}
+	}
+}
+
+// usage reads a process's memory in MiB and its descriptors.
+func usage(pid int) (rss float64, fds int, ok bool) {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0, 0, false
+	}
+	fields := strings.Fields(string(raw))
+	if len(fields) < 2 {
+		return 0, 0, false
+	}
+	pages, err := strconv.ParseFloat(fields[1], 64)
+	if err != nil {
+		return 0, 0, false
+	}
+	names, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	return pages * float64(os.Getpagesize()) / (1 << 20), len(names), err == nil
+}
+
+// close ends all processes: gently, all at once, and then surely.
+func (p *processes) close(ctx context.Context) {
+	var ends sync.WaitGroup
+	p.mu.Lock()
+	all := append([]*process(nil), p.all...)
+	p.mu.Unlock()
+	for _, q := range all {
+		select {
+		case <-q.ended:
+			continue
+		default:
+		}
+		p.mu.Lock()
+		paused := q.paused
+		p.mu.Unlock()
+		if paused {
+			_ = q.cmd.Process.Signal(syscall.SIGCONT)
+		}
+		ends.Go(func() {
+			stopped := make(chan struct{})
+			go func() { p.stop(q); close(stopped) }()
+			select {
+			case <-stopped:
+			case <-ctx.Done():
+				_ = q.cmd.Process.Kill()
+				<-stopped
+			}
+		})
+	}
+	ends.Wait()
+	p.closed.Do(func() { close(p.starter) })
+}
--- /dev/null
+++ b/internal/lab/relay_test.go
@@ -0,0 +1,201 @@
+package lab
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// peers are two ends with a mesh between them: each has a packet socket and a listener.
+type peers struct {
+	mesh *mesh
+	udp  [2]*net.UDPConn
+	tcp  [2]net.Listener
+}
+
+func newPeers(t testing.TB) *peers {
+	t.Helper()
+	n, err := claimSubnet()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.release)
+	p := new(peers)
+	if p.mesh, err = newMesh(2, n, 1); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.mesh.close)
+	for i := range 2 {
+		at, _ := net.ResolveUDPAddr("udp", n.at(i, peerPort))
+		if p.udp[i], err = net.ListenUDP("udp", at); err != nil {
+			t.Fatal(err)
+		}
+		if p.tcp[i], err = n.listen(i, peerPort, "a test"); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { p.udp[i].Close(); p.tcp[i].Close() })
+	}
+	return p
+}
+
+// send sends a packet from one end to the other, by the relay.
+func (p *peers) send(t testing.TB, from int, text string) {
+	t.Helper()
+	to, _ := net.ResolveUDPAddr("udp", p.mesh.routes(from)[sidecarName(1-from)])
+	if _, err := p.udp[from].WriteToUDP([]byte(text), to); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// receive waits for a packet and answers the address that it came from.
+func (p *peers) receive(t testing.TB, at int) (string, *net.UDPAddr) {
+	t.Helper()
+	b := make([]byte, 2048)
+	_ = p.udp[at].SetReadDeadline(time.Now().Add(20 * time.Second))
+	n, from, err := p.udp[at].ReadFromUDP(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b[:n]), from
+}
+
+func TestRelayPackets(t *testing.T) {
+	p := newPeers(t)
+	p.send(t, 0, "there")
+	text, from := p.receive(t, 1)
+	if _, err := p.udp[1].WriteToUDP([]byte("and back"), from); err != nil { // an answer to whoever sent it finds its way
+		t.Fatal(err)
+	}
+	if back, _ := p.receive(t, 0); text != "there" || back != "and back" {
+		t.Errorf("received %q and %q", text, back)
+	}
+	p.mesh.set(0, 1, func(w *weather) { w.duplicate = 1 })
+	p.send(t, 0, "twice")
+	for range 2 {
+		if text, _ := p.receive(t, 1); text != "twice" {
+			t.Errorf("received %q", text)
+		}
+	}
+	p.mesh.set(0, 1, func(w *weather) { *w = weather{drop: 1} })
+	p.send(t, 0, "lost")
+	p.send(t, 1, "the other way") // which is open
+	if text, _ := p.receive(t, 0); text != "the other way" {
+		t.Errorf("received %q", text)
+	}
+	p.mesh.set(0, 1, func(w *weather) { *w = weather{cut: true} })
+	p.send(t, 0, "cut off")
+	p.mesh.set(0, 1, func(w *weather) { *w = weather{delay: 30 * time.Millisecond} })
+	began := time.Now()
+	p.send(t, 0, "late")
+	if text, _ := p.receive(t, 1); text != "late" || time.Since(began) < 30*time.Millisecond {
+		t.Errorf("received %q after %v", text, time.Since(began))
+	}
+	p.mesh.set(0, 1, func(w *weather) { *w = weather{jitter: 50 * time.Millisecond} })
+	for i := range 100 {
+		p.send(t, 0, fmt.Sprintf("%03d", i))
+	}
+	last, overtaken := "", 0
+	for range 100 {
+		text, _ := p.receive(t, 1)
+		if text < last {
+			overtaken++
+		}
+		last = text
+	}
+	if overtaken == 0 {
+		t.Error("a hundred packets, and none overtook another")
+	}
+}
+
+func TestRelayStreams(t *testing.T) {
+	p := newPeers(t)
+	go func() { // the second end answers with what it gets
+		for {
+			c, err := p.tcp[1].Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c); c.Close() }()
+		}
+	}()
+	c, err := net.Dial("tcp", p.mesh.routes(0)[sidecarName(1)])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	say := func(text string) {
+		t.Helper()
+		if _, err := io.WriteString(c, text); err != nil {
+			t.Fatal(err)
+		}
+	}
+	hear := func(want string) {
+		t.Helper()
+		b := make([]byte, len(want))
+		if _, err := io.ReadFull(c, b); err != nil || string(b) != want {
+			t.Fatalf("heard %q, error %v, want %q", b, err, want)
+		}
+	}
+	say("hello")
+	hear("hello")
+	p.mesh.set(1, 0, func(w *weather) { w.cut = true }) // the way back
+	say("are you there")
+	_ = c.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	if n, err := c.Read(make([]byte, 1)); n > 0 || err == io.EOF {
+		t.Errorf("a cut link passed %d bytes, error %v", n, err)
+	}
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+	p.mesh.set(1, 0, func(w *weather) { w.cut = false })
+	hear("are you there")
+	p.mesh.set(0, 1, func(w *weather) { w.rate = 200_000 })
+	began, long := time.Now(), string(bytes.Repeat([]byte("x"), 50_000))
+	say(long)
+	hear(long)
+	if took := time.Since(began); took < 100*time.Millisecond { // the last of its chunks waits for those before it
+		t.Errorf("50 kB by 200 kB/s took %v", took)
+	}
+	if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if rest, err := io.ReadAll(c); err != nil || len(rest) > 0 {
+		t.Errorf("after the end: %q, error %v", rest, err)
+	}
+}
+
+func BenchmarkRelayPacket(b *testing.B) {
+	p := newPeers(b)
+	for b.Loop() {
+		p.send(b, 0, "a packet of about the size that gossip has, more or less, give or take some")
+		p.receive(b, 1)
+	}
+	b.ReportMetric(float64(p.mesh.added.sum.Microseconds())/float64(p.mesh.added.n), "added-µs/packet")
+}
+
+func BenchmarkRelayStream(b *testing.B) {
+	p := newPeers(b)
+	go func() {
+		for {
+			c, err := p.tcp[1].Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(io.Discard, c) }()
+		}
+	}()
+	c, err := net.Dial("tcp", p.mesh.routes(0)[sidecarName(1)])
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer c.Close()
+	chunk := make([]byte, 64<<10)
+	b.SetBytes(int64(len(chunk)))
+	for b.Loop() {
+		if _, err := c.Write(chunk); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/report.go
@@ -0,0 +1,166 @@
+package lab
+
+import (
+	"bytes"
+	"fmt"
+	"html/template"
+	"image/color"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+const (
+	plotWidth  = 24 * vg.Centimeter
+	plotHeight = 8 * vg.Centimeter
+	linesMost  = 40 // in one plot; more tell nobody anything
+)
+
+// curve is one line of a plot, a value for each second.
+type curve struct {
+	name   string
+	values []float64
+}
+
+// page is the report: it opens from disk, with nothing beside it.
+var page = template.Must(template.New("report").Parse(`<!doctype html>
+<meta charset="utf-8"><title>{{.R.Scenario}}, seed {{.R.Seed}}</title>
+<style>body{font:15px sans-serif;max-width:62em;margin:2em auto}td,th{text-align:left;padding:.1em .8em .1em 0;vertical-align:top}
+.bad{color:#a00;font-weight:bold}svg{max-width:100%;height:auto}</style>
+<h1>{{.R.Scenario}}</h1>
+<p>{{.R.About}}</p>
+<p>To play it again: <code>fleetlab play {{.R.Scenario}} --seed {{.R.Seed}} --sidecars {{.R.Sidecars}} --servers {{.R.Servers}}</code>
+on the tree {{.R.Commit}} (program {{.R.Program}}). Played {{.R.Began}}, {{.R.Seconds}} s.</p>
+{{with .R.Late}}<p class="bad">The lab ran late: {{.}}. Where times count, this run is not believed.</p>{{end}}
+<h2>What had to hold</h2><table>
+{{range .R.Verdicts}}<tr><td>{{.Invariant}}</td><td>{{if not .Judged}}not judged{{else if .Held}}held{{else}}<span class="bad">broken {{.Broken}} times</span>{{end}}</td>
+<td>{{range .Findings}}{{.}}<br>{{end}}</td></tr>{{end}}</table>
+<h2>Faults</h2><ol>{{range .R.Plan}}<li>{{.}}</li>{{else}}<li>none</li>{{end}}</ol>
+{{range .Plots}}<h2>{{.Title}}</h2>{{.SVG}}{{end}}
+<h2>Figures</h2><table>{{range .Figures}}<tr><td>{{.Name}}</td><td>{{printf "%.4g" .Value}}</td></tr>{{end}}</table>
+`))
+
+// report words and draws a result.
+func report(r *Result, run *run) ([]byte, error) {
+	type drawn struct {
+		Title string
+		SVG   template.HTML
+	}
+	type figure struct {
+		Name  string
+		Value float64
+	}
+	data := struct {
+		R       *Result
+		Plots   []drawn
+		Figures []figure
+	}{R: r}
+	k := run.clients
+	late := k.count[Served].values()
+	for i, v := range k.inTime.values() {
+		late[i] -= v
+	}
+	lost := k.count[Broken].values()
+	for i, v := range k.count[Unreachable].values() {
+		lost[i] += v
+	}
+	var p50, p99 []float64
+	for _, h := range k.seconds {
+		p50 = append(p50, float64(h.ValueAtQuantile(50))/1000)
+		p99 = append(p99, float64(h.ValueAtQuantile(99))/1000)
+	}
+	var servers, sidecars []curve
+	for i, c := range run.servers.tally {
+		servers = append(servers, curve{serverName(i), c.values()})
+	}
+	for i, c := range k.served {
+		sidecars = append(sidecars, curve{sidecarName(i), c.values()})
+	}
+	for _, p := range []struct {
+		title, unit string
+		curves      []curve
+	}{
+		{"Requests by their end, in the second in which they were due", "requests a second", []curve{
+			{"in time", k.inTime.values()}, {"late", late}, {"refused", k.count[Refused].values()}, {"failed", k.count[Failed].values()},
+			{"gave up", k.count[GaveUp].values()}, {"broken or unreachable", lost},
+		}},
+		{"Time of an answer, from when its request was due", "milliseconds", []curve{{"p50", p50}, {"p99", p99}}},
+		{"Attempts that reached each server", "attempts a second", servers},
+		{"Requests served by each sidecar", "requests a second", sidecars},
+	} {
+		svg, err := drawPlot(p.unit, p.curves, run.faults.marks, run.scene.For.D())
+		if err != nil {
+			return nil, err
+		}
+		data.Plots = append(data.Plots, drawn{p.title, template.HTML(svg)})
+	}
+	for _, name := range FigureNames(r) {
+		data.Figures = append(data.Figures, figure{name, r.Figures[name]})
+	}
+	var out bytes.Buffer
+	err := page.Execute(&out, data)
+	return out.Bytes(), err
+}
+
+// drawPlot draws curves over time, with a line where each fault began and a lighter one where it was mended.
+func drawPlot(unit string, curves []curve, marks []Mark, length time.Duration) ([]byte, error) {
+	p := plot.New()
+	p.X.Label.Text, p.Y.Label.Text = "seconds", unit
+	p.X.Min, p.X.Max, p.Y.Min = 0, length.Seconds(), 0
+	p.Legend.Top = true
+	most := 1.0
+	for i, c := range curves[:min(len(curves), linesMost)] {
+		var points plotter.XYs
+		for second, v := range c.values {
+			if float64(second) < length.Seconds() {
+				points = append(points, plotter.XY{X: float64(second) + 0.5, Y: v})
+				most = max(most, v)
+			}
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return nil, err
+		}
+		line.Color, line.Width = plotutil.Color(i), vg.Points(1)
+		p.Add(line)
+		if len(curves) <= 8 {
+			p.Legend.Add(c.name, line)
+		}
+	}
+	p.Y.Max = most * 1.05
+	for i, m := range marks {
+		for at, shade := range map[time.Duration]uint8{m.At: 60, m.Until: 180} {
+			if at == 0 && shade == 180 {
+				continue
+			}
+			line, err := plotter.NewLine(plotter.XYs{{X: at.Seconds(), Y: 0}, {X: at.Seconds(), Y: p.Y.Max}})
+			if err != nil {
+				return nil, err
+			}
+			line.Color, line.Dashes = color.Gray{shade}, []vg.Length{vg.Points(3), vg.Points(2)}
+			p.Add(line)
+		}
+		name, err := plotter.NewLabels(plotter.XYLabels{
+			XYs: plotter.XYs{{X: m.At.Seconds(), Y: p.Y.Max * 0.97}}, Labels: []string{fmt.Sprint(i + 1)},
+		})
+		if err != nil {
+			return nil, err
+		}
+		p.Add(name)
+	}
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(canvas))
+	var out bytes.Buffer
+	if _, err := canvas.WriteTo(&out); err != nil {
+		return nil, err
+	}
+	if i := bytes.Index(out.Bytes(), []byte("<svg")); i > 0 { // inside a page it has no head of its own
+		out.Next(i)
+	}
+	return out.Bytes(), nil
+}
--- /dev/null
+++ b/internal/lab/result.go
@@ -0,0 +1,283 @@
+package lab
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// resultSchema is the version of result.json.
+const resultSchema = 1
+
+// Result is what came of a run. With the same scenario, seed and program it can be played again.
+type Result struct {
+	Schema   int                `json:"schema"`
+	Scenario string             `json:"scenario"`
+	About    string             `json:"about"`
+	Seed     uint64             `json:"seed"`
+	Sidecars int                `json:"sidecars"`
+	Servers  int                `json:"servers"`
+	Label    string             `json:"label,omitempty"` // what an experiment calls its program
+	Commit   string             `json:"commit"`          // of the tree that the lab ran in
+	Program  string             `json:"program"`         // digest of the sidecar
+	Began    time.Time          `json:"began"`
+	Seconds  float64            `json:"seconds"`
+	Late     string             `json:"late,omitempty"` // why the run is not believed where times count
+	Verdicts []Verdict          `json:"verdicts"`
+	Figures  map[string]float64 `json:"figures"`
+	Plan     []string           `json:"plan"`
+}
+
+// ResultName is the file of a result in its folder.
+const ResultName = "result.json"
+
+// Held says whether every invariant held.
+func (r *Result) Held() bool {
+	return !slices.ContainsFunc(r.Verdicts, func(v Verdict) bool { return !v.Held })
+}
+
+// result judges and counts a run that is over.
+func (r *run) result(o Options, plan []Action, lab, length time.Duration) *Result {
+	s := r.scene
+	res := &Result{
+		Schema: resultSchema, Scenario: s.Name, About: s.About, Seed: o.Seed, Sidecars: s.Fleet.Sidecars, Servers: s.Fleet.Servers,
+		Commit: commit(), Program: digest(o.Program), Began: time.Now().Add(-length).UTC(), Seconds: s.For.D().Seconds(),
+		Late: r.late.judge(length),
+	}
+	for _, a := range plan {
+		res.Plan = append(res.Plan, fmt.Sprintf("%v %s", a.At, a.text()))
+	}
+	res.Verdicts = judge(r.history, s, res.Late != "")
+	res.Figures = r.figures(lab)
+	return res
+}
+
+// figures counts a run.
+func (r *run) figures(lab time.Duration) map[string]float64 {
+	h, s, k := r.history, r.scene, r.clients
+	f := make(map[string]float64)
+	var asked, inTime, work, tries float64
+	ends := make(map[Outcome]float64)
+	for _, a := range h.asked {
+		class := k.classes[a.Class]
+		worth := class.Worth * a.Work.Seconds()
+		asked += worth
+		work += a.Work.Seconds()
+		tries += float64(a.Tries)
+		ends[a.End]++
+		if a.End == Served && a.Ended-a.At <= class.Aim {
+			inTime += worth
+		}
+	}
+	n := max(1, float64(len(h.asked)))
+	f["requests"] = float64(len(h.asked))
+	f["worth"] = inTime / max(asked, 1e-9)
+	for _, o := range []Outcome{Served, Refused, Failed, GaveUp, Broken, Unreachable} {
+		f[strings.ReplaceAll(string(o), " ", "_")] = ends[o] / n
+	}
+	f["client_tries"] = tries / n
+	attempts, turned := 0.0, 0.0
+	for _, t := range h.tries {
+		attempts += float64(len(t.Reached))
+		turned += float64(len(t.Reached) - len(ran(t)))
+	}
+	f["attempts"], f["turned_away"] = attempts/n, turned/n
+	all := hdrhistogram.New(1, 60_000_000, 3)
+	for i, hist := range k.latency {
+		all.Merge(hist)
+		f["p99_ms_"+k.classes[i].Name] = float64(hist.ValueAtQuantile(99)) / 1000
+	}
+	f["p50_ms"], f["p99_ms"] = float64(all.ValueAtQuantile(50))/1000, float64(all.ValueAtQuantile(99))/1000
+	worked, choked := 0.0, 0.0
+	for _, u := range r.servers.all {
+		worked += u.model.Worked
+		choked += float64(u.model.Choked())
+	}
+	f["work"], f["choked"] = worked/max(work, 1e-9), choked
+	r.roster.mu.Lock()
+	f["discovery_calls"], f["discovery_lines"] = float64(r.roster.calls)/n, float64(r.roster.lines)/n
+	f["discovery_failed"] = float64(r.roster.failed)
+	r.roster.mu.Unlock()
+	r.processes.mu.Lock()
+	f["cpu_ms"] = float64(r.processes.cpu.Milliseconds()) / n
+	f["rss_mib"], f["descriptors"] = r.processes.maxRSS, float64(r.processes.maxFDs)
+	r.processes.mu.Unlock()
+	f["lab_cpu_ms"] = float64(lab.Milliseconds()) / n
+	r.late.mu.Lock()
+	f["lab_late_ms"], f["lab_late_most_ms"] = float64(r.late.hist.ValueAtQuantile(99))/1000, float64(r.late.hist.Max())/1000
+	r.late.mu.Unlock()
+	if r.mesh != nil {
+		r.mesh.added.mu.Lock()
+		f["relay_packets"], f["relay_added_us"] = float64(r.mesh.added.n), float64(r.mesh.added.sum.Microseconds())/max(1, float64(r.mesh.added.n))
+		r.mesh.added.mu.Unlock()
+	}
+	if back, ok := r.recovery(); ok {
+		f["recovery_s"] = back
+	}
+	f["capacity"] = s.capacity()
+	return f
+}
+
+// recovery is how long after the last fault was mended (or began, if it is for good) the share of requests answered
+// in time was at 95% of what it had been before the first, for two seconds on end; the rest of the run if it never was.
+func (r *run) recovery() (seconds float64, ok bool) {
+	marks := r.faults.marks
+	if len(marks) == 0 {
+		return 0, false
+	}
+	first, last := marks[0].At, time.Duration(0)
+	for _, m := range marks {
+		first, last = min(first, m.At), max(last, m.At, m.Until)
+	}
+	in, total := r.clients.inTime.values(), make([]float64, len(r.clients.inTime.by))
+	for _, c := range r.clients.count {
+		for i, v := range c.values() {
+			total[i] += v
+		}
+	}
+	share := func(from, to int) float64 {
+		a, b := 0.0, 0.0
+		for i := max(0, from); i < min(to, len(in)); i++ {
+			a, b = a+in[i], b+total[i]
+		}
+		return a / max(b, 1)
+	}
+	before := share(1, int(first/time.Second))
+	end := int(r.scene.For.D() / time.Second)
+	for i := int((last + time.Second - 1) / time.Second); i+2 <= end; i++ {
+		if share(i, i+1) >= 0.95*before && share(i+1, i+2) >= 0.95*before {
+			return max(0, float64(i)-last.Seconds()), true
+		}
+	}
+	return max(0, float64(end)-last.Seconds()), true
+}
+
+// commit names the tree that the lab runs in.
+func commit() string {
+	out, err := exec.Command("git", "rev-parse", "--short=12", "HEAD").Output()
+	if err != nil {
+		return "unknown"
+	}
+	name := strings.TrimSpace(string(out))
+	if changed, err := exec.Command("git", "status", "--porcelain", "--untracked-files=no").Output(); err == nil && len(changed) > 0 {
+		name += "+changes"
+	}
+	return name
+}
+
+// digest names a program by what it holds.
+func digest(path string) string {
+	f, err := os.Open(path)
+	if err != nil {
+		return "unknown"
+	}
+	defer f.Close()
+	sum := sha256.New()
+	if _, err := io.Copy(sum, f); err != nil {
+		return "unknown"
+	}
+	return fmt.Sprintf("%x", sum.Sum(nil)[:6])
+}
+
+// write leaves the result and the report in a folder.
+func (r *Result) write(dir string, run *run) error {
+	page, err := report(r, run)
+	if err != nil {
+		return err
+	}
+	return errors.Join(
+		os.WriteFile(filepath.Join(dir, "report.html"), page, 0o644),
+		r.rewrite(dir), // last: where it is, the run is whole
+	)
+}
+
+func (r *Result) encode() ([]byte, error) {
+	raw, err := json.MarshalIndent(r, "", "  ")
+	return append(raw, '\n'), err
+}
+
+// ReadResult reads a result's file.
+func ReadResult(path string) (*Result, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var r Result
+	if err := json.Unmarshal(raw, &r); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if r.Schema != resultSchema {
+		return nil, fmt.Errorf("%s: schema %d, this program reads %d", path, r.Schema, resultSchema)
+	}
+	return &r, nil
+}
+
+// Print writes a result for people.
+func (r *Result) Print(w io.Writer) {
+	fmt.Fprintf(w, "%s, seed %d: %d sidecars, %d servers, %.0f s (tree %s, program %s)\n",
+		r.Scenario, r.Seed, r.Sidecars, r.Servers, r.Seconds, r.Commit, r.Program)
+	for _, line := range r.Plan {
+		fmt.Fprintf(w, "  fault      %s\n", line)
+	}
+	f := r.Figures
+	fmt.Fprintf(w, "  worth      %.3f of what was asked for, in time (%.0f requests)\n", f["worth"], f["requests"])
+	fmt.Fprintf(w, "  ended      served %.3f  refused %.3f  failed %.3f  gave up %.3f  broken %.4f  unreachable %.4f\n",
+		f["served"], f["refused"], f["failed"], f["gave_up"], f["broken"], f["unreachable"])
+	fmt.Fprintf(w, "  latency    p50 %.1f ms  p99 %.1f ms, from when a request was due\n", f["p50_ms"], f["p99_ms"])
+	fmt.Fprintf(w, "  cost       %.2f attempts and %.2f client tries a request, %.2f of the work, discovery %.3f calls\n",
+		f["attempts"], f["client_tries"], f["work"], f["discovery_calls"])
+	fmt.Fprintf(w, "  processes  cpu %.2f ms a request, most memory %.1f MiB, most descriptors %.0f\n", f["cpu_ms"], f["rss_mib"], f["descriptors"])
+	if back, ok := f["recovery_s"]; ok {
+		fmt.Fprintf(w, "  recovery   %.1f s after the last fault\n", back)
+	}
+	fmt.Fprintf(w, "  lab        late by %.1f ms in 99 of 100 cases, %.0f ms at most; cpu %.2f ms a request\n",
+		f["lab_late_ms"], f["lab_late_most_ms"], f["lab_cpu_ms"])
+	if r.Late != "" {
+		fmt.Fprintf(w, "  LATE       %s: where times count, this run is not believed\n", r.Late)
+	}
+	for _, v := range r.Verdicts {
+		switch {
+		case !v.Judged:
+			fmt.Fprintf(w, "  not judged %s\n", v.Invariant)
+		case v.Held:
+			fmt.Fprintf(w, "  held       %s\n", v.Invariant)
+		default:
+			fmt.Fprintf(w, "  BROKEN     %s, %d times\n", v.Invariant, v.Broken)
+			for _, line := range v.Findings {
+				fmt.Fprintf(w, "             %s\n", line)
+			}
+		}
+	}
+}
+
+// FigureNames are the figures of some results, in order.
+func FigureNames(all ...*Result) []string {
+	names := make(map[string]bool)
+	for _, r := range all {
+		for name := range r.Figures {
+			names[name] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
+// JSON writes a result for programs.
+func (r *Result) JSON(w io.Writer) error {
+	raw, err := r.encode()
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(raw)
+	return err
+}
--- /dev/null
+++ b/internal/lab/run.go
@@ -0,0 +1,314 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Options say how a scenario is played.
+type Options struct {
+	Seed    uint64
+	Program string                // path of the sidecar; see Build
+	Out     string                // folder for the result, the report and the logs; empty: none are kept
+	Live    func(second Progress) // called once a second, where it is not nil
+}
+
+// Progress is what a run has come to, second by second.
+type Progress struct {
+	At                             time.Duration
+	Asked, InTime, Refused, Failed int // in the second before last: later ones are not settled
+	Open, Sidecars, Servers        int
+	Marks                          []string // faults that began in the last second
+}
+
+// exitTime is how long the end of a run may take before processes are killed.
+const exitTime = 8 * time.Second
+
+// run is one play of a scenario.
+type run struct {
+	scene     *Scenario
+	clock     clock
+	history   *History
+	net       *subnet
+	late      *lateness
+	servers   *servers
+	roster    *roster
+	processes *processes
+	clients   *clients
+	mesh      *mesh
+	faults    *faults
+}
+
+// Build builds the sidecar of the tree that the working folder is in, into a folder.
+func Build(dir string) (string, error) {
+	root, err := exec.Command("go", "list", "-m", "-f", "{{.Dir}}").Output()
+	if err != nil {
+		return "", errors.New("the sidecar can't be built here: run it inside the project's tree, with Go at hand, or name a program")
+	}
+	path := filepath.Join(dir, "caperarch")
+	cmd := exec.Command("go", "build", "-o", path, "./cmd/caperarch")
+	cmd.Dir = strings.TrimSpace(string(root))
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("the sidecar can't be built: %w: %s", err, bytes.TrimSpace(out))
+	}
+	return path, nil
+}
+
+// Play plays a scenario, and returns what came of it. It ends early, with an error, when the context ends. An error
+// says that the run could not be played; what it found when it could is in the result.
+func Play(ctx context.Context, s *Scenario, o Options) (res *Result, err error) {
+	if _, err := Sweep(); err != nil {
+		return nil, fmt.Errorf("what an earlier lab left can't be removed: %w", err)
+	}
+	if err := descriptors(s); err != nil {
+		return nil, err
+	}
+	rec, err := newRecord()
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.Join(err, rec.close()) }()
+	if o.Program == "" {
+		if o.Program, err = Build(rec.dir); err != nil {
+			return nil, err
+		}
+	}
+	if o.Program, err = settle(o.Program, rec.dir); err != nil {
+		return nil, err
+	}
+	logs := filepath.Join(rec.dir, "logs")
+	if o.Out != "" {
+		logs = filepath.Join(o.Out, "logs")
+	}
+	if err := os.MkdirAll(logs, 0o755); err != nil {
+		return nil, err
+	}
+	r := &run{scene: s, clock: newClock(), history: new(History), late: newLateness()}
+	if r.net, err = claimSubnet(); err != nil {
+		return nil, err
+	}
+	defer r.net.release()
+	if r.servers, err = newServers(s, o.Seed, r.clock, r.history, r.net); err != nil {
+		return nil, err
+	}
+	defer r.servers.close()
+	r.roster, err = newRoster(s, r.clock, r.history, r.net)
+	defer r.roster.close()
+	if err != nil {
+		return nil, err
+	}
+	r.processes = newProcesses(s, r.clock, r.history, r.net, r.roster, o.Program, rec.dir, logs, rec, o.Seed)
+	defer func() {
+		soon, cancel := context.WithTimeout(context.Background(), exitTime)
+		defer cancel()
+		r.processes.close(soon)
+	}()
+	if s.Fleet.Mesh {
+		if r.mesh, err = newMesh(s.Fleet.Sidecars, r.net, o.Seed); err != nil {
+			return nil, err
+		}
+		defer r.mesh.close()
+		r.processes.routes = r.mesh.routes
+	}
+	return r.play(ctx, o)
+}
+
+// settle copies the program into the run's folder: it stays the same for the whole run, and whoever sidecars run as
+// can reach it.
+func settle(program, dir string) (string, error) {
+	from, err := os.Open(program)
+	if err != nil {
+		return "", err
+	}
+	defer from.Close()
+	path := filepath.Join(dir, "sidecar")
+	to, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o755)
+	if err != nil {
+		return "", err
+	}
+	_, err = io.Copy(to, from)
+	return path, errors.Join(err, to.Close())
+}
+
+// descriptors sees whether the machine lets the lab open what the scenario needs, and asks for more.
+func descriptors(s *Scenario) error {
+	n := s.Fleet.Sidecars
+	need := 200 + n*(s.Fleet.Servers+4) // listeners
+	need += 40 * int(s.capacity())      // requests under way at twice what the servers can do, for a third of a second
+	need += n * 2 * min(s.Fleet.Servers, 12)
+	if s.Fleet.Mesh {
+		need += n * n * 4
+	}
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return err
+	}
+	if limit.Cur < limit.Max {
+		limit.Cur = limit.Max
+		if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+			return err
+		}
+	}
+	if uint64(need) > limit.Cur {
+		return fmt.Errorf("%d descriptors may be needed for %d sidecars and %d servers, and this process may hold %d (ulimit -n): raise the limit or play fewer",
+			need, n, s.Fleet.Servers, limit.Cur)
+	}
+	return nil
+}
+
+// play starts the sidecars, plays all parts, stops everything and judges.
+func (r *run) play(ctx context.Context, o Options) (*Result, error) {
+	s := r.scene
+	arrivals, plan := s.arrivals(o.Seed), s.Plan(o.Seed)
+	r.history.asked = make([]Asked, len(arrivals))
+	r.clients = newClients(s, r.clock, r.history, r.net, r.late)
+	if err := r.startAll(ctx); err != nil {
+		return nil, err
+	}
+	began := time.Now()
+	r.clock.begin(100 * time.Millisecond)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := make(chan struct{})
+	var watchers, players sync.WaitGroup
+	watchers.Go(func() { r.late.watch(r.clock, stop) })
+	watchers.Go(func() { r.watch(stop, o.Live) })
+	r.faults = &faults{run: r, rng: rand.New(rand.NewPCG(o.Seed, 7))}
+	players.Go(func() { r.faults.play(ctx, plan) })
+	before := cpuOf(syscall.RUSAGE_SELF)
+	r.clients.play(arrivals, ctx.Done())
+	failed := ctx.Err()
+	sleep(ctx, s.For.D()-r.clock.now())
+	cancel() // what is not mended by now is for good
+	players.Wait()
+	close(stop)
+	watchers.Wait()
+	lab := cpuOf(syscall.RUSAGE_SELF) - before
+	r.processes.sample()
+	soon, cancelSoon := context.WithTimeout(context.Background(), exitTime)
+	r.processes.close(soon)
+	cancelSoon()
+	if failed != nil {
+		return nil, errors.New("the run was ended before its time")
+	}
+	if err := errors.Join(r.faults.errs...); err != nil {
+		return nil, err
+	}
+	res := r.result(o, plan, lab, time.Since(began))
+	if o.Out != "" {
+		return res, res.write(o.Out, r)
+	}
+	return res, nil
+}
+
+// startAll starts all sidecars, some at a time.
+func (r *run) startAll(ctx context.Context) error {
+	places := make(chan struct{}, 16)
+	errs := make(chan error, r.scene.Fleet.Sidecars)
+	for i := range r.scene.Fleet.Sidecars {
+		go func() {
+			places <- struct{}{}
+			defer func() { <-places }()
+			if ctx.Err() != nil {
+				errs <- ctx.Err()
+				return
+			}
+			_, err := r.processes.start(i)
+			errs <- err
+		}()
+	}
+	var bad []error
+	for range r.scene.Fleet.Sidecars {
+		if err := <-errs; err != nil {
+			bad = append(bad, err)
+		}
+	}
+	if len(bad) > 3 {
+		bad = append(bad[:3], fmt.Errorf("and %d more", len(bad)-3))
+	}
+	return errors.Join(bad...)
+}
+
+// watch samples the processes and tells of the run, once a second.
+func (r *run) watch(stop <-chan struct{}, live func(Progress)) {
+	t := time.NewTicker(time.Second)
+	defer t.Stop()
+	told := 0
+	for {
+		select {
+		case <-stop:
+			return
+		case <-t.C:
+		}
+		r.processes.sample()
+		if live == nil {
+			continue
+		}
+		now := r.clock.now()
+		p := Progress{At: now, Open: int(r.clients.live.Load())}
+		second := int(now/time.Second) - 2
+		if second >= 0 && second < len(r.clients.inTime.by) {
+			for o, c := range r.clients.count {
+				n := int(c.by[second].Load())
+				p.Asked += n
+				switch o {
+				case Served:
+				case Refused:
+					p.Refused += n
+				default:
+					p.Failed += n
+				}
+			}
+			p.InTime = int(r.clients.inTime.by[second].Load())
+		}
+		for i := range r.scene.Fleet.Sidecars {
+			if r.processes.of(i) != nil {
+				p.Sidecars++
+			}
+		}
+		r.servers.mu.Lock()
+		for _, u := range r.servers.all {
+			if u.model.Up() && u.silent == nil {
+				p.Servers++
+			}
+		}
+		r.servers.mu.Unlock()
+		r.faults.mu.Lock()
+		for ; told < len(r.faults.marks); told++ {
+			p.Marks = append(p.Marks, r.faults.marks[told].Text)
+		}
+		r.faults.mu.Unlock()
+		live(p)
+	}
+}
+
+// cpuOf is the processor time of this process, or of its children that have ended.
+func cpuOf(whose int) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(whose, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// Live prints a line a second.
+func Live(w io.Writer) func(Progress) {
+	return func(p Progress) {
+		for _, m := range p.Marks {
+			fmt.Fprintf(w, "%6s  *** %s\n", p.At.Round(time.Second), m)
+		}
+		fmt.Fprintf(w, "%6s  asked %4d/s  in time %4d  refused %3d  failed %3d  open %3d  sidecars %d  servers %d\n",
+			p.At.Round(time.Second), p.Asked, p.InTime, p.Refused, p.Failed, p.Open, p.Sidecars, p.Servers)
+	}
+}
--- /dev/null
+++ b/internal/lab/scenario.go
@@ -0,0 +1,328 @@
+package lab
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"arrowgw/internal/conf"
+	"arrowgw/internal/world"
+)
+
+// Scenario is a scenario file: a fleet, its load, a timetable of faults, and what must hold.
+type Scenario struct {
+	Name string `toml:"-"` // that of its file
+
+	About string        `toml:"about" need:"yes" help:"what the scenario is for, in a line"`
+	For   conf.Duration `toml:"for" default:"20s" min:"1s" max:"1h" help:"how long clients make requests"`
+	Hold  []string      `toml:"hold" default:"answered once honest known drains cold limits alive" oneof:"answered once honest known drains cold limits alive" help:"the invariants that are checked over the whole history; docs/lab.md words them"`
+	Fleet fleetSpec     `toml:"fleet"`
+	Load  loadSpec      `toml:"load"`
+	Serve serverSpec    `toml:"server"`
+	List  listSpec      `toml:"discovery"`
+	Fault []Fault       `toml:"fault"`
+}
+
+type fleetSpec struct {
+	Sidecars int     `toml:"sidecars" default:"4" min:"1" max:"400" help:"real sidecar processes, each with clients of its own"`
+	Servers  int     `toml:"servers" default:"8" min:"1" max:"400" help:"queue servers, spread evenly over the zones"`
+	Zones    int     `toml:"zones" default:"2" min:"1" max:"8" help:"zones, named a, b and so on"`
+	MemoryMB int     `toml:"memory_mb" default:"64" unit:"MiB" min:"16" max:"4096" help:"a sidecar's limit"`
+	Sockets  int     `toml:"sockets" default:"384" min:"64" max:"4096" help:"descriptors that a sidecar may hold"`
+	Quota    float64 `toml:"quota" default:"0.83" min:"0.01" max:"10" help:"all tenants' quotas, as a share of what the servers can do"`
+	Mesh     bool    `toml:"mesh" default:"false" help:"whether sidecars reach each other, through the lab's relays"`
+	File     string  `toml:"file" help:"the fleet file of every sidecar, in TOML; the lab adds the routes"`
+}
+
+type loadSpec struct {
+	Use     float64       `toml:"use" default:"0.5" min:"0" max:"5" help:"work asked for, as a share of what the servers can do when warm"`
+	Skew    float64       `toml:"skew" default:"0.5" min:"0" max:"3" help:"standard deviation of the sidecars' parts of the traffic, against the mean"`
+	Keys    int           `toml:"keys" default:"2500" min:"1" max:"1000000" help:"distinct keys"`
+	Zipf    float64       `toml:"zipf" default:"1" min:"0" max:"3" help:"exponent of the keys' popularity"`
+	Retries int           `toml:"retries" default:"3" min:"0" max:"10" help:"a client's further tries"`
+	Try     float64       `toml:"try" default:"0.4" min:"0.05" max:"1" help:"a try is given up after this share of the deadline"`
+	Backoff conf.Duration `toml:"backoff" default:"15ms" min:"0s" max:"10s" help:"pause before a client's further try, where it was told none"`
+	Heed    float64       `toml:"heed" default:"0.4" min:"0" max:"1" help:"share of clients that heed Retry-After"`
+}
+
+type serverSpec struct {
+	Speed     float64       `toml:"speed" default:"1" min:"0.01" max:"100" help:"mean of the servers' speeds"`
+	Spread    float64       `toml:"spread" default:"0.1" min:"0" max:"1" help:"standard deviation of their speeds"`
+	Cores     float64       `toml:"cores" default:"1" min:"1" max:"64" help:"cores of each"`
+	Slots     int           `toml:"slots" default:"16" min:"1" max:"10000" help:"requests in work at once"`
+	Room      int           `toml:"room" default:"38" min:"0" max:"100000" help:"and waiting; past that they are turned away"`
+	Keys      int           `toml:"keys" default:"240" min:"0" max:"100000" help:"keys that it remembers"`
+	KeyTime   conf.Duration `toml:"key_time" default:"6s" min:"0s" max:"1h" help:"and for how long"`
+	KeyGain   float64       `toml:"key_gain" default:"0.45" min:"0" max:"1" help:"share of the work that a key met lately saves"`
+	ColdFrom  float64       `toml:"cold_from" default:"0.2" min:"0.01" max:"1" help:"share of its capacity that it starts with"`
+	ColdTime  conf.Duration `toml:"cold_time" default:"10s" min:"0s" max:"10m" help:"until it has all"`
+	FallAt    float64       `toml:"fall_at" default:"4" min:"0" max:"100" help:"a cold one falls over when sent more than this multiple of what it can do; 0: never"`
+	FallFor   conf.Duration `toml:"fall_for" default:"2s" min:"100ms" max:"1m" help:"for this long"`
+	ChokeAt   float64       `toml:"choke_at" default:"5.5" min:"0" max:"1000" help:"with more requests than this to a core"`
+	ChokeOver conf.Duration `toml:"choke_over" default:"2s" min:"0s" max:"1m" help:"for this long, it turns slower"`
+	ChokeSlow float64       `toml:"choke_slow" default:"2.7" min:"1" max:"100" help:"so many times"`
+	ChokeRest conf.Duration `toml:"choke_rest" default:"3s" min:"0s" max:"1m" help:"until it was nearly idle for so long"`
+	ChokeMost conf.Duration `toml:"choke_most" default:"24s" min:"0s" max:"10m" help:"or this has passed; 0s: it never chokes"`
+	Sockets   int           `toml:"sockets" default:"750" min:"1" max:"100000" help:"connections that it accepts"`
+	Handshake conf.Duration `toml:"handshake" default:"3ms" min:"0s" max:"1s" help:"work that a new connection costs it"`
+	Errors    float64       `toml:"errors" default:"0.0005" min:"0" max:"1" help:"share of requests that end in an error"`
+	Cancel    string        `toml:"cancel" default:"queued" oneof:"queued all" help:"what a cancel stops: waiting requests, or those in work too"`
+}
+
+type listSpec struct {
+	Notice  conf.Duration `toml:"notice" default:"2s" min:"0s" max:"5m" help:"until the list knows that a server's process died, drains or is back"`
+	Silence conf.Duration `toml:"silence" default:"8s" min:"0s" max:"5m" help:"until it knows that one is silent"`
+	Call    conf.Duration `toml:"call" default:"2ms" min:"0s" max:"10s" help:"of discovery's service that a call takes"`
+	Line    conf.Duration `toml:"line" default:"200us" min:"0s" max:"1s" help:"and each line of its answer"`
+	Wait    conf.Duration `toml:"wait" default:"1s" min:"1ms" max:"1m" help:"a call that would wait longer fails"`
+}
+
+// Fault is one line of the timetable.
+type Fault struct {
+	At     conf.Duration `toml:"at" need:"yes" min:"0s" max:"1h" help:"when, after the first request"`
+	Do     string        `toml:"do" need:"yes" oneof:"kill stop pause upgrade full crash slow err silence refuse drain out away move stale crawl burst cut delay drop duplicate reorder limit" help:"what; docs/lab.md words them"`
+	Target string        `toml:"target" help:"whom: all, 3, 0-2, 25%, or zone a; of sidecars, servers or links, as the fault has it"`
+	Peer   string        `toml:"peer" help:"links only: the other end, in the same form; empty: all others"`
+	Way    string        `toml:"way" default:"both" oneof:"both out in" help:"links only: both ways, or from or to the target"`
+	For    conf.Duration `toml:"for" default:"0s" min:"0s" max:"1h" help:"until it is mended; 0s: never"`
+	Size   float64       `toml:"size" default:"0" min:"0" help:"how many times slower or more, the share, bytes, or bytes a second, as the fault has it"`
+	Pause  conf.Duration `toml:"pause" default:"0s" min:"0s" max:"1m" help:"delay, reorder, crawl: by how much; many targets: the time between two of them"`
+	State  string        `toml:"state" default:"kept" oneof:"kept emptied truncated flipped readonly" help:"kill: what becomes of the state folder before the restart"`
+}
+
+// kinds says what each fault is done to, and which of them need a size.
+var kinds = map[string]struct {
+	on   string
+	size bool
+}{
+	"kill": {"sidecar", false}, "stop": {"sidecar", false}, "pause": {"sidecar", false}, "upgrade": {"sidecar", false}, "full": {"sidecar", true},
+	"crash": {"server", false}, "slow": {"server", true}, "err": {"server", true}, "silence": {"server", false}, "refuse": {"server", false},
+	"drain": {"server", false}, "out": {"server", false},
+	"away": {"discovery", false}, "move": {"discovery", false}, "stale": {"discovery", false}, "crawl": {"discovery", false},
+	"burst": {"load", true},
+	"cut":   {"link", false}, "delay": {"link", false}, "drop": {"link", true}, "duplicate": {"link", true}, "reorder": {"link", true}, "limit": {"link", true},
+}
+
+// ReadScenario reads a scenario file; name stands for it in errors and results.
+func ReadScenario(name string, raw []byte) (*Scenario, error) {
+	s := &Scenario{Name: strings.TrimSuffix(name, ".toml")}
+	if i := strings.LastIndexByte(s.Name, '/'); i >= 0 {
+		s.Name = s.Name[i+1:]
+	}
+	if err := conf.Parse(name, raw, s); err != nil {
+		return nil, err
+	}
+	if err := s.check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	return s, nil
+}
+
+// check finds what no single key can be blamed for.
+func (s *Scenario) check() error {
+	var bad []error
+	for i, f := range s.Fault {
+		fail := func(format string, args ...any) {
+			bad = append(bad, fmt.Errorf("fault[%d], %s at %v: %s", i, f.Do, f.At, fmt.Sprintf(format, args...)))
+		}
+		kind := kinds[f.Do]
+		if kind.size && f.Size == 0 {
+			fail("a size is needed")
+		}
+		if f.At > s.For {
+			fail("it is past the end at %v", s.For)
+		}
+		if _, err := s.targets(f, f.Target, nil); err != nil {
+			fail("target: %v", err)
+		}
+		switch kind.on {
+		case "link":
+			if !s.Fleet.Mesh {
+				fail("there are no links without fleet.mesh")
+			}
+			if _, err := s.targets(f, cmp.Or(f.Peer, "all"), nil); err != nil {
+				fail("peer: %v", err)
+			}
+		case "load":
+			if f.For <= 0 {
+				fail("a time (for) is needed")
+			}
+		}
+		if kind.on != "link" && f.Peer != "" {
+			fail("it has no peer")
+		}
+	}
+	return errors.Join(bad...)
+}
+
+// targets lists whom a fault is done to, in order. A share is drawn at random; with no rng the first ones are taken.
+func (s *Scenario) targets(f Fault, text string, rng *rand.Rand) ([]int, error) {
+	n := s.Fleet.Sidecars
+	switch kinds[f.Do].on {
+	case "server":
+		n = s.Fleet.Servers
+	case "discovery", "load":
+		if text != "" {
+			return nil, errors.New("there is only one: leave it out")
+		}
+		return []int{0}, nil
+	}
+	all := make([]int, n)
+	for i := range all {
+		all[i] = i
+	}
+	number := func(text string) (int, error) {
+		i, err := strconv.Atoi(text)
+		if err != nil || i < 0 || i >= n {
+			return 0, fmt.Errorf("%q is none of 0 to %d", text, n-1)
+		}
+		return i, nil
+	}
+	zone, ofZone := strings.CutPrefix(text, "zone ")
+	share, part := strings.CutSuffix(text, "%")
+	from, to, span := strings.Cut(text, "-")
+	switch {
+	case text == "all":
+		return all, nil
+	case ofZone:
+		if len(zone) != 1 || int(zone[0]-'a') >= s.Fleet.Zones || zone[0] < 'a' {
+			return nil, fmt.Errorf("there is no zone %q", zone)
+		}
+		return slices.DeleteFunc(all, func(i int) bool { return s.zoneOf(i) != int(zone[0]-'a') }), nil
+	case part:
+		p, err := strconv.ParseFloat(share, 64)
+		if err != nil || !(p > 0 && p <= 100) {
+			return nil, fmt.Errorf("%q is no share such as 25%%", text)
+		}
+		if rng != nil {
+			rng.Shuffle(n, func(i, j int) { all[i], all[j] = all[j], all[i] })
+		}
+		some := all[:max(1, int(float64(n)*p/100+0.5))]
+		slices.Sort(some)
+		return some, nil
+	case span:
+		a, errA := number(from)
+		b, errB := number(to)
+		if errA != nil || errB != nil || a > b {
+			return nil, fmt.Errorf("%q is no span such as 0-2", text)
+		}
+		return all[a : b+1], nil
+	}
+	i, err := number(text)
+	if err != nil {
+		return nil, fmt.Errorf("%w, nor all, a span, a share or a zone", err)
+	}
+	return []int{i}, nil
+}
+
+// zoneOf is the zone of a sidecar or a server by its number.
+func (s *Scenario) zoneOf(i int) int { return i % s.Fleet.Zones }
+
+func zoneName(zone int) string { return string(rune('a' + zone)) }
+
+// Action is one fault as it is played: the targets are drawn.
+type Action struct {
+	Fault
+	Targets, Peers []int `toml:"-"`
+}
+
+// Plan draws what the timetable leaves open. The same seed gives the same plan.
+func (s *Scenario) Plan(seed uint64) []Action {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	var plan []Action
+	for _, f := range s.Fault {
+		a := Action{Fault: f}
+		a.Targets, _ = s.targets(f, f.Target, rng) // checked when the file was read
+		if kinds[f.Do].on == "link" {
+			a.Peers, _ = s.targets(f, cmp.Or(f.Peer, "all"), rng)
+		}
+		plan = append(plan, a)
+	}
+	slices.SortStableFunc(plan, func(a, b Action) int { return cmp.Compare(a.At, b.At) })
+	return plan
+}
+
+// classes are the operators' two, and one that is safe to repeat.
+func (s *Scenario) classes() []world.Class {
+	const ms = time.Millisecond
+	return []world.Class{
+		{Name: "publish", Share: 0.62, Work: 15 * ms, Spread: 1.1, Aim: 150 * ms, Deadline: 500 * ms, Worth: 10, Effect: world.Unsafe},
+		{Name: "rebuild", Share: 0.38, Work: 23 * ms, Spread: 1, Aim: 200 * ms, Deadline: 800 * ms, Worth: 3, Effect: world.Keyed, Window: 4 * time.Second},
+	}
+}
+
+// tenants are the operators'.
+var tenants = []struct {
+	name  string
+	share float64
+}{
+	{"aspen-parkland", 0.27}, {"big-coulee", 0.17}, {"north-saskatch", 0.12}, {"qu-appelle", 0.11}, {"whitemud", 0.08},
+	{"cypress-hills", 0.07}, {"swift-creek", 0.07}, {"pembina", 0.06}, {"souris-bend", 0.05},
+}
+
+// arrivals draws what clients ask for.
+func (s *Scenario) arrivals(seed uint64) []world.Arrival {
+	spec := world.LoadSpec{
+		For: s.For.D(), Sidecars: s.Fleet.Sidecars, Skew: s.Load.Skew, Classes: s.classes(), Keys: s.Load.Keys, Zipf: s.Load.Zipf,
+	}
+	for _, t := range tenants {
+		spec.Tenants = append(spec.Tenants, t.share)
+	}
+	spec.Rate = s.Load.Use * s.capacity() / spec.MeanWork().Seconds()
+	for _, f := range s.Fault {
+		if f.Do == "burst" {
+			spec.Bursts = append(spec.Bursts, world.Burst{At: f.At.D(), For: f.For.D(), Times: f.Size})
+		}
+	}
+	return world.Draw(spec, seed)
+}
+
+// capacity is the work in seconds that all servers can do in a second when they are warm.
+func (s *Scenario) capacity() float64 {
+	return float64(s.Fleet.Servers) * s.Serve.Cores * s.Serve.Speed
+}
+
+// server is the model of one queue server.
+func (s *Scenario) server(i int, zone *world.Zone, seed uint64) *world.Server {
+	rng := rand.New(rand.NewPCG(seed, 4+uint64(i)<<8))
+	c := s.Serve
+	spec := world.ServerSpec{
+		Cores: c.Cores, Speed: max(0.1, c.Speed*(1+c.Spread*rng.NormFloat64())), Slots: c.Slots, Room: c.Room,
+		Thrash: 0.3, ThrashAt: 11 * c.Cores,
+		Keys: c.Keys, KeyTime: c.KeyTime.D(), KeyGain: c.KeyGain,
+		ColdFrom: c.ColdFrom, ColdTime: c.ColdTime.D(), FallAt: c.FallAt, FallWithin: c.FallFor.D(),
+		ChokeAt: c.ChokeAt, ChokeOver: c.ChokeOver.D(), ChokeSlow: c.ChokeSlow, ChokeRest: c.ChokeRest.D(), ChokeMost: c.ChokeMost.D(),
+		Errors: c.Errors, CancelRunning: c.Cancel == "all", Handshake: c.Handshake.D(), Probe: 450 * time.Microsecond,
+	}
+	return world.NewServer(spec, zone, rng.Uint64())
+}
+
+// Resize changes the number of sidecars and servers; 0 leaves one as it is.
+func (s *Scenario) Resize(sidecars, servers int) error {
+	for _, n := range []int{sidecars, servers} {
+		if n < 0 || n > 400 {
+			return fmt.Errorf("%d sidecars or servers: 1 to 400 are allowed", n)
+		}
+	}
+	s.Fleet.Sidecars, s.Fleet.Servers = cmp.Or(sidecars, s.Fleet.Sidecars), cmp.Or(servers, s.Fleet.Servers)
+	return s.check()
+}
+
+// Stretch makes the scenario last so long. Its faults move with it.
+func (s *Scenario) Stretch(length time.Duration) error {
+	if length < time.Second || length > time.Hour {
+		return fmt.Errorf("%v is no length: 1s to 1h is allowed", length)
+	}
+	by := float64(length) / float64(s.For.D())
+	s.For = conf.Duration(length)
+	for i := range s.Fault {
+		s.Fault[i].At = conf.Duration(float64(s.Fault[i].At) * by)
+		s.Fault[i].For = conf.Duration(float64(s.Fault[i].For) * by)
+	}
+	return s.check()
+}
--- /dev/null
+++ b/internal/lab/upstream.go
@@ -0,0 +1,502 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"arrowgw/internal/world"
+)
+
+const (
+	bodyLimit  = 64 << 10 // bytes of a body in the protocol
+	serverIdle = 15 * time.Second
+	backlog    = 4096
+)
+
+// servers are the stand-ins for all queue servers. One lock serialises their models, which share zones.
+type servers struct {
+	clock   clock
+	history *History
+	net     *subnet
+	tally   []*counter // requests that reached each, by second
+
+	mu  sync.Mutex
+	all []*server
+}
+
+// server is one of them: a model behind a listener for each sidecar.
+type server struct {
+	of      *servers
+	number  int
+	sockets int
+	model   *world.Server
+	waiting map[uint64]chan world.Ended // by job
+	last    uint64
+	timer   *time.Timer
+	doors   []*door
+	conns   map[*conn]bool
+	pushed  bool          // over, in this life
+	silent  chan struct{} // not nil while it says nothing; closed when it speaks again
+	http    *http.Server
+}
+
+func newServers(s *Scenario, seed uint64, c clock, h *History, n *subnet) (*servers, error) {
+	all := &servers{clock: c, history: h, net: n}
+	zones := make([]*world.Zone, s.Fleet.Zones)
+	for i := range zones {
+		for _, class := range s.classes() {
+			if class.Effect == world.Keyed {
+				zones[i] = &world.Zone{Window: class.Window}
+			}
+		}
+	}
+	for i := range s.Fleet.Servers {
+		u := &server{
+			of: all, number: i, sockets: s.Serve.Sockets, model: s.server(i, zones[s.zoneOf(i)], seed),
+			waiting: make(map[uint64]chan world.Ended), conns: make(map[*conn]bool),
+		}
+		u.timer = time.AfterFunc(time.Hour, u.tick)
+		u.http = &http.Server{
+			Handler: u, IdleTimeout: serverIdle, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug),
+			ConnState: func(_ net.Conn, state http.ConnState) {
+				if state == http.StateNew {
+					all.mu.Lock()
+					defer all.mu.Unlock()
+					u.advance()
+					u.model.Connect(all.clock.now())
+					u.look()
+				}
+			},
+			ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+		}
+		all.all = append(all.all, u)
+		all.tally = append(all.tally, newCounter(int(s.For.D()/time.Second)))
+		for sidecar := range s.Fleet.Sidecars {
+			d := &door{server: u, sidecar: sidecar}
+			u.doors = append(u.doors, d)
+			if err := d.open(); err != nil {
+				all.close()
+				return nil, err
+			}
+		}
+	}
+	return all, nil
+}
+
+type connKey struct{}
+
+func (a *servers) close() {
+	for _, u := range a.all {
+		u.timer.Stop()
+		u.http.Close()
+		a.mu.Lock()
+		u.speak()
+		u.shut()
+		a.mu.Unlock()
+	}
+}
+
+// door is where one sidecar reaches a server.
+type door struct {
+	server  *server
+	sidecar int
+
+	mu       sync.Mutex
+	listener *net.TCPListener // nil: refused
+	filler   net.Conn         // fills the queue of a door that is silent
+}
+
+// open listens, and serves what comes.
+func (d *door) open() error {
+	l, err := d.server.of.net.listen(d.sidecar, serverPort+d.server.number, fmt.Sprintf("server %d", d.server.number))
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	d.listener = l.(*net.TCPListener)
+	d.mu.Unlock()
+	go func() { _ = d.server.http.Serve(&doorway{d, l.(*net.TCPListener)}) }() // ends with the listener
+	return nil
+}
+
+func (d *door) shut() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.listener != nil {
+		d.listener.Close()
+		d.listener = nil
+	}
+	if d.filler != nil {
+		d.filler.Close()
+		d.filler = nil
+	}
+}
+
+// hush makes the door that of a machine that has vanished: nobody accepts, and the queue of those that may come up
+// by themselves is full, so that new connections never do.
+func (d *door) hush() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.listener == nil {
+		return
+	}
+	_ = d.listener.SetDeadline(time.Unix(1, 0)) // fails only on a closed one, as the next does
+	d.queue(0)
+	d.filler, _ = net.DialTimeout("tcp", d.listener.Addr().String(), 50*time.Millisecond) // where others were faster, it is full already
+}
+
+// unhush makes it a door again.
+func (d *door) unhush() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.listener == nil {
+		return
+	}
+	if d.filler != nil {
+		d.filler.Close()
+		d.filler = nil
+	}
+	_ = d.listener.SetDeadline(time.Now().Add(time.Millisecond))
+	for { // whoever waited to come up all the time finds a machine that knows nothing of it
+		c, err := d.listener.AcceptTCP()
+		if err != nil {
+			break
+		}
+		_ = c.SetLinger(0)
+		c.Close()
+	}
+	d.queue(backlog)
+	_ = d.listener.SetDeadline(time.Time{})
+}
+
+// queue sets how many connections may come up before they are accepted.
+func (d *door) queue(n int) {
+	raw, err := d.listener.SyscallConn()
+	if err == nil {
+		_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), n) }) // fails only on a closed one
+	}
+}
+
+// doorway is a door's listener as net/http has it.
+type doorway struct {
+	d *door
+	*net.TCPListener
+}
+
+// Accept waits while the server is silent.
+func (w *doorway) Accept() (net.Conn, error) {
+	for {
+		c, err := w.TCPListener.AcceptTCP()
+		u := w.d.server
+		u.of.mu.Lock()
+		silent := u.silent
+		if err == nil && silent == nil && u.model.Up() {
+			wrapped := &conn{TCPConn: c, server: u, sidecar: w.d.sidecar}
+			u.conns[wrapped] = true
+			u.of.mu.Unlock()
+			return wrapped, nil
+		}
+		u.of.mu.Unlock()
+		var timeout net.Error
+		switch {
+		case err == nil: // it came up in the moment that the server went
+			_ = c.SetLinger(0)
+			c.Close()
+		case silent == nil || !errors.As(err, &timeout) || !timeout.Timeout():
+			if silent == nil && errors.As(err, &timeout) && timeout.Timeout() {
+				continue // it speaks again
+			}
+			return nil, err
+		}
+		if silent != nil {
+			<-silent
+		}
+	}
+}
+
+// conn is a connection to a server. While the server is silent it is too.
+type conn struct {
+	*net.TCPConn
+	server  *server
+	sidecar int
+}
+
+var errVanished = errors.New("the server had vanished")
+
+// heard waits while the server is silent; afterwards the connection is reset.
+func (c *conn) heard() error {
+	c.server.of.mu.Lock()
+	silent := c.server.silent
+	c.server.of.mu.Unlock()
+	if silent == nil {
+		return nil
+	}
+	<-silent
+	c.Close()
+	return errVanished
+}
+
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if gone := c.heard(); gone != nil {
+		return 0, gone
+	}
+	return n, err
+}
+
+func (c *conn) Write(p []byte) (int, error) {
+	if gone := c.heard(); gone != nil {
+		return 0, gone
+	}
+	return c.TCPConn.Write(p)
+}
+
+func (c *conn) Close() error {
+	c.server.of.mu.Lock()
+	delete(c.server.conns, c)
+	c.server.of.mu.Unlock()
+	return c.TCPConn.Close()
+}
+
+// reset ends all connections as the death of a process does.
+func (u *server) reset() {
+	for c := range u.conns {
+		_ = c.TCPConn.SetLinger(0) // fails only on a closed one
+		c.TCPConn.Close()
+		delete(u.conns, c)
+	}
+}
+
+// speak ends the server's silence; all that was open is reset.
+func (u *server) speak() {
+	if u.silent != nil {
+		u.reset()
+		close(u.silent)
+		u.silent = nil
+	}
+}
+
+func (u *server) shut() {
+	for _, d := range u.doors {
+		d.shut()
+	}
+	u.reset()
+}
+
+// crash ends a server's process.
+func (a *servers) crash(i int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.all[i].down()
+}
+
+func (u *server) down() {
+	u.model.Crash(u.of.clock.now())
+	u.drop()
+	u.speak()
+	u.shut()
+}
+
+// drop forgets the jobs of a life that has ended; their connections are reset.
+func (u *server) drop() {
+	for id, c := range u.waiting {
+		close(c)
+		delete(u.waiting, id)
+	}
+}
+
+// start brings a crashed server back, cold.
+func (a *servers) start(i int) error {
+	a.mu.Lock()
+	a.all[i].model.Start(a.clock.now())
+	a.all[i].pushed = false
+	a.mu.Unlock()
+	for _, d := range a.all[i].doors {
+		if err := d.open(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// silence makes a server's machine vanish, or brings it back; its process is then a new one.
+func (a *servers) silence(i int, on bool) {
+	u := a.all[i]
+	if on {
+		a.mu.Lock()
+		if u.silent == nil {
+			u.silent = make(chan struct{})
+		}
+		a.mu.Unlock()
+		for _, d := range u.doors {
+			d.hush()
+		}
+		return
+	}
+	a.mu.Lock()
+	now := a.clock.now()
+	u.model.Crash(now)
+	u.drop()
+	u.model.Start(now)
+	a.mu.Unlock()
+	for _, d := range u.doors {
+		d.unhush()
+	}
+	a.mu.Lock()
+	u.speak()
+	a.mu.Unlock()
+}
+
+// change does something to a server's model.
+func (a *servers) change(i int, f func(*world.Server)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	u := a.all[i]
+	u.advance()
+	f(u.model)
+	u.look()
+}
+
+// tick plays a server on by its timer.
+func (u *server) tick() {
+	u.of.mu.Lock()
+	defer u.of.mu.Unlock()
+	u.advance()
+	u.look()
+}
+
+// advance plays the model on, and hands out what has ended.
+func (u *server) advance() {
+	for _, e := range u.model.Advance(u.of.clock.now()) {
+		if c := u.waiting[e.ID]; c != nil {
+			c <- e
+			delete(u.waiting, e.ID)
+		}
+	}
+}
+
+// look sets the timer, and sees whether the server has fallen over.
+func (u *server) look() {
+	if u.model.Fell() && !u.pushed {
+		u.pushed = true
+		h := u.of.history
+		h.note(&h.fallen, "at %v server %d was pushed over when it was cold", u.of.clock.now(), u.number)
+		u.drop()
+		u.speak()
+		u.shut()
+	}
+	if at, ok := u.model.Next(); ok {
+		u.timer.Reset(max(0, at-u.of.clock.now()))
+	}
+}
+
+// ServeHTTP is the server's side of the protocol.
+func (u *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := r.Context().Value(connKey{}).(*conn)
+	at := u.of.clock.now()
+	if r.URL.Path == "/alive" {
+		u.of.mu.Lock()
+		u.advance()
+		u.model.Inspect(at)
+		u.look()
+		u.of.mu.Unlock()
+		return
+	}
+	id := r.Header.Get("X-Request-ID")
+	if id == "" {
+		http.Error(w, "no X-Request-ID", http.StatusNotFound)
+		return
+	}
+	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, bodyLimit)); err != nil {
+		return // its last byte never came: it has not begun
+	}
+	t, n := u.of.history.reach(id, Reached{Server: u.number, Sidecar: c.sidecar, At: at, Verdict: world.Full})
+	if t == nil {
+		http.Error(w, "an id that no client sent", http.StatusBadRequest)
+		return
+	}
+	u.of.tally[u.number].add(at, 1)
+	work, err := time.ParseDuration(r.URL.Query().Get("work"))
+	if err != nil {
+		http.Error(w, "no work", http.StatusBadRequest)
+		return
+	}
+	ended, job, verdict := u.take(work, keyHash(r.Header.Get("X-Route-Key")), keyHash(r.Header.Get("Idempotency-Key")))
+	if verdict != world.Taken {
+		u.of.history.settle(t, n, verdict, "")
+	}
+	switch verdict {
+	case world.Full:
+		w.Header().Set("X-Not-Processed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case world.Down:
+		panic(http.ErrAbortHandler) // its process is gone
+	case world.Taken:
+		u.of.history.settle(t, n, verdict, "")
+		select {
+		case e, alive := <-ended:
+			if !alive {
+				panic(http.ErrAbortHandler)
+			}
+			if e.Error {
+				w.WriteHeader(http.StatusInternalServerError)
+				return
+			}
+		case <-r.Context().Done(): // given up: the sidecar has closed the connection
+			u.cancel(job)
+			return
+		}
+	}
+	body := fmt.Sprintf("%s served by s-%d, arrival %d", id, u.number, n)
+	u.of.history.settle(t, n, verdict, body)
+	_, _ = io.WriteString(w, body) // fails where the sidecar has gone
+}
+
+// keyHash is a key as the model has it; 0: none.
+func keyHash(key string) uint64 {
+	if key == "" {
+		return 0
+	}
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, key) // a hash takes everything
+	return h.Sum64() | 1
+}
+
+// take hands a request to the model.
+func (u *server) take(work time.Duration, key, unique uint64) (chan world.Ended, uint64, world.Verdict) {
+	u.of.mu.Lock()
+	defer u.of.mu.Unlock()
+	u.advance()
+	defer u.look()
+	if len(u.conns) > u.sockets {
+		return nil, 0, world.Full
+	}
+	u.last++
+	v := u.model.Arrive(u.of.clock.now(), world.Job{ID: u.last, Work: work, Key: key, Unique: unique})
+	if v != world.Taken {
+		return nil, 0, v
+	}
+	c := make(chan world.Ended, 1)
+	u.waiting[u.last] = c
+	return c, u.last, v
+}
+
+// cancel takes that nobody waits for a job any more.
+func (u *server) cancel(job uint64) {
+	u.of.mu.Lock()
+	defer u.of.mu.Unlock()
+	u.advance()
+	u.model.Cancel(job)
+	delete(u.waiting, job)
+	u.look()
+}
--- a/internal/world/roster.go
+++ b/internal/world/roster.go
@@ -88,6 +88,11 @@
 	free     time.Duration // when it is done with all calls so far
 }
 
+// NewDesk makes a desk that is free, whatever the time is.
+func NewDesk(call, line, patience time.Duration) Desk {
+	return Desk{Call: call, Line: line, Patience: patience, free: never}
+}
+
 // Take takes a call, and tells when its answer is ready; false: it fails, then, at once.
 func (d *Desk) Take(now time.Duration, lines int) (time.Duration, bool) {
 	if d.free-now > d.Patience {
--- a/internal/world/server.go
+++ b/internal/world/server.go
@@ -48,6 +48,9 @@
 // nearlyIdle is how many requests to a core a choked server may have and yet count as idle.
 const nearlyIdle = 0.3
 
+// never is before any time that a run may have.
+const never = time.Duration(math.MinInt64 / 2)
+
 // fallSlack is work that a cold server is forgiven in any window: a few requests, for chance.
 const fallSlack = 100 * time.Millisecond
 
@@ -127,9 +130,9 @@
 
 	sent       []sent // to a cold server, within the window
 	sentWork   float64
-	crowded    time.Duration // since when it has too many; -1: it has not
-	choked     time.Duration // since when; -1: it is not
-	idle       time.Duration // since when a choked one is nearly idle; -1: it is not
+	crowded    time.Duration // since when it has too many; never: it has not
+	choked     time.Duration // since when; never: it is not
+	idle       time.Duration // since when a choked one is nearly idle; never: it is not
 	Worked     float64       // seconds of work done in all its lives
 	chokeTimes int
 }
@@ -141,7 +144,7 @@
 
 // NewServer makes a server that has been up for long. zone may be nil.
 func NewServer(spec ServerSpec, zone *Zone, seed uint64) *Server {
-	s := &Server{spec: spec, zone: zone, rng: rand.New(rand.NewPCG(seed, 1)), up: true, slow: 1}
+	s := &Server{spec: spec, zone: zone, rng: rand.New(rand.NewPCG(seed, 1)), up: true, slow: 1, now: never}
 	s.forget()
 	return s
 }
@@ -149,7 +152,7 @@
 func (s *Server) forget() {
 	s.work, s.queue, s.debt, s.sent, s.sentWork = nil, nil, 0, nil, 0
 	s.met, s.order = make(map[uint64]time.Duration), nil
-	s.crowded, s.choked, s.idle = -1, -1, -1
+	s.crowded, s.choked, s.idle = never, never, never
 }
 
 // Start begins a life of the server, cold, with nothing left of the one before.
@@ -205,7 +208,7 @@
 	if over := float64(len(s.work)) - s.spec.ThrashAt; s.spec.ThrashAt > 0 && over > 0 {
 		r /= 1 + s.spec.Thrash*over/s.spec.ThrashAt
 	}
-	if s.choked >= 0 {
+	if s.choked != never {
 		r /= s.spec.ChokeSlow
 	}
 	return r
@@ -218,12 +221,20 @@
 func (s *Server) Inspect(now time.Duration) { s.burden(now, s.spec.Probe) }
 
 func (s *Server) burden(now time.Duration, work time.Duration) {
+	s.begin(now)
 	if s.up {
 		s.debt += work.Seconds()
 		s.push(now, work.Seconds())
 	}
 }
 
+// begin takes the time from the first call.
+func (s *Server) begin(now time.Duration) {
+	if s.now == never {
+		s.now = now
+	}
+}
+
 // push counts work sent to a cold server, which falls over when it is too much.
 func (s *Server) push(now time.Duration, work float64) {
 	if !s.cold || s.spec.FallAt <= 0 || s.Warmth(now) >= 1 {
@@ -243,6 +254,7 @@
 
 // Arrive takes a job whose last byte has come. Call Advance for the same moment first.
 func (s *Server) Arrive(now time.Duration, j Job) Verdict {
+	s.begin(now)
 	switch {
 	case !s.up:
 		return Down
@@ -297,22 +309,22 @@
 	since := func(at *time.Duration, holds bool) time.Duration {
 		switch {
 		case !holds:
-			*at = -1
+			*at = never
 			return -1
-		case *at < 0:
+		case *at == never:
 			*at = now
 		}
 		return now - *at
 	}
-	if s.choked < 0 {
+	if s.choked == never {
 		if since(&s.crowded, held > s.spec.ChokeAt) >= s.spec.ChokeOver {
-			s.choked, s.idle = now, -1
+			s.choked, s.idle = now, never
 			s.chokeTimes++
 		}
 		return
 	}
 	if since(&s.idle, held <= nearlyIdle) >= s.spec.ChokeRest || now-s.choked >= s.spec.ChokeMost {
-		s.choked, s.crowded = -1, -1
+		s.choked, s.crowded = never, never
 	}
 }
 
@@ -353,7 +365,7 @@
 		})
 		s.fill(next)
 		s.crowd(next)
-		if len(s.work) == 0 && s.debt <= 0 && s.choked < 0 {
+		if len(s.work) == 0 && s.debt <= 0 && s.choked == never {
 			break // nothing happens until somebody comes
 		}
 	}
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -101,7 +101,7 @@
 		m.Arrive(0, Job{ID: id, Work: 300 * ms})
 	}
 	near(t, "a job in a crowd", ends(m, 10*s)[5], 2600*ms) // a second at full speed, 0.8 s of work at half
-	if m.Choked() != 1 || m.choked >= 0 {
+	if m.Choked() != 1 || m.choked != never {
 		t.Errorf("choked %d times, still %v", m.Choked(), m.choked)
 	}
 	for id, c := range []struct {
@@ -266,10 +266,10 @@
 			t.Errorf("changes since %d are told, though nobody can know them", version)
 		}
 	}
-	d := Desk{Call: 10 * ms, Line: ms, Patience: 25 * ms}
-	for i, want := range []time.Duration{20 * ms, 40 * ms, -1} {
-		got, ok := d.Take(0, 10)
-		if ok != (want >= 0) || ok && got != want {
+	d := NewDesk(10*ms, ms, 25*ms)
+	for i, want := range []time.Duration{20 * ms, 40 * ms, 0} {
+		got, ok := d.Take(-s, 10)
+		if ok != (want > 0) || ok && got != want-s {
 			t.Errorf("call %d is answered at %v, %v, want %v", i, got, ok, want)
 		}
 	}
