--- a/internal/lab/history.go
+++ b/internal/lab/history.go
@@ -12,17 +12,17 @@
 // History is all that happened in a run, as the stand-ins saw it. Its methods are safe for concurrent use; judging
 // and counting come once the run is over.
 type History struct {
-	mu       sync.Mutex
-	tries    []*Try
-	asked    []Asked  // by arrival
-	strays   []string // what reached a server and no client had sent
-	told     []Told   // what sidecars were told of servers
-	fallen   []string // servers that were pushed over when they were cold
-	ends     []string // processes that ended and should not have, or did not and should
-	over     []string // limits passed
-	killed   []span   // when a sidecar's process was killed, by sidecar
-	stopped  []span   // or told to stop
-	finished map[uint64]time.Duration
+	mu      sync.Mutex
+	tries   []*Try
+	asked   []Asked  // by arrival
+	strays  []string // what reached a server and no client had sent
+	told    []Told   // what sidecars were told of servers
+	fallen  []string // servers that were pushed over when they were cold
+	ends    []string // processes that ended and should not have, or did not and should
+	over    []string // limits passed
+	killed  []span   // when a sidecar's process was killed, by sidecar
+	stopped []span   // or told to stop
+	started []span   // when it was started again, until it was ready
 }
 
 // span is a time in a sidecar's life.
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -312,7 +312,11 @@
 for = "1s"
 [[fault]]
 at = "4500ms"
-do = "move"`)
+do = "move"
+[[fault]]
+at = "6500ms"
+do = "silence"
+target = "3"`)
 	dir := t.TempDir()
 	res, broken := play(t, s, Options{Seed: 3, Program: realProgram(t), Out: dir})
 	for name, v := range broken {
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -199,6 +199,7 @@
 	if os.Getuid() == 0 {
 		q.cmd.SysProcAttr.Credential = &syscall.Credential{Uid: ordinary, Gid: ordinary}
 	}
+	born := p.clock.now()
 	started := make(chan error)
 	p.starter <- func() { started <- q.cmd.Start() }
 	if err := <-started; err != nil {
@@ -213,7 +214,13 @@
 	p.all = append(p.all, q)
 	p.mu.Unlock()
 	go p.wait(q)
-	return q, p.ready(q)
+	if err := p.ready(q); err != nil {
+		return q, err
+	}
+	if turn > 0 {
+		p.history.life(&p.history.started, span{sidecar, born, p.clock.now()})
+	}
+	return q, nil
 }
 
 // wait sees a process to its end.
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -122,6 +122,7 @@
 		f["relay_packets"], f["relay_added_us"] = float64(r.mesh.added.n), float64(r.mesh.added.sum.Microseconds())/max(1, float64(r.mesh.added.n))
 		r.mesh.added.mu.Unlock()
 	}
+	r.restarts(f)
 	if back, ok := r.recovery(); ok {
 		f["recovery_s"] = back
 	}
@@ -129,6 +130,44 @@
 	return f
 }
 
+// afterStart is how long after a sidecar was started again its requests are counted by themselves.
+const afterStart = 5 * time.Second
+
+// restarts counts what processes cost that were started again: the time from their start until they were ready and
+// until a request that was sent after it was served (medians, in ms), and what became of the requests of the next 5 s.
+func (r *run) restarts(f map[string]float64) {
+	var ready, served []float64
+	due, inTime, failed := 0.0, 0.0, 0.0
+	for _, s := range r.history.started {
+		ready = append(ready, float64((s.to-s.from).Microseconds())/1000)
+		first := time.Duration(-1)
+		for _, t := range r.history.tries {
+			if t.Sidecar == s.sidecar && t.End == Served && t.Sent >= s.from && (first < 0 || t.Ended < first) {
+				first = t.Ended
+			}
+		}
+		if first >= 0 {
+			served = append(served, float64((first-s.from).Microseconds())/1000)
+		}
+		for _, a := range r.history.asked {
+			if a.Sidecar != s.sidecar || a.At < s.to || a.At > s.to+afterStart {
+				continue
+			}
+			due++
+			switch {
+			case a.End != Served:
+				failed++
+			case a.Ended-a.At <= r.clients.classes[a.Class].Aim:
+				inTime++
+			}
+		}
+	}
+	if due > 0 && len(served) > 0 {
+		f["restart_ready_ms"], f["restart_served_ms"] = spreadOf(ready).median, spreadOf(served).median
+		f["restart_in_time"], f["restart_failed"] = inTime/due, failed/due
+	}
+}
+
 // recovery is how long after the last fault was mended (or began, if it is for good) the share of requests answered
 // in time was at 95% of what it had been before the first, for two seconds on end; the rest of the run if it never was.
 func (r *run) recovery() (seconds float64, ok bool) {
--- a/internal/lab/upstream.go
+++ b/internal/lab/upstream.go
@@ -97,9 +97,11 @@
 func (a *servers) close() {
 	for _, u := range a.all {
 		u.timer.Stop()
+		a.mu.Lock()
+		u.speak() // or Close would wait for it
+		a.mu.Unlock()
 		u.http.Close()
 		a.mu.Lock()
-		u.speak()
 		u.shut()
 		a.mu.Unlock()
 	}
