Keep calls by hand, the list and what was learned over a sidecar's end, and verify them

Cause: with the state file emptied, cut or flipped, a server that was out by hand served again after a restart and nobody was told; the list, verdicts and the traffic's measure went with each crash.

Change: calls go to the durable state before the answer 200 (202 tells that one holds but is not kept); the list and what the module has learned are kept once a second where they changed. A start uses the kept list of the same discovery where it is younger, and the module takes what is young enough to be believed (Recall). The file of older programs is still written, with a sum, and read where one of them wrote it. show-stat has state_damaged and state_bytes, the console confirm-state, caperarch state show, verify and export.

Every bit flipped in the file for older programs: none takes a server in or out.

--- a/cmd/caperarch/main.go
+++ b/cmd/caperarch/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -15,6 +16,7 @@
 	"runtime/debug"
 	"strings"
 	"syscall"
+	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -23,6 +25,7 @@
 	"arrowgw/internal/fleet"
 	"arrowgw/internal/logs"
 	"arrowgw/internal/sidecar"
+	"arrowgw/internal/store"
 )
 
 func main() {
@@ -49,6 +52,7 @@
 			Args: cobra.MinimumNArgs(2),
 			RunE: func(c *cobra.Command, args []string) error { return call(c.OutOrStdout(), args[0], args[1:]) },
 		},
+		stateCommand(),
 		&cobra.Command{
 			Use: "version", Short: "Say which program this is", Args: cobra.NoArgs,
 			RunE: func(c *cobra.Command, _ []string) error { return version(c.OutOrStdout()) },
@@ -90,6 +94,7 @@
 	// One signal is kept while another is seen to: the file is read behind the last.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGXFSZ) // a file that may not grow is an error of its write
 	cfg, err := sidecar.ReadConfig(os.Getenv("EDGE_CONFIG"))
 	if err != nil {
 		return err
@@ -129,6 +134,88 @@
 	return conf.Write(out, shown)
 }
 
+// errDamaged says that a state is damaged; all has been told by then.
+var errDamaged = errors.New("the state is damaged")
+
+// stateCommand looks at a sidecar's durable state, and changes nothing.
+func stateCommand() *cobra.Command {
+	root := &cobra.Command{Use: "state", Short: "Look at a sidecar's durable state; it may be at work"}
+	add := func(name, short string, run func(out io.Writer, in *store.Inspection) error) {
+		root.AddCommand(&cobra.Command{
+			Use: name + " DIR", Short: short, Args: cobra.ExactArgs(1),
+			RunE: func(c *cobra.Command, args []string) error {
+				in, err := store.Inspect(store.OS{}, args[0])
+				if err == nil {
+					err = run(c.OutOrStdout(), in)
+				}
+				switch {
+				case errors.Is(err, errDamaged):
+					os.Exit(1)
+				case err != nil:
+					fmt.Fprintf(os.Stderr, "caperarch: %v\n", err)
+					os.Exit(2)
+				}
+				return nil
+			},
+		})
+	}
+	add("show", "Print what holds", showState)
+	add("verify", "Say what is damaged: exit code 0 sound, 1 damaged, 2 unusable", verifyState)
+	add("export", "Print all of it as JSON", func(out io.Writer, in *store.Inspection) error {
+		e := json.NewEncoder(out)
+		e.SetIndent("", "  ")
+		return e.Encode(in)
+	})
+	return root
+}
+
+func showState(out io.Writer, in *store.Inspection) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "SECTION\tKEY\tPUT AT\tBY\tVALUE")
+	for _, v := range in.Values {
+		text := strings.Map(func(r rune) rune {
+			if r < ' ' || r == 0x7f {
+				return '.'
+			}
+			return r
+		}, string(v.Bytes))
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%.100s\n", v.Section, v.Key, v.At.Format(time.RFC3339), v.By, text)
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	for _, d := range in.Damage {
+		fmt.Fprintln(out, "damaged:", d)
+	}
+	if in.Open != "" {
+		fmt.Fprintln(out, "found damaged before, and not confirmed:", strings.ReplaceAll(in.Open, "\n", "; "))
+	}
+	return nil
+}
+
+func verifyState(out io.Writer, in *store.Inspection) error {
+	for _, f := range in.Files {
+		state := "sound"
+		if f.Damage != "" {
+			state = "damaged, " + f.Damage
+		}
+		fmt.Fprintf(out, "%s: %d records, %d bytes, %s\n", f.Name, f.Records, f.Bytes, state)
+	}
+	for _, d := range in.Damage {
+		fmt.Fprintln(out, "damaged:", d)
+	}
+	for _, name := range in.Refused {
+		fmt.Fprintln(out, name+": of a newer program, or unreadable")
+	}
+	switch {
+	case len(in.Damage) > 0:
+		return errDamaged
+	case len(in.Refused) > 0:
+		return errors.New("some files can't be read by this program")
+	}
+	return nil
+}
+
 // callTime bounds a call at a console, which owes its answer within a second.
 const callTime = 5 * time.Second
 
--- a/cmd/caperarch/main_test.go
+++ b/cmd/caperarch/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -15,6 +16,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"arrowgw/internal/store"
 )
 
 // TestMain lets the test program stand in for caperarch itself.
@@ -172,6 +175,20 @@
 		}
 	}()
 	door := console.Addr().String()
+	sound, hurt := t.TempDir(), t.TempDir()
+	for _, dir := range []string{sound, hurt} {
+		s, err := store.Open(store.Options{Dir: dir})
+		if err == nil {
+			err = errors.Join(s.Put("calls", "s-1", []byte("{}")), s.Close())
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	files, err := filepath.Glob(filepath.Join(hurt, "state-*"))
+	if err != nil || len(files) != 1 || os.Truncate(files[0], 1560) != nil {
+		t.Fatalf("files %v, error %v", files, err)
+	}
 	for _, c := range []struct {
 		config string
 		args   []string
@@ -191,6 +208,13 @@
 		{usable, []string{"call", door, "mumble"}, 1, "no answer"},
 		{usable, []string{"call", "127.0.0.1:1", "ready"}, 1, "refused"},
 		{usable, []string{"version"}, 0, "caperarch"},
+		{usable, []string{"state", "show", sound}, 0, "s-1"},
+		{usable, []string{"state", "verify", sound}, 0, "sound"},
+		{usable, []string{"state", "export", sound}, 0, `"key": "s-1"`},
+		{usable, []string{"state", "verify", hurt}, 1, "offset 1536"},
+		{usable, []string{"state", "show", hurt}, 0, "damaged: state-"},
+		{usable, []string{"state", "verify", dir}, 2, "holds no state"},
+		{usable, []string{"state", "verify"}, 1, "accepts 1 arg"},
 		{usable, []string{"--help"}, 0, "check"},
 		{usable, []string{"serve"}, 1, "unknown command"},
 		{usable, []string{"check", "--flet", good}, 1, "unknown flag"},
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -186,6 +186,22 @@
 	Errors   float64       // errors a second
 }
 
+// Learned is what a Balancer has found out, for another that takes its place: a process that starts again.
+type Learned struct {
+	At      time.Duration // when it was so
+	Rate    float64       // requests a second, lately
+	Servers []LearnedServer
+}
+
+// LearnedServer is a server of which there is something to tell.
+type LearnedServer struct {
+	ID     ServerID
+	Fails  int           // attempts that failed lately
+	Silent time.Duration // it has not answered since; 0: it has
+	WarmAt time.Duration // cold until then
+	Strain float64       // time that its answers take, against the usual; failures count too
+}
+
 // Host carries out what the Balancer decides. Its methods must not call back
 // into the Balancer.
 type Host interface {
--- a/internal/sidecar/console.go
+++ b/internal/sidecar/console.go
@@ -26,9 +26,10 @@
 // console is the operators' door: one line to a connection, one answer, and a close. It stands apart from
 // the clients' side, so that neither load there nor silent callers here keep an answer back.
 type console struct {
-	ready  func() bool
-	stat   func(io.Writer)
-	server func(ctx context.Context, id string, out bool) error // takes a server out by hand, or brings it back
+	ready   func() bool
+	stat    func(io.Writer)
+	server  func(ctx context.Context, id string, out bool) error // takes a server out by hand, or brings it back
+	confirm func() error                                         // takes an operator's word that a damaged state has the right servers out
 
 	mu      sync.Mutex
 	waiting []net.Conn // callers whose line has not come, the one that waits longest first
@@ -108,11 +109,11 @@
 // call carries out one call.
 func (c *console) call(ctx context.Context, w io.Writer, words []string) {
 	name := strings.Join(words[:min(len(words), 1)], "")
-	wanted := map[string]int{"ready": 1, "show-stat": 1, "disable-server": 2, "enable-server": 2}[name]
+	wanted := map[string]int{"ready": 1, "show-stat": 1, "confirm-state": 1, "disable-server": 2, "enable-server": 2}[name]
 	var err error
 	switch {
 	case wanted == 0:
-		err = errors.New("unknown call; there are ready, show-stat, disable-server ID and enable-server ID")
+		err = errors.New("unknown call; there are ready, show-stat, disable-server ID, enable-server ID and confirm-state")
 	case len(words) != wanted:
 		err = fmt.Errorf("%s takes %d words after it", name, wanted-1)
 	case name == "show-stat":
@@ -120,9 +121,15 @@
 		return
 	case name == "ready" && !c.ready():
 		err = errors.New("no, it is stopping")
+	case name == "confirm-state":
+		err = c.confirm()
 	case name == "disable-server" || name == "enable-server":
 		err = c.server(ctx, words[1], name == "disable-server")
 	}
+	if kept := (errNotKept{}); errors.As(err, &kept) {
+		fmt.Fprintf(w, "202 %v\n", err)
+		return
+	}
 	if err != nil {
 		fmt.Fprintf(w, "400 %v\n", err)
 		return
@@ -144,6 +151,7 @@
 	}
 	members := f.loop.members.Load()
 	// A long body that still comes belongs to no request taken.
-	fmt.Fprintf(w, "app.upstream_requests=%d\napp.pending=%d\napp.members=%d\napp.members_unavailable=%d\nEOF\n",
-		f.loop.upstream.written.Load(), f.held.Load()-f.uploads.Load(), members.listed, members.unavailable)
+	fmt.Fprintf(w, "app.upstream_requests=%d\napp.pending=%d\napp.members=%d\napp.members_unavailable=%d\napp.state_damaged=%d\napp.state_bytes=%d\nEOF\n",
+		f.loop.upstream.written.Load(), f.held.Load()-f.uploads.Load(), members.listed, members.unavailable,
+		f.loop.handover.damaged(), f.loop.handover.bytes())
 }
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -37,6 +37,7 @@
 	whole   bool
 	servers []balance.Server
 	address map[balance.ServerID]string
+	raw     map[balance.ServerID]json.RawMessage // the entries as they came
 }
 
 // serverID names a server by a hash of its instanceId: the same at every sidecar and after a
@@ -52,15 +53,16 @@
 	var answer struct {
 		Generation *int64
 		Reset      bool
-		Instances  []struct {
-			InstanceID  string
-			HostPort    string
-			Zone        string
-			Cell        int
-			Lifecycle   string
-			Weight      float64
-			StartedAtMs float64
-		}
+		Instances  []json.RawMessage
+	}
+	type instance struct {
+		InstanceID  string
+		HostPort    string
+		Zone        string
+		Cell        int
+		Lifecycle   string
+		Weight      float64
+		StartedAtMs float64
 	}
 	if err := json.Unmarshal(raw, &answer); err != nil {
 		return listing{}, err
@@ -69,7 +71,12 @@
 		return listing{}, errors.New("no generation")
 	}
 	l := listing{version: *answer.Generation, whole: answer.Reset, address: make(map[balance.ServerID]string)}
-	for i, e := range answer.Instances {
+	l.raw = make(map[balance.ServerID]json.RawMessage, len(answer.Instances))
+	for i, raw := range answer.Instances {
+		var e instance
+		if err := json.Unmarshal(raw, &e); err != nil {
+			return listing{}, fmt.Errorf("instance %d: %w", i, err)
+		}
 		if e.InstanceID == "" {
 			return listing{}, fmt.Errorf("instance %d has no instanceId", i)
 		}
@@ -95,6 +102,7 @@
 			return listing{}, fmt.Errorf("instance %s: hostPort: %w", e.InstanceID, err)
 		}
 		l.servers = append(l.servers, s)
+		l.raw[s.ID] = raw
 	}
 	return l, nil
 }
@@ -107,7 +115,9 @@
 	failed func()
 	client http.Client
 
-	version int64 // of the list that the loop holds, or unknown; run's own
+	version int64                                // of the list that the loop holds, or unknown; run's own
+	entries map[balance.ServerID]json.RawMessage // of that list; run's own
+	keep    func(source string, version int64, entries map[balance.ServerID]json.RawMessage)
 
 	mu      sync.Mutex
 	address string
@@ -125,6 +135,7 @@
 
 func newDiscovery(cfg *Config, heard func(listing), failed func()) *discovery {
 	d := &discovery{address: cfg.Discovery, zones: cfg.Zones, heard: heard, failed: failed, version: unknown}
+	d.entries, d.keep = cfg.Known.raw, func(string, int64, map[balance.ServerID]json.RawMessage) {}
 	if len(cfg.Known.servers) > 0 {
 		d.version = cfg.Known.version
 	}
@@ -237,6 +248,24 @@
 		}
 		heard, d.version = true, l.version
 		d.heard(l)
+		if l.whole || len(l.servers) > 0 {
+			d.remember(l)
+			d.keep(address, l.version, d.entries)
+		}
+	}
+}
+
+// remember takes an answer into the entries that are kept.
+func (d *discovery) remember(l listing) {
+	if l.whole || d.entries == nil {
+		d.entries = make(map[balance.ServerID]json.RawMessage, len(l.servers))
+	}
+	for _, s := range l.servers {
+		if s.State == balance.Gone {
+			delete(d.entries, s.ID)
+		} else {
+			d.entries[s.ID] = l.raw[s.ID]
+		}
 	}
 }
 
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -1,14 +1,15 @@
 package sidecar
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/crc32"
 	"io"
 	"io/fs"
 	"log/slog"
-	"maps"
 	"net/url"
 	"os"
 	"path/filepath"
@@ -16,6 +17,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"arrowgw/internal/store"
 )
 
 const (
@@ -37,18 +40,24 @@
 	setLock = 37
 )
 
-// handover is what a sidecar's processes share in $TMPDIR during an upgrade: who runs, and which servers
-// are out by hand. Without a $TMPDIR this process is held for the only one, and nothing is kept.
+// handover is what a sidecar's processes share in $TMPDIR: who runs, the state (docs/state.md), and a file by which
+// programs from before the state tell of servers that are out by hand, and are told. Without a $TMPDIR this process is
+// held for the only one, and nothing is kept.
 //
 // Its zero value is such a process.
 type handover struct {
 	lock  *os.File // nil: this process stands alone
 	mine  int64    // the byte of it that this process holds
-	state string   // path of the state file
+	state string   // path of the file for older programs
+	store *store.Store
+	saves chan struct{} // calls that wait for the disk
+
+	saving sync.Mutex        // one call is saved after the other; it may wait for a disk
+	read   fs.FileInfo       // the older programs' file as last read; nil: there was none
+	handed map[string]handed // by instanceId, where there is no store
 
-	mu     sync.Mutex
-	read   fs.FileInfo       // the state file as last read; nil: there was none
-	handed map[string]handed // by instanceId, as last read or written
+	mu        sync.Mutex
+	oldDamage int // 1: the older programs' file was all there was, and it is damaged
 }
 
 // handed is a server that is out by hand, or was until lately.
@@ -57,16 +66,26 @@
 	AtMs int64 `json:"atMs"` // Unix time of the call
 }
 
-// stateFile is the form of the state file.
+// stateFile is the form of the file for older programs, which pass over the sum.
 type stateFile struct {
 	Version int               `json:"version"`
 	Servers map[string]handed `json:"servers"`
+	Sum     *uint32           `json:"sum,omitempty"` // of the servers; nil: an older program wrote it
+}
+
+// sum is the checksum of a file's servers.
+func (s *stateFile) sum() uint32 {
+	raw, err := json.Marshal(s.Servers)
+	if err != nil {
+		panic(err) // of plain fields
+	}
+	return crc32.Checksum(raw, crc32.MakeTable(crc32.Castagnoli))
 }
 
 // newHandover enters this process among a sidecar's, in dir. What is missing or unusable there is told in
 // the log and keeps no process from its start.
 func newHandover(dir, name string) *handover {
-	h := new(handover)
+	h := &handover{saves: make(chan struct{}, savesAtOnce)}
 	if dir == "" {
 		slog.Info("state not kept", "reason", "TMPDIR is not set: calls by hand end with this process")
 		return h
@@ -76,12 +95,51 @@
 	if err := h.enter(base + ".lock"); err != nil {
 		slog.Error("upgrade alone", "error", err)
 	}
-	if err := h.load(); err != nil {
-		slog.Error("state not read", "error", err)
+	began := time.Now()
+	var err error
+	h.store, err = store.Open(store.Options{Dir: base + ".kept", Alone: func() bool { return h.lock != nil && h.count() == 1 }})
+	if err != nil {
+		slog.Error("state not kept", "reason", err)
+	}
+	h.adopt()
+	damage := h.store.Damage().Files
+	slog.Info("state", "number", h.store.Number(), "calls", len(h.inForce()), "bytes", h.bytes(), "took", time.Since(began), "damaged", len(damage))
+	for _, d := range damage {
+		slog.Error("state damaged", "error", d)
 	}
 	return h
 }
 
+// adopt takes over what older programs have left, or a second copy of the calls where the state itself was damaged.
+func (h *handover) adopt() {
+	servers, old, err := h.older()
+	bare := h.store.Fresh() || len(h.store.Damage().Files) > 0
+	switch {
+	case err != nil:
+		slog.Error("state not read", "error", err)
+		if bare {
+			h.mu.Lock()
+			h.oldDamage = 1
+			h.mu.Unlock()
+		}
+	case old || bare:
+		h.take(servers)
+	}
+}
+
+// take enters calls that are younger than what the state has of their servers.
+func (h *handover) take(servers map[string]handed) {
+	known := h.inForce()
+	for instance, c := range servers {
+		if was, ok := known[instance]; ok && was.AtMs >= c.AtMs {
+			continue
+		}
+		if err := h.enterCall(instance, c); err != nil {
+			slog.Error("by hand not kept", "server", instance, "out", c.Out, "error", err)
+		}
+	}
+}
+
 // enter takes the first byte of the lock file that no other process holds.
 func (h *handover) enter(path string) error {
 	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
@@ -119,90 +177,116 @@
 	return n
 }
 
-// load reads the state file if it is another than last time. What can't be used changes nothing.
-func (h *handover) load() error {
+// older reads the file for older programs. old says that one of them wrote it. With no error and no servers there is
+// nothing new.
+func (h *handover) older() (servers map[string]handed, old bool, err error) {
 	info, err := os.Stat(h.state)
 	if errors.Is(err, fs.ErrNotExist) {
-		return nil // no call was made so far
+		return nil, false, nil // no call was made so far
 	}
 	if err != nil {
-		return err
+		return nil, false, err
 	}
 	if h.read != nil && os.SameFile(info, h.read) && info.ModTime().Equal(h.read.ModTime()) {
-		return nil
+		return nil, false, nil
 	}
 	h.read = info // told once, if it can't be used
 	f, err := os.Open(h.state)
 	if err != nil {
-		return err
+		return nil, false, err
 	}
 	defer f.Close()
 	raw, err := io.ReadAll(io.LimitReader(f, stateLimit+1))
 	if err != nil {
-		return err
+		return nil, false, err
 	}
 	var s stateFile
-	if err := json.Unmarshal(raw, &s); err != nil {
-		return fmt.Errorf("%s is damaged: %w", h.state, err)
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.DisallowUnknownFields() // a key with a flipped bit is no key of an older form
+	if err := d.Decode(&s); err != nil {
+		return nil, false, fmt.Errorf("%s is damaged: %w", h.state, err)
 	}
-	if s.Version != stateVersion || len(s.Servers) > stateMost {
-		return fmt.Errorf("%s: version %d with %d servers can't be used", h.state, s.Version, len(s.Servers))
+	switch {
+	case s.Version != stateVersion || len(s.Servers) > stateMost:
+		return nil, false, fmt.Errorf("%s: version %d with %d servers can't be used", h.state, s.Version, len(s.Servers))
+	case s.Sum != nil && *s.Sum != s.sum():
+		return nil, false, fmt.Errorf("%s is damaged: its checksum is wrong", h.state)
 	}
-	h.handed = s.Servers
-	return nil
+	return s.Servers, s.Sum == nil, nil
 }
 
-// save enters a call, on top of those that the other process has entered. It holds in this process even if
-// it can't be written down.
+// save enters a call, on top of those that the other process has entered, and returns once it is durable.
 func (h *handover) save(instance string, out bool, now time.Time) error {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.lock == nil {
-		return h.enterCall(instance, out, now)
-	}
-	for tries := 0; ; tries++ { // the other process writes only for moments
-		err := fcntl(h.lock, setLock, writer, syscall.F_WRLCK)
-		if err == nil {
-			break
-		}
-		if time.Duration(tries)*time.Millisecond >= stateWait {
-			return errors.Join(fmt.Errorf("lock: %w", err), h.enterCall(instance, out, now))
+	h.saving.Lock()
+	defer h.saving.Unlock()
+	if h.lock != nil {
+		for tries := 0; ; tries++ { // the other process writes only for moments
+			err := fcntl(h.lock, setLock, writer, syscall.F_WRLCK)
+			if err == nil {
+				break
+			}
+			if time.Duration(tries)*time.Millisecond >= stateWait {
+				return errors.Join(fmt.Errorf("lock: %w", err), h.enterCall(instance, handed{out, now.UnixMilli()}))
+			}
+			time.Sleep(time.Millisecond)
 		}
-		time.Sleep(time.Millisecond)
-	}
-	defer func() { _ = fcntl(h.lock, setLock, writer, syscall.F_UNLCK) }() // fails only on a closed file
-	if err := h.load(); err != nil {
-		slog.Error("state rewritten", "error", err)
+		defer func() { _ = fcntl(h.lock, setLock, writer, syscall.F_UNLCK) }() // fails only on a closed file
+		h.follow()
 	}
-	if err := h.enterCall(instance, out, now); err != nil {
+	if err := h.enterCall(instance, handed{out, now.UnixMilli()}); err != nil {
 		return err
 	}
-	return h.write()
+	h.forget(now)
+	if err := h.write(); err != nil { // only a program from before the state would miss it
+		slog.Warn("state not kept", "reason", err)
+	}
+	return nil
 }
 
-// enterCall takes a call into what this process knows.
-func (h *handover) enterCall(instance string, out bool, now time.Time) error {
-	for id, s := range h.handed {
-		if !s.Out && now.Sub(time.UnixMilli(s.AtMs)) > backKept {
-			delete(h.handed, id)
+// enterCall makes a call durable. Said again, it keeps the moment at which it was said first.
+func (h *handover) enterCall(instance string, c handed) error {
+	known := h.inForce()
+	old, ok := known[instance]
+	if h.store == nil {
+		if h.handed == nil {
+			h.handed = make(map[string]handed)
+		}
+		if !ok || old.Out != c.Out {
+			h.handed[instance] = c
 		}
+		return errors.New("there is no folder to keep it in (TMPDIR)")
 	}
-	if old, ok := h.handed[instance]; ok && old.Out == out || !ok && !out {
-		return nil // said before
+	if ok && old.Out == c.Out || !ok && !c.Out {
+		return h.store.Sync() // it may not have been kept the first time
 	}
-	if len(h.handed) >= stateMost {
+	if len(known) >= stateMost {
 		return errors.New("too many servers are out by hand to keep one more")
 	}
-	if h.handed == nil {
-		h.handed = make(map[string]handed)
+	raw, err := json.Marshal(c)
+	if err != nil {
+		return err
 	}
-	h.handed[instance] = handed{Out: out, AtMs: now.UnixMilli()}
-	return nil
+	return h.store.Put(sectionCalls, instance, raw)
 }
 
-// write replaces the state file as a whole.
+// forget drops calls back that everybody knows of by now.
+func (h *handover) forget(now time.Time) {
+	for instance, c := range h.inForce() {
+		if !c.Out && now.Sub(time.UnixMilli(c.AtMs)) > backKept && h.store != nil {
+			_ = h.store.Delete(sectionCalls, instance) // or it stays for longer
+		}
+	}
+}
+
+// write replaces the file for older programs as a whole.
 func (h *handover) write() error {
-	raw, err := json.Marshal(stateFile{Version: stateVersion, Servers: h.handed})
+	if h.state == "" {
+		return nil
+	}
+	s := stateFile{Version: stateVersion, Servers: h.inForce()}
+	sum := s.sum()
+	s.Sum = &sum
+	raw, err := json.Marshal(s)
 	if err != nil {
 		return err
 	}
@@ -217,16 +301,31 @@
 	return err
 }
 
-// known returns a copy of the calls in force, and those of the other process since the last look.
+// follow takes in what the other process has kept, of this program or of an older one.
+func (h *handover) follow() {
+	if h.store == nil {
+		return
+	}
+	if _, err := h.store.Follow(); err != nil {
+		slog.Error("state not read", "error", err)
+	}
+	servers, old, err := h.older()
+	switch {
+	case err != nil:
+		slog.Error("state not read", "error", err)
+	case old:
+		h.take(servers)
+	}
+}
+
+// known returns the calls in force, those of the other process included.
 func (h *handover) known() map[string]handed {
-	h.mu.Lock()
-	defer h.mu.Unlock()
+	h.saving.Lock()
+	defer h.saving.Unlock()
 	if h.lock != nil {
-		if err := h.load(); err != nil {
-			slog.Error("state not read", "error", err)
-		}
+		h.follow()
 	}
-	return maps.Clone(h.handed)
+	return h.inForce()
 }
 
 // watch follows the other process until ctx ends, from n processes on: changed hears how many run when that is
--- a/internal/sidecar/handover_test.go
+++ b/internal/sidecar/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"maps"
 	"net"
@@ -103,16 +104,26 @@
 // A call that can't be written down holds in this process, and is an error.
 func TestStateThatCannotBeWritten(t *testing.T) {
 	dir := t.TempDir()
-	h := newHandover(dir, "n0")
-	if err := os.MkdirAll(filepath.Join(dir, "sidecar-n0.state", "in the way"), 0o700); err != nil {
+	if err := os.WriteFile(filepath.Join(dir, "sidecar-n0.kept"), nil, 0o600); err != nil { // in the way
 		t.Fatal(err)
 	}
-	if err := h.save("a", true, time.Now()); err == nil {
-		t.Error("no error")
+	h := newHandover(dir, "n0")
+	var kept errNotKept
+	if err := h.saved("a", true, time.Now()); !errors.As(err, &kept) {
+		t.Errorf("error %v", err)
 	}
 	if got := h.known(); !got["a"].Out {
 		t.Errorf("known %v", got)
 	}
+	if err := os.Remove(filepath.Join(dir, "sidecar-n0.kept")); err != nil {
+		t.Fatal(err)
+	}
+	if err := h.saved("a", true, time.Now()); err != nil { // said again, it is kept
+		t.Error(err)
+	}
+	if got := newHandover(dir, "n0").known(); !got["a"].Out {
+		t.Errorf("known to the next %v", got)
+	}
 	if h := newHandover(filepath.Join(dir, "missing"), "n0"); h.count() != 1 || h.save("a", true, time.Now()) != nil {
 		t.Error("without its folder it is not a process alone")
 	}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -100,7 +100,7 @@
 }
 
 // server takes a server out by hand, or brings it back, and returns once the module has done so and it is
-// written down for a second process. One that is neither listed nor out is an error.
+// durable; where it can't be made so it is an errNotKept. One that is neither listed nor out is an error.
 func (l *loop) server(ctx context.Context, instance string, out bool) error {
 	id, known := serverID(instance), make(chan bool, 1)
 	if err := l.do(ctx, func(time.Duration) {
@@ -113,10 +113,20 @@
 		return fmt.Errorf("no server has the id %q", instance)
 	}
 	at := l.clock.now()
-	if err := l.handover.save(instance, out, time.Unix(0, int64(at))); err != nil {
+	if err := l.do(ctx, func(now time.Duration) { l.byHand(now, instance, out, at) }); err != nil {
+		return err
+	}
+	err := l.handover.saved(instance, out, time.Unix(0, int64(at)))
+	if err != nil {
 		slog.Error("by hand not kept", "server", instance, "out", out, "error", err)
 	}
-	return l.do(ctx, func(now time.Duration) { l.byHand(now, instance, out, at) })
+	return err
+}
+
+// learned asks the module what it has learned.
+func (l *loop) learned(ctx context.Context) (told balance.Learned, err error) {
+	err = l.do(ctx, func(now time.Duration) { told = l.b.Learned(now) })
+	return told, err
 }
 
 // calls takes over what was called for at the other process.
@@ -173,6 +183,9 @@
 	}
 	known.whole = true
 	l.take(known, balance.ListCached)
+	if before, ok := l.handover.learned(); ok {
+		l.b.Recall(l.now, before)
+	}
 	counters := time.NewTicker(countersEvery)
 	defer counters.Stop()
 	for {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 )
 
@@ -36,6 +37,10 @@
 // serve wires the parts and starts them. There is a console where door is not nil.
 func serve(ctx context.Context, cfg *Config, listener, door net.Listener, reload <-chan os.Signal) error {
 	c := newClock()
+	state := newHandover(cfg.Shared, cfg.Name)
+	if kept, ok := state.list(cfg); ok {
+		cfg.Known = kept
+	}
 	up := newUpstream(cfg, c)
 	l, err := newLoop(cfg, c, up)
 	if err != nil {
@@ -43,7 +48,8 @@
 	}
 	d := newDiscovery(cfg, l.list, l.listFailed)
 	l.watch, l.asked = d.ask, d.counters
-	l.handover = newHandover(cfg.Shared, cfg.Name)
+	d.keep = state.keepList
+	l.handover = state
 	k := newClients(cfg, listener, up.connections)
 	up.yield = k.yield
 	f := newFront(cfg, c, l, k)
@@ -51,6 +57,8 @@
 	slog.Info("serving", "name", cfg.Name, "listen", listener.Addr(), "servers", len(cfg.Known.servers))
 
 	running, stop := context.WithCancel(context.Background())
+	var kept sync.WaitGroup
+	defer kept.Wait()
 	defer stop()
 	share := func(n int) {
 		limitMemory(cfg.MemoryMB, n)
@@ -62,10 +70,11 @@
 	n := l.handover.count()
 	share(n)
 	go l.handover.watch(running, n, share, func(handed map[string]handed) { l.calls(running, handed) })
+	kept.Go(func() { state.keep(running, l.learned) })
 	go d.run(running)
 	f.ready.Store(true)
 	if door != nil {
-		c := &console{ready: f.ready.Load, stat: f.stat, server: l.server}
+		c := &console{ready: f.ready.Load, stat: f.stat, server: l.server, confirm: state.confirm}
 		go c.serve(running, door)
 		slog.Info("console", "listen", door.Addr())
 	}
--- /dev/null
+++ b/internal/sidecar/state_test.go
@@ -0,0 +1,147 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"arrowgw/internal/balance"
+)
+
+// What a process kept is what the next one goes by: the list, what was learned, and who is out.
+func TestNextProcessGoesByWhatWasKept(t *testing.T) {
+	dir := t.TempDir()
+	cfg := testConfig(t, listed(1, "ready", "127.0.0.1:1"), nil)
+	h := newHandover(dir, "n0")
+	if _, ok := h.list(cfg); ok {
+		t.Error("a list out of nowhere")
+	}
+	l, err := parseListing([]byte(listed(7, "ready", "127.0.0.1:2", "127.0.0.1:3")), cfg.Zones)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &discovery{}
+	d.remember(l)
+	gone := listing{servers: []balance.Server{{ID: serverID("s-0"), State: balance.Gone}}}
+	d.remember(gone)
+	h.keepList(cfg.Discovery, 8, d.entries)
+	told := balance.Learned{At: time.Duration(time.Now().UnixMilli()) * time.Millisecond, Rate: 120, Servers: []balance.LearnedServer{
+		{ID: serverID("s-1"), Fails: 3, Silent: 5 * time.Second, WarmAt: 9 * time.Second, Strain: 7.5},
+	}}
+	ctx, stop := context.WithCancel(context.Background())
+	asked := make(chan bool, 100)
+	done := make(chan bool)
+	go func() {
+		h.keep(ctx, func(context.Context) (balance.Learned, error) { asked <- true; return told, nil })
+		close(done)
+	}()
+	wait(t, "the module is asked", asked)
+	wait(t, "the module is asked again", asked) // so that the first answer is kept
+	stop()
+	<-done
+	h.die()
+
+	next := newHandover(dir, "n0")
+	got, ok := next.list(cfg)
+	if !ok || got.version != 8 || len(got.servers) != 1 || got.address[serverID("s-1")] != "127.0.0.1:3" {
+		t.Errorf("the list is %+v, %v", got, ok)
+	}
+	if learned, ok := next.learned(); !ok || !reflect.DeepEqual(learned, told) {
+		t.Errorf("learned %+v, %v, want %+v", learned, ok, told)
+	}
+	cfg.Known.version = 9 // the configuration's is younger
+	if _, ok := next.list(cfg); ok {
+		t.Error("an older list is taken")
+	}
+	cfg.Known.version, cfg.Discovery = 1, "127.0.0.1:9" // versions of another discovery say nothing here
+	if _, ok := next.list(cfg); ok {
+		t.Error("another discovery's list is taken")
+	}
+}
+
+// Programs from before the state have a file without a sum: what they write is taken over, and what they read goes on
+// to be written. A damaged one is told where it is all there was.
+func TestOlderPrograms(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "sidecar-n0.state")
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	now := time.Now().UnixMilli()
+	write(fmt.Sprintf(`{"version":1,"servers":{"a":{"out":true,"atMs":%d}}}`, now))
+	h := newHandover(dir, "n0")
+	if got := h.known(); !got["a"].Out || h.damaged() != 0 {
+		t.Errorf("known %v", got)
+	}
+	write(fmt.Sprintf(`{"version":1,"servers":{"a":{"out":false,"atMs":%d},"b":{"out":true,"atMs":%d}}}`, now+1000, now+1000))
+	if got := h.known(); got["a"].Out || !got["b"].Out { // an older process beside this one was told
+		t.Errorf("known %v", got)
+	}
+	if err := h.save("c", true, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	raw, err := os.ReadFile(path)
+	var old struct { // as an older program reads it
+		Version int               `json:"version"`
+		Servers map[string]handed `json:"servers"`
+	}
+	if err != nil || json.Unmarshal(raw, &old) != nil || old.Version != 1 || !old.Servers["b"].Out || !old.Servers["c"].Out {
+		t.Errorf("written for older programs: %s, error %v", raw, err)
+	}
+	h.die()
+	for bit := range len(raw) * 8 { // its own file damaged takes nobody in or out, as the state has the truth
+		flipped := append([]byte(nil), raw...)
+		flipped[bit/8] ^= 1 << (bit % 8)
+		write(string(flipped))
+		if bit%64 != 0 {
+			h := &handover{state: path}
+			servers, older, err := h.older()
+			if err == nil && older || err == nil && !reflect.DeepEqual(servers, old.Servers) {
+				t.Fatalf("bit %d: read as %v, by an older program %v", bit, servers, older)
+			}
+			continue
+		}
+		next := newHandover(dir, "n0")
+		if got := next.known(); got["a"].Out || !got["b"].Out || !got["c"].Out || len(got) != 3 {
+			t.Fatalf("bit %d: known %v", bit, got)
+		}
+		next.die()
+	}
+	bare := t.TempDir()
+	path = filepath.Join(bare, "sidecar-n0.state")
+	write(strings.Replace(string(raw), `"b"`, `"x"`, 1))
+	h = newHandover(bare, "n0")
+	if h.damaged() != 1 || len(h.known()) != 0 {
+		t.Errorf("damaged %d, known %v", h.damaged(), h.known())
+	}
+	if err := h.confirm(); err != nil || h.damaged() != 0 {
+		t.Errorf("confirmed: %v, damaged %d", err, h.damaged())
+	}
+}
+
+// On the console: a damaged state is told until it is confirmed, and a call that is not kept is told apart.
+func TestConsoleTellsOfTheState(t *testing.T) {
+	s := newStub(t, echo)
+	side := start(t, nil, s.address)
+	if got := side.call(t, "show-stat\n"); !strings.Contains(got, "app.state_damaged=0\n") || strings.Contains(got, "app.state_bytes=0\n") {
+		t.Errorf("figures %q", got)
+	}
+	if got := side.call(t, "confirm-state\n"); !strings.HasPrefix(got, "200 ") {
+		t.Errorf("confirmed: %q", got)
+	}
+	c := &console{server: func(context.Context, string, bool) error { return errNotKept{os.ErrDeadlineExceeded} }}
+	var out strings.Builder
+	c.call(context.Background(), &out, []string{"disable-server", "x"})
+	if !strings.HasPrefix(out.String(), "202 ") || strings.Count(out.String(), "\n") != 1 {
+		t.Errorf("not kept: %q", &out)
+	}
+}
--- a/internal/sidecar/stub_test.go
+++ b/internal/sidecar/stub_test.go
@@ -174,6 +174,7 @@
 			edit(file, settings)
 		}
 	})
+	cfg.Shared = t.TempDir()
 	l, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		t.Fatal(err)
--- a/policy/hand_test.go
+++ b/policy/hand_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -146,3 +147,49 @@
 		}
 	}
 }
+
+// What was learned before a restart holds after it as far as it is young enough, and nothing that a file may say does harm.
+func TestRecall(t *testing.T) {
+	const now = time.Hour
+	cfg := testConfig()
+	cfg.ColdTime = 8 * time.Second
+	dead := balance.LearnedServer{ID: 2, Fails: 5, Silent: now - 10*time.Second, Strain: failStrain}
+	cold := balance.LearnedServer{ID: 2, WarmAt: now + 4*time.Second, Strain: 1}
+	for _, c := range []struct {
+		name   string
+		at     time.Duration
+		learnt balance.LearnedServer
+		since  time.Duration // the list's start of the server
+		rests  bool
+		warmAt time.Duration
+	}{
+		{"a dead server rests", now - time.Second, dead, 0, true, 0},
+		{"what is old is not believed", now - time.Minute, dead, 0, false, 0},
+		{"nor what comes from the future", now + time.Second, dead, 0, false, 0},
+		{"nor of a server that has started again since", now - 2*time.Second, dead, now - time.Second, false, now + 7*time.Second},
+		{"a cold one goes on warming", now - time.Second, cold, 0, false, now + 4*time.Second},
+		{"also when that is older", now - time.Minute, cold, 0, false, now + 4*time.Second},
+		{"no longer than a start takes", now - time.Second, balance.LearnedServer{ID: 2, WarmAt: 9 * now}, 0, false, now + 8*time.Second},
+		{"nonsense does no harm", now - time.Second, balance.LearnedServer{ID: 2, Fails: -9, Silent: -5, Strain: math.NaN()}, 0, false, 0},
+		{"nor do servers that nobody knows", now - time.Second, balance.LearnedServer{ID: 77, Fails: 5}, 0, false, 0},
+	} {
+		list := ready(1, 2)
+		list[1].Started = c.since
+		b, _ := start(t, cfg, nil)
+		b.List(now, balance.ListFull, list)
+		b.Recall(now, balance.Learned{At: c.at, Rate: 70, Servers: []balance.LearnedServer{c.learnt}})
+		s := b.server(2)
+		if rests := s.rested > now; rests != c.rests || s.warmAt != c.warmAt || s.fails < 0 || !(s.strain > 0) || s.silent < 0 {
+			t.Errorf("%s: rests %v, warm at %v, %d fails, strain %v", c.name, rests, s.warmAt, s.fails, s.strain)
+		}
+		if young := c.at >= now-rateOver && c.at <= now; young != (b.rate == 70) {
+			t.Errorf("%s: rate %v", c.name, b.rate)
+		}
+	}
+	b, _ := start(t, cfg, ready(1, 2))
+	b.server(2).fails, b.server(2).strain = 3, 6
+	l := b.Learned(time.Second)
+	if len(l.Servers) != 1 || l.Servers[0].ID != 2 || l.Servers[0].Fails != 3 || l.At != time.Second {
+		t.Errorf("learned %+v", l)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -11,7 +11,7 @@
 // Times are durations since a fixed moment of the embedding program's choice; they must never go
 // back, and all calls for one Balancer come from one goroutine, in the order of what happened. The
 // order of calls: New, Start, List with the servers known so far, then Request, Outcome, Wake,
-// List, Probed, ClientGone, BodyEnded, StreamBegun, TakeOut, BringBack and Share as they occur. Each
+// List, Probed, ClientGone, BodyEnded, StreamBegun, TakeOut, BringBack, Recall and Share as they occur. Each
 // Host.Send brings exactly one Outcome, also after the request has been answered; each Host.Wake one call
 // of Wake, late rather than never.
 // A request is answered once: by an Outcome with Settled set, or by Host.Refuse or Host.Fail.
@@ -65,6 +65,7 @@
 	restAfter  = 2                      // so many failures are no chance: the server rests
 	failsMost  = 8                      // and more count no more: three answers clear it
 	restEach   = 100 * time.Millisecond // at first it is tested this often, by all who share it together
+	believed   = 30 * time.Second       // a verdict from before a restart counts for so long
 	firstAsk   = 2 * time.Second        // many balancers that start at once first ask for the list over this
 	firstPause = 250 * time.Millisecond // before the list is asked for again after a failed call,
 	lastPause  = 4 * time.Second        // doubled after each up to this
@@ -686,11 +687,16 @@
 		return
 	}
 	if s.fails = min(s.fails+1, failsMost); s.fails >= restAfter {
-		sharers := float64(b.cfg.Balancers) * b.reach / max(b.weight, 1e-9)
-		s.rested = now + b.backoff(time.Duration(sharers*float64(restEach)), s.fails-restAfter)
+		b.restFor(now, s)
 	}
 }
 
+// restFor begins a rest.
+func (b *Balancer) restFor(now time.Duration, s *server) {
+	sharers := float64(b.cfg.Balancers) * b.reach / max(b.weight, 1e-9)
+	s.rested = now + b.backoff(time.Duration(sharers*float64(restEach)), s.fails-restAfter)
+}
+
 // List takes news of the server list.
 func (b *Balancer) List(now time.Duration, kind balance.ListKind, entries []balance.Server) {
 	if kind == balance.ListFailed {
--- a/policy/state.go
+++ b/policy/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -315,6 +316,47 @@
 	}
 }
 
+// Learned tells what was found out so far, for a Balancer that takes this one's place.
+func (b *Balancer) Learned(now time.Duration) balance.Learned {
+	l := balance.Learned{At: now, Rate: b.rate * math.Exp(-float64(now-b.rateAt)/float64(rateOver))}
+	for _, s := range b.servers {
+		if s.fails > 0 || s.warmAt > now || s.strain >= failStrain/2 {
+			l.Servers = append(l.Servers, balance.LearnedServer{
+				ID: s.ID, Fails: s.fails, Silent: s.silent, WarmAt: s.warmAt, Strain: s.strain,
+			})
+		}
+	}
+	return l
+}
+
+// Recall takes what another had learned in this one's place, once, behind the first List. What is too
+// old, or of a server that has started again since, counts for nothing; neither does what a clock that was
+// set back makes of it.
+func (b *Balancer) Recall(now time.Duration, l balance.Learned) {
+	age := now - l.At
+	if age >= 0 && age <= rateOver && l.Rate > 0 && l.Rate < math.MaxInt32 {
+		b.rate, b.rateAt = l.Rate, now
+	}
+	for _, m := range l.Servers {
+		s := b.server(m.ID)
+		if s == nil || age < 0 || s.Started > l.At {
+			continue
+		}
+		s.warmAt = max(s.warmAt, min(m.WarmAt, now+b.cfg.ColdTime))
+		if age > believed {
+			continue
+		}
+		if m.Strain > 0 && m.Strain <= failStrain {
+			s.strain = m.Strain
+		}
+		s.silent = min(max(0, m.Silent), now)
+		if s.fails = min(max(0, m.Fails), failsMost); s.fails >= restAfter {
+			b.restFor(now, s)
+		}
+	}
+	b.weigh()
+}
+
 // known says whether a request names a class and a tenant that there are, and has time left. Where
 // no tenants are set it gives the request the one for all.
 func (b *Balancer) known(q *balance.Request) bool {
