--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -388,7 +389,17 @@
 		return nil
 	}
 	limit := &unix.Rlimit{Cur: bytes, Max: unix.RLIM_INFINITY}
-	return unix.Prlimit(q.cmd.Process.Pid, unix.RLIMIT_FSIZE, limit, nil)
+	err := unix.Prlimit(q.cmd.Process.Pid, unix.RLIMIT_FSIZE, limit, nil)
+	if !errors.Is(err, unix.EPERM) || os.Getuid() != 0 {
+		return err
+	}
+	// A root without that right has to ask as the user that the sidecar runs as.
+	cmd := exec.Command("prlimit", "--pid", strconv.Itoa(q.cmd.Process.Pid), fmt.Sprintf("--fsize=%d:", bytes))
+	cmd.SysProcAttr = &syscall.SysProcAttr{Credential: &syscall.Credential{Uid: ordinary, Gid: ordinary}}
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return fmt.Errorf("the file limit can't be set: %w: %s", err, out)
+	}
+	return nil
 }
 
 // damage does to a state folder what the scenario wants.
@@ -397,36 +408,29 @@
 	if how == "readonly" {
 		return os.Chmod(dir, 0o555)
 	}
-	files, err := os.ReadDir(dir)
-	if err != nil {
-		return err
-	}
-	for _, f := range files {
-		path := filepath.Join(dir, f.Name())
-		info, err := os.Stat(path)
-		if err != nil || !info.Mode().IsRegular() {
-			continue
+	return filepath.WalkDir(dir, func(path string, d fs.DirEntry, err error) error {
+		if err != nil || !d.Type().IsRegular() {
+			return err
+		}
+		info, err := d.Info()
+		if err != nil || info.Size() == 0 {
+			return err
 		}
 		switch how {
 		case "emptied":
-			err = os.Truncate(path, 0)
+			return os.Truncate(path, 0)
 		case "truncated":
-			err = os.Truncate(path, info.Size()/2)
+			return os.Truncate(path, info.Size()/2)
 		case "flipped":
-			if info.Size() == 0 {
-				continue
+			raw, err := os.ReadFile(path)
+			if err != nil {
+				return err
 			}
-			var raw []byte
-			if raw, err = os.ReadFile(path); err == nil {
-				raw[rng.IntN(len(raw))] ^= 1 << rng.IntN(8)
-				err = os.WriteFile(path, raw, info.Mode())
-			}
-		}
-		if err != nil {
-			return err
+			raw[rng.IntN(len(raw))] ^= 1 << rng.IntN(8)
+			return os.WriteFile(path, raw, info.Mode())
 		}
-	}
-	return nil
+		return nil
+	})
 }
 
 // sample looks at what the processes use, and notes limits that are passed.
