--- a/cmd/caperarch/main.go
+++ b/cmd/caperarch/main.go
@@ -23,7 +23,7 @@
 
 	"arrowgw/internal/conf"
 	"arrowgw/internal/fleet"
-	"arrowgw/internal/logs"
+	"arrowgw/internal/logging"
 	"arrowgw/internal/sidecar"
 	"arrowgw/internal/store"
 )
@@ -83,7 +83,7 @@
 			slog.Error("ends", "error", err)
 		}
 	}()
-	if err := logs.Setup(os.Stderr, os.Getenv); err != nil {
+	if err := logging.Setup(os.Stderr, os.Getenv); err != nil {
 		return err
 	}
 	// It has one core at most, and the heap is small: more threads and frequent collections only cost.
--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -18,7 +18,7 @@
 
 	"arrowgw/internal/conf"
 	"arrowgw/internal/lab"
-	"arrowgw/internal/logs"
+	"arrowgw/internal/logging"
 	"arrowgw/scenarios"
 )
 
@@ -41,7 +41,7 @@
 	// Ctrl-C ends a run, and all of its processes with it.
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	err := logs.Setup(os.Stderr, os.Getenv)
+	err := logging.Setup(os.Stderr, os.Getenv)
 	if err == nil {
 		err = root.ExecuteContext(ctx)
 	}
