Let a sidecar end though its disk is stuck

Cause: the end waited for the state's last sync without a bound, so that a disk that never answers would have held it until it was killed.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"os"
-	"sync"
 	"time"
 )
 
@@ -57,9 +56,14 @@
 	slog.Info("serving", "name", cfg.Name, "listen", listener.Addr(), "servers", len(cfg.Known.servers))
 
 	running, stop := context.WithCancel(context.Background())
-	var kept sync.WaitGroup
-	defer kept.Wait()
-	defer stop()
+	kept := make(chan struct{})
+	defer func() {
+		stop()
+		select { // what is kept last may wait for a disk; the end does not
+		case <-kept:
+		case <-time.After(saveWait):
+		}
+	}()
 	share := func(n int) {
 		limitMemory(cfg.MemoryMB, n)
 		up.share(cfg.upstreamConns(n))
@@ -70,7 +74,10 @@
 	n := l.handover.count()
 	share(n)
 	go l.handover.watch(running, n, share, func(handed map[string]handed) { l.calls(running, handed) })
-	kept.Go(func() { state.keep(running, l.learned) })
+	go func() {
+		defer close(kept)
+		state.keep(running, l.learned)
+	}()
 	go d.run(running)
 	f.ready.Store(true)
 	if door != nil {
