Keep a slow disk away from discovery and from the console's figures

Cause: whoever follows discovery wrote the list to the state itself, so that a disk that hangs would have held up the next watch, and with it the word on drains; show-stat asked for the file's size under the lock that a sync holds, and confirm-state held the figures' lock over its own sync. Found by reading the change once more; no run had shown it.

Change: the list is handed to the goroutine that keeps what was learned; the size is published when it is committed. The lab's list of stops, which nobody read, is gone.

Measured: values, damage and size are told while a sync hangs (go test -run Reading ./internal/store).

--- a/internal/lab/history.go
+++ b/internal/lab/history.go
@@ -21,7 +21,6 @@
 	ends    []string // processes that ended and should not have, or did not and should
 	over    []string // limits passed
 	killed  []span   // when a sidecar's process was killed, by sidecar
-	stopped []span   // or told to stop
 	started []span   // when it was started again, until it was ready
 }
 
@@ -158,7 +157,7 @@
 	*list = append(*list, fmt.Sprintf(format, args...))
 }
 
-// life takes that a sidecar's process was killed or told to stop, and when it was there again.
+// life takes a time in a sidecar's life into one of the lists.
 func (h *History) life(list *[]span, s span) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -326,7 +326,6 @@
 
 // stop tells a process to stop and waits for its end.
 func (p *processes) stop(q *process) {
-	from := p.clock.now()
 	p.mu.Lock()
 	q.wanted = true
 	p.mu.Unlock()
@@ -338,7 +337,6 @@
 		_ = q.cmd.Process.Kill()
 		<-q.ended
 	}
-	p.history.life(&p.history.stopped, span{q.sidecar, from, p.clock.now()})
 }
 
 // pause stands a process still, or lets it go on.
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -57,7 +57,8 @@
 	handed map[string]handed // by instanceId, where there is no store
 
 	mu        sync.Mutex
-	oldDamage int // 1: the older programs' file was all there was, and it is damaged
+	nextList  []byte // the list that is to be kept next; nil: there is no news
+	oldDamage int    // 1: the older programs' file was all there was, and it is damaged
 }
 
 // handed is a server that is out by hand, or was until lately.
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -112,7 +112,7 @@
 	return value, e.At, true
 }
 
-// keepList keeps the list as it is now.
+// keepList has the list kept as it is now, soon: whoever follows discovery must not wait for a disk.
 func (h *handover) keepList(source string, version int64, entries map[balance.ServerID]json.RawMessage) {
 	if h.store == nil {
 		return
@@ -134,12 +134,25 @@
 	if err == nil {
 		raw, err = json.Marshal(keptList{source, raw})
 	}
-	if err == nil {
-		err = h.store.Keep(sectionList, only, raw)
-	}
 	if err != nil {
 		slog.Warn("state not kept", "reason", err)
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.nextList = raw
+}
+
+// flushList keeps the list that came last.
+func (h *handover) flushList() error {
+	h.mu.Lock()
+	raw := h.nextList
+	h.nextList = nil
+	h.mu.Unlock()
+	if raw == nil {
+		return nil
 	}
+	return h.store.Keep(sectionList, only, raw)
 }
 
 // list returns the list that a process before this one had, where it is better than the one in the configuration: of
@@ -178,7 +191,7 @@
 		return
 	}
 	defer func() {
-		if err := h.store.Close(); err != nil {
+		if err := errors.Join(h.flushList(), h.store.Close()); err != nil {
 			slog.Warn("state not kept", "reason", err)
 		}
 	}()
@@ -196,9 +209,10 @@
 		if err != nil {
 			return // it ends
 		}
+		err = h.flushList()
 		if now := learned(l); !now.same(last) {
 			raw, errJSON := json.Marshal(now)
-			err = errors.Join(errJSON, h.store.Keep(sectionLearned, only, raw))
+			err = errors.Join(err, errJSON, h.store.Keep(sectionLearned, only, raw))
 			last = now
 		}
 		if time.Since(synced) >= syncEvery {
@@ -228,11 +242,11 @@
 	if h.store == nil {
 		return errors.New("there is no state")
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if err := h.store.Confirm(); err != nil {
+	if err := h.store.Confirm(); err != nil { // it may wait for a disk: not under the lock of the figures
 		return errNotKept{err}
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	h.oldDamage = 0
 	return nil
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -24,6 +24,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -66,6 +67,8 @@
 	now   func() time.Time
 	alone func() bool
 
+	committed atomic.Int64 // size of the file, for readers that must not wait for a disk
+
 	mu      sync.RWMutex // guards what follows
 	entries map[id]entry
 	clock   uint64 // the highest version seen: the next word of this process is above all that it knows of
@@ -260,6 +263,7 @@
 		s.before = oldRef
 	}
 	s.file, s.slot, s.size, s.own, s.dirty, s.behind = f, slot, len(raw), next, false, false
+	s.committed.Store(int64(s.size))
 	s.tidy()
 	return nil
 }
@@ -437,6 +441,7 @@
 		return s.again(err)
 	}
 	s.slot, s.dirty = next, false
+	s.committed.Store(int64(s.size))
 	return nil
 }
 
@@ -481,12 +486,8 @@
 // Fresh says whether there was no state before this process.
 func (s *Store) Fresh() bool { return s.fresh }
 
-// Size is how many bytes the file in use has.
-func (s *Store) Size() int {
-	s.io.Lock()
-	defer s.io.Unlock()
-	return s.size
-}
+// Size is how many bytes the file in use had when it was committed last.
+func (s *Store) Size() int { return int(s.committed.Load()) }
 
 // Follow takes in what other processes have put since, and says whether that was news.
 func (s *Store) Follow() (news bool, err error) {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -714,3 +714,40 @@
 		}
 	}
 }
+
+// slowDisk is a disk whose syncs wait until it is let go.
+type slowDisk struct {
+	OS
+	held chan struct{}
+}
+
+func (d slowDisk) SyncDir(dir string) error { <-d.held; return d.OS.SyncDir(dir) }
+
+// Reading never waits for a disk: values, damage and size are told while a sync hangs.
+func TestReadingDoesNotWaitForADisk(t *testing.T) {
+	d := slowDisk{held: make(chan struct{}, 4)}
+	d.held <- struct{}{}
+	d.held <- struct{}{}
+	s, err := Open(Options{FS: d, Dir: t.TempDir(), Limit: 8 << 10})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Put("calls", "x", make([]byte, 2<<10)); err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- s.Put("calls", "x", make([]byte, 2<<10+1)) }() // it needs a new file, and that a sync
+	for e, _ := s.Get("calls", "x"); len(e.Value) == 2<<10; e, _ = s.Get("calls", "x") {
+		time.Sleep(time.Millisecond)
+	}
+	if s.Size() == 0 || len(s.All("calls")) != 1 || len(s.Damage().Files) != 0 {
+		t.Errorf("size %d, %d values", s.Size(), len(s.All("calls")))
+	}
+	if len(done) > 0 {
+		t.Error("the disk did not hang")
+	}
+	close(d.held)
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
