Answer a call by hand whose disk is stuck, and test that a stuck disk holds nothing up

Cause: the console's 500 ms for its answer began with the caller's line, while a call may wait 800 ms for the disk; so the caller got an empty answer in place of 202. Found by the new test, which has every sync of the state hang and asks for requests, ready, the figures and calls meanwhile (it failed with two empty answers before). Change: the time for the answer begins when there is one. The state's disk can be replaced in a test of the whole sidecar.

--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -16,6 +16,7 @@
 
 	"arrowgw/internal/balance"
 	"arrowgw/internal/fleet"
+	"arrowgw/internal/store"
 	"arrowgw/internal/wire"
 )
 
@@ -50,7 +51,8 @@
 	Fleet   *fleet.File // of the parts that join sidecars; nil: this one stands alone
 	Unknown []string    // keys of the file that mean nothing to this program
 
-	path string // the file that this was read from; empty in tests
+	path string   // the file that this was read from; empty in tests
+	disk store.FS // where the state lies; nil: on the machine's own file system
 }
 
 // ReadConfig reads the file that EDGE_CONFIG names. What the environment says in EDGE_NAME,
--- a/internal/sidecar/console.go
+++ b/internal/sidecar/console.go
@@ -103,6 +103,7 @@
 	}
 	w := bufio.NewWriter(conn)
 	c.call(ctx, w, strings.Fields(string(line)))
+	_ = conn.SetDeadline(time.Now().Add(replyTime)) // the call itself may have waited for a disk
 	_ = w.Flush()
 }
 
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -85,7 +85,10 @@
 
 // newHandover enters this process among a sidecar's, in dir. What is missing or unusable there is told in
 // the log and keeps no process from its start.
-func newHandover(dir, name string) *handover {
+func newHandover(dir, name string) *handover { return openHandover(dir, name, store.OS{}) }
+
+// openHandover is newHandover on a disk that a test may replace.
+func openHandover(dir, name string, disk store.FS) *handover {
 	h := &handover{saves: make(chan struct{}, savesAtOnce)}
 	if dir == "" {
 		slog.Info("state not kept", "reason", "TMPDIR is not set: calls by hand end with this process")
@@ -98,7 +101,7 @@
 	}
 	began := time.Now()
 	var err error
-	h.store, err = store.Open(store.Options{Dir: base + ".kept", Alone: func() bool { return h.lock != nil && h.count() == 1 }})
+	h.store, err = store.Open(store.Options{FS: disk, Dir: base + ".kept", Alone: func() bool { return h.lock != nil && h.count() == 1 }})
 	if err != nil {
 		slog.Error("state not kept", "reason", err)
 	}
--- a/internal/sidecar/state_test.go
+++ b/internal/sidecar/state_test.go
@@ -8,10 +8,12 @@
 	"path/filepath"
 	"reflect"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"arrowgw/internal/balance"
+	"arrowgw/internal/store"
 )
 
 // What a process kept is what the next one goes by: the list, what was learned, and who is out.
@@ -145,3 +147,87 @@
 		t.Errorf("not kept: %q", &out)
 	}
 }
+
+// stuckDisk is a disk whose syncs begin to wait at some moment, until it is let go.
+type stuckDisk struct {
+	store.OS
+	stuck atomic.Bool
+	free  chan struct{} // closed: it is let go
+	waits chan struct{} // a sync waits
+}
+
+func (d *stuckDisk) sync() {
+	if d.stuck.Load() {
+		select {
+		case d.waits <- struct{}{}:
+		default:
+		}
+		<-d.free
+	}
+}
+
+func (d *stuckDisk) SyncDir(dir string) error { d.sync(); return d.OS.SyncDir(dir) }
+
+func (d *stuckDisk) Create(path string) (store.File, error) { return d.file(d.OS.Create(path)) }
+
+func (d *stuckDisk) Open(path string) (store.File, error) { return d.file(d.OS.Open(path)) }
+
+func (d *stuckDisk) file(f store.File, err error) (store.File, error) {
+	if err != nil {
+		return nil, err
+	}
+	return stuckFile{f, d}, nil
+}
+
+func (d *stuckDisk) Linked(path string, f store.File) bool {
+	return d.OS.Linked(path, f.(stuckFile).File)
+}
+
+type stuckFile struct {
+	store.File
+	disk *stuckDisk
+}
+
+func (f stuckFile) Sync() error { f.disk.sync(); return f.File.Sync() }
+
+// While a sync hangs, requests, ready and the figures are answered all the same, and a call by hand is told that it
+// holds and is not kept. Once the disk goes on it is kept, said again.
+func TestStuckDiskHoldsNothingUp(t *testing.T) {
+	s := newStub(t, echo)
+	d := &stuckDisk{free: make(chan struct{}), waits: make(chan struct{}, 1)}
+	side := startOn(t, d, nil, s.address)
+	if got := side.call(t, "ready\n"); !strings.HasPrefix(got, "200 ") {
+		t.Fatalf("ready: %q", got)
+	}
+	d.stuck.Store(true)
+	if got := side.call(t, "disable-server s-9\n"); !strings.HasPrefix(got, "400 ") {
+		t.Errorf("of a server that there is not: %q", got)
+	}
+	if got := side.call(t, "disable-server s-0\n"); !strings.HasPrefix(got, "202 ") {
+		t.Errorf("not kept: %q", got)
+	}
+	wait(t, "a sync that hangs", d.waits)
+	if got := side.call(t, "enable-server s-0\n"); !strings.HasPrefix(got, "202 ") {
+		t.Errorf("not kept: %q", got)
+	}
+	for range 20 {
+		if res, _ := do(t, side.request(t, "GET", "/look", "")); res.StatusCode != 200 {
+			t.Errorf("a request while the disk hangs: %d", res.StatusCode)
+		}
+	}
+	if got := side.call(t, "ready\n"); !strings.HasPrefix(got, "200 ") {
+		t.Errorf("ready while the disk hangs: %q", got)
+	}
+	if got := side.call(t, "show-stat\n"); !strings.Contains(got, "app.members=1\napp.members_unavailable=0\n") {
+		t.Errorf("figures while the disk hangs: %q", got)
+	}
+	d.stuck.Store(false)
+	close(d.free)
+	for got := ""; !strings.HasPrefix(got, "200 "); {
+		got = side.call(t, "disable-server s-0\n")
+	}
+	side.stop()
+	if err := wait(t, "the end", side.ended); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/sidecar/stub_test.go
+++ b/internal/sidecar/stub_test.go
@@ -12,6 +12,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"arrowgw/internal/store"
 )
 
 // generous bounds every wait: tests wait for events, and only a broken program waits this long.
@@ -158,6 +160,12 @@
 
 // start serves with the stubs' addresses as the list of servers, which discovery repeats.
 func start(t *testing.T, edit func(file, settings map[string]any), addresses ...string) *running {
+	t.Helper()
+	return startOn(t, nil, edit, addresses...)
+}
+
+// startOn is start with the state on a disk of the test's.
+func startOn(t *testing.T, disk store.FS, edit func(file, settings map[string]any), addresses ...string) *running {
 	t.Helper()
 	list := listed(1, "ready", addresses...)
 	d := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -174,7 +182,7 @@
 			edit(file, settings)
 		}
 	})
-	cfg.Shared = t.TempDir()
+	cfg.Shared, cfg.disk = t.TempDir(), disk
 	l, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		t.Fatal(err)
