Let operators bound the state's files, by state.limit in the fleet file

Need: TMPDIR may count as memory, and 1 MiB was fixed in the program; a test of kills amid a compaction needs one soon. Change: state.limit, 32 KiB to 64 MiB, 1 MiB as before where it is not given.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -17,9 +17,15 @@
 
 // File is a fleet file. Its zero value is that of a sidecar that stands alone.
 type File struct {
+	State  State             `toml:"state"`
 	Routes map[string]string `toml:"routes" help:"address (IP:port) by which this process reaches a peer, by the peer's name; one without a route is reached where it says that it is"`
 }
 
+// State is the section of the durable state.
+type State struct {
+	Limit int `toml:"limit" default:"1024" min:"32" max:"65536" unit:"KiB" help:"size of the state's files together; a new one is begun at half of it"`
+}
+
 // Read reads the fleet file at path.
 func Read(path string) (*File, error) {
 	var f File
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -48,11 +48,11 @@
 
 	Known listing // the servers as last known
 
-	Fleet   *fleet.File // of the parts that join sidecars; nil: this one stands alone
-	Unknown []string    // keys of the file that mean nothing to this program
+	State   store.Options // its size, and in tests its disk
+	Fleet   *fleet.File   // of the parts that join sidecars; nil: this one stands alone
+	Unknown []string      // keys of the file that mean nothing to this program
 
-	path string   // the file that this was read from; empty in tests
-	disk store.FS // where the state lies; nil: on the machine's own file system
+	path string // the file that this was read from; empty in tests
 }
 
 // ReadConfig reads the file that EDGE_CONFIG names. What the environment says in EDGE_NAME,
@@ -71,6 +71,7 @@
 		if c.Fleet, err = fleet.Read(c.FleetPath); err != nil {
 			return nil, fmt.Errorf("fleet: %w", err)
 		}
+		c.State.Limit = c.Fleet.State.Limit << 10
 	}
 	return c, nil
 }
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -85,10 +85,10 @@
 
 // newHandover enters this process among a sidecar's, in dir. What is missing or unusable there is told in
 // the log and keeps no process from its start.
-func newHandover(dir, name string) *handover { return openHandover(dir, name, store.OS{}) }
+func newHandover(dir, name string) *handover { return openHandover(dir, name, store.Options{}) }
 
-// openHandover is newHandover on a disk that a test may replace.
-func openHandover(dir, name string, disk store.FS) *handover {
+// openHandover is newHandover with the options of the state that are not its own to choose.
+func openHandover(dir, name string, options store.Options) *handover {
 	h := &handover{saves: make(chan struct{}, savesAtOnce)}
 	if dir == "" {
 		slog.Info("state not kept", "reason", "TMPDIR is not set: calls by hand end with this process")
@@ -100,8 +100,9 @@
 		slog.Error("upgrade alone", "error", err)
 	}
 	began := time.Now()
+	options.Dir, options.Alone = base+".kept", func() bool { return h.lock != nil && h.count() == 1 }
 	var err error
-	h.store, err = store.Open(store.Options{FS: disk, Dir: base + ".kept", Alone: func() bool { return h.lock != nil && h.count() == 1 }})
+	h.store, err = store.Open(options)
 	if err != nil {
 		slog.Error("state not kept", "reason", err)
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -36,7 +36,7 @@
 // serve wires the parts and starts them. There is a console where door is not nil.
 func serve(ctx context.Context, cfg *Config, listener, door net.Listener, reload <-chan os.Signal) error {
 	c := newClock()
-	state := openHandover(cfg.Shared, cfg.Name, cfg.disk)
+	state := openHandover(cfg.Shared, cfg.Name, cfg.State)
 	if kept, ok := state.list(cfg); ok {
 		cfg.Known = kept
 	}
--- a/internal/sidecar/stub_test.go
+++ b/internal/sidecar/stub_test.go
@@ -182,7 +182,7 @@
 			edit(file, settings)
 		}
 	})
-	cfg.Shared, cfg.disk = t.TempDir(), disk
+	cfg.Shared, cfg.State.FS = t.TempDir(), disk
 	l, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		t.Fatal(err)
