Show kills amid a compaction and a removed state folder on real processes, and count lost attempts

Need: the last hard cases of the durable state that had not been seen on real processes, and two of its figures. Change: a real sidecar, every other time with a second process beside it, is killed as soon as the next file of its state is seen half written, under a storm of calls by hand; its folder is removed at work. The lab counts restart_lost, a started process's attempts of 5 s at servers that answer nobody, and written_kib_min.

--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -45,6 +45,7 @@
 	ended   chan struct{} // closed at its end
 	wanted  bool          // that it ends
 	paused  bool
+	written float64 // bytes to disks
 }
 
 // processes are all sidecars' processes.
@@ -69,6 +70,7 @@
 	all     []*process
 	maxRSS  float64 // MiB
 	maxFDs  int
+	written float64       // bytes that all processes have written to disks, by the last looks at them
 	cpu     time.Duration // of all that have ended
 }
 
@@ -450,6 +452,9 @@
 		}
 		p.mu.Lock()
 		p.maxRSS, p.maxFDs = max(p.maxRSS, rss), max(p.maxFDs, fds)
+		if now := writtenBy(q.cmd.Process.Pid); now > q.written {
+			p.written, q.written = p.written+now-q.written, now
+		}
 		p.mu.Unlock()
 		if rss > float64(p.scene.Fleet.MemoryMB) {
 			p.history.note(&p.history.over, "at %v sidecar %s has %.1f MiB of %d", p.clock.now(), sidecarName(q.sidecar), rss, p.scene.Fleet.MemoryMB)
@@ -478,6 +483,20 @@
 	return pages * float64(os.Getpagesize()) / (1 << 20), len(names), err == nil
 }
 
+// writtenBy reads how many bytes a process has had written to disks; 0 where the kernel does not say.
+func writtenBy(pid int) (bytes float64) {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/io", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(raw)) {
+		if value, ok := strings.CutPrefix(line, "write_bytes: "); ok {
+			bytes, _ = strconv.ParseFloat(strings.TrimSpace(value), 64) // 0 is the word for unknown here
+		}
+	}
+	return bytes
+}
+
 // close ends all processes: gently, all at once, and then surely.
 func (p *processes) close(ctx context.Context) {
 	var ends sync.WaitGroup
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"arrowgw/internal/world"
 )
 
 // resultSchema is the version of result.json.
@@ -112,6 +114,7 @@
 	r.processes.mu.Lock()
 	f["cpu_ms"] = float64(r.processes.cpu.Milliseconds()) / n
 	f["rss_mib"], f["descriptors"] = r.processes.maxRSS, float64(r.processes.maxFDs)
+	f["written_kib_min"] = r.processes.written / 1024 / float64(s.Fleet.Sidecars) / s.For.D().Minutes()
 	r.processes.mu.Unlock()
 	f["lab_cpu_ms"] = float64(lab.Milliseconds()) / n
 	r.late.mu.Lock()
@@ -134,10 +137,11 @@
 const afterStart = 5 * time.Second
 
 // restarts counts what processes cost that were started again: the time from their start until they were ready and
-// until a request that was sent after it was served (medians, in ms), and what became of the requests of the next 5 s.
+// until a request that was sent after it was served (medians, in ms), what became of the requests of the next 5 s, and
+// how many attempts a process made in them at servers that answered nobody in that time.
 func (r *run) restarts(f map[string]float64) {
 	var ready, served []float64
-	due, inTime, failed := 0.0, 0.0, 0.0
+	due, inTime, failed, lost := 0.0, 0.0, 0.0, 0.0
 	for _, s := range r.history.started {
 		ready = append(ready, float64((s.to-s.from).Microseconds())/1000)
 		first := time.Duration(-1)
@@ -146,6 +150,7 @@
 				first = t.Ended
 			}
 		}
+		lost += r.lost(s)
 		if first >= 0 {
 			served = append(served, float64((first-s.from).Microseconds())/1000)
 		}
@@ -165,7 +170,31 @@
 	if due > 0 && len(served) > 0 {
 		f["restart_ready_ms"], f["restart_served_ms"] = spreadOf(ready).median, spreadOf(served).median
 		f["restart_in_time"], f["restart_failed"] = inTime/due, failed/due
+		f["restart_lost"] = lost / float64(len(ready))
+	}
+}
+
+// lost counts a started sidecar's attempts of the first 5 s at servers that answered nobody meanwhile.
+func (r *run) lost(s span) (n float64) {
+	answered := make(map[int]bool)
+	at := make(map[int]float64)
+	for _, t := range r.history.tries {
+		for _, a := range t.Reached {
+			if a.At < s.from || a.At > s.to+afterStart {
+				continue
+			}
+			answered[a.Server] = answered[a.Server] || a.Answer != "" || a.Verdict != world.Taken
+			if a.Sidecar == s.sidecar {
+				at[a.Server]++
+			}
+		}
+	}
+	for server, attempts := range at {
+		if !answered[server] {
+			n += attempts
+		}
 	}
+	return n
 }
 
 // recovery is how long after the last fault was mended (or began, if it is for good) the share of requests answered
--- a/internal/lab/state_test.go
+++ b/internal/lab/state_test.go
@@ -6,9 +6,14 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"os"
+	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
+
+	"arrowgw/internal/store"
 )
 
 // figures reads a console's figures.
@@ -82,3 +87,143 @@
 	}
 	t.Logf("told %d times, kept %d times", told, kept)
 }
+
+// says makes a call at a sidecar's console that has to be answered with 200 yes.
+func says(t *testing.T, q *process, call string) {
+	t.Helper()
+	if answer, err := callConsole(q.console, call); err != nil || !strings.HasPrefix(answer, "200") {
+		t.Fatalf("%s: %q, error %v", call, answer, err)
+	}
+}
+
+// forgetOlder removes the file for older programs, which would make good for what the state itself has lost.
+func forgetOlder(t *testing.T, r *run) {
+	t.Helper()
+	if err := os.Remove(filepath.Join(r.processes.stateDir(0), "sidecar-n0.state")); err != nil && !os.IsNotExist(err) {
+		t.Fatal(err)
+	}
+}
+
+// A state folder that is removed at work is made again by the next call, which holds over the next kill.
+func TestStateFolderRemovedAtWork(t *testing.T) {
+	t.Parallel()
+	r := stage(t, scene(t, "[fleet]\nsidecars=1\nservers=3"))
+	for i := range 4 {
+		q, err := r.processes.start(0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		says(t, q, "disable-server "+serverName(i%2))
+		if err := os.RemoveAll(filepath.Join(r.processes.stateDir(0), "sidecar-n0.kept")); err != nil {
+			t.Fatal(err)
+		}
+		says(t, q, "enable-server "+serverName(i%2))
+		says(t, q, "disable-server "+serverName(2))
+		r.processes.kill(0)
+		forgetOlder(t, r)
+		if q, err = r.processes.start(0); err != nil {
+			t.Fatal(err)
+		}
+		if f := figures(t, q.console); f["app.members_unavailable"] != "1" || f["app.state_damaged"] != "0" {
+			t.Errorf("after the kill: %v", f)
+		}
+		says(t, q, "enable-server "+serverName(2))
+		r.processes.kill(0)
+	}
+}
+
+// A real sidecar is killed at the moment that its state's next file is being written, in the one turn with a second
+// process beside it, amid a storm of calls: the last call of each caller that was confirmed holds at the next start.
+func TestKilledAmidACompaction(t *testing.T) {
+	t.Parallel()
+	const callers = 4
+	r := stage(t, scene(t, fmt.Sprintf("[fleet]\nsidecars=1\nservers=%d\nfile='''[state]\nlimit=32'''", callers+1)))
+	folder := filepath.Join(r.processes.stateDir(0), "sidecar-n0.kept")
+	half := func() bool { // a file is being written
+		names, _ := filepath.Glob(filepath.Join(folder, "*.tmp"))
+		return len(names) > 0
+	}
+	amid := 0
+	for turn := 0; turn < 40 && amid < 5; turn++ {
+		q, err := r.processes.start(0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var first *process
+		if turn%2 == 1 { // an upgrade in that moment: both processes write
+			first = q
+			if q, err = r.processes.start(0); err != nil {
+				t.Fatal(err)
+			}
+		}
+		var all sync.WaitGroup
+		var confirmed [callers]string // the last call that was answered with yes; the one under way may hold too
+		var under [callers]string
+		done := make(chan struct{})
+		for i := range callers {
+			all.Go(func() {
+				for n := 0; ; n++ {
+					call := []string{"disable-server", "enable-server"}[n%2]
+					under[i] = call
+					answer, err := callConsole(q.console, call+" "+serverName(i))
+					if err != nil {
+						return
+					}
+					if strings.HasPrefix(answer, "200") {
+						confirmed[i] = call
+					}
+					select {
+					case <-done:
+						return
+					default:
+					}
+				}
+			})
+		}
+		for end := time.Now().Add(20 * time.Second); !half() && time.Now().Before(end); {
+			time.Sleep(100 * time.Microsecond) // a file is half written for some hundreds
+		}
+		ending := []*process{q}
+		if first != nil {
+			ending = append(ending, first)
+		}
+		r.processes.mu.Lock()
+		for _, p := range ending {
+			p.wanted = true
+		}
+		r.processes.mu.Unlock()
+		for _, p := range ending {
+			_ = p.cmd.Process.Kill() // it has not ended yet
+		}
+		for _, p := range ending {
+			<-p.ended
+		}
+		close(done)
+		all.Wait()
+		if half() {
+			amid++
+		}
+		forgetOlder(t, r)
+		if q, err = r.processes.start(0); err != nil {
+			t.Fatal(err)
+		}
+		if f := figures(t, q.console); f["app.state_damaged"] != "0" {
+			t.Errorf("turn %d: a kill is taken for damage: %v", turn, f)
+		}
+		in, err := store.Inspect(store.OS{}, folder)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out := make(map[string]bool)
+		for _, v := range in.Values {
+			out[v.Key] = out[v.Key] || v.Section == "calls" && strings.Contains(string(v.Bytes), `"out":true`)
+		}
+		for i := range callers {
+			if confirmed[i] == under[i] && out[serverName(i)] != (confirmed[i] == "disable-server") {
+				t.Errorf("turn %d: server %d out %v, though %s was confirmed", turn, i, out[serverName(i)], confirmed[i])
+			}
+		}
+		r.processes.kill(0)
+	}
+	t.Logf("%d kills left a file half written", amid)
+}
