Tell who of the fleet is present, on memberlist, and play its hard cases under a virtual clock

Nobody knows who is there; the count of balancers is that of the settings for ever. Change: internal/member: joins, rejoins, views with digests that go round in the answers to probes, calls to those that were lost, processes told apart by their number, bounds on all that is held. Found on the way: the library drops an update of a member's particulars that crosses an objection of its own, so it is told until it holds.

--- /dev/null
+++ b/internal/member/member.go
@@ -0,0 +1,460 @@
+// Package member tells who of a fleet is present, who was lost and who has left, on hashicorp/memberlist.
+// docs/membership.md is its contract; in short:
+//
+//   - Nothing waits for it. It joins, rejoins and gives up by itself, for as long as Run lasts, and ends with it.
+//   - Once faults end, all processes that reach each other come to see the same members (View.Agreed).
+//   - A process is told from an earlier one under its name by its number (Config.Start): who has heard of the later one
+//     believes nothing of the earlier any more.
+//   - It never promises that a member that it shows runs, nor that two processes see the same at one moment.
+//
+// Everything that it holds is bounded: members by membersMost, those lost by Config.Forget, views by viewsMost, streams
+// by streamsMost. Times are read from the monotonic clock; none is compared between machines.
+package member
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+)
+
+// Phase is what a process says of itself.
+type Phase string
+
+// The phases.
+const (
+	Starting Phase = "starting"
+	Serving  Phase = "serving"
+	Draining Phase = "draining" // told to stop; it leaves soon
+)
+
+// State is what is known of a member.
+type State string
+
+// The states.
+const (
+	Present State = "present"
+	Silent  State = "silent" // lost without a word: it may have ended, or be cut off
+	Gone    State = "gone"   // lost, and its address refuses or closes at once: its process has ended
+	Left    State = "left"   // it had said so
+)
+
+// Standing is where this process stands itself.
+type Standing string
+
+// The standings.
+const (
+	Waiting  Standing = "waiting"  // for its address, which is in use
+	Alone    Standing = "alone"    // nobody was reached so far
+	Member   Standing = "member"   // of a fleet
+	Conflict Standing = "conflict" // a live process at another address has the name
+	Replaced Standing = "replaced" // a later process has the name: this one takes no part any more
+)
+
+const (
+	membersMost = 4096
+	viewsMost   = 8
+	keptMost    = 64 // members that Known tells, for a later start
+	metaMost    = memberlist.MetaMaxSize
+
+	suspectedFor = 10 * time.Second // a suspicion that came to nothing is forgotten by then
+	leftKept     = time.Minute      // one that has left is shown for so long
+	stall        = time.Second      // a process that stood still for this long has missed what others said of it
+	starvedFor   = 10 * time.Second // and is not trusted for this long
+	addressWait  = 50 * time.Millisecond
+	leaveTime    = 500 * time.Millisecond // the word of leaving may take so long
+	streamTime   = time.Second            // so may a dial, and each side of an exchange
+	lastPause    = 4 * time.Second        // between two attempts to reach anybody at all
+)
+
+// Config says who this process is and how it finds the others.
+type Config struct {
+	Name    string // unique in the fleet
+	Start   uint64 // of two processes under one name the later has the higher one
+	Zone    string
+	Version string // of the program
+	Digest  string // of what should be the same everywhere in the configuration
+
+	Listen  netip.AddrPort // UDP and TCP
+	Cluster string         // on every packet: other fleets' are passed over
+	Seeds   []string       // NAME (reached by its route), NAME/IP:PORT or IP:PORT
+	Known   []string       // members that an earlier process knew, as Known told them
+	Routes  map[string]string
+	Probe   time.Duration // between two probes; 0: 150 ms
+	Forget  time.Duration // a member that was lost is forgotten after this; 0: 15 min
+
+	Log     *slog.Logger
+	Network func(Config) (memberlist.NodeAwareTransport, error) // nil: sockets at Listen
+}
+
+// MemberInfo is one member as this process knows it.
+type MemberInfo struct {
+	Name      string
+	Start     uint64
+	Zone      string
+	Version   string
+	Digest    string
+	Phase     Phase
+	State     State
+	Address   string
+	Since     time.Duration // in this state for so long
+	Word      time.Duration // since its last own word to this process; -1: none so far
+	Suspected bool          // by this process: it did not answer
+}
+
+// View is what a process sees. It is a copy.
+type View struct {
+	Number   uint64 // grows with each change of who is present
+	Digest   uint64 // the same at all processes that see the same
+	Standing Standing
+	Members  []MemberInfo // by name, this process included
+
+	Present   int
+	Suspected int
+	Silent    int
+	Views     int           // different views that were heard of lately, this one's included
+	Agreed    bool          // there is one, and somebody to agree with
+	Since     time.Duration // for so long
+	Starved   bool          // this process stood still lately: its own word is not worth much
+}
+
+// meta travels with each member.
+type meta struct {
+	Start   uint64 `json:"n"`
+	Zone    string `json:"z,omitempty"`
+	Version string `json:"v,omitempty"`
+	Digest  string `json:"d,omitempty"`
+	Phase   Phase  `json:"p"`
+}
+
+// entry is a member in the table.
+type entry struct {
+	meta
+	mark      uint64 // a hash of the name and the meta as it came
+	address   string
+	state     State
+	since     time.Time
+	word      time.Time
+	suspected time.Time
+}
+
+// Group is a process's part in its fleet. Its methods are safe for concurrent use.
+type Group struct {
+	cfg Config
+	log *slog.Logger
+	rng *rand.Rand // of Run's goroutine
+
+	mu      sync.Mutex // never held while the library is called, as the library calls back under locks of its own
+	phase   Phase
+	stands  Standing
+	table   map[string]*entry
+	number  uint64
+	digest  uint64
+	views   map[uint64]time.Time // digest: when somebody was known to hold it
+	agreed  bool
+	since   time.Time // of agreed
+	starved time.Time // until then
+	swept   time.Time // the table was last looked through
+	clash   time.Time // another address was last heard to have the name
+
+	leaving chan struct{} // closed by Leave: to go with a word
+	closing chan struct{} // closed by Close: to go without
+	once    [2]sync.Once
+	ended   chan struct{} // closed when Run has returned
+}
+
+// New makes a group, or names the field that can't be used. It does nothing until Run.
+func New(cfg Config) (*Group, error) {
+	cfg.Probe = cmp.Or(cfg.Probe, 150*time.Millisecond)
+	cfg.Forget = cmp.Or(cfg.Forget, 15*time.Minute)
+	g := &Group{
+		cfg: cfg, log: cfg.Log, phase: Starting, stands: Waiting,
+		rng:   rand.New(rand.NewPCG(cfg.Start, uint64(len(cfg.Name)))),
+		table: make(map[string]*entry), views: make(map[uint64]time.Time), since: time.Now(),
+		leaving: make(chan struct{}), closing: make(chan struct{}), ended: make(chan struct{}),
+	}
+	if g.log == nil {
+		g.log = slog.Default()
+	}
+	switch {
+	case cfg.Name == "" || strings.ContainsAny(cfg.Name, "/ \n") || len(cfg.Name) > 128:
+		return nil, fmt.Errorf("member: name %q: 1 to 128 characters, no blank and no slash", cfg.Name)
+	case cfg.Cluster == "" || len(cfg.Cluster) > memberlist.LabelMaxSize:
+		return nil, fmt.Errorf("member: cluster %q: 1 to %d characters", cfg.Cluster, memberlist.LabelMaxSize)
+	case cfg.Network == nil && !cfg.Listen.IsValid():
+		return nil, errors.New("member: listen is no IP:port")
+	case cfg.Probe < 20*time.Millisecond:
+		return nil, fmt.Errorf("member: probe %v is under 20ms", cfg.Probe)
+	case len(g.encode()) > metaMost:
+		return nil, fmt.Errorf("member: zone, version and digest are more than %d bytes together", metaMost)
+	}
+	for _, s := range slices.Concat(cfg.Seeds, cfg.Known) {
+		if _, err := g.resolve(s); err != nil {
+			return nil, err
+		}
+	}
+	return g, nil
+}
+
+// resolve makes the library's form, NAME/IP:PORT, of a seed. It is empty for this process itself.
+func (g *Group) resolve(seed string) (string, error) {
+	name, address, both := strings.Cut(seed, "/")
+	if !both {
+		name, address = "", seed
+		if route, ok := g.cfg.Routes[seed]; ok {
+			name, address = seed, route
+		} else if seed == g.cfg.Name {
+			name = seed
+		}
+	}
+	if name == g.cfg.Name {
+		return "", nil
+	}
+	if route, ok := g.cfg.Routes[name]; ok {
+		address = route
+	}
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return "", fmt.Errorf("member: seed %q is no IP:port, no NAME/IP:port and no name of a route", seed)
+	}
+	if name == "" {
+		return address, nil
+	}
+	return name + "/" + address, nil
+}
+
+func (g *Group) encode() []byte {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	raw, err := json.Marshal(meta{g.cfg.Start, g.cfg.Zone, g.cfg.Version, g.cfg.Digest, g.phase})
+	if err != nil {
+		panic(err) // of plain fields
+	}
+	return raw
+}
+
+// Say tells the others in what phase this process is.
+func (g *Group) Say(p Phase) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.phase = p
+}
+
+// untold says that the others have not been told the phase that this process is in.
+func (g *Group) untold() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e := g.table[g.cfg.Name]
+	return e != nil && e.Phase != g.phase
+}
+
+// Leave ends Run with a word to the others, which then know that this process has left.
+func (g *Group) Leave() { g.end(0, g.leaving) }
+
+// Close ends Run without a word: another process goes on under the name.
+func (g *Group) Close() { g.end(1, g.closing) }
+
+func (g *Group) end(which int, c chan struct{}) {
+	g.once[which].Do(func() { close(c) })
+	<-g.ended
+}
+
+// Known tells members that are present, for the Config.Known of a later process.
+func (g *Group) Known() (known []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(g.table)) {
+		if e := g.table[name]; e.state == Present && name != g.cfg.Name && len(known) < keptMost {
+			known = append(known, name+"/"+e.address)
+		}
+	}
+	return known
+}
+
+// View tells what this process sees now.
+func (g *Group) View() View {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.look(now)
+	v := View{
+		Number: g.number, Digest: g.digest, Standing: g.stands, Views: len(g.views), Agreed: g.agreed,
+		Since: now.Sub(g.since), Starved: now.Before(g.starved),
+	}
+	for _, name := range slices.Sorted(maps.Keys(g.table)) {
+		e := g.table[name]
+		m := MemberInfo{
+			Name: name, Start: e.Start, Zone: e.Zone, Version: e.Version, Digest: e.Digest, Phase: e.Phase, State: e.state,
+			Address: e.address, Since: now.Sub(e.since), Word: -1, Suspected: g.suspects(e, now),
+		}
+		if !e.word.IsZero() {
+			m.Word = now.Sub(e.word)
+		}
+		switch {
+		case e.state == Silent:
+			v.Silent++
+		case e.state == Present:
+			v.Present++
+			if m.Suspected {
+				v.Suspected++
+			}
+		}
+		v.Members = append(v.Members, m)
+	}
+	return v
+}
+
+func (g *Group) suspects(e *entry, now time.Time) bool {
+	return e.state == Present && !e.suspected.IsZero() && now.Sub(e.suspected) < suspectedFor
+}
+
+// markOf is a member's part of a view's digest.
+func markOf(name string, raw []byte) uint64 {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, name+"\x00") // a hash takes everything
+	_, _ = h.Write(raw)
+	return h.Sum64()
+}
+
+// changed takes that who is present has changed: a new view begins. mu is held.
+func (g *Group) changed(now time.Time) {
+	if g.digest != 0 {
+		g.views[g.digest] = now // it was held until now
+	}
+	var d uint64
+	for _, e := range g.table { // the sum is the same in any order
+		if e.state == Present {
+			d += e.mark
+		}
+	}
+	if d != g.digest {
+		g.digest = d
+		g.number++
+	}
+	g.look(now)
+}
+
+// viewKept is how long a view counts after the last word of somebody who held it: several times what a word takes to go round.
+func (g *Group) viewKept() time.Duration { return 40 * g.cfg.Probe }
+
+// look drops views and members that nothing was heard of for long, and sees whether all agree. mu is held.
+func (g *Group) look(now time.Time) {
+	if g.digest != 0 {
+		g.views[g.digest] = now
+	}
+	maps.DeleteFunc(g.views, func(_ uint64, at time.Time) bool { return now.Sub(at) > g.viewKept() })
+	for len(g.views) > viewsMost {
+		oldest := slices.MinFunc(slices.Collect(maps.Keys(g.views)), func(a, b uint64) int { return g.views[a].Compare(g.views[b]) })
+		delete(g.views, oldest)
+	}
+	if now.Sub(g.swept) > time.Second {
+		g.swept = now
+		maps.DeleteFunc(g.table, func(_ string, e *entry) bool {
+			return e.state == Left && now.Sub(e.since) > leftKept || e.state != Present && now.Sub(e.since) > g.cfg.Forget
+		})
+	}
+	if g.stands == Conflict && now.Sub(g.clash) > 2*g.viewKept() {
+		g.standLocked(Member)
+	}
+	if agreed := len(g.views) == 1 && g.stands == Member; agreed != g.agreed {
+		g.agreed, g.since = agreed, now
+		g.log.Info("membership", "agreed", agreed, "views", len(g.views), "number", g.number, "digest", fmt.Sprintf("%x", g.digest))
+	}
+}
+
+// stand enters where this process stands.
+func (g *Group) stand(s Standing) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.standLocked(s)
+}
+
+func (g *Group) standLocked(s Standing) {
+	if g.stands == s || g.stands == Replaced {
+		return
+	}
+	g.log.Info("membership", "standing", s, "before", g.stands)
+	g.stands = s
+}
+
+// standing tells where this process stands, and how many others are present.
+func (g *Group) standing() (s Standing, others int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for name, e := range g.table {
+		if e.state == Present && name != g.cfg.Name {
+			others++
+		}
+	}
+	return g.stands, others
+}
+
+// Run takes part in the fleet until ctx ends, Leave or Close. It waits for its address as long as that is in use.
+func (g *Group) Run(ctx context.Context) {
+	defer close(g.ended)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-g.leaving:
+		case <-g.closing:
+			cancel()
+		}
+	}()
+	list := g.open(ctx)
+	if list == nil {
+		return
+	}
+	g.stand(Alone)
+	g.play(ctx, list)
+	select {
+	case <-g.leaving:
+		if err := list.Leave(leaveTime); err != nil {
+			g.log.Warn("membership", "leaving", err)
+		}
+	default:
+	}
+	if err := list.Shutdown(); err != nil {
+		g.log.Warn("membership", "ending", err)
+	}
+}
+
+// open takes the address, as soon as it is free, and starts the library there.
+func (g *Group) open(ctx context.Context) *memberlist.Memberlist {
+	told := false
+	for {
+		list, err := g.create()
+		if err == nil {
+			return list
+		}
+		if !told {
+			g.log.Warn("membership", "waiting", err)
+			told = true
+		}
+		pause := addressWait
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			pause = lastPause // nothing that passes soon
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return nil
+		case <-g.leaving:
+			return nil
+		}
+	}
+}
