Let the module hear how many balancers there are, and go by the safe side of it

Need: walls, cold servers' parts, reach and rests go by the number in the settings for ever (docs/membership.md). Change: the event Fleet. More count at once; fewer only while all agree, the silent still counted, and no faster than by half in 10 s. Without the event nothing changes: the number of the settings holds.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -60,7 +60,7 @@
 
 // Config holds the settings a Balancer starts with; it does not change them.
 type Config struct {
-	Balancers int // balancers that send to the same servers, this one included
+	Balancers int // balancers that send to the same servers, this one included; until Balancer.Fleet tells otherwise
 	Index     int // this balancer's number among them, from 0
 	Zone      int // the zone this balancer is in
 	Classes   []Class
@@ -202,6 +202,13 @@
 	Strain float64       // time that its answers take, against the usual; failures count too
 }
 
+// Fleet is who else sends to the same servers, as far as that is known.
+type Fleet struct {
+	Present int  // balancers that are present, this one included
+	Silent  int  // lost without a word: they may have ended, or be cut off and still send
+	Agreed  bool // all that can be reached see the same
+}
+
 // Host carries out what the Balancer decides. Its methods must not call back
 // into the Balancer.
 type Host interface {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -11,9 +11,9 @@
 // Times are durations since a fixed moment of the embedding program's choice; they must never go
 // back, and all calls for one Balancer come from one goroutine, in the order of what happened. The
 // order of calls: New, Start, List with the servers known so far, then Request, Outcome, Wake,
-// List, Probed, ClientGone, BodyEnded, StreamBegun, TakeOut, BringBack, Recall and Share as they occur. Each
-// Host.Send brings exactly one Outcome, also after the request has been answered; each Host.Wake one call
-// of Wake, late rather than never.
+// List, Probed, ClientGone, BodyEnded, StreamBegun, TakeOut, BringBack, Recall, Share and Fleet as they
+// occur. Each Host.Send brings exactly one Outcome, also after the request has been answered; each
+// Host.Wake one call of Wake, late rather than never.
 // A request is answered once: by an Outcome with Settled set, or by Host.Refuse or Host.Fail.
 //
 // Bad input does no harm: a request that names no class or tenant, or has no time left, is refused;
@@ -47,6 +47,8 @@
 	turnEvery   = 1 * time.Second       // turns are taken among so few servers that each gets one this often
 	sharersMost = 10                    // and that so many balancers share a server, if there are more
 	fewest      = 4.0                   // but at least this many
+	fleetHalf   = 10 * time.Second      // a fleet that shrinks counts for half in no less than this
+	fleetEvery  = time.Second           // Fleet comes this often; a longer gap between two counts for no more
 	toldFor     = 50 * time.Millisecond // a load report is good for this long
 	askWait     = 30 * time.Millisecond // a request waits this long for one
 	askMost     = 3                     // and asks so many servers at most
@@ -80,6 +82,7 @@
 		return nil, err
 	}
 	b := &Balancer{cfg: cfg, host: host, lines: make(map[uint64]*line), share: 1}
+	b.fleet = float64(cfg.Balancers)
 	b.requests, b.away = make(map[balance.RequestID]*request), make(map[balance.ServerID]bool)
 	b.back = make(map[balance.ServerID]time.Duration)
 	b.parts = make([]compartment, len(cfg.Compartments()))
@@ -100,14 +103,21 @@
 // what the largest of n random parts of the traffic comes to, ln n + 0.58 even ones, and two
 // standard deviations of such a count, so as not to refuse on chance.
 func (b *Balancer) deriveSlots() {
+	for _, t := range b.cfg.Compartments() {
+		b.quota += t.Quota
+	}
+	b.mean = cmp.Or(b.quota*b.aim*slotAim, serverSlots*float64(len(b.servers)))
+	b.rate = cmp.Or(b.quota/b.fleet, float64(len(b.servers))/b.every)
+	b.wall()
+}
+
+// wall gives the slots to the compartments.
+func (b *Balancer) wall() {
 	tenants, shares := b.cfg.Compartments(), 0.0
 	for _, t := range tenants {
 		shares += t.Share
-		b.quota += t.Quota
 	}
-	b.mean = cmp.Or(b.quota*b.aim*slotAim, serverSlots*float64(len(b.servers)))
-	b.rate = cmp.Or(b.quota/float64(b.cfg.Balancers), float64(len(b.servers))/b.every)
-	n := float64(b.cfg.Balancers)
+	n := b.fleet
 	total, room := b.mean*min(1, (math.Log(n)+0.58)/n), spread
 	if b.cfg.Slots > 0 {
 		total, room = float64(b.cfg.Slots), 0
@@ -378,7 +388,7 @@
 	// The wall over all attempts: one each from many balancers is a crowd too, and servers' own walls leave
 	// them that one. There it comes first: by the time that all answers are slow, servers have choked.
 	at := wholeFew
-	if b.cfg.Balancers > sharersMost {
+	if b.fleet > sharersMost {
 		at = wholeMany
 	}
 	if float64(b.out) >= max(1, b.whole()*ease(b.crowd/at)) {
@@ -527,7 +537,7 @@
 // coldGap spaces sends to a cold server so that all balancers together stay
 // well within its budget: each keeps an even part, whatever traffic it has.
 func (b *Balancer) coldGap(now time.Duration, s *server) time.Duration {
-	rate := cmp.Or(b.quota/float64(b.cfg.Balancers), float64(max(b.out, 1))/b.pace.Seconds())
+	rate := cmp.Or(b.quota/b.fleet, float64(max(b.out, 1))/b.pace.Seconds())
 	rate = b.part(rate, s) * b.weight / max(b.reach, s.Weight) * b.warmth(now, s)
 	gap := time.Duration(float64(time.Second) / max(rate*coldPart*max(b.cfg.ColdMultiple, 1), 0.01))
 	return time.Duration(b.share) * gap
@@ -537,6 +547,25 @@
 // its part of what cold servers may be sent, and leaves the probes that nothing waits for.
 func (b *Balancer) Share(n int) { b.share = max(1, n) }
 
+// Fleet takes who else sends to the same servers. Cold servers' parts, walls, reach and rests go by how
+// many there are, and more is the safe side of each: too many of them keep us to less than our part, too
+// few push servers over. So more count at once; fewer only while all agree, without the silent, and slowly.
+func (b *Balancer) Fleet(now time.Duration, f balance.Fleet) {
+	n, since := math.Max(1, float64(f.Present+f.Silent)), min(now-b.fleetAt, fleetEvery)
+	switch {
+	case n < b.fleet && !f.Agreed:
+		n = b.fleet
+	case n < b.fleet:
+		n = max(n, b.fleet*math.Exp2(-float64(since)/float64(fleetHalf)))
+	}
+	b.fleetAt = now
+	if n != b.fleet {
+		b.fleet = n
+		b.wall()
+		b.cut()
+	}
+}
+
 // warmth is the share of its capacity that a server has at least.
 func (b *Balancer) warmth(now time.Duration, s *server) float64 {
 	left := float64(max(0, s.warmAt-now)) / float64(max(1, b.cfg.ColdTime))
@@ -605,7 +634,7 @@
 // could feed: by the quotas no more than sharersMost share a server.
 func (b *Balancer) want() float64 {
 	every := b.every
-	if b.cfg.Balancers > sharersMost && b.quota > 0 {
+	if b.fleet > sharersMost && b.quota > 0 {
 		every = min(every, sharersMost*b.weight/b.quota)
 	}
 	return max(fewest, b.rate*every)
@@ -693,7 +722,7 @@
 
 // restFor begins a rest.
 func (b *Balancer) restFor(now time.Duration, s *server) {
-	sharers := float64(b.cfg.Balancers) * b.reach / max(b.weight, 1e-9)
+	sharers := b.fleet * b.reach / max(b.weight, 1e-9)
 	s.rested = now + b.backoff(time.Duration(sharers*float64(restEach)), s.fails-restAfter)
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -153,6 +153,8 @@
 	sampleAt time.Duration                      // when it is asked again
 	pairs    int                                // pairs of reports compared
 	fresh    int                                // and those that differed
+	fleet    float64                            // balancers that this one reckons with
+	fleetAt  time.Duration                      // when it was told of them
 	share    int                                // processes that act as this balancer
 	away     map[balance.ServerID]bool          // taken out by hand, listed or not
 	back     map[balance.ServerID]time.Duration // brought back by hand lately: cold until then
