Wire membership to the module, the state and the console, on a transport that makes no garbage

Need: docs/membership.md. With the library's own sockets a sidecar made 64 KiB of garbage for each packet, and a new process could not tell that its address was merely in use, so that an upgrade lost its member for 3 s. Change: the fleet file's section member; the module is told every 500 ms; a later process has the name as soon as the earlier one gives up the address; members kept in the state; show-members, five figures, caperarch fleet ADDRESS. Probes every 100 ms, and at least 0.9 s for a suspect to object, also in small fleets.

--- a/cmd/caperarch/main.go
+++ b/cmd/caperarch/main.go
@@ -52,6 +52,10 @@
 			Args: cobra.MinimumNArgs(2),
 			RunE: func(c *cobra.Command, args []string) error { return call(c.OutOrStdout(), args[0], args[1:]) },
 		},
+		&cobra.Command{
+			Use: "fleet ADDRESS", Short: "Print who of the fleet is there, as the sidecar sees it whose console is at ADDRESS", Args: cobra.ExactArgs(1),
+			RunE: func(c *cobra.Command, args []string) error { return showFleet(c.OutOrStdout(), args[0]) },
+		},
 		stateCommand(),
 		&cobra.Command{
 			Use: "version", Short: "Say which program this is", Args: cobra.NoArgs,
@@ -243,6 +247,33 @@
 	return nil
 }
 
+// showFleet prints the members that a sidecar sees as a table.
+func showFleet(out io.Writer, address string) error {
+	var answer strings.Builder
+	if err := call(&answer, address, []string{"show-members"}); err != nil {
+		return errors.Join(err, errors.New(strings.TrimSpace(answer.String())))
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	whole := false
+	for i, line := range strings.Split(strings.TrimRight(answer.String(), "\n"), "\n") {
+		switch {
+		case i == 0:
+			fmt.Fprintln(out, strings.TrimPrefix(line, "200 "))
+		case line == "EOF":
+			whole = true
+		default:
+			fmt.Fprintln(w, line)
+		}
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if !whole {
+		return fmt.Errorf("%s: the answer breaks off", address)
+	}
+	return nil
+}
+
 // version prints what the build knows of itself.
 func version(out io.Writer) error {
 	info, ok := debug.ReadBuildInfo()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -17,6 +17,7 @@
 
 // File is a fleet file. Its zero value is that of a sidecar that stands alone.
 type File struct {
+	Member Member            `toml:"member"`
 	State  State             `toml:"state"`
 	Routes map[string]string `toml:"routes" help:"address (IP:port) by which this process reaches a peer, by the peer's name; one without a route is reached where it says that it is"`
 }
@@ -26,6 +27,29 @@
 	Limit int `toml:"limit" default:"1024" min:"32" max:"65536" unit:"KiB" help:"size of the state's files together; a new one is begun at half of it"`
 }
 
+// Member is the section of membership (docs/membership.md).
+type Member struct {
+	Listen  string        `toml:"listen" help:"address (IP:port, UDP and TCP) where peers reach this process; empty: no membership"`
+	Cluster string        `toml:"cluster" help:"name of the fleet, the same at all; packets of others are passed over"`
+	Seeds   []string      `toml:"seeds" help:"some members to join by: NAME (which has a route), NAME/IP:port or IP:port"`
+	Probe   conf.Duration `toml:"probe" default:"100ms" min:"20ms" max:"10s" help:"time between two probes of others; the same at all"`
+	Forget  conf.Duration `toml:"forget" default:"15m" min:"1m" max:"24h" help:"a member that was lost is called, and counted unless its address refuses, for so long"`
+}
+
+// check finds what no single key can be blamed for.
+func (m *Member) check() error {
+	if m.Listen == "" {
+		return nil
+	}
+	if _, err := netip.ParseAddrPort(m.Listen); err != nil {
+		return fmt.Errorf("key \"member.listen\": %w", err)
+	}
+	if m.Cluster == "" {
+		return errors.New("key \"member.cluster\" is needed beside member.listen")
+	}
+	return nil
+}
+
 // Read reads the fleet file at path.
 func Read(path string) (*File, error) {
 	var f File
@@ -36,6 +60,9 @@
 		return nil, fmt.Errorf("%s: %d routes, %d are allowed", path, len(f.Routes), routesMost)
 	}
 	var bad []error
+	if err := f.Member.check(); err != nil {
+		bad = append(bad, fmt.Errorf("%s: %w", path, err))
+	}
 	for _, peer := range slices.Sorted(maps.Keys(f.Routes)) {
 		if _, err := netip.ParseAddrPort(f.Routes[peer]); err != nil {
 			bad = append(bad, fmt.Errorf("%s: key %q: %w", path, "routes."+peer, err))
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -18,6 +18,10 @@
 		{"[routes]\nn1 = 5", ":2:"},
 		{"[rooutes]\nn1 = '127.0.0.1:1'", `:1: unknown key "rooutes`},
 		{"routes = 'x'", ":1:"},
+		{"[member]\nlisten = '127.0.0.1:7946'\ncluster = 'farm'\nseeds = ['n0']", ""},
+		{"[member]\nlisten = 'localhost'\ncluster = 'farm'", `key "member.listen"`},
+		{"[member]\nlisten = '127.0.0.1:7946'", `key "member.cluster"`},
+		{"[member]\nprobe = '1ms'", `member.probe`},
 	} {
 		path := filepath.Join(t.TempDir(), "fleet.toml")
 		if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -9,7 +9,9 @@
 	"errors"
 	"fmt"
 	"log"
+	"math"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/memberlist"
@@ -18,7 +20,7 @@
 // create starts the library.
 func (g *Group) create() (*memberlist.Memberlist, error) {
 	quiet := log.New(&libraryLog{group: g}, "", 0)
-	inner, err := g.network(quiet)
+	inner, err := g.network()
 	if err != nil {
 		return nil, err
 	}
@@ -27,9 +29,7 @@
 	c.Transport = newTransport(inner, g.cfg.Routes, g.refused)
 	c.Delegate, c.Events, c.Alive, c.Ping, c.Conflict = g, g, g, g, g
 	c.ProbeInterval, c.ProbeTimeout = g.cfg.Probe, g.cfg.Probe*2/5
-	// A suspect has 3 log10(n) probes' time to object, less is enough for none that answers: one confirmation of
-	// another is asked for, or else six times as long.
-	c.SuspicionMult, c.SuspicionMaxTimeoutMult = 3, 6
+	c.SuspicionMult, c.SuspicionMaxTimeoutMult = g.suspicion(), 3
 	c.GossipInterval, c.GossipNodes, c.RetransmitMult = g.cfg.Probe/2, 4, 4
 	c.PushPullInterval, c.TCPTimeout = 30*time.Second, streamTime
 	c.EnableCompression = false
@@ -42,13 +42,17 @@
 	return list, nil
 }
 
-func (g *Group) network(quiet *log.Logger) (memberlist.NodeAwareTransport, error) {
+func (g *Group) network() (memberlist.NodeAwareTransport, error) {
 	if g.cfg.Network != nil {
 		return g.cfg.Network(g.cfg)
 	}
-	return memberlist.NewNetTransport(&memberlist.NetTransportConfig{
-		BindAddrs: []string{g.cfg.Listen.Addr().String()}, BindPort: int(g.cfg.Listen.Port()), Logger: quiet,
-	})
+	return listen(g.cfg.Listen)
+}
+
+// suspicion is how many times the probes' interval and log10 of the members a suspect has to object, so that a process that
+// stands still for most of a second is not declared dead in a small fleet either.
+func (g *Group) suspicion() int {
+	return max(3, int(math.Ceil(suspectProbes/max(1, math.Log10(float64(g.cfg.Expect))))))
 }
 
 // libraryLog takes the library's lines to the log, at the level for people who look for a fault in it. Its word that a
@@ -238,17 +242,14 @@
 }
 
 // play keeps this process a member: it joins, calls those that were lost, and sees that views come to agree.
-func (g *Group) play(ctx context.Context, list *memberlist.Memberlist) {
+// What it began beside that may go on for some seconds; it is counted in work.
+func (g *Group) play(ctx context.Context, list *memberlist.Memberlist, work *sync.WaitGroup) {
 	exchanging, telling := make(chan struct{}, 1), make(chan struct{}, 1)
-	defer func() { // both have ended by then
-		exchanging <- struct{}{}
-		telling <- struct{}{}
-	}()
 	exchange := func(with ...string) {
 		if len(with) == 0 {
 			return
 		}
-		once(exchanging, func() {
+		once(work, exchanging, func() {
 			if _, err := list.Join(with); err != nil {
 				g.log.Debug("membership", "exchange", err)
 			}
@@ -276,7 +277,7 @@
 		}
 		last = now
 		if g.untold() { // again until it is: the library drops an update that crosses an objection of its own
-			once(telling, func() { _ = list.UpdateNode(leaveTime) }) // it goes with full exchanges, where no packet passes
+			once(work, telling, func() { _ = list.UpdateNode(leaveTime) }) // it goes with full exchanges, where no packet passes
 		}
 		if now.Before(next) {
 			continue
@@ -296,13 +297,13 @@
 }
 
 // once does something beside, unless it is being done.
-func once(busy chan struct{}, do func()) {
+func once(work *sync.WaitGroup, busy chan struct{}, do func()) {
 	select {
 	case busy <- struct{}{}:
-		go func() {
+		work.Go(func() {
 			defer func() { <-busy }()
 			do()
-		}()
+		})
 	default:
 	}
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -71,6 +71,8 @@
 	keptMost    = 64 // members that Known tells, for a later start
 	metaMost    = memberlist.MetaMaxSize
 
+	suspectProbes = 9 // probes' time that a suspect has to object, where members are few
+
 	suspectedFor = 10 * time.Second // a suspicion that came to nothing is forgotten by then
 	leftKept     = time.Minute      // one that has left is shown for so long
 	stall        = time.Second      // a process that stood still for this long has missed what others said of it
@@ -94,7 +96,8 @@
 	Seeds   []string       // NAME (reached by its route), NAME/IP:PORT or IP:PORT
 	Known   []string       // members that an earlier process knew, as Known told them
 	Routes  map[string]string
-	Probe   time.Duration // between two probes; 0: 150 ms
+	Probe   time.Duration // between two probes; 0: 100 ms
+	Expect  int           // members, about: for how long a suspect has to object
 	Forget  time.Duration // a member that was lost is forgotten after this; 0: 15 min
 
 	Log     *slog.Logger
@@ -179,7 +182,7 @@
 
 // New makes a group, or names the field that can't be used. It does nothing until Run.
 func New(cfg Config) (*Group, error) {
-	cfg.Probe = cmp.Or(cfg.Probe, 150*time.Millisecond)
+	cfg.Probe = cmp.Or(cfg.Probe, 100*time.Millisecond)
 	cfg.Forget = cmp.Or(cfg.Forget, 15*time.Minute)
 	g := &Group{
 		cfg: cfg, log: cfg.Log, phase: Starting, stands: Waiting,
@@ -420,7 +423,8 @@
 		return
 	}
 	g.stand(Alone)
-	g.play(ctx, list)
+	var work sync.WaitGroup
+	g.play(ctx, list, &work)
 	select {
 	case <-g.leaving:
 		if err := list.Leave(leaveTime); err != nil {
@@ -428,9 +432,10 @@
 		}
 	default:
 	}
-	if err := list.Shutdown(); err != nil {
+	if err := list.Shutdown(); err != nil { // which gives the address up at once
 		g.log.Warn("membership", "ending", err)
 	}
+	work.Wait()
 }
 
 // open takes the address, as soon as it is free, and starts the library there.
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -27,6 +27,7 @@
 		n := *members
 		f := newFleet(t, 1)
 		defer f.end()
+		f.expect = n
 		f.probe = *probe
 		for i := range n {
 			f.begin(i)
--- a/internal/member/mesh_test.go
+++ b/internal/member/mesh_test.go
@@ -158,12 +158,13 @@
 
 // fleet is processes on a mesh.
 type fleet struct {
-	t     *testing.T
-	m     *mesh
-	label string
-	probe time.Duration
-	live  map[int]*Group
-	start uint64
+	t      *testing.T
+	m      *mesh
+	label  string
+	probe  time.Duration
+	live   map[int]*Group
+	start  uint64
+	expect int
 }
 
 func newFleet(t *testing.T, seed uint64) *fleet {
@@ -177,7 +178,7 @@
 func (f *fleet) config(i int) Config {
 	f.start++
 	return Config{
-		Name: name(i), Start: f.start, Zone: string(rune('a' + i%2)), Version: "v1", Digest: "c1", Cluster: f.label, Probe: f.probe,
+		Name: name(i), Start: f.start, Zone: string(rune('a' + i%2)), Version: "v1", Digest: "c1", Cluster: f.label, Expect: f.expect, Probe: f.probe,
 		Seeds: []string{place(0), place(1), place(2)}, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		Network: func(Config) (memberlist.NodeAwareTransport, error) { return f.m.open(i) },
 	}
--- a/internal/member/transport.go
+++ b/internal/member/transport.go
@@ -67,16 +67,6 @@
 // Shutdown implements memberlist.Transport.
 func (t *transport) Shutdown() error {
 	t.once.Do(func() { close(t.done) })
-	go func() { // the library's listener may be handing one over, and its end waits for that
-		for {
-			select {
-			case c := <-t.NodeAwareTransport.StreamCh():
-				c.Close()
-			case <-time.After(streamTime):
-				return
-			}
-		}
-	}()
 	return t.NodeAwareTransport.Shutdown()
 }
 
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -223,12 +223,15 @@
 
 // ownFiles are the descriptors set aside before clients and upstreams divide the rest: the process's own
 // (standard streams, poller, listener, lock, discovery at two addresses, the state's file and the next) and, where there is a console, its listener's
-// and its callers'. Clients may take all that upstreams leave, so that no more is free than is set aside.
+// and its callers'; membership's, where there is one. Clients may take all that upstreams leave, so that no more is free than is set aside.
 func (c *Config) ownFiles() int {
 	own := 12
 	if c.Console != "" {
 		own += consoleConns + 2
 	}
+	if c.hasPeers() {
+		own += memberFiles
+	}
 	return min(own, c.Sockets/4)
 }
 
--- a/internal/sidecar/console.go
+++ b/internal/sidecar/console.go
@@ -29,6 +29,7 @@
 	ready   func() bool
 	stat    func(io.Writer)
 	server  func(ctx context.Context, id string, out bool) error // takes a server out by hand, or brings it back
+	members func(io.Writer) error                                // who of the fleet is there
 	confirm func() error                                         // takes an operator's word that a damaged state has the right servers out
 
 	mu      sync.Mutex
@@ -110,16 +111,20 @@
 // call carries out one call.
 func (c *console) call(ctx context.Context, w io.Writer, words []string) {
 	name := strings.Join(words[:min(len(words), 1)], "")
-	wanted := map[string]int{"ready": 1, "show-stat": 1, "confirm-state": 1, "disable-server": 2, "enable-server": 2}[name]
+	wanted := map[string]int{"ready": 1, "show-stat": 1, "confirm-state": 1, "show-members": 1, "disable-server": 2, "enable-server": 2}[name]
 	var err error
 	switch {
 	case wanted == 0:
-		err = errors.New("unknown call; there are ready, show-stat, disable-server ID, enable-server ID and confirm-state")
+		err = errors.New("unknown call; there are ready, show-stat, show-members, disable-server ID, enable-server ID and confirm-state")
 	case len(words) != wanted:
 		err = fmt.Errorf("%s takes %d words after it", name, wanted-1)
 	case name == "show-stat":
 		c.stat(w)
 		return
+	case name == "show-members":
+		if err = c.members(w); err == nil {
+			return
+		}
 	case name == "ready" && !c.ready():
 		err = errors.New("no, it is stopping")
 	case name == "confirm-state":
@@ -152,7 +157,7 @@
 	}
 	members := f.loop.members.Load()
 	// A long body that still comes belongs to no request taken.
-	fmt.Fprintf(w, "app.upstream_requests=%d\napp.pending=%d\napp.members=%d\napp.members_unavailable=%d\napp.state_damaged=%d\napp.state_bytes=%d\nEOF\n",
+	fmt.Fprintf(w, "app.upstream_requests=%d\napp.pending=%d\napp.members=%d\napp.members_unavailable=%d\napp.state_damaged=%d\napp.state_bytes=%d\n",
 		f.loop.upstream.written.Load(), f.held.Load()-f.uploads.Load(), members.listed, members.unavailable,
 		f.loop.handover.damaged(), f.loop.handover.bytes())
 }
--- /dev/null
+++ b/internal/sidecar/peers.go
@@ -0,0 +1,212 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"log/slog"
+	"net/netip"
+	"runtime/debug"
+	"slices"
+	"strings"
+	"time"
+
+	"arrowgw/internal/balance"
+	"arrowgw/internal/member"
+)
+
+const (
+	peersEvery   = 500 * time.Millisecond // how often the module is told of the fleet
+	peersKept    = 10 * time.Second       // and how often the state, where members have changed
+	sectionPeers = "members"              // of the state: a list of NAME/IP:port
+	memberFiles  = 14                     // descriptors: two listeners, streams of others, own ones
+)
+
+// peers is this sidecar's part in its fleet: it ties membership to the module, the state and the console. Where the
+// fleet file has no member.listen there is none, and nothing is done.
+type peers struct {
+	group *member.Group
+	cfg   *Config
+	loop  *loop
+	state *handover
+}
+
+// newPeers reads what the configuration and the state say of the fleet.
+func newPeers(cfg *Config, l *loop, state *handover) (*peers, error) {
+	p := &peers{cfg: cfg, loop: l, state: state}
+	if !cfg.hasPeers() {
+		return p, nil
+	}
+	m := cfg.Fleet.Member
+	listen, err := netip.ParseAddrPort(m.Listen)
+	if err != nil {
+		return nil, err
+	}
+	c := member.Config{
+		Name: cfg.Name, Start: uint64(time.Now().UnixMilli()), Version: revision(), Digest: cfg.digest(),
+		Listen: listen, Cluster: m.Cluster, Seeds: m.Seeds, Routes: cfg.Fleet.Routes, Probe: m.Probe.D(),
+		Expect: cfg.Policy.Balancers, Forget: m.Forget.D(),
+	}
+	for zone, i := range cfg.Zones {
+		if i == cfg.Policy.Zone {
+			c.Zone = zone
+		}
+	}
+	if state.store != nil {
+		c.Start = state.store.Number()
+		c.Known, _, _ = read[[]string](state.store, sectionPeers)
+	}
+	if p.group, err = member.New(c); err != nil && len(c.Known) > 0 {
+		slog.Warn("members not recalled", "reason", err)
+		c.Known = nil
+		p.group, err = member.New(c)
+	}
+	return p, err
+}
+
+// hasPeers says whether this sidecar takes part in a fleet.
+func (c *Config) hasPeers() bool { return c.Fleet != nil && c.Fleet.Member.Listen != "" }
+
+// digest is the same at all sidecars that are configured alike: all that is in the module's settings but who this one is.
+func (c *Config) digest() string {
+	common := c.Policy
+	common.Index, common.Zone = 0, 0
+	h := fnv.New64a()
+	raw, err := json.Marshal(common)
+	if err != nil {
+		return "unknown" // a number that JSON has no word for
+	}
+	_, _ = h.Write(raw) // a hash takes everything
+	return fmt.Sprintf("%x", h.Sum64())
+}
+
+// revision names the program that runs.
+func revision() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				return s.Value[:min(12, len(s.Value))]
+			}
+		}
+	}
+	return "unknown"
+}
+
+// run takes part in the fleet until ctx ends, or the process leaves.
+func (p *peers) run(ctx context.Context) {
+	if p.group == nil {
+		return
+	}
+	p.group.Say(member.Serving)
+	go p.group.Run(ctx)
+	go p.follow(ctx)
+}
+
+// follow tells the module who is there, and has the state keep by whom a later process can join.
+func (p *peers) follow(ctx context.Context) {
+	tick := time.NewTicker(peersEvery)
+	defer tick.Stop()
+	var keptAt time.Time
+	var kept []string
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		v := p.group.View()
+		if v.Standing == member.Member && !v.Starved { // whoever has reached nobody yet can't tell how many there are
+			f := balance.Fleet{Present: v.Present, Silent: v.Silent, Agreed: v.Agreed}
+			if p.loop.do(ctx, func(now time.Duration) { p.loop.b.Fleet(now, f) }) != nil {
+				return // it ends
+			}
+		}
+		known := p.group.Known()
+		if p.state.store == nil || len(known) == 0 || slices.Equal(known, kept) || time.Since(keptAt) < peersKept {
+			continue
+		}
+		raw, err := json.Marshal(known)
+		if err = errors.Join(err, p.state.store.Keep(sectionPeers, only, raw)); err != nil {
+			slog.Debug("members not kept", "reason", err) // whoever keeps the state tells of its trouble
+		}
+		kept, keptAt = known, time.Now()
+	}
+}
+
+// draining tells the others that this process stops; or, where another has taken over, lets that one have the name.
+func (p *peers) draining(replaced bool) {
+	switch {
+	case p.group == nil:
+	case replaced:
+		go p.group.Close() // what this process holds does not wait for that
+	default:
+		p.group.Say(member.Draining)
+	}
+}
+
+// leave goes with a word, at the end of a planned stop.
+func (p *peers) leave() {
+	if p.group != nil {
+		p.group.Leave()
+	}
+}
+
+// stat writes the figures of the fleet, where there is one.
+func (p *peers) stat(w io.Writer) {
+	if p.group == nil {
+		return
+	}
+	v := p.group.View()
+	agreed := 0
+	if v.Agreed {
+		agreed = 1
+	}
+	fmt.Fprintf(w, "app.fleet_members=%d\napp.fleet_silent=%d\napp.fleet_suspected=%d\napp.fleet_views=%d\napp.fleet_agreed=%d\n",
+		v.Present, v.Silent, v.Suspected, v.Views, agreed)
+}
+
+// show writes who is there: a line on this process and its view, one with the columns' names, and one for each member.
+func (p *peers) show(w io.Writer) error {
+	if p.group == nil {
+		return errors.New("there is no membership: the fleet file has no member.listen")
+	}
+	v := p.group.View()
+	self := member.MemberInfo{}
+	for _, m := range v.Members {
+		if m.Name == p.cfg.Name {
+			self = m
+		}
+	}
+	words := []string{
+		"self=" + p.cfg.Name, "standing=" + string(v.Standing), fmt.Sprintf("view=%d digest=%x", v.Number, v.Digest),
+		fmt.Sprintf("views=%d agreed=%v for=%v", v.Views, v.Agreed, v.Since.Round(time.Second)),
+	}
+	if v.Starved {
+		words = append(words, "starved")
+	}
+	fmt.Fprintf(w, "200 %s\n", strings.Join(words, " "))
+	fmt.Fprintln(w, "name\tzone\tstate\tphase\tfor\tstart\tversion\tlast-word\taddress\tnotes")
+	for _, m := range v.Members {
+		var notes []string
+		if m.Suspected {
+			notes = append(notes, "suspected")
+		}
+		if m.Version != self.Version {
+			notes = append(notes, "version")
+		}
+		if m.Digest != self.Digest {
+			notes = append(notes, "config")
+		}
+		word := "none"
+		if m.Word >= 0 {
+			word = m.Word.Round(time.Second / 10).String()
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%v\t%d\t%s\t%s\t%s\t%s\n",
+			m.Name, m.Zone, m.State, m.Phase, m.Since.Round(time.Second), m.Start, m.Version, word, m.Address, strings.Join(notes, " "))
+	}
+	fmt.Fprintln(w, "EOF")
+	return nil
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -49,6 +50,10 @@
 	l.watch, l.asked = d.ask, d.counters
 	d.keep = state.keepList
 	l.handover = state
+	peers, err := newPeers(cfg, l, state)
+	if err != nil {
+		return err
+	}
 	k := newClients(cfg, listener, up.connections)
 	up.yield = k.yield
 	f := newFront(cfg, c, l, k)
@@ -80,8 +85,12 @@
 	}()
 	go d.run(running)
 	f.ready.Store(true)
+	peers.run(running)
 	if door != nil {
-		c := &console{ready: f.ready.Load, stat: f.stat, server: l.server, confirm: state.confirm}
+		c := &console{
+			ready: f.ready.Load, server: l.server, confirm: state.confirm, members: peers.show,
+			stat: func(w io.Writer) { f.stat(w); peers.stat(w); fmt.Fprintln(w, "EOF") },
+		}
 		go c.serve(running, door)
 		slog.Info("console", "listen", door.Addr())
 	}
@@ -95,7 +104,10 @@
 		case <-reload:
 			d.reconfigure(cfg.path)
 		case <-ctx.Done():
-			return f.drain(server, cfg.Longest, l.handover.count() > 1)
+			replaced := l.handover.count() > 1
+			peers.draining(replaced)
+			defer peers.leave()
+			return f.drain(server, cfg.Longest, replaced)
 		}
 	}
 }
