--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -139,6 +139,13 @@
 		p.pause(i, true)
 		mended(ctx, a)
 		p.pause(i, false)
+	case "starve":
+		if a.For > 0 {
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, a.For.D())
+			defer cancel()
+		}
+		p.starve(ctx, i, a.Size)
 	case "upgrade":
 		return p.upgrade(i)
 	case "full":
@@ -294,9 +301,22 @@
 			}
 		}
 	}
+	h := f.run.history
+	changed := func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.links = append(h.links, f.run.clock.now())
+	}
+	from := f.run.clock.now()
 	set(true)
+	changed()
 	if mended(ctx, a) {
 		set(false)
+		changed()
+	}
+	oneLink := a.Way != "both" && len(a.Targets)*len(a.Peers) == 1 // the others ask for those two
+	if a.Do == "cut" && !oneLink || a.Do == "limit" {
+		h.life(&h.cuts, span{i, from, f.run.clock.now()})
 	}
 	return nil
 }
--- a/internal/lab/history.go
+++ b/internal/lab/history.go
@@ -22,6 +22,10 @@
 	over    []string // limits passed
 	killed  []span   // when a sidecar's process was killed, by sidecar
 	started []span   // when it was started again, until it was ready
+	views   []viewed // what sidecars saw of the fleet
+	lives   []lifeChange
+	links   []time.Duration // when links changed
+	cuts    []span          // when links were cut, slow or lost more than a few packets
 }
 
 // span is a time in a sidecar's life.
@@ -157,6 +161,13 @@
 	*list = append(*list, fmt.Sprintf(format, args...))
 }
 
+// runs takes that a sidecar has a process that runs from now on, or has none.
+func (h *History) runs(sidecar int, now time.Duration, up bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lives = append(h.lives, lifeChange{now, sidecar, up})
+}
+
 // life takes a time in a sidecar's life into one of the lists.
 func (h *History) life(list *[]span, s span) {
 	h.mu.Lock()
--- a/internal/lab/judge.go
+++ b/internal/lab/judge.go
@@ -36,6 +36,8 @@
 	{"drains", true, drains},
 	{"cold", true, listed(func(h *History) []string { return h.fallen })},
 	{"limits", false, listed(func(h *History) []string { return h.over })},
+	{"members", true, seesMembers},
+	{"agreed", true, seesAgreement},
 	{"alive", false, listed(func(h *History) []string { return h.ends })},
 }
 
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"io/fs"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -18,6 +20,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,12 +30,13 @@
 )
 
 const (
-	readyTime = 10 * time.Second // a sidecar that is not ready by then has failed
-	readyPoll = 10 * time.Millisecond
-	endTime   = 5 * time.Second // a sidecar told to stop has to end by then: the longest deadline, the linger, and room
-	consoles  = 50              // console ports, used in turn by a sidecar's processes
-	tailBytes = 2 << 10         // of a log, for an error
-	ordinary  = 65534           // whom sidecars run as where the lab is root: the platform has them as an ordinary user
+	readyTime    = 10 * time.Second // a sidecar that is not ready by then has failed
+	readyPoll    = 10 * time.Millisecond
+	endTime      = 5 * time.Second // a sidecar told to stop has to end by then: the longest deadline, the linger, and room
+	starvePeriod = 200 * time.Millisecond
+	consoles     = 50      // console ports, used in turn by a sidecar's processes
+	tailBytes    = 2 << 10 // of a log, for an error
+	ordinary     = 65534   // whom sidecars run as where the lab is root: the platform has them as an ordinary user
 )
 
 // process is one process of a sidecar.
@@ -45,7 +49,8 @@
 	ended   chan struct{} // closed at its end
 	wanted  bool          // that it ends
 	paused  bool
-	written float64 // bytes to disks
+	written float64      // bytes to disks
+	born    atomic.Int64 // when it was ready, by the run's clock; until then far ahead
 }
 
 // processes are all sidecars' processes.
@@ -158,7 +163,7 @@
 		})
 	}
 	return map[string]any{
-		"balancers": s.Fleet.Sidecars, "me": sidecar, "zone": s.zoneOf(sidecar), "zones": zones, "period_ms": 2,
+		"balancers": cmp.Or(s.Fleet.Told, s.Fleet.Sidecars), "me": sidecar, "zone": s.zoneOf(sidecar), "zones": zones, "period_ms": 2,
 		"discovery": "ask", "weights": "nominal", "worth_by": "work",
 		"caps": map[string]any{
 			"conn_idle_ms": ms(serverIdle), "dial_timeout_ms": 75, "may_cancel": true, "most_tries": 6, "max_open": 26451,
@@ -190,6 +195,7 @@
 		sidecar: sidecar, turn: turn, console: p.net.at(sidecar, consolePort+turn%consoles), ended: make(chan struct{}),
 		log: filepath.Join(p.logs, fmt.Sprintf("%s-%d.log", sidecarName(sidecar), turn)),
 	}
+	q.born.Store(math.MaxInt64)
 	out, err := os.Create(q.log)
 	if err != nil {
 		return nil, err
@@ -220,6 +226,9 @@
 	if err := p.ready(q); err != nil {
 		return q, err
 	}
+	at := p.clock.now()
+	q.born.Store(int64(at))
+	p.history.runs(sidecar, at, true)
 	if turn > 0 {
 		p.history.life(&p.history.started, span{sidecar, born, p.clock.now()})
 	}
@@ -232,10 +241,14 @@
 	p.mu.Lock()
 	p.cpu += q.cmd.ProcessState.UserTime() + q.cmd.ProcessState.SystemTime()
 	wanted := q.wanted
-	if p.current[q.sidecar] == q {
+	last := p.current[q.sidecar] == q
+	if last {
 		p.current[q.sidecar] = nil
 	}
 	p.mu.Unlock()
+	if last {
+		p.history.runs(q.sidecar, p.clock.now(), false)
+	}
 	if !wanted {
 		p.history.note(&p.history.ends, "at %v sidecar %s ended though nobody had told it to: %v; its log ends with: %s",
 			p.clock.now(), sidecarName(q.sidecar), err, q.tail())
@@ -354,9 +367,25 @@
 	p.mu.Lock()
 	q.paused = on
 	p.mu.Unlock()
+	p.history.runs(sidecar, p.clock.now(), !on)
 	_ = q.cmd.Process.Signal(sig) // it may have ended by itself
 }
 
+// starve takes a share of the time from a process, a piece in each starvePeriod, until the context ends.
+func (p *processes) starve(ctx context.Context, sidecar int, share float64) {
+	q := p.of(sidecar)
+	if q == nil {
+		return
+	}
+	still := time.Duration(min(share, 0.95) * float64(starvePeriod))
+	for ctx.Err() == nil {
+		_ = q.cmd.Process.Signal(syscall.SIGSTOP) // it may have ended by itself
+		sleep(ctx, still)
+		_ = q.cmd.Process.Signal(syscall.SIGCONT)
+		sleep(ctx, starvePeriod-still)
+	}
+}
+
 // upgrade starts a process beside the old one, which is told to stop once the new one is ready.
 func (p *processes) upgrade(sidecar int) error {
 	old := p.of(sidecar)
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -126,6 +126,7 @@
 		r.mesh.added.mu.Unlock()
 	}
 	r.restarts(f)
+	r.detection(f)
 	if back, ok := r.recovery(); ok {
 		f["recovery_s"] = back
 	}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -184,6 +184,9 @@
 	var watchers, players sync.WaitGroup
 	watchers.Go(func() { r.late.watch(r.clock, stop) })
 	watchers.Go(func() { r.watch(stop, o.Live) })
+	if s.members() {
+		watchers.Go(func() { r.watchViews(stop) })
+	}
 	r.faults = &faults{run: r, rng: rand.New(rand.NewPCG(o.Seed, 7))}
 	players.Go(func() { r.faults.play(ctx, plan) })
 	before := cpuOf(syscall.RUSAGE_SELF)
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -20,7 +20,7 @@
 
 	About string        `toml:"about" need:"yes" help:"what the scenario is for, in a line"`
 	For   conf.Duration `toml:"for" default:"20s" min:"1s" max:"1h" help:"how long clients make requests"`
-	Hold  []string      `toml:"hold" default:"answered once honest known drains cold limits alive" oneof:"answered once honest known drains cold limits alive" help:"the invariants that are checked over the whole history; docs/lab.md words them"`
+	Hold  []string      `toml:"hold" default:"answered once honest known drains cold limits members agreed alive" oneof:"answered once honest known drains cold limits members agreed alive" help:"the invariants that are checked over the whole history; docs/lab.md words them"`
 	Fleet fleetSpec     `toml:"fleet"`
 	Load  loadSpec      `toml:"load"`
 	Serve serverSpec    `toml:"server"`
@@ -34,6 +34,7 @@
 	Zones    int     `toml:"zones" default:"2" min:"1" max:"8" help:"zones, named a, b and so on"`
 	MemoryMB int     `toml:"memory_mb" default:"64" unit:"MiB" min:"16" max:"4096" help:"a sidecar's limit"`
 	Sockets  int     `toml:"sockets" default:"384" min:"64" max:"4096" help:"descriptors that a sidecar may hold"`
+	Told     int     `toml:"told" default:"0" min:"0" max:"100000" help:"how many sidecars the settings say that there are; 0: as many as there are"`
 	Quota    float64 `toml:"quota" default:"0.83" min:"0.01" max:"10" help:"all tenants' quotas, as a share of what the servers can do"`
 	Mesh     bool    `toml:"mesh" default:"false" help:"whether sidecars reach each other, through the lab's relays"`
 	File     string  `toml:"file" help:"the fleet file of every sidecar, in TOML; the lab adds the routes"`
@@ -85,7 +86,7 @@
 // Fault is one line of the timetable.
 type Fault struct {
 	At     conf.Duration `toml:"at" need:"yes" min:"0s" max:"1h" help:"when, after the first request"`
-	Do     string        `toml:"do" need:"yes" oneof:"kill stop pause upgrade full crash slow err silence refuse drain out away move stale crawl burst cut delay drop duplicate reorder limit" help:"what; docs/lab.md words them"`
+	Do     string        `toml:"do" need:"yes" oneof:"kill stop pause starve upgrade full crash slow err silence refuse drain out away move stale crawl burst cut delay drop duplicate reorder limit" help:"what; docs/lab.md words them"`
 	Target string        `toml:"target" help:"whom: all, 3, 0-2, 25%, or zone a; of sidecars, servers or links, as the fault has it"`
 	Peer   string        `toml:"peer" help:"links only: the other end, in the same form; empty: all others"`
 	Way    string        `toml:"way" default:"both" oneof:"both out in" help:"links only: both ways, or from or to the target"`
@@ -100,7 +101,7 @@
 	on   string
 	size bool
 }{
-	"kill": {"sidecar", false}, "stop": {"sidecar", false}, "pause": {"sidecar", false}, "upgrade": {"sidecar", false}, "full": {"sidecar", true},
+	"kill": {"sidecar", false}, "stop": {"sidecar", false}, "pause": {"sidecar", false}, "starve": {"sidecar", true}, "upgrade": {"sidecar", false}, "full": {"sidecar", true},
 	"crash": {"server", false}, "slow": {"server", true}, "err": {"server", true}, "silence": {"server", false}, "refuse": {"server", false},
 	"drain": {"server", false}, "out": {"server", false},
 	"away": {"discovery", false}, "move": {"discovery", false}, "stale": {"discovery", false}, "crawl": {"discovery", false},
