--- /dev/null
+++ b/internal/lab/views_test.go
@@ -0,0 +1,179 @@
+package lab
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"testing"
+	"time"
+)
+
+// Each way in which a view can be wrong is found, and none where a fault has just been or still is.
+func TestViewsAreJudged(t *testing.T) {
+	s := scene(t, "[fleet]\nsidecars=3")
+	const sec = time.Second
+	for what, c := range map[string]struct {
+		at      time.Duration
+		born    time.Duration
+		present []bool
+		others  int
+		agreed  bool
+		links   []time.Duration
+		cuts    []span
+		want    []string
+	}{
+		"as it is":                   {at: 60 * sec, present: []bool{true, true, false}, agreed: true},
+		"one that runs is missing":   {at: 60 * sec, present: []bool{true, false, false}, agreed: true, want: []string{"members"}},
+		"one that ended is seen":     {at: 60 * sec, present: []bool{true, true, true}, agreed: true, want: []string{"members"}},
+		"one that never was":         {at: 60 * sec, present: []bool{true, true, false}, others: 1, agreed: true, want: []string{"members"}},
+		"no agreement":               {at: 60 * sec, present: []bool{true, true, false}, want: []string{"agreed"}},
+		"just ended":                 {at: 36 * sec, present: []bool{true, true, true}},
+		"ended nine seconds before":  {at: 39 * sec, present: []bool{true, true, true}, want: []string{"members"}},
+		"a young process":            {at: 60 * sec, born: 55 * sec, present: []bool{true, false, false}},
+		"a link changed":             {at: 60 * sec, present: []bool{true, false, false}, links: []time.Duration{55 * sec}},
+		"a link changed before that": {at: 60 * sec, present: []bool{true, false, false}, links: []time.Duration{50 * sec}, want: []string{"members"}},
+		"the network is cut":         {at: 60 * sec, present: []bool{true, false, false}, links: []time.Duration{10 * sec}, cuts: []span{{0, 10 * sec, 70 * sec}}},
+		"it was cut long ago":        {at: 60 * sec, present: []bool{true, false, false}, cuts: []span{{0, 10 * sec, 20 * sec}}, want: []string{"agreed", "members"}},
+		"the first moments":          {at: 3 * sec, present: []bool{true, false, false}},
+	} {
+		h := &History{
+			lives: []lifeChange{{0, 0, true}, {0, 1, true}, {0, 2, true}, {30 * sec, 2, false}},
+			links: c.links, cuts: c.cuts,
+			views: []viewed{{at: c.at, born: c.born, sidecar: 0, agreed: c.agreed, present: c.present, others: c.others}},
+		}
+		var broken []string
+		for _, v := range judge(h, s, false) {
+			if !v.Held {
+				broken = append(broken, v.Invariant)
+			}
+		}
+		slices.Sort(broken)
+		if !slices.Equal(broken, c.want) {
+			t.Errorf("%s: broken %v, want %v", what, broken, c.want)
+		}
+	}
+}
+
+// Real sidecars are sent garbage where their peers speak: packets and streams of nonsense, with and without the fleet's name on
+// them, cut short, far too long, and streams that say nothing. None ends, all see each other, and each still serves its console.
+func TestGarbageAtRealSidecars(t *testing.T) {
+	t.Parallel()
+	const n = 3
+	r := stage(t, scene(t, "[fleet]\nsidecars=3\nservers=2\nmemory_mb=48"))
+	r.scene.Fleet.File = fmt.Sprintf("[member]\nlisten='{peer}'\ncluster='lab'\nseeds=['%s','%s']", r.net.at(0, peerPort), r.net.at(1, peerPort))
+	var all []*process
+	for i := range n {
+		q, err := r.processes.start(i)
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, q)
+	}
+	agree := func(when string) {
+		t.Helper()
+		for end := time.Now().Add(30 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+			good := 0
+			for _, q := range all {
+				if v, err := askView(q.console, n); err == nil && v.agreed && !slices.Contains(v.present, false) && v.others == 0 {
+					good++
+				}
+			}
+			if good == n {
+				return
+			}
+			if time.Now().After(end) {
+				v, err := askView(all[0].console, n)
+				t.Fatalf("%s: %d of %d see all and agree; the first sees %+v, error %v", when, good, n, v, err)
+			}
+		}
+	}
+	agree("at first")
+	rng := rand.New(rand.NewPCG(1, 2))
+	label := append([]byte{244, 3}, "lab"...)
+	// An exchange that says that a million members and 20 MB follow: its header in msgpack, and nothing behind it.
+	boast := append(append([]byte(nil), label...), 6, 0x83, 0xa5)
+	boast = append(append(boast, "Nodes"...), 0xce, 0x00, 0x10, 0x00, 0x00, 0xac)
+	boast = append(append(boast, "UserStateLen"...), 0xce, 0x01, 0x40, 0x00, 0x00, 0xa4)
+	boast = append(append(boast, "Join"...), 0xc3)
+	var held []net.Conn
+	for i := range 600 {
+		target := r.net.at(i%n, peerPort)
+		b := make([]byte, []int{1, 3, 40, 1400, 60_000}[i%5])
+		for j := range b {
+			b[j] = byte(rng.Uint32())
+		}
+		switch i / 5 % 3 {
+		case 0:
+			b = append(append(append([]byte(nil), label...), byte(rng.IntN(14))), b...)
+		case 1:
+			b = boast[:1+rng.IntN(len(boast))]
+		}
+		c, err := net.Dial("udp", target)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = c.Write(b) // what is too long for a packet does not go
+		c.Close()
+		if i%4 > 0 {
+			continue
+		}
+		s, err := net.Dial("tcp", target)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = s.Write(b)
+		if i%8 == 0 {
+			s.Close()
+		} else {
+			held = append(held, s) // 75 streams that say nothing more
+		}
+	}
+	agree("after it")
+	for _, s := range held {
+		s.Close()
+	}
+	for i, q := range all {
+		if rss, _, ok := usage(q.cmd.Process.Pid); !ok || rss > 48 {
+			t.Errorf("sidecar %d: %v, %.1f MiB", i, ok, rss)
+		}
+		says(t, q, "ready")
+	}
+	if len(r.history.ends) > 0 {
+		t.Error(r.history.ends)
+	}
+}
+
+// The short form of membership's scenarios: the network between four real sidecars is cut in halves for three seconds, one is
+// killed meanwhile and one upgraded, and all see all, and agree, in the end.
+func TestMembersAmidFaults(t *testing.T) {
+	t.Parallel()
+	file := "[member]\nlisten = \"{peer}\"\ncluster = \"lab\"\nseeds = [\"n0\", \"n1\"]\n"
+	s := scene(t, "for = '30s'\n[fleet]\nsidecars = 4\nservers = 4\nmesh = true\nfile = '''"+file+"'''\n[load]\nuse = 0.1\n"+`
+[[fault]]
+at = "2s"
+do = "cut"
+target = "0-1"
+peer = "2-3"
+for = "3s"
+[[fault]]
+at = "3s"
+do = "kill"
+target = "3"
+for = "1s"
+[[fault]]
+at = "4s"
+do = "upgrade"
+target = "0"
+`)
+	res, broken := play(t, s, Options{Seed: 1, Program: realProgram(t)})
+	for name, v := range broken {
+		t.Errorf("%s: %v", name, v.Findings)
+	}
+	if len(res.Verdicts) == 0 || res.Figures["relay_packets"] == 0 {
+		t.Errorf("nothing passed between the sidecars: %v", res.Figures["relay_packets"])
+	}
+	if res.Late != "" {
+		t.Logf("late: %s", res.Late)
+	}
+}
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -43,9 +43,7 @@
 			for len(seen) < len(f.live) {
 				time.Sleep(20 * time.Millisecond)
 				for i, g := range f.live {
-					v := g.View()
-					at := slices.IndexFunc(v.Members, func(m MemberInfo) bool { return m.Name == name(victim) })
-					if !seen[i] && (at < 0 || v.Members[at].State != Present) {
+					if !seen[i] && g.stateOf(name(victim)) != Present {
 						if len(seen) == 0 {
 							first = append(first, time.Since(began))
 						}
--- a/internal/member/mesh_test.go
+++ b/internal/member/mesh_test.go
@@ -224,18 +224,40 @@
 
 // wrong says in what a process's view differs from what is: the live ones, and the latest of each.
 func (f *fleet) wrong(g *Group) string {
-	v := g.View()
-	for _, m := range v.Members {
-		other := f.live[atoi(m.Name)]
-		switch {
-		case m.State == Present && other == nil:
-			return m.Name + " is shown, and has ended"
-		case m.State == Present && m.Start != other.cfg.Start:
-			return fmt.Sprintf("%s is shown as process %d, and is %d", m.Name, m.Start, other.cfg.Start)
+	g.mu.Lock() // a View is a sorted copy: too slow for many times hundreds of processes
+	defer g.mu.Unlock()
+	present := 0
+	for name, e := range g.table {
+		if e.state != Present {
+			continue
 		}
+		present++
+		switch other := f.live[atoi(name)]; {
+		case other == nil:
+			return name + " is shown, and has ended"
+		case e.Start != other.cfg.Start:
+			return fmt.Sprintf("%s is shown as process %d, and is %d", name, e.Start, other.cfg.Start)
+		}
+	}
+	if present != len(f.live) {
+		return fmt.Sprintf("%d are shown, %d live", present, len(f.live))
 	}
-	if v.Present != len(f.live) {
-		return fmt.Sprintf("%d are shown, %d live", v.Present, len(f.live))
+	return ""
+}
+
+// agrees is View().Agreed, and stateOf a member's state, without a copy of all.
+func (g *Group) agrees() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.look(time.Now())
+	return g.agreed
+}
+
+func (g *Group) stateOf(name string) State {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if e := g.table[name]; e != nil {
+		return e.state
 	}
 	return ""
 }
@@ -255,7 +277,8 @@
 			for i, g := range f.live {
 				if phase == 0 {
 					bad = f.wrong(g)
-				} else if v := g.View(); !v.Agreed && len(f.live) > 1 {
+				} else if !g.agrees() && len(f.live) > 1 {
+					v := g.View()
 					bad = fmt.Sprintf("%d views, %s", v.Views, v.Standing)
 				}
 				if bad != "" {
