--- a/internal/lab/views.go
+++ b/internal/lab/views.go
@@ -34,8 +34,11 @@
 	up      bool
 }
 
-// members says whether the sidecars of a scenario take part in membership.
-func (s *Scenario) members() bool { return strings.Contains(s.Fleet.File, "[member]") }
+// members says whether the sidecars of a scenario take part in membership, and somebody wants to know what they see.
+func (s *Scenario) members() bool {
+	judged := slices.Contains(s.Hold, "members") || slices.Contains(s.Hold, "agreed")
+	return judged && strings.Contains(s.Fleet.File, "[member]")
+}
 
 // watchViews asks all sidecars' consoles for their view again and again, until stop is closed.
 func (r *run) watchViews(stop <-chan struct{}) {
