Wire duties into the sidecar, with one that reports on the fleet, and play them on real processes

The duty report: one line on the whole fleet in one log. The lab asks all consoles 50 times a second for the tokens that they hold: none is held after a higher one, none by two. What was broken once was the lab's own judging of agreement beside upgrades.

--- a/cmd/caperarch/main.go
+++ b/cmd/caperarch/main.go
@@ -53,8 +53,17 @@
 			RunE: func(c *cobra.Command, args []string) error { return call(c.OutOrStdout(), args[0], args[1:]) },
 		},
 		&cobra.Command{
-			Use: "fleet ADDRESS", Short: "Print who of the fleet is there, as the sidecar sees it whose console is at ADDRESS", Args: cobra.ExactArgs(1),
-			RunE: func(c *cobra.Command, args []string) error { return showFleet(c.OutOrStdout(), args[0]) },
+			Use: "fleet ADDRESS [duties]", Short: "Print who of the fleet is there, or who has which duty, as the sidecar sees it whose console is at ADDRESS",
+			Args: cobra.RangeArgs(1, 2), ValidArgs: []string{"duties"},
+			RunE: func(c *cobra.Command, args []string) error {
+				switch {
+				case len(args) == 1:
+					return showFleet(c.OutOrStdout(), args[0], "show-members")
+				case args[1] == "duties":
+					return showFleet(c.OutOrStdout(), args[0], "show-duties")
+				}
+				return fmt.Errorf("%q can't be shown; there is duties", args[1])
+			},
 		},
 		stateCommand(),
 		&cobra.Command{
@@ -247,10 +256,10 @@
 	return nil
 }
 
-// showFleet prints the members that a sidecar sees as a table.
-func showFleet(out io.Writer, address string) error {
+// showFleet prints what a sidecar sees of the fleet as a table.
+func showFleet(out io.Writer, address, what string) error {
 	var answer strings.Builder
-	if err := call(&answer, address, []string{"show-members"}); err != nil {
+	if err := call(&answer, address, []string{what}); err != nil {
 		return errors.Join(err, errors.New(strings.TrimSpace(answer.String())))
 	}
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -353,6 +353,14 @@
 	}
 }
 
+// Names are all duties.
+func (g *Group) Names() (names []string) {
+	for _, d := range g.cfg.Duties {
+		names = append(names, d.Name)
+	}
+	return names
+}
+
 // Move has a duty passed on: to a process of that name, or to whichever is fit.
 func (g *Group) Move(duty, to string) error {
 	return g.ask("Move", MoveArgs{duty, to}, &struct{}{})
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -17,6 +17,7 @@
 
 // File is a fleet file. Its zero value is that of a sidecar that stands alone.
 type File struct {
+	Duty   Duty              `toml:"duty"`
 	Member Member            `toml:"member"`
 	State  State             `toml:"state"`
 	Routes map[string]string `toml:"routes" help:"address (IP:port) by which this process reaches a peer, by the peer's name; one without a route is reached where it says that it is"`
@@ -36,6 +37,13 @@
 	Forget  conf.Duration `toml:"forget" default:"15m" min:"1m" max:"24h" help:"a member that was lost is called, and counted unless its address refuses, for so long"`
 }
 
+// Duty is the section of duties (docs/duties.md).
+type Duty struct {
+	Voters []string      `toml:"voters" help:"names of the three or five members that keep the table of duties, the same at all; none: no duties"`
+	Lease  conf.Duration `toml:"lease" default:"3s" min:"1s" max:"1m" help:"a lost holder's duty is passed on after this and a little more"`
+	Report bool          `toml:"report" default:"false" help:"the duty report: its holder has a line on the whole fleet in its log every 10 s"`
+}
+
 // check finds what no single key can be blamed for.
 func (m *Member) check() error {
 	if m.Listen == "" {
@@ -63,6 +71,12 @@
 	if err := f.Member.check(); err != nil {
 		bad = append(bad, fmt.Errorf("%s: %w", path, err))
 	}
+	switch n := len(f.Duty.Voters); {
+	case n != 0 && n != 1 && n != 3 && n != 5:
+		bad = append(bad, fmt.Errorf("%s: key \"duty.voters\": %d voters: 3 or 5 are allowed, or 1 where its loss may stop all duties", path, n))
+	case n > 0 && f.Member.Listen == "":
+		bad = append(bad, fmt.Errorf("%s: key \"duty.voters\" needs member.listen beside it", path))
+	}
 	for _, peer := range slices.Sorted(maps.Keys(f.Routes)) {
 		if _, err := netip.ParseAddrPort(f.Routes[peer]); err != nil {
 			bad = append(bad, fmt.Errorf("%s: key %q: %w", path, "routes."+peer, err))
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -21,6 +21,9 @@
 		{"[member]\nlisten = '127.0.0.1:7946'\ncluster = 'farm'\nseeds = ['n0']", ""},
 		{"[member]\nlisten = 'localhost'\ncluster = 'farm'", `key "member.listen"`},
 		{"[member]\nlisten = '127.0.0.1:7946'", `key "member.cluster"`},
+		{"[member]\nlisten = '127.0.0.1:7946'\ncluster = 'farm'\n[duty]\nvoters = ['a', 'b', 'c']", ""},
+		{"[member]\nlisten = '127.0.0.1:7946'\ncluster = 'farm'\n[duty]\nvoters = ['a', 'b']", `key "duty.voters"`},
+		{"[duty]\nvoters = ['a', 'b', 'c']", `needs member.listen`},
 		{"[member]\nprobe = '1ms'", `member.probe`},
 	} {
 		path := filepath.Join(t.TempDir(), "fleet.toml")
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -147,6 +147,7 @@
 		}
 		p.starve(ctx, i, a.Size)
 	case "upgrade":
+		defer f.run.history.changed(f.run.clock) // a member is another process now
 		return p.upgrade(i)
 	case "full":
 		return p.fileLimit(i, uint64(a.Size))
@@ -302,17 +303,12 @@
 		}
 	}
 	h := f.run.history
-	changed := func() {
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		h.links = append(h.links, f.run.clock.now())
-	}
 	from := f.run.clock.now()
 	set(true)
-	changed()
+	h.changed(f.run.clock)
 	if mended(ctx, a) {
 		set(false)
-		changed()
+		h.changed(f.run.clock)
 	}
 	oneLink := a.Way != "both" && len(a.Targets)*len(a.Peers) == 1 // the others ask for those two
 	if a.Do == "cut" && !oneLink || a.Do == "limit" {
--- a/internal/lab/history.go
+++ b/internal/lab/history.go
@@ -23,8 +23,9 @@
 	killed  []span   // when a sidecar's process was killed, by sidecar
 	started []span   // when it was started again, until it was ready
 	views   []viewed // what sidecars saw of the fleet
+	tokens  []tokenSeen
 	lives   []lifeChange
-	links   []time.Duration // when links changed
+	links   []time.Duration // when links changed, or a sidecar's process was upgraded
 	cuts    []span          // when links were cut, slow or lost more than a few packets
 }
 
@@ -161,6 +162,13 @@
 	*list = append(*list, fmt.Sprintf(format, args...))
 }
 
+// changed takes that something changed that sidecars may see differently for a while.
+func (h *History) changed(c clock) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.links = append(h.links, c.now())
+}
+
 // runs takes that a sidecar has a process that runs from now on, or has none.
 func (h *History) runs(sidecar int, now time.Duration, up bool) {
 	h.mu.Lock()
--- a/internal/lab/judge.go
+++ b/internal/lab/judge.go
@@ -38,6 +38,7 @@
 	{"limits", false, listed(func(h *History) []string { return h.over })},
 	{"members", true, seesMembers},
 	{"agreed", true, seesAgreement},
+	{"duties", false, oneHolder},
 	{"alive", false, listed(func(h *History) []string { return h.ends })},
 }
 
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -127,6 +127,7 @@
 	}
 	r.restarts(f)
 	r.detection(f)
+	r.unheld(f)
 	if back, ok := r.recovery(); ok {
 		f["recovery_s"] = back
 	}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -187,6 +187,9 @@
 	if s.members() {
 		watchers.Go(func() { r.watchViews(stop) })
 	}
+	if strings.Contains(s.Fleet.File, "[duty]") {
+		watchers.Go(func() { r.watchDuties(stop) })
+	}
 	r.faults = &faults{run: r, rng: rand.New(rand.NewPCG(o.Seed, 7))}
 	players.Go(func() { r.faults.play(ctx, plan) })
 	before := cpuOf(syscall.RUSAGE_SELF)
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -20,7 +20,7 @@
 
 	About string        `toml:"about" need:"yes" help:"what the scenario is for, in a line"`
 	For   conf.Duration `toml:"for" default:"20s" min:"1s" max:"1h" help:"how long clients make requests"`
-	Hold  []string      `toml:"hold" default:"answered once honest known drains cold limits members agreed alive" oneof:"answered once honest known drains cold limits members agreed alive" help:"the invariants that are checked over the whole history; docs/lab.md words them"`
+	Hold  []string      `toml:"hold" default:"answered once honest known drains cold limits members agreed duties alive" oneof:"answered once honest known drains cold limits members agreed duties alive" help:"the invariants that are checked over the whole history; docs/lab.md words them"`
 	Fleet fleetSpec     `toml:"fleet"`
 	Load  loadSpec      `toml:"load"`
 	Serve serverSpec    `toml:"server"`
--- a/internal/lab/views.go
+++ b/internal/lab/views.go
@@ -2,17 +2,22 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
 	"slices"
+	"strconv"
 	"strings"
+	"sync"
 	"time"
 )
 
 const (
 	viewPoll     = 200 * time.Millisecond
 	viewTime     = time.Second
+	dutyPoll     = 20 * time.Millisecond
+	stillTime    = 20 * time.Second
 	membersAfter = 8 * time.Second  // who runs is seen, and who does not is not, where nothing changed for so long
 	agreedAfter  = 15 * time.Second // and all say that they agree
 )
@@ -27,6 +32,14 @@
 	others  int    // members of names that the lab does not have
 }
 
+// tokenSeen is that a sidecar said, some time between two moments, that it held a duty.
+type tokenSeen struct {
+	from, to time.Duration
+	sidecar  int
+	duty     string
+	token    uint64
+}
+
 // lifeChange is that a sidecar has a process that runs from now on, or has none.
 type lifeChange struct {
 	at      time.Duration
@@ -71,6 +84,133 @@
 	}
 }
 
+// watchDuties asks all sidecars' consoles which duties they hold, again and again, until stop is closed.
+func (r *run) watchDuties(stop <-chan struct{}) {
+	var all sync.WaitGroup
+	defer all.Wait()
+	for i := range r.scene.Fleet.Sidecars {
+		all.Go(func() {
+			t := time.NewTicker(dutyPoll)
+			defer t.Stop()
+			for {
+				select {
+				case <-stop:
+					return
+				case <-t.C:
+				}
+				q := r.processes.of(i)
+				if q == nil {
+					continue
+				}
+				from := r.clock.now()
+				held, err := askDuties(q.console)
+				to := r.clock.now()
+				if err != nil {
+					continue
+				}
+				r.history.mu.Lock()
+				for duty, token := range held {
+					r.history.tokens = append(r.history.tokens, tokenSeen{from, to, i, duty, token})
+				}
+				r.history.mu.Unlock()
+			}
+		})
+	}
+}
+
+// askDuties asks one console which duties its process holds. It waits long: one that stands still may answer when it goes on.
+func askDuties(console string) (map[string]uint64, error) {
+	c, err := net.DialTimeout("tcp", console, viewTime)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(stillTime)) // fails only on a closed one
+	if _, err := io.WriteString(c, "show-stat\n"); err != nil {
+		return nil, err
+	}
+	held := make(map[string]uint64)
+	for lines := bufio.NewScanner(c); lines.Scan(); {
+		if lines.Text() == "EOF" {
+			return held, nil
+		}
+		name, value, _ := strings.Cut(lines.Text(), "=")
+		duty, ok := strings.CutPrefix(name, "app.duty_token.")
+		if !ok {
+			continue
+		}
+		token, err := strconv.ParseUint(value, 10, 64)
+		if err != nil {
+			return nil, err
+		}
+		if token > 0 {
+			held[duty] = token
+		}
+	}
+	return nil, fmt.Errorf("the answer of %s breaks off", console)
+}
+
+// oneHolder: nobody says that it holds a duty by a token after another had said so of a higher one, and no token is two sidecars'.
+func oneHolder(h *History, _ *Scenario, broken func(string, ...any)) {
+	for _, duty := range dutiesOf(h) {
+		var all []tokenSeen
+		holder := make(map[uint64]int)
+		for _, s := range h.tokens {
+			if s.duty != duty {
+				continue
+			}
+			all = append(all, s)
+			if other, ok := holder[s.token]; ok && other != s.sidecar {
+				broken("at %v sidecar %s holds %s by token %d, which is %s's", s.to, sidecarName(s.sidecar), duty, s.token, sidecarName(other))
+			}
+			holder[s.token] = s.sidecar
+		}
+		slices.SortFunc(all, func(a, b tokenSeen) int { return cmp.Compare(a.to, b.to) })
+		for i, s := range all { // what was answered before s was asked
+			for _, b := range all[:i] {
+				if b.to < s.from && b.token > s.token {
+					broken("at %v sidecar %s holds %s by token %d; at %v %s held it by %d", s.from, sidecarName(s.sidecar), duty, s.token, b.to, sidecarName(b.sidecar), b.token)
+					break
+				}
+			}
+		}
+	}
+}
+
+func dutiesOf(h *History) (all []string) {
+	for _, s := range h.tokens {
+		if !slices.Contains(all, s.duty) {
+			all = append(all, s.duty)
+		}
+	}
+	return all
+}
+
+// unheld is the longest time in which nobody said that it held a duty, from the first time that somebody did (in s).
+func (r *run) unheld(f map[string]float64) {
+	longest := time.Duration(0)
+	for _, duty := range dutiesOf(r.history) {
+		var all []tokenSeen
+		for _, s := range r.history.tokens {
+			if s.duty == duty {
+				all = append(all, s)
+			}
+		}
+		slices.SortFunc(all, func(a, b tokenSeen) int { return cmp.Compare(a.to, b.to) })
+		for i := 1; i < len(all); i++ {
+			longest = max(longest, all[i].from-all[i-1].to)
+		}
+		tokens := make(map[uint64]bool)
+		for _, s := range all {
+			tokens[s.token] = true
+		}
+		f["duty_tokens_"+duty] = float64(len(tokens))
+	}
+	if len(r.history.tokens) > 0 {
+		f["duty_unheld_s"] = longest.Seconds()
+	}
+}
+
 // askView asks one console.
 func askView(console string, n int) (v viewed, err error) {
 	c, err := net.DialTimeout("tcp", console, viewTime)
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -26,11 +26,11 @@
 	}
 	c := memberlist.DefaultLANConfig()
 	c.Name, c.Label, c.Logger = g.cfg.Name, g.cfg.Cluster, quiet
-	c.Transport = newTransport(inner, g.cfg.Routes, g.refused)
+	c.Transport = newTransport(inner, g.cfg.Routes, g.refused, g.listening)
 	c.Delegate, c.Events, c.Alive, c.Ping, c.Conflict = g, g, g, g, g
 	c.ProbeInterval, c.ProbeTimeout = g.cfg.Probe, g.cfg.Probe*2/5
 	c.SuspicionMult, c.SuspicionMaxTimeoutMult = g.suspicion(), 3
-	c.GossipInterval, c.GossipNodes, c.RetransmitMult = g.cfg.Probe/2, 4, 4
+	c.GossipInterval, c.GossipNodes, c.RetransmitMult = g.cfg.Probe, 4, 4
 	c.PushPullInterval, c.TCPTimeout = 30*time.Second, streamTime
 	c.EnableCompression = false
 	c.DeadNodeReclaimTime = time.Millisecond // a name is free for another address once its holder is dead
@@ -39,6 +39,7 @@
 	if err != nil {
 		return nil, errors.Join(err, inner.Shutdown())
 	}
+	g.carry(inner)
 	return list, nil
 }
 
@@ -49,6 +50,13 @@
 	return listen(g.cfg.Listen)
 }
 
+// carry sets by what streams of other kinds are opened; nil: by nothing.
+func (g *Group) carry(t memberlist.NodeAwareTransport) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.transport = t
+}
+
 // suspicion is how many times the probes' interval and log10 of the members a suspect has to object, so that a process that
 // stands still for most of a second is not declared dead in a small fleet either.
 func (g *Group) suspicion() int {
@@ -138,6 +146,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
+	g.heard = now
 	for ; len(raw) > 0; raw = raw[viewBytes:] {
 		digest := binary.BigEndian.Uint64(raw)
 		at := now.Add(-time.Duration(binary.BigEndian.Uint32(raw[8:])) * time.Millisecond)
@@ -255,7 +264,7 @@
 			}
 		})
 	}
-	const beat = 100 * time.Millisecond
+	const beat = 250 * time.Millisecond
 	tick := time.NewTicker(beat)
 	defer tick.Stop()
 	last, next, pause := time.Now(), time.Now(), beat
@@ -316,7 +325,8 @@
 		lost = append(lost, unknown...)
 	}
 	g.mu.Lock()
-	unsure := !g.agreed || time.Now().Before(g.starved)
+	now := time.Now()
+	unsure := !g.agreed || now.Before(g.starved) || now.Sub(g.heard) > g.viewKept()/2
 	g.mu.Unlock()
 	if unsure {
 		with = g.pick(g.others(func(e *entry) bool { return e.state == Present }), 1)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -39,6 +39,7 @@
 const (
 	Starting Phase = "starting"
 	Serving  Phase = "serving"
+	Starved  Phase = "starved"  // it stood still lately
 	Draining Phase = "draining" // told to stop; it leaves soon
 )
 
@@ -161,18 +162,21 @@
 	log *slog.Logger
 	rng *rand.Rand // of Run's goroutine
 
-	mu      sync.Mutex // never held while the library is called, as the library calls back under locks of its own
-	phase   Phase
-	stands  Standing
-	table   map[string]*entry
-	number  uint64
-	digest  uint64
-	views   map[uint64]time.Time // digest: when somebody was known to hold it
-	agreed  bool
-	since   time.Time // of agreed
-	starved time.Time // until then
-	swept   time.Time // the table was last looked through
-	clash   time.Time // another address was last heard to have the name
+	mu        sync.Mutex // never held while the library is called, as the library calls back under locks of its own
+	phase     Phase
+	stands    Standing
+	table     map[string]*entry
+	number    uint64
+	digest    uint64
+	views     map[uint64]time.Time // digest: when somebody was known to hold it
+	agreed    bool
+	since     time.Time // of agreed
+	starved   time.Time // until then
+	heard     time.Time // another's views were last heard of
+	kinds     map[byte]*listener
+	transport memberlist.NodeAwareTransport // while Run has the address
+	swept     time.Time                     // the table was last looked through
+	clash     time.Time                     // another address was last heard to have the name
 
 	leaving chan struct{} // closed by Leave: to go with a word
 	closing chan struct{} // closed by Close: to go without
@@ -187,7 +191,7 @@
 	g := &Group{
 		cfg: cfg, log: cfg.Log, phase: Starting, stands: Waiting,
 		rng:   rand.New(rand.NewPCG(cfg.Start, uint64(len(cfg.Name)))),
-		table: make(map[string]*entry), views: make(map[uint64]time.Time), since: time.Now(),
+		table: make(map[string]*entry), kinds: make(map[byte]*listener), views: make(map[uint64]time.Time), since: time.Now(),
 		leaving: make(chan struct{}), closing: make(chan struct{}), ended: make(chan struct{}),
 	}
 	if g.log == nil {
@@ -372,7 +376,8 @@
 	if g.stands == Conflict && now.Sub(g.clash) > 2*g.viewKept() {
 		g.standLocked(Member)
 	}
-	if agreed := len(g.views) == 1 && g.stands == Member; agreed != g.agreed {
+	heard := now.Sub(g.heard) <= g.viewKept() // or there is nobody to agree with
+	if agreed := len(g.views) == 1 && g.stands == Member && heard; agreed != g.agreed {
 		g.agreed, g.since = agreed, now
 		g.log.Info("membership", "agreed", agreed, "views", len(g.views), "number", g.number, "digest", fmt.Sprintf("%x", g.digest))
 	}
@@ -423,6 +428,7 @@
 		return
 	}
 	g.stand(Alone)
+	defer g.carry(nil)
 	var work sync.WaitGroup
 	g.play(ctx, list, &work)
 	select {
--- a/internal/member/transport.go
+++ b/internal/member/transport.go
@@ -24,13 +24,14 @@
 	refused func(name string, yes bool)
 	streams chan net.Conn
 	places  chan struct{}
+	kinds   func(kind byte) *listener // of streams that are not the library's; nil: nobody wants them
 	done    chan struct{}
 	once    sync.Once
 }
 
-func newTransport(inner memberlist.NodeAwareTransport, routes map[string]string, refused func(string, bool)) *transport {
+func newTransport(inner memberlist.NodeAwareTransport, routes map[string]string, refused func(string, bool), kinds func(byte) *listener) *transport {
 	t := &transport{
-		NodeAwareTransport: inner, routes: routes, refused: refused,
+		NodeAwareTransport: inner, routes: routes, refused: refused, kinds: kinds,
 		streams: make(chan net.Conn), places: make(chan struct{}, streamsMost), done: make(chan struct{}),
 	}
 	go t.admit()
@@ -47,20 +48,38 @@
 		}
 		select {
 		case c := <-t.NodeAwareTransport.StreamCh():
-			s := &stream{Conn: c, ended: func() { <-t.places }}
-			s.left.Store(streamBytes)
-			select {
-			case t.streams <- s:
-			case <-t.done:
-				s.Close()
-				return
-			}
+			go t.sort(c)
 		case <-t.done:
 			return
 		}
 	}
 }
 
+// sort hands a stream to whoever it is for, by its first byte.
+func (t *transport) sort(c net.Conn) {
+	s := &stream{Conn: c, ended: func() { <-t.places }}
+	s.left.Store(streamBytes)
+	if c.SetReadDeadline(time.Now().Add(streamTime)) != nil {
+		s.Close()
+		return
+	}
+	if _, err := io.ReadFull(c, s.start[:]); err != nil || c.SetReadDeadline(time.Time{}) != nil {
+		s.Close()
+		return
+	}
+	if l := t.kinds(s.start[0]); l != nil {
+		s.last.Do(s.ended) // it may last: it has no place here any more
+		l.hand(c)
+		return
+	}
+	s.unread = true
+	select {
+	case t.streams <- s:
+	case <-t.done:
+		s.Close()
+	}
+}
+
 // StreamCh implements memberlist.Transport.
 func (t *transport) StreamCh() <-chan net.Conn { return t.streams }
 
@@ -104,12 +123,19 @@
 	ended func()
 	first sync.Once
 	last  sync.Once
+
+	start  [1]byte // has been read already
+	unread bool    // and is the first to be read again
 }
 
 func (s *stream) Read(p []byte) (int, error) {
 	if s.left.Load() <= 0 {
 		return 0, errors.New("member: the stream is too long")
 	}
+	if s.unread && len(p) > 0 {
+		s.unread = false
+		return copy(p, s.start[:]), nil
+	}
 	n, err := s.Conn.Read(p)
 	s.left.Add(-int64(n))
 	if s.told != nil && (n > 0 || errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)) {
--- a/internal/sidecar/console.go
+++ b/internal/sidecar/console.go
@@ -29,6 +29,8 @@
 	ready   func() bool
 	stat    func(io.Writer)
 	server  func(ctx context.Context, id string, out bool) error // takes a server out by hand, or brings it back
+	duties  func(io.Writer) error                                // who of the fleet has which duty
+	move    func(words []string) error                           // passes a duty on
 	members func(io.Writer) error                                // who of the fleet is there
 	confirm func() error                                         // takes an operator's word that a damaged state has the right servers out
 
@@ -111,20 +113,23 @@
 // call carries out one call.
 func (c *console) call(ctx context.Context, w io.Writer, words []string) {
 	name := strings.Join(words[:min(len(words), 1)], "")
-	wanted := map[string]int{"ready": 1, "show-stat": 1, "confirm-state": 1, "show-members": 1, "disable-server": 2, "enable-server": 2}[name]
+	wanted := map[string]int{"ready": 1, "show-stat": 1, "confirm-state": 1, "show-members": 1, "show-duties": 1, "move-duty": 2, "disable-server": 2, "enable-server": 2}[name]
 	var err error
 	switch {
 	case wanted == 0:
-		err = errors.New("unknown call; there are ready, show-stat, show-members, disable-server ID, enable-server ID and confirm-state")
-	case len(words) != wanted:
+		err = errors.New("unknown call; there are ready, show-stat, show-members, show-duties, move-duty NAME [MEMBER], disable-server ID, enable-server ID and confirm-state")
+	case len(words) != wanted && !(name == "move-duty" && len(words) == 3):
 		err = fmt.Errorf("%s takes %d words after it", name, wanted-1)
 	case name == "show-stat":
 		c.stat(w)
 		return
-	case name == "show-members":
-		if err = c.members(w); err == nil {
+	case name == "show-members" || name == "show-duties":
+		show := map[string]func(io.Writer) error{"show-members": c.members, "show-duties": c.duties}[name]
+		if err = show(w); err == nil {
 			return
 		}
+	case name == "move-duty":
+		err = c.move(words[1:])
 	case name == "ready" && !c.ready():
 		err = errors.New("no, it is stopping")
 	case name == "confirm-state":
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -12,6 +12,7 @@
 	"runtime/debug"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"arrowgw/internal/balance"
@@ -32,6 +33,8 @@
 	cfg   *Config
 	loop  *loop
 	state *handover
+
+	stopping atomic.Bool
 }
 
 // newPeers reads what the configuration and the state say of the fleet.
@@ -118,6 +121,14 @@
 			return
 		}
 		v := p.group.View()
+		phase := member.Serving
+		if v.Starved { // it is given no duties
+			phase = member.Starved
+		}
+		p.group.Say(phase)
+		if p.stopping.Load() { // it may have begun since the last line
+			p.group.Say(member.Draining)
+		}
 		if v.Standing == member.Member && !v.Starved { // whoever has reached nobody yet can't tell how many there are
 			f := balance.Fleet{Present: v.Present, Silent: v.Silent, Agreed: v.Agreed}
 			if p.loop.do(ctx, func(now time.Duration) { p.loop.b.Fleet(now, f) }) != nil {
@@ -136,15 +147,17 @@
 	}
 }
 
-// draining tells the others that this process stops; or, where another has taken over, lets that one have the name.
-func (p *peers) draining(replaced bool) {
-	switch {
-	case p.group == nil:
-	case replaced:
-		go p.group.Close() // what this process holds does not wait for that
-	default:
+// draining gives up this process's duties and tells the others that it stops; or, where another has taken over, lets that one
+// have the name.
+func (p *peers) draining(replaced bool, work *duties) {
+	if p.group != nil && !replaced {
+		p.stopping.Store(true)
 		p.group.Say(member.Draining)
 	}
+	work.leave()
+	if p.group != nil && replaced {
+		p.group.Close()
+	}
 }
 
 // leave goes with a word, at the end of a planned stop.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -14,6 +14,7 @@
 
 const (
 	lingerTime = 500 * time.Millisecond // new connections go on coming for so long after a stop is asked for
+	leaveWait  = time.Second            // the end waits no longer for duties to be passed on
 	exitMargin = 600 * time.Millisecond // more than the longest deadline that may pass until the end
 )
 
@@ -58,6 +59,10 @@
 	up.yield = k.yield
 	f := newFront(cfg, c, l, k)
 	l.clients = f.counters
+	work, err := newDuties(cfg, peers, state)
+	if err != nil {
+		return err
+	}
 	slog.Info("serving", "name", cfg.Name, "listen", listener.Addr(), "servers", len(cfg.Known.servers))
 
 	running, stop := context.WithCancel(context.Background())
@@ -86,10 +91,11 @@
 	go d.run(running)
 	f.ready.Store(true)
 	peers.run(running)
+	work.run(running)
 	if door != nil {
 		c := &console{
-			ready: f.ready.Load, server: l.server, confirm: state.confirm, members: peers.show,
-			stat: func(w io.Writer) { f.stat(w); peers.stat(w); fmt.Fprintln(w, "EOF") },
+			ready: f.ready.Load, server: l.server, confirm: state.confirm, members: peers.show, duties: work.show, move: work.move,
+			stat: func(w io.Writer) { f.stat(w); peers.stat(w); work.stat(w); fmt.Fprintln(w, "EOF") },
 		}
 		go c.serve(running, door)
 		slog.Info("console", "listen", door.Addr())
@@ -105,8 +111,18 @@
 			d.reconfigure(cfg.path)
 		case <-ctx.Done():
 			replaced := l.handover.count() > 1
-			peers.draining(replaced)
-			defer peers.leave()
+			left := make(chan struct{})
+			go func() { // what this process holds for its clients does not wait for that
+				defer close(left)
+				peers.draining(replaced, work)
+			}()
+			defer func() {
+				select {
+				case <-left:
+				case <-time.After(leaveWait): // the others find out by themselves
+				}
+				peers.leave()
+			}()
 			return f.drain(server, cfg.Longest, replaced)
 		}
 	}
