--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -317,12 +317,16 @@
 	}
 }
 
-// calls are whom to make an exchange with now: one that was lost, and one that is present while views differ or this
-// process has been away.
+// callsEach is how often in a second one that is lost is called by the whole fleet, about: as often in a large one, or it would be
+// run over when it is back.
+const callsEach = 3
+
+// calls are whom to make an exchange with now: one that was lost or is a stranger, and one that is present while views differ or
+// this process has been away.
 func (g *Group) calls() (with []string) {
-	lost := g.others(func(e *entry) bool { return e.state == Silent || e.state == Gone })
-	if unknown := g.strangers(); g.rng.IntN(10) == 0 {
-		lost = append(lost, unknown...)
+	lost := append(g.others(func(e *entry) bool { return e.state == Silent || e.state == Gone }), g.strangers()...)
+	if _, others := g.standing(); g.rng.IntN(others+1) >= callsEach*len(lost) {
+		lost = nil
 	}
 	g.mu.Lock()
 	now := time.Now()
