--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -122,7 +122,10 @@
 		}
 		v := p.group.View()
 		phase := member.Serving
-		if v.Starved { // it is given no duties
+		switch {
+		case p.stopping.Load():
+			phase = member.Draining
+		case v.Starved: // it is given no duties
 			phase = member.Starved
 		}
 		p.group.Say(phase)
