Bound how a holder is told of its duty, and hand no stream over behind a listener's end

Change: a holder is told again only once the last telling is over; streams are handed over under the lock that the close takes.

--- a/internal/duty/voter.go
+++ b/internal/duty/voter.go
@@ -42,6 +42,7 @@
 	passing map[string]bool          // a new holder is being entered, and what comes of that is not known yet
 	ending  map[string]bool          // no lease is given any more: it is to go to another
 	want    map[string]string        // who is to have it then
+	told    map[string]bool          // its holder is being told
 	asked   time.Duration            // when the voters were last looked at
 	telling sync.WaitGroup
 }
@@ -64,7 +65,7 @@
 			return nil, err
 		}
 	}
-	v := &voter{g: g, id: raft.ServerID(g.cfg.Name + "#" + string(birth)), table: &table{holdings: make(map[string]Holding)}}
+	v := &voter{told: make(map[string]bool), g: g, id: raft.ServerID(g.cfg.Name + "#" + string(birth)), table: &table{holdings: make(map[string]Holding)}}
 	if len(v.id) > idsMost {
 		return nil, fmt.Errorf("duty: the id %q is too long", v.id)
 	}
@@ -318,9 +319,11 @@
 		switch {
 		case busy:
 		case !ok || since >= v.g.free():
-			v.pass(d, h)
+			if h, ok := v.pass(d, h); ok {
+				v.tellHolder(h)
+			}
 		case since > v.g.cfg.Lease/4:
-			v.telling.Go(func() { _ = v.g.call(h.Holder, "Given", h, &struct{}{}) }) // it is told again
+			v.tellHolder(h) // again
 		}
 	}
 	if v.due() {
@@ -339,7 +342,7 @@
 }
 
 // pass enters a new holder: who is wanted, or who holds least; the one that had it only where there is no other.
-func (v *voter) pass(d Duty, before Holding) {
+func (v *voter) pass(d Duty, before Holding) (h Holding, ok bool) {
 	load := make(map[string]int)
 	for _, h := range v.table.all() {
 		load[h.Holder]++
@@ -358,7 +361,7 @@
 	}
 	all := v.fit(d)
 	if len(all) == 0 {
-		return
+		return h, false
 	}
 	to := slices.MinFunc(all, func(a, b Candidate) int { return cmp.Or(rank(a)-rank(b), cmp.Compare(a.Name, b.Name)) })
 	raw, err := json.Marshal(command{Term: term, Duty: d.Name, Holder: to.Name, Start: to.Start, Base: uint64(time.Now().Unix()) << timeAtOnce})
@@ -369,7 +372,7 @@
 	now, _ := v.table.get(d.Name)
 	if v.epoch != term || term == 0 || now != before {
 		v.mu.Unlock()
-		return
+		return h, false
 	}
 	v.passing[d.Name] = true // no lease is given from here on
 	v.mu.Unlock()
@@ -379,19 +382,34 @@
 	defer v.mu.Unlock()
 	if err != nil || v.epoch != term {
 		v.epoch = 0 // it may have been entered or not: begin again behind it
-		return
+		return h, false
 	}
-	h, ok := f.Response().(Holding)
-	if !ok {
+	if h, ok = f.Response().(Holding); !ok {
 		v.epoch = 0
-		return
+		return h, false
 	}
 	delete(v.passing, d.Name)
 	delete(v.ending, d.Name)
 	delete(v.want, d.Name)
 	v.given[d.Name] = v.g.now()
 	v.g.log.Info("duty", "goesTo", h.Holder, "duty", h.Duty, "token", h.Token, "from", before.Holder)
-	v.telling.Go(func() { _ = v.g.call(h.Holder, "Given", h, &struct{}{}) })
+	return h, true
+}
+
+// tellHolder tells a holder that it has a duty, unless it is being told already. Where that fails it is told again.
+func (v *voter) tellHolder(h Holding) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.told[h.Duty] {
+		return
+	}
+	v.told[h.Duty] = true
+	v.telling.Go(func() {
+		_ = v.g.call(h.Holder, "Given", h, &struct{}{})
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		delete(v.told, h.Duty)
+	})
 }
 
 // voters takes in voters that have come with another id, or under a name that is new, and leaves out those that are named no more.
--- a/internal/member/streams.go
+++ b/internal/member/streams.go
@@ -39,9 +39,13 @@
 
 // hand gives a stream to whoever accepts; where many wait, it is closed.
 func (l *listener) hand(c net.Conn) {
-	select {
-	case <-l.done:
+	l.group.mu.Lock() // so that none is handed over behind the Close that empties ready
+	defer l.group.mu.Unlock()
+	if l.group.kinds[l.kind] != l {
 		c.Close()
+		return
+	}
+	select {
 	case l.ready <- c:
 	default:
 		c.Close()
