--- a/internal/balance/check.go
+++ b/internal/balance/check.go
@@ -1,14 +1,13 @@
 package balance
 
 import (
+	"cmp"
 	"fmt"
-	"math"
 )
 
 // Check returns an error that names the first unusable field.
 func (c *Config) Check() error {
 	cfg := *c
-	bad := func(f float64) bool { return math.IsNaN(f) || math.IsInf(f, 0) || f < 0 }
 	switch {
 	case cfg.Balancers < 1:
 		return fmt.Errorf("config: Balancers is %d, at least 1 is needed", cfg.Balancers)
@@ -20,17 +19,11 @@
 		return fmt.Errorf("config: MaxAttempts is %d, at least 1 is needed", cfg.MaxAttempts)
 	case cfg.Slots < 0:
 		return fmt.Errorf("config: Slots is %d, it must not be negative", cfg.Slots)
-	case bad(cfg.ColdFrom) || cfg.ColdFrom > 1:
+	case negative(cfg.ColdFrom) || cfg.ColdFrom > 1:
 		return fmt.Errorf("config: ColdFrom is %v, a share is needed", cfg.ColdFrom)
-	case bad(cfg.ColdMultiple) || bad(cfg.CrossZonePrice):
+	case negative(cfg.ColdMultiple) || negative(cfg.CrossZonePrice):
 		return fmt.Errorf("config: ColdMultiple %v or CrossZonePrice %v is negative or no number",
 			cfg.ColdMultiple, cfg.CrossZonePrice)
-	case cfg.Budget.Span < 0 || bad(cfg.Budget.Free) || bad(cfg.Budget.Share):
-		return fmt.Errorf("config: Budget: Span %v, Free %v or Share %v is negative or no number",
-			cfg.Budget.Span, cfg.Budget.Free, cfg.Budget.Share)
-	case cfg.Budget.Span == 0 && cfg.Budget != (RetryBudget{}):
-		return fmt.Errorf("config: Budget: Span is 0, though Free %v and Share %v are set",
-			cfg.Budget.Free, cfg.Budget.Share)
 	case min(cfg.OrderSettle, cfg.CloseWithin) < 0:
 		return fmt.Errorf("config: OrderSettle %v or CloseWithin %v is negative", cfg.OrderSettle, cfg.CloseWithin)
 	case min(cfg.MaxRetryAfter, cfg.Tick, cfg.AskWithin, cfg.ColdTime) < 0:
@@ -41,20 +34,12 @@
 			return fmt.Errorf("config: Classes[%d]: Aim %v, Deadline %v or Window %v is unusable",
 				i, c.Aim, c.Deadline, c.Window)
 		}
-		if bad(c.AimStretch) || bad(c.LateShare) || bad(c.Worth) {
+		if negative(c.AimStretch) || negative(c.LateShare) || negative(c.Worth) {
 			return fmt.Errorf("config: Classes[%d]: AimStretch, LateShare or Worth is negative or no number", i)
 		}
 	}
-	sum := 0.0
-	for i, t := range cfg.Tenants {
-		if bad(t.Share) || bad(t.Quota) {
-			return fmt.Errorf("config: Tenants[%d]: Share %v or Quota %v is negative or no number",
-				i, t.Share, t.Quota)
-		}
-		sum += t.Share
-	}
-	if len(cfg.Tenants) > 0 && (sum <= 0 || math.IsInf(sum, 0)) {
-		return fmt.Errorf("config: Tenants: the Share of all adds up to %v", sum)
+	if err := cmp.Or(cfg.Budget.check(), checkTenants(cfg.Tenants)); err != nil {
+		return fmt.Errorf("config: %w", err)
 	}
 	return nil
 }
