--- a/policy/policy.go
+++ b/policy/policy.go
@@ -37,7 +37,7 @@
 	busyTick = 10 * time.Millisecond  // how often open requests are looked at
 	idleTick = 100 * time.Millisecond // and the rest when none is open
 
-	slotAim     = 0.12 // slots hold a quota's traffic for this share of the aim (deriveSlots)
+	slotAim     = 0.12 // slots hold a quota's traffic for this share of the aim (wall)
 	spread      = 2.0  // and this many standard deviations of such a count more
 	serverSlots = 3.0  // slots for each server first listed, where no quota is known
 	placesShare = 0.15 // queue places for each slot: short, just enough to keep slots fed
@@ -94,35 +94,27 @@
 		b.worth += c.Worth / float64(len(cfg.Classes))
 		b.pace = min(b.pace, c.Aim/8)
 	}
-	b.deriveSlots()
-	return b, nil
-}
-
-// deriveSlots sizes the walls, once. By Little's law a rate holds rate x time slots: the quotas
-// times a small share of the aim, to leave most of it for what goes wrong. Each balancer gets
-// what the largest of n random parts of the traffic comes to, ln n + 0.58 even ones, and two
-// standard deviations of such a count, so as not to refuse on chance.
-func (b *Balancer) deriveSlots() {
-	for _, t := range b.cfg.Compartments() {
-		b.quota += t.Quota
-	}
-	b.mean = cmp.Or(b.quota*b.aim*slotAim, serverSlots*float64(len(b.servers)))
-	b.rate = cmp.Or(b.quota/b.fleet, float64(len(b.servers))/b.every)
 	b.wall()
+	b.rate = b.quota / b.fleet
+	return b, nil
 }
 
-// wall gives the slots to the compartments.
+// wall sizes the compartments. By Little's law a rate holds rate x time slots: the quotas times a small
+// share of the aim, to leave most of it for what goes wrong. Each balancer gets what the largest of n
+// random parts of the traffic comes to, ln n + 0.58 even ones, and two standard deviations of such a
+// count, so as not to refuse on chance.
 func (b *Balancer) wall() {
-	tenants, shares := b.cfg.Compartments(), 0.0
+	tenants, n, shares := b.cfg.Compartments(), b.fleet, 0.0
+	b.quota, b.slots = 0, 0
 	for _, t := range tenants {
+		b.quota += t.Quota
 		shares += t.Share
 	}
-	n := b.fleet
+	b.mean = cmp.Or(b.quota*b.aim*slotAim, serverSlots*b.first)
 	total, room := b.mean*min(1, (math.Log(n)+0.58)/n), spread
 	if b.cfg.Slots > 0 {
 		total, room = float64(b.cfg.Slots), 0
 	}
-	b.slots = 0
 	for i, t := range tenants {
 		c, mean := &b.parts[i], total*t.Share/shares
 		c.slots = max(1, int(math.Ceil(mean+room*math.Sqrt(mean))))
@@ -150,8 +142,13 @@
 	if _, held := b.requests[q.ID]; held {
 		return
 	}
-	b.tally(now)
-	if !b.known(&q) {
+	b.taken.since(now - b.cfg.Budget.Span)
+	b.more.since(now - b.cfg.Budget.Span)
+	b.taken = append(b.taken, now)
+	if len(b.cfg.Tenants) == 0 {
+		q.Tenant = 0 // the one for all
+	}
+	if min(q.Class, q.Tenant) < 0 || q.Class >= len(b.classes) || q.Tenant >= len(b.parts) || q.Left <= 0 {
 		b.count.Refused++
 		b.host.Refuse(q.ID, 0)
 		return
@@ -193,33 +190,28 @@
 // serve in time, and its work goes into answers that come late (i47e131, i50e019). Each then lets in
 // little more than what it was lately answered in time, of worthier classes more.
 func (b *Balancer) admit(now time.Duration, r *request) bool {
-	b.asked.fade(now, math.Exp(-float64(now-b.asked.at)/float64(admitOver)))
+	b.asked.fade(now)
 	share := (admitFree + admitMost*b.asked.good) / (admitFree + b.asked.all)
 	return share >= 1 || b.rng.Float64() < math.Pow(share, b.worth/max(r.class.Worth, b.worth/8))
 }
 
 // place sends a request, or lets it wait, or refuses it.
 func (b *Balancer) place(now time.Duration, r *request) {
-	if b.inquire(now, r) {
-		return
-	}
-	if now > r.lateIn() { // late, or as good as: it takes nothing from others
+	switch {
+	case b.inquire(now, r):
+	case now > r.lateIn(): // late, or as good as: it takes nothing from others
 		r.useful = r.deadline
 		if ease(b.crowd) < 1 || !b.dispatch(now, r) {
 			b.count.Late++
 			b.finish(r)
 		}
-		return
-	}
-	if b.dispatch(now, r) {
-		return
-	}
-	if len(r.home.queue) >= r.home.places { // full: refuse promptly
+	case b.dispatch(now, r):
+	case len(r.home.queue) >= r.home.places: // full: refuse promptly
 		b.finish(r)
-		return
+	default:
+		b.count.Queued++
+		r.home.queue = append(r.home.queue, r)
 	}
-	b.count.Queued++
-	r.home.queue = append(r.home.queue, r)
 }
 
 // Outcome takes the end of an attempt. What is unknown or came before is passed over.
@@ -234,9 +226,6 @@
 		a.state = neverRan
 	}
 	r.spent = r.spent || o.Spent
-	if !r.begun {
-		b.answered(now, r, o.Ending)
-	}
 	b.paced(r, a, false)
 	b.hold(r, a.to, -1)
 	if r.line != nil && slices.Contains(unsettled, o.Ending) {
@@ -262,18 +251,6 @@
 	b.feed(now)
 }
 
-// answered counts an attempt that ended, or whose answer has begun, for what is let in.
-func (b *Balancer) answered(now time.Duration, r *request, end balance.Ending) {
-	if r.over || end == balance.NotSent {
-		return
-	}
-	b.asked.sent++
-	b.asked.all++
-	if end == balance.Served && now <= r.wanted {
-		b.asked.good += min(1, 2*float64(r.wanted-now)/float64(r.class.Aim))
-	}
-}
-
 // BodyEnded takes that the last byte of a request has gone out: its time begins. A server begins with the
 // last byte too, so that what came before tells nothing of it.
 func (b *Balancer) BodyEnded(now time.Duration, id balance.RequestID, left time.Duration) {
@@ -303,9 +280,8 @@
 	if a.state != inFlight {
 		return
 	}
-	r.begun = true
-	b.answered(now, r, balance.Served)
 	b.judge(now, r, a, balance.Served)
+	r.begun = true
 	b.paced(r, a, true)
 	b.feed(now)
 }
@@ -400,7 +376,8 @@
 		b.count.NoServer++
 		return false
 	}
-	return b.send(now, r, s)
+	b.send(now, r, s)
+	return true
 }
 
 // whole is the wall over all attempts while no server is crowded: what our own traffic holds at the
@@ -419,12 +396,11 @@
 
 // further gives a request whose attempts have all failed another one, or ends it.
 func (b *Balancer) further(now time.Duration, r *request) {
-	over := r.spent || len(r.attempts) >= b.cfg.MaxAttempts || now >= r.lateIn()
-	if over || !r.mayRepeat(now, nil) || b.spent(now) {
+	switch {
+	case r.spent || len(r.attempts) >= b.cfg.MaxAttempts || now >= r.lateIn(),
+		!r.mayRepeat(now, nil) || b.spent(now):
 		b.finish(r)
-		return
-	}
-	if !b.dispatch(now, r) {
+	case !b.dispatch(now, r):
 		r.home.queue = slices.Insert(r.home.queue, 0, r) // it has waited already: to the front
 	}
 }
@@ -467,18 +443,13 @@
 // mayGo is the gate: whether the rules let a request go to a server now.
 func (b *Balancer) mayGo(now time.Duration, r *request, s *server) bool {
 	switch {
-	case r.over || r.begun || now >= r.deadline || len(r.attempts) >= b.cfg.MaxAttempts:
-		return false // rule 1, and the limit on attempts
-	case !s.mayServe(now):
-		return false // rule 3: at once, long before the grace is over
-	case now < s.warmAt && now < s.coldAt:
-		return false // rule 4
-	case r.out > 0 || !r.mayRepeat(now, s):
-		return false // rule 2: one attempt at a time (no second copies), and only where it may be repeated
-	case !r.inTurn(now):
-		return false // rule 5
-	case len(r.attempts) > 0 && b.spent(now):
-		return false // rule 6
+	case r.over || r.begun || now >= r.deadline || len(r.attempts) >= b.cfg.MaxAttempts, // rule 1, and attempts
+		!s.mayServe(now),                    // rule 3: at once, long before the grace is over
+		now < s.warmAt && now < s.coldAt,    // rule 4
+		r.out > 0 || !r.mayRepeat(now, s),   // rule 2: one at a time (no second copies), where it may be repeated
+		!r.inTurn(now),                      // rule 5
+		len(r.attempts) > 0 && b.spent(now): // rule 6
+		return false
 	}
 	return true
 }
@@ -514,11 +485,8 @@
 	}
 }
 
-// send is the one place that sends.
-func (b *Balancer) send(now time.Duration, r *request, s *server) bool {
-	if !b.mayGo(now, r, s) {
-		return false
-	}
+// send is the one place that sends, to a server that pick found: mayGo lets the request go there.
+func (b *Balancer) send(now time.Duration, r *request, s *server) {
 	s.coldAt = now + b.coldGap(now, s)
 	r.attempts = append(r.attempts, attempt{to: s, sent: now})
 	b.hold(r, s, 1)
@@ -531,7 +499,6 @@
 	}
 	b.paced(r, &r.attempts[len(r.attempts)-1], r.coming)
 	b.host.Send(r.id, s.ID, r.useful-now)
-	return true
 }
 
 // coldGap spaces sends to a cold server so that all balancers together stay
@@ -551,13 +518,11 @@
 // many there are, and more is the safe side of each: too many of them keep us to less than our part, too
 // few push servers over. So more count at once; fewer only while all agree, without the silent, and slowly.
 func (b *Balancer) Fleet(now time.Duration, f balance.Fleet) {
-	n, since := math.Max(1, float64(f.Present+f.Silent)), min(now-b.fleetAt, fleetEvery)
-	switch {
-	case n < b.fleet && !f.Agreed:
-		n = b.fleet
-	case n < b.fleet:
-		n = max(n, b.fleet*math.Exp2(-float64(since)/float64(fleetHalf)))
+	least := b.fleet
+	if f.Agreed {
+		least *= math.Exp2(-float64(min(now-b.fleetAt, fleetEvery)) / float64(fleetHalf))
 	}
+	n := max(1, float64(f.Present+f.Silent), least)
 	b.fleetAt = now
 	if n != b.fleet {
 		b.fleet = n
@@ -674,6 +639,13 @@
 // judge learns how a server fares: strain stretches the gap between its turns. It guards against any cause,
 // slowness, errors, silence, refusals, a limit shared with others. The turns left show when it is well again.
 func (b *Balancer) judge(now time.Duration, r *request, a *attempt, end balance.Ending) {
+	if !r.over && !r.begun && end != balance.NotSent { // for what is let in: as it ends, or begins to answer
+		b.asked.sent++
+		b.asked.all++
+		if end == balance.Served && now <= r.wanted {
+			b.asked.good += min(1, 2*float64(r.wanted-now)/float64(r.class.Aim))
+		}
+	}
 	s, took := a.to, now-a.sent
 	lost := end == balance.TimedOut && s.strain < failStrain/2 // a strained one alone is no crowd
 	if end == balance.Served || lost {
@@ -696,51 +668,43 @@
 		}
 		s.silent = 0
 	case balance.TimedOut, balance.NoConnection:
-		if s.silent == 0 {
-			s.silent = now
-		}
+		s.silent = cmp.Or(s.silent, now)
 	}
 	if before := s.strain; before < failStrain/2 && before+(x-before)/4 >= failStrain/2 {
 		b.host.Log(fmt.Sprintf("server %x strained, %d attempts out", s.ID, s.out))
 	}
 	s.strain += (x - s.strain) / 4
-	b.rest(now, s, end)
-}
-
-// rest keeps sends from a server that fails time and again, longer each time. Each balancer learns for
-// itself that a server is lost and pays for it with requests, and again with each test; where many share
-// a server, their tests alone keep a crowded one from its rest. So the more they are, the longer each waits.
-func (b *Balancer) rest(now time.Duration, s *server, end balance.Ending) {
 	if end == balance.Served { // halved, not cleared: one that errs may answer one request in four
 		s.fails, s.rested = s.fails/2, 0
-		return
-	}
-	if s.fails = min(s.fails+1, failsMost); s.fails >= restAfter {
-		b.restFor(now, s)
+	} else if s.fails = min(s.fails+1, failsMost); s.fails >= restAfter {
+		b.rest(now, s)
 	}
 }
 
-// restFor begins a rest.
-func (b *Balancer) restFor(now time.Duration, s *server) {
+// rest keeps sends from a server that fails time and again, longer each time. Each balancer learns for
+// itself that a server is lost and pays for it with requests, and again with each test; where many share
+// a server, their tests alone keep a crowded one from its rest. So the more they are, the longer each waits.
+func (b *Balancer) rest(now time.Duration, s *server) {
 	sharers := b.fleet * b.reach / max(b.weight, 1e-9)
 	s.rested = now + b.backoff(time.Duration(sharers*float64(restEach)), s.fails-restAfter)
 }
 
 // List takes news of the server list.
 func (b *Balancer) List(now time.Duration, kind balance.ListKind, entries []balance.Server) {
-	if kind == balance.ListFailed {
+	switch {
+	case kind == balance.ListFailed:
 		b.askAt = now + b.backoff(firstPause, b.askFails)
 		b.askFails++
 		return
-	}
-	if kind != balance.ListCached && b.cfg.AskList {
+	case b.cfg.AskList && kind != balance.ListCached:
 		b.askAt, b.askFails = 0, 0
-	}
-	if kind == balance.ListCached && b.cfg.AskList && len(entries) == 0 {
+	case b.cfg.AskList && len(entries) == 0:
 		b.ask(now) // nothing is known: no time to spare
 	}
-	if kind != balance.ListDelta {
-		b.allGone() // until the list names them
+	for _, s := range b.servers {
+		if kind != balance.ListDelta {
+			s.State = balance.Gone // until the list names it
+		}
 	}
 	var started []*server
 	for _, e := range entries {
@@ -749,8 +713,10 @@
 		}
 	}
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return s.State == balance.Gone })
-	if b.mean == 0 {
-		b.deriveSlots() // no quotas: the first list is all there is to go by
+	if b.mean == 0 { // no quotas: the first list is all there is to go by
+		b.first = float64(len(b.servers))
+		b.rate = b.first / b.every
+		b.wall()
 	}
 	b.weigh()
 	for _, s := range started { // only now are the weights known that a cold one's part is taken of
@@ -770,7 +736,11 @@
 	if !(e.Weight > 0) || math.IsInf(e.Weight, 0) {
 		e.Weight = 1 // no weights, even turns
 	}
-	s := b.listed(e.ID)
+	i, known := b.find(e.ID)
+	if !known {
+		b.servers = slices.Insert(b.servers, i, &server{strain: 1})
+	}
+	s := b.servers[i]
 	if e.Started > 0 && e.Started > s.Started { // cold, and nothing known of it holds any more
 		*s = server{Server: e, out: s.out, warmAt: max(s.warmAt, e.Started+b.cfg.ColdTime), strain: 1}
 		started = s
@@ -802,14 +772,12 @@
 	delete(b.away, id)
 	maps.DeleteFunc(b.back, func(_ balance.ServerID, warmAt time.Duration) bool { return now >= warmAt })
 	b.back[id] = at + b.cfg.ColdTime
-	s := b.server(id)
-	if s == nil {
-		return
+	if s := b.server(id); s != nil {
+		*s = server{Server: s.Server, out: s.out, warmAt: max(s.warmAt, b.back[id]), strain: 1}
+		b.weigh()
+		b.spreadFirst(now, s)
+		b.feed(now)
 	}
-	*s = server{Server: s.Server, out: s.out, warmAt: max(s.warmAt, b.back[id]), strain: 1}
-	b.weigh()
-	b.spreadFirst(now, s)
-	b.feed(now)
 }
 
 // ask subscribes to the list. Without any word it asks again before its silence counts as being told.
@@ -901,9 +869,7 @@
 // settle closes a request that has its answer: out of the queue, attempts called off.
 func (b *Balancer) settle(r *request) {
 	r.over = true
-	if i := slices.Index(r.home.queue, r); i >= 0 {
-		r.home.queue = slices.Delete(r.home.queue, i, i+1)
-	}
+	r.home.queue = slices.DeleteFunc(r.home.queue, func(o *request) bool { return o == r })
 	for i := range r.attempts {
 		if r.attempts[i].state == inFlight && b.cfg.MayCancel {
 			b.host.Cancel(r.id, i)
--- a/policy/state.go
+++ b/policy/state.go
@@ -76,10 +76,7 @@
 
 // since drops what happened before t and counts the rest.
 func (w *window) since(t time.Duration) int {
-	n := 0
-	for n < len(*w) && (*w)[n] < t {
-		n++
-	}
+	n, _ := slices.BinarySearch(*w, t)
 	*w = (*w)[n:]
 	return len(*w)
 }
@@ -98,7 +95,8 @@
 	sent      float64
 }
 
-func (c *recent) fade(now time.Duration, by float64) {
+func (c *recent) fade(now time.Duration) {
+	by := math.Exp(-float64(now-c.at) / float64(admitOver))
 	c.at, c.all, c.good, c.sent = now, c.all*by, c.good*by, c.sent*by
 }
 
@@ -124,6 +122,7 @@
 	open     []*request // in order of arrival; ended ones are swept out by Wake
 	servers  []*server  // in order of their ids
 	slots    int        // of all compartments
+	first    float64    // servers in the first list, where no quotas are known
 	mean     float64    // what the slots of all balancers hold while traffic is at the quotas
 	quota    float64    // of all tenants together
 	weight   float64    // of all ready servers
@@ -175,22 +174,15 @@
 
 // ran returns the first attempt that may have run or still may, or nil.
 func (r *request) ran() *attempt {
-	for i := range r.attempts {
-		if r.attempts[i].state != neverRan {
-			return &r.attempts[i]
-		}
+	if i := slices.IndexFunc(r.attempts, func(a attempt) bool { return a.state != neverRan }); i >= 0 {
+		return &r.attempts[i]
 	}
 	return nil
 }
 
 // tried says whether a server has had this request already.
 func (r *request) tried(s *server) bool {
-	for i := range r.attempts {
-		if r.attempts[i].to == s {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.to == s })
 }
 
 // find returns where in the list a server of that name is, or would be.
@@ -240,13 +232,6 @@
 	return all
 }
 
-// tally counts a request taken, for the budget.
-func (b *Balancer) tally(now time.Duration) {
-	b.taken.since(now - b.cfg.Budget.Span)
-	b.more.since(now - b.cfg.Budget.Span)
-	b.taken = append(b.taken, now)
-}
-
 // hold counts an attempt that begins (1) or ends (-1) wherever it counts.
 func (b *Balancer) hold(r *request, s *server, n int) {
 	r.out += n
@@ -275,8 +260,7 @@
 func (b *Balancer) forget(r *request) {
 	delete(b.requests, r.id)
 	if r.line != nil {
-		i := slices.Index(r.line.waiting, r)
-		r.line.waiting = slices.Delete(r.line.waiting, i, i+1)
+		r.line.waiting = slices.DeleteFunc(r.line.waiting, func(o *request) bool { return o == r })
 	}
 }
 
@@ -294,22 +278,6 @@
 	r.line = l
 }
 
-// listed returns the server of that name, entered where it was not listed yet.
-func (b *Balancer) listed(id balance.ServerID) *server {
-	i, ok := b.find(id)
-	if !ok {
-		b.servers = slices.Insert(b.servers, i, &server{strain: 1})
-	}
-	return b.servers[i]
-}
-
-// allGone marks all servers as gone.
-func (b *Balancer) allGone() {
-	for _, s := range b.servers {
-		s.State = balance.Gone
-	}
-}
-
 // ClientGone takes that a client quit: nothing more is owed for the request.
 func (b *Balancer) ClientGone(now time.Duration, id balance.RequestID) {
 	if r := b.requests[id]; r != nil && !r.over {
@@ -353,17 +321,8 @@
 		}
 		s.silent = min(max(0, m.Silent), now)
 		if s.fails = min(max(0, m.Fails), failsMost); s.fails >= restAfter {
-			b.restFor(now, s)
+			b.rest(now, s)
 		}
 	}
 	b.weigh()
 }
-
-// known says whether a request names a class and a tenant that there are, and has time left. Where
-// no tenants are set it gives the request the one for all.
-func (b *Balancer) known(q *balance.Request) bool {
-	if len(b.cfg.Tenants) == 0 {
-		q.Tenant = 0
-	}
-	return q.Class >= 0 && q.Class < len(b.classes) && q.Tenant >= 0 && q.Tenant < len(b.parts) && q.Left > 0
-}
