Tell no free slots below zero where a compartment shrank

Cause: when the fleet grows, walls shrink at once and hold what they hold; SlotsFree then gave 5 below zero, and the console the same. Change: none are free.

--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -90,6 +90,9 @@
 	}
 	held := len(h.sends)
 	b.Fleet(ms, balance.Fleet{Present: 500})
+	if free, places := b.SlotsFree(0), b.QueueFree(0); free != 0 || places < 0 {
+		t.Errorf("%d slots and %d places free behind a wall that shrank below what it holds", free, places)
+	}
 	for i := range held {
 		end(b, 2*ms, h.sends[i].id, 0, balance.Served)
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -164,12 +164,12 @@
 // Counters returns what was done so far.
 func (b *Balancer) Counters() balance.Counters { return b.count }
 
-// SlotsFree returns the free slots in a tenant's compartment.
-func (b *Balancer) SlotsFree(tenant int) int { return b.parts[tenant].slots - b.parts[tenant].used }
+// SlotsFree returns the free slots in a tenant's compartment: none where it shrank below what it holds.
+func (b *Balancer) SlotsFree(tenant int) int { return max(0, b.parts[tenant].slots-b.parts[tenant].used) }
 
-// QueueFree returns the free queue places in a tenant's compartment.
+// QueueFree returns the free queue places in a tenant's compartment, likewise.
 func (b *Balancer) QueueFree(tenant int) int {
-	return b.parts[tenant].places - len(b.parts[tenant].queue)
+	return max(0, b.parts[tenant].places-len(b.parts[tenant].queue))
 }
 
 // ran returns the first attempt that may have run or still may, or nil.
