Take rule sets in the module as an event between two requests

Need: operators change shares, quotas, limits and weights of a running fleet; the module's settings held for its life.

Change: Balancer.Rules puts a set in force in place of the one before; the empty one restores the settings. A set's budget spans 10 minutes at most.

--- a/internal/balance/rules.go
+++ b/internal/balance/rules.go
@@ -3,10 +3,11 @@
 import (
 	"fmt"
 	"math"
+	"time"
 )
 
-// Rules is a rule set: what operators change in a running fleet. A zero field leaves what the balancer began
-// with, so that the empty set restores the settings. A Balancer keeps the maps it is given: they must not change afterwards.
+// Rules is a rule set: what operators change in a running fleet. A zero field leaves what the balancer began with,
+// so that the empty set restores the settings. A Balancer keeps the set it is given, which must not change afterwards.
 type Rules struct {
 	Tenants     []Tenant             // by the settings' order, all of them or none: shares and quotas
 	MaxAttempts int                  // attempts for one request at most; never over the settings'
@@ -19,6 +20,9 @@
 // turns are so rare or so frequent that exclusion, or another server list, is what is meant.
 const MultipleMost = 1000
 
+// SpanMost bounds a budget's span: a time is kept for each request of it.
+const SpanMost = 10 * time.Minute
+
 // Check returns an error that names the first field that a Balancer with these settings, which were checked
 // themselves, cannot take. It changes nothing.
 func (r Rules) Check(c Config) error {
@@ -35,6 +39,9 @@
 		if err := r.Budget.check(); err != nil {
 			return fmt.Errorf("rules: %w", err)
 		}
+		if r.Budget.Span > SpanMost {
+			return fmt.Errorf("rules: Budget: Span %v is over %v", r.Budget.Span, SpanMost)
+		}
 	}
 	if id, m, ok := unusable(r.Servers); ok {
 		return fmt.Errorf("rules: Servers[%x] is %v, 0 or from 1/%d to %d is needed", uint64(id), m, MultipleMost, MultipleMost)
--- a/internal/balance/rules_test.go
+++ b/internal/balance/rules_test.go
@@ -34,6 +34,7 @@
 		"no limit on them":       {budget(0, 0, 0), ""},
 		"budget without a span":  {budget(0, 1, 0.1), "Budget: Span is 0"},
 		"negative span":          {budget(-1, 0, 0), "Budget: Span -1ns"},
+		"span too long":          {budget(SpanMost+1, 0, 0), "Budget: Span 10m0.000000001s is over"},
 		"budget's share endless": {budget(1, 0, math.Inf(1)), "Budget: Span 1ns, Free 0 or Share +Inf"},
 		"server excluded":        {server(0), ""},
 		"server's least":         {server(1.0 / MultipleMost), ""},
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -10,8 +10,8 @@
 //
 // Times are durations since a fixed moment of the embedding program's choice; they must never go
 // back, and all calls for one Balancer come from one goroutine, in the order of what happened. The
-// order of calls: New, Start, List with the servers known so far, then Request, Outcome, Wake,
-// List, Probed, ClientGone, BodyEnded, StreamBegun, TakeOut, BringBack, Recall, Share and Fleet as they
+// order of calls: New, Start, List with the servers known so far, then Request, Outcome, Wake, List,
+// Probed, ClientGone, BodyEnded, StreamBegun, TakeOut, BringBack, Recall, Share, Fleet and Rules as they
 // occur. Each Host.Send brings exactly one Outcome, also after the request has been answered; each
 // Host.Wake one call of Wake, late rather than never.
 // A request is answered once: by an Outcome with Settled set, or by Host.Refuse or Host.Fail.
@@ -81,7 +81,7 @@
 	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
-	b := &Balancer{cfg: cfg, host: host, lines: make(map[uint64]*line), share: 1}
+	b := &Balancer{settings: cfg, cfg: cfg, host: host, lines: make(map[uint64]*line), share: 1}
 	b.fleet = float64(cfg.Balancers)
 	b.requests, b.away = make(map[balance.RequestID]*request), make(map[balance.ServerID]bool)
 	b.back = make(map[balance.ServerID]time.Duration)
@@ -334,7 +334,7 @@
 			b.place(now, r)
 		}
 		ends := now+2*max(busyTick, b.cfg.Tick) > r.deadline || now >= r.lateIn()
-		waited := r.out == 0 && (ends || !r.mayRepeat(now, nil))
+		waited := r.out == 0 && (ends || !r.mayRepeat(now, nil) || len(r.attempts) >= b.cfg.MaxAttempts)
 		sending := r.coming && r.out > 0 // it takes the client's time, not ours
 		if !r.begun && !sending && (waited || now >= r.deadline) {
 			b.finish(r)
@@ -531,6 +531,32 @@
 	}
 }
 
+// Rules puts a rule set in force, in place of the one before; the empty one restores the settings. What was
+// sent ends under what it was sent by. One that Check refuses changes nothing.
+func (b *Balancer) Rules(now time.Duration, r balance.Rules) {
+	if err := r.Check(b.settings); err != nil {
+		b.host.Log(err.Error())
+		return
+	}
+	b.rules, b.cfg = r, b.settings
+	b.cfg.MaxAttempts = cmp.Or(r.MaxAttempts, b.cfg.MaxAttempts)
+	if r.Budget != nil {
+		b.cfg.Budget = *r.Budget
+	}
+	if len(r.Tenants) > 0 {
+		b.cfg.Tenants = r.Tenants
+	}
+	b.wall()
+	stood := b.ready()
+	b.weigh()
+	for _, s := range stood {
+		if !s.stands() {
+			s.ours = false // back, it begins at a random point: all learn of that at about the same time
+			b.close(now, s)
+		}
+	}
+}
+
 // warmth is the share of its capacity that a server has at least.
 func (b *Balancer) warmth(now time.Duration, s *server) float64 {
 	left := float64(max(0, s.warmAt-now)) / float64(max(1, b.cfg.ColdTime))
@@ -713,10 +739,11 @@
 		}
 	}
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return s.State == balance.Gone })
-	if b.mean == 0 { // no quotas: the first list is all there is to go by
+	if b.first == 0 { // with no quotas, the first list is all there is to go by
 		b.first = float64(len(b.servers))
-		b.rate = b.first / b.every
-		b.wall()
+		if b.wall(); b.quota == 0 {
+			b.rate = b.first / b.every
+		}
 	}
 	b.weigh()
 	for _, s := range started { // only now are the weights known that a cold one's part is taken of
@@ -745,7 +772,7 @@
 		*s = server{Server: e, out: s.out, warmAt: max(s.warmAt, e.Started+b.cfg.ColdTime), strain: 1}
 		started = s
 	}
-	s.Server, s.away, s.warmAt = e, b.away[e.ID], max(s.warmAt, b.back[e.ID])
+	s.Server, s.told, s.away, s.warmAt = e, e.Weight, b.away[e.ID], max(s.warmAt, b.back[e.ID])
 	if !s.stands() {
 		b.close(now, s)
 	}
@@ -773,7 +800,7 @@
 	maps.DeleteFunc(b.back, func(_ balance.ServerID, warmAt time.Duration) bool { return now >= warmAt })
 	b.back[id] = at + b.cfg.ColdTime
 	if s := b.server(id); s != nil {
-		*s = server{Server: s.Server, out: s.out, warmAt: max(s.warmAt, b.back[id]), strain: 1}
+		*s = server{Server: s.Server, told: s.told, out: s.out, warmAt: max(s.warmAt, b.back[id]), strain: 1}
 		b.weigh()
 		b.spreadFirst(now, s)
 		b.feed(now)
--- a/policy/state.go
+++ b/policy/state.go
@@ -26,7 +26,8 @@
 	silent time.Duration // it has not answered since; 0: it has
 	warmAt time.Duration // cold until then, by the list or by our own guess
 	coldAt time.Duration // while cold: nothing more before this
-	away   bool          // taken out by hand
+	told   float64       // its weight by the list; Weight is by the rule set too
+	away   bool          // taken out by hand, or excluded by the rule set
 }
 
 type attemptState int
@@ -113,7 +114,9 @@
 
 // Balancer makes the decisions of one sidecar.
 type Balancer struct {
-	cfg      balance.Config
+	settings balance.Config // as begun with
+	rules    balance.Rules  // the set in force
+	cfg      balance.Config // the settings, as the set changes them
 	host     balance.Host
 	rng      *rand.Rand
 	classes  []class
@@ -122,11 +125,11 @@
 	open     []*request // in order of arrival; ended ones are swept out by Wake
 	servers  []*server  // in order of their ids
 	slots    int        // of all compartments
-	first    float64    // servers in the first list, where no quotas are known
+	first    float64    // servers in the first list
 	mean     float64    // what the slots of all balancers hold while traffic is at the quotas
 	quota    float64    // of all tenants together
 	weight   float64    // of all ready servers
-	full     float64    // the most of it that there was
+	full     float64    // the most of it that the list ever had
 	out      int
 	turn     float64       // due time of the latest turn
 	arc      []*server     // whom turns are taken among
@@ -165,7 +168,9 @@
 func (b *Balancer) Counters() balance.Counters { return b.count }
 
 // SlotsFree returns the free slots in a tenant's compartment: none where it shrank below what it holds.
-func (b *Balancer) SlotsFree(tenant int) int { return max(0, b.parts[tenant].slots-b.parts[tenant].used) }
+func (b *Balancer) SlotsFree(tenant int) int {
+	return max(0, b.parts[tenant].slots-b.parts[tenant].used)
+}
 
 // QueueFree returns the free queue places in a tenant's compartment, likewise.
 func (b *Balancer) QueueFree(tenant int) int {
@@ -199,13 +204,40 @@
 	return nil
 }
 
-// weigh adds up the weights of the servers that take part.
+// multiple is the rule set's multiple of a server's weight; 0: it is excluded.
+func (b *Balancer) multiple(s *server) float64 {
+	m := 1.0
+	if by, ok := b.rules.Servers[s.ID]; ok {
+		m = by
+	}
+	if by, ok := b.rules.Zones[s.Zone]; ok {
+		m *= by
+	}
+	return m
+}
+
+// weigh adds up the weights of the servers that take part. Multiples keep their sum: the same for all changes
+// nothing. What is excluded counts into full, as what has left does, or the others' portions would grow.
 func (b *Balancer) weigh() {
-	b.weight = 0
+	listed, told, set := 0.0, 0.0, 0.0
+	for _, s := range b.servers {
+		m := b.multiple(s)
+		if s.State == balance.Ready && !b.away[s.ID] {
+			listed += s.told
+		}
+		if s.away, s.Weight = b.away[s.ID] || m == 0, s.told; s.stands() {
+			s.Weight *= m
+			told += s.told
+			set += s.Weight
+		}
+	}
+	b.weight, b.full = 0, max(b.full, listed)
 	for _, s := range b.ready() {
+		if told != set {
+			s.Weight *= told / set
+		}
 		b.weight += s.Weight
 	}
-	b.full = max(b.full, b.weight)
 	b.cut()
 }
 
