Take a weight that sums and multiples make no number for 1, as one that is none

Cause: two servers of weight 1e308 in one list add up to infinity; a rule set's multiples then make a turn due at no number, and the order of turns has ended for good. Change: a listed weight beyond 1e-9 to 1e9 counts as 1, as zero, negative and infinite ones did.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -760,7 +760,7 @@
 
 // enter takes over one line of the list. It returns the server if this line tells of its start.
 func (b *Balancer) enter(now time.Duration, e balance.Server) (started *server) {
-	if !(e.Weight > 0) || math.IsInf(e.Weight, 0) {
+	if !(e.Weight > 1e-9 && e.Weight < 1e9) {
 		e.Weight = 1 // no weights, even turns
 	}
 	i, known := b.find(e.ID)
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -326,3 +326,23 @@
 		t.Errorf("%d of %d balancers send to it at once, want about a quarter", first, balancers)
 	}
 }
+
+// Guards against one list of nonsense that ends the order of turns for good: weights whose sum or product with a multiple is no
+// number count as 1.
+func TestWeightsBeyondNumbers(t *testing.T) {
+	list := ready(1, 2, 3, 4)
+	list[0].Weight, list[1].Weight, list[2].Weight = math.MaxFloat64, math.MaxFloat64, math.SmallestNonzeroFloat64
+	b, h := start(t, testConfig(), list)
+	b.Rules(0, balance.Rules{Servers: map[balance.ServerID]float64{1: 1000, 3: 0.001}})
+	b.Rules(0, balance.Rules{Servers: map[balance.ServerID]float64{1: 2, 3: 0.5}})
+	for i := range 40 {
+		now := time.Duration(i) * 20 * ms
+		ask(b, now, balance.RequestID(i), safeClass)
+		end(b, now+5*ms, balance.RequestID(i), 0, balance.Served)
+	}
+	for id := range balance.ServerID(4) {
+		if h.sentTo(id+1) < 3 {
+			t.Errorf("server %d had %d of 40 turns; the latest was due at %v", id+1, h.sentTo(id+1), b.turn)
+		}
+	}
+}
