Work weights and exclusions out in one place

Change: weigh alone says who is out, by hand or by the set, and closes idle connections to one that has just become so; TakeOut and Rules did each for itself. Seen to fail with these planted: no scaling, the sum of the set's weights, closed at each look, not closed, a due turn kept, exclusions not counted as out.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -454,7 +454,7 @@
 	return true
 }
 
-// stands says whether a server takes part: the list has it ready, and nobody has taken it out by hand.
+// stands says whether a server takes part: the list has it ready, and it is not out by hand or by the set.
 func (s *server) stands() bool { return s.State == balance.Ready && !s.away }
 
 // mayServe says whether a server may be sent anything now: it takes part and does not rest from failures.
@@ -547,14 +547,7 @@
 		b.cfg.Tenants = r.Tenants
 	}
 	b.wall()
-	stood := b.ready()
-	b.weigh()
-	for _, s := range stood {
-		if !s.stands() {
-			s.ours = false // back, it begins at a random point: all learn of that at about the same time
-			b.close(now, s)
-		}
-	}
+	b.weigh(now)
 }
 
 // warmth is the share of its capacity that a server has at least.
@@ -745,7 +738,7 @@
 			b.rate = b.first / b.every
 		}
 	}
-	b.weigh()
+	b.weigh(now)
 	for _, s := range started { // only now are the weights known that a cold one's part is taken of
 		b.spreadFirst(now, s)
 	}
@@ -784,9 +777,7 @@
 func (b *Balancer) TakeOut(now time.Duration, id balance.ServerID) {
 	b.away[id] = true
 	if s := b.server(id); s != nil && !s.away {
-		s.away = true
-		b.close(now, s)
-		b.weigh()
+		b.weigh(now)
 	}
 }
 
@@ -801,7 +792,7 @@
 	b.back[id] = at + b.cfg.ColdTime
 	if s := b.server(id); s != nil {
 		*s = server{Server: s.Server, told: s.told, out: s.out, warmAt: max(s.warmAt, b.back[id]), strain: 1}
-		b.weigh()
+		b.weigh(now)
 		b.spreadFirst(now, s)
 		b.feed(now)
 	}
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -68,7 +68,7 @@
 		}
 		b.Rules(now, balance.Rules{})
 		never.wall() // as Rules does: the arc by the traffic of this moment
-		never.weigh()
+		never.weigh(now)
 		if got, want := inForce(b), inForce(never); got != want {
 			t.Fatalf("seed %d: after the empty set\n%s\nwith no set ever\n%s", seed, got, want)
 		}
@@ -210,7 +210,7 @@
 			list[i].Zone = int(list[i].ID) % 2
 		}
 		b, h := start(t, testConfig(), list)
-		portion := b.portion(b.server(2))
+		part := b.part(1, b.server(2))
 		b.Rules(0, c.set)
 		last := map[balance.ServerID]int{}
 		const requests = 560
@@ -230,8 +230,8 @@
 			}
 		}
 		same := strings.HasPrefix(name, "all") || strings.HasSuffix(name, "out") && c.want[1] > 0
-		if got := b.portion(b.server(2)); same && math.Abs(got-portion) > 1e-9 {
-			t.Errorf("%s: a server may hold %v, and %v before", name, got, portion)
+		if got := b.part(1, b.server(2)); same && math.Abs(got-part) > 1e-9 {
+			t.Errorf("%s: a server's part is %v, and %v before", name, got, part)
 		}
 	}
 }
@@ -270,6 +270,10 @@
 		if !slices.Contains(h.closes, 1) || slices.Contains(h.closes, 2) || len(h.cancelled) > 0 {
 			t.Errorf("%s: closed %v, cancelled %v, want idle connections to 1 closed and what runs left", name, h.closes, h.cancelled)
 		}
+		closed := len(h.closes)
+		if b.Rules(ms, out); len(h.closes) != closed {
+			t.Errorf("%s: closed %v for a set that changes nothing", name, h.closes)
+		}
 		end(b, 2*ms, 1, 0, balance.Served)
 		end(b, 2*ms, 2, 0, balance.Served)
 		before := h.sentTo(1)
--- a/policy/state.go
+++ b/policy/state.go
@@ -216,27 +216,29 @@
 	return m
 }
 
-// weigh adds up the weights of the servers that take part. Multiples keep their sum: the same for all changes
-// nothing. What is excluded counts into full, as what has left does, or the others' portions would grow.
-func (b *Balancer) weigh() {
-	listed, told, set := 0.0, 0.0, 0.0
+// weigh works out the weights of the servers that take part. The set's multiples keep their sum: the same for
+// all changes nothing. What is excluded counts into full, as what has left does: others' portions stay.
+func (b *Balancer) weigh(now time.Duration) {
+	listed, set := 0.0, 0.0
+	b.weight = 0
 	for _, s := range b.servers {
-		m := b.multiple(s)
-		if s.State == balance.Ready && !b.away[s.ID] {
+		m, out := b.multiple(s), b.away[s.ID]
+		if s.State == balance.Ready && !out {
 			listed += s.told
 		}
-		if s.away, s.Weight = b.away[s.ID] || m == 0, s.told; s.stands() {
+		if out = out || m == 0; out && !s.away {
+			s.ours = false // back, it begins at a random point: all learn of that at about the same time
+			b.close(now, s)
+		}
+		if s.away, s.Weight = out, s.told; s.stands() {
 			s.Weight *= m
-			told += s.told
 			set += s.Weight
+			b.weight += s.told
 		}
 	}
-	b.weight, b.full = 0, max(b.full, listed)
+	b.full = max(b.full, listed)
 	for _, s := range b.ready() {
-		if told != set {
-			s.Weight *= told / set
-		}
-		b.weight += s.Weight
+		s.Weight *= b.weight / set
 	}
 	b.cut()
 }
@@ -356,5 +358,5 @@
 			b.rest(now, s)
 		}
 	}
-	b.weigh()
+	b.weigh(now)
 }
