Give a rule set's effective settings and multiples beside its type

Seen to fail with each of attempts, budget, tenants, a server's and a zone's multiple left out, in the tests of sets.

--- a/internal/balance/rules.go
+++ b/internal/balance/rules.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"time"
@@ -52,6 +53,30 @@
 	return nil
 }
 
+// Over returns the settings as the set changes them.
+func (r Rules) Over(c Config) Config {
+	c.MaxAttempts = cmp.Or(r.MaxAttempts, c.MaxAttempts)
+	if r.Budget != nil {
+		c.Budget = *r.Budget
+	}
+	if len(r.Tenants) > 0 {
+		c.Tenants = r.Tenants
+	}
+	return c
+}
+
+// Multiple returns the set's multiple of a server's weight: 1 where it does not name the server or its zone.
+func (r Rules) Multiple(s Server) float64 {
+	m := 1.0
+	if by, ok := r.Servers[s.ID]; ok {
+		m = by
+	}
+	if by, ok := r.Zones[s.Zone]; ok {
+		m *= by
+	}
+	return m
+}
+
 // unusable finds the multiple that cannot be used, the one with the lowest key where there are several.
 func unusable[K ServerID | int](multiples map[K]float64) (key K, multiple float64, found bool) {
 	for k, m := range multiples {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -538,14 +538,7 @@
 		b.host.Log(err.Error())
 		return
 	}
-	b.rules, b.cfg = r, b.settings
-	b.cfg.MaxAttempts = cmp.Or(r.MaxAttempts, b.cfg.MaxAttempts)
-	if r.Budget != nil {
-		b.cfg.Budget = *r.Budget
-	}
-	if len(r.Tenants) > 0 {
-		b.cfg.Tenants = r.Tenants
-	}
+	b.rules, b.cfg = r, r.Over(b.settings)
 	b.wall()
 	b.weigh(now)
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -204,25 +204,13 @@
 	return nil
 }
 
-// multiple is the rule set's multiple of a server's weight; 0: it is excluded.
-func (b *Balancer) multiple(s *server) float64 {
-	m := 1.0
-	if by, ok := b.rules.Servers[s.ID]; ok {
-		m = by
-	}
-	if by, ok := b.rules.Zones[s.Zone]; ok {
-		m *= by
-	}
-	return m
-}
-
 // weigh works out the weights of the servers that take part. The set's multiples keep their sum: the same for
 // all changes nothing. What is excluded counts into full, as what has left does: others' portions stay.
 func (b *Balancer) weigh(now time.Duration) {
 	listed, set := 0.0, 0.0
 	b.weight = 0
 	for _, s := range b.servers {
-		m, out := b.multiple(s), b.away[s.ID]
+		m, out := b.rules.Multiple(s.Server), b.away[s.ID]
 		if s.State == balance.Ready && !out {
 			listed += s.told
 		}
