Hold a set's walls against a module that began with the number told

Change: the other begins with 40. Seen to fail now with walls by the settings' number, with a set that forgets the number told, and with fields of the set before kept.

--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -115,14 +115,13 @@
 		"none":   {{Share: 3}, {Share: 1}},
 	} {
 		set := cfg
-		set.Tenants = tenants
+		set.Tenants, set.Balancers = tenants, 40
 		b, _ := start(t, cfg, ready(1, 2, 3))
 		like, _ := start(t, set, ready(1, 2, 3))
 		b.Fleet(ms, balance.Fleet{Present: 40})
 		b.Rules(2*ms, balance.Rules{MaxAttempts: 2, Budget: &balance.RetryBudget{}, Tenants: []balance.Tenant{{}, {Share: 1}}})
 		b.Rules(3*ms, balance.Rules{Tenants: tenants})
-		like.Fleet(ms, balance.Fleet{Present: 40})
-		like.rate = b.rate // measured, not set
+		like.rate, like.cfg.Balancers = b.rate, cfg.Balancers // measured, and told
 		like.cut()
 		if got, want := inForce(b), inForce(like); got != want {
 			t.Errorf("%s:\n%s\nwith such settings\n%s", name, got, want)
