Play the design, the socket rules and the standing terms as tables on three subjects

Rows of given, event and expected now stand for sentences by id; one runner plays them on the module, on simhost by the wire, and on a real caperarch between stand-ins.

--- /dev/null
+++ b/internal/conform/simhost.go
@@ -0,0 +1,178 @@
+package conform
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"math"
+	"os/exec"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"arrowgw/internal/balance"
+	"arrowgw/internal/wire"
+)
+
+// simhost is the adapter's program, by the simulator's wire: one instance, a batch for each event.
+type simhost struct {
+	cmd   *exec.Cmd
+	in    io.WriteCloser
+	out   *bufio.Reader
+	batch uint32
+	page  uint16
+}
+
+// newSimhost starts the program at a path.
+func newSimhost(program string) (*simhost, error) {
+	s := &simhost{cmd: exec.Command(program)}
+	var err error
+	if s.in, err = s.cmd.StdinPipe(); err != nil {
+		return nil, err
+	}
+	out, err := s.cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	s.out = bufio.NewReader(out)
+	return s, s.cmd.Start()
+}
+
+// close ends its input, which ends it.
+func (s *simhost) close() error {
+	s.in.Close()
+	return s.cmd.Wait()
+}
+
+// record is one record of a batch. Fields are of fixed size, or bytes.
+func record(code uint16, fields ...any) []byte {
+	var f []byte
+	for _, v := range fields {
+		f, _ = binary.Append(f, binary.LittleEndian, v) // it fails only for a type of no fixed size
+	}
+	head := binary.LittleEndian.AppendUint32(binary.LittleEndian.AppendUint16(nil, code), uint32(len(f)))
+	return append(head, f...)
+}
+
+// address is a server's on the wire, and number the way back.
+func address(server int) []byte { return []byte{10, 0, byte(server >> 8), byte(server), 80, 0} }
+
+func number(b []byte) int { return int(b[2])<<8 | int(b[3]) }
+
+// lines bring settings into the wire's form.
+func lines(path string, v any) (all []string) {
+	switch v := v.(type) {
+	case map[string]any:
+		for key, item := range v {
+			all = append(all, lines(strings.TrimPrefix(path+"."+key, "."), item)...)
+		}
+	case []any:
+		var plain []string
+		for i, item := range v {
+			if _, object := item.(map[string]any); object {
+				all = append(all, lines(path+"."+strconv.Itoa(i), item)...)
+				continue
+			}
+			plain = append(plain, fmt.Sprint(item))
+		}
+		all = append(all, fmt.Sprintf("%s.count=%d", path, len(v)), path+"="+strings.Join(plain, ","))
+	default:
+		all = append(all, fmt.Sprintf("%s=%v", path, v))
+	}
+	slices.Sort(all)
+	return all
+}
+
+func (s *simhost) start(now time.Duration, seed uint64, settings map[string]any, known []balance.Server) ([]action, error) {
+	info := []byte(strings.Join(lines("", settings), "\n"))
+	return s.exchange(now, append([][]byte{record(wire.EvOpenInstance, uint32(1), seed, uint32(len(info)), info)},
+		s.fleet(wire.FleetCached, known)...)...)
+}
+
+// fleet is a list, and the word that it applies.
+func (s *simhost) fleet(kind uint8, servers []balance.Server) [][]byte {
+	s.page = (s.page + 1) % 16
+	fields := []any{s.page, uint32(len(servers))}
+	for _, e := range servers {
+		status := map[balance.State]uint8{balance.Gone: wire.StateGone, balance.Ready: wire.StateReady, balance.Draining: wire.StateDraining}[e.State]
+		fields = append(fields, address(int(e.ID)), uint8(e.Zone), uint8(0), uint16(e.Cell), status, float32(e.Weight), wire.ToMillis(e.Started))
+	}
+	return [][]byte{record(wire.EvManifest, fields...), record(wire.EvFleet, uint32(1), kind, uint32(s.batch+1), s.page)}
+}
+
+func (s *simhost) play(now time.Duration, e event) ([]action, error) {
+	id := uint32(e.request.ID)
+	switch e.kind {
+	case request:
+		q := e.request
+		return s.exchange(now, record(wire.EvAsk, uint32(1), id, uint16(0), q.Key, uint32(q.Tenant), wire.ToMillis(q.Left), float64(0), uint8(q.Class)))
+	case outcome:
+		o := e.outcome
+		code := map[balance.Ending]uint16{
+			balance.Served: wire.EndServed, balance.Errored: wire.EndErrored, balance.TurnedAway: wire.EndTurnedAway,
+			balance.TimedOut: wire.EndTimedOut, balance.NoConnection: wire.EndNoConnection, balance.Broken: wire.EndBroken,
+		}[o.Ending]
+		return s.exchange(now, record(wire.EvFinished, uint32(1), uint32(o.ID), uint8(o.Attempt), address(e.server), code,
+			wire.ToMillis(e.took), o.Settled, uint8(0)))
+	case list:
+		if e.list == balance.ListFailed {
+			return s.exchange(now, record(wire.EvFleet, uint32(1), uint8(wire.FleetFailed), uint32(0), uint16(0)))
+		}
+		kind := map[balance.ListKind]uint8{balance.ListFull: wire.FleetFull, balance.ListDelta: wire.FleetDelta}[e.list]
+		return s.exchange(now, s.fleet(kind, e.servers)...)
+	case gone:
+		return s.exchange(now, record(wire.EvClientLeft, uint32(1), id))
+	}
+	return s.exchange(now, record(wire.EvWake, uint32(1), uint64(0)))
+}
+
+// exchange sends a batch and reads the reply.
+func (s *simhost) exchange(now time.Duration, records ...[]byte) (acts []action, err error) {
+	s.batch++
+	body := slices.Concat(records...)
+	head, _ := binary.Append(nil, binary.LittleEndian, []uint32{s.batch, uint32(len(records)), uint32(len(body))})
+	head = binary.LittleEndian.AppendUint64(head, math.Float64bits(wire.ToMillis(now)))
+	if _, err := s.in.Write(append(head, body...)); err != nil {
+		return nil, err
+	}
+	reply := make([]byte, 12)
+	if _, err := io.ReadFull(s.out, reply); err != nil {
+		return nil, err
+	}
+	le := binary.LittleEndian
+	if n := le.Uint32(reply); n != s.batch {
+		return nil, fmt.Errorf("batch %d is answered by reply %d", s.batch, n)
+	}
+	body = make([]byte, le.Uint32(reply[4:]))
+	if _, err := io.ReadFull(s.out, body); err != nil {
+		return nil, err
+	}
+	for len(body) > 0 {
+		var rec wire.Record
+		if rec, body, err = wire.Next(body); err != nil {
+			return nil, err
+		}
+		f := rec.Fields[4:] // behind the instance
+		ms := func(at int) time.Duration { return wire.Millis(math.Float64frombits(le.Uint64(f[at:]))) }
+		switch rec.Code {
+		case wire.ActCallOut:
+			acts = append(acts, action{kind: send, id: int(le.Uint32(f)), server: number(f[4:]), d: ms(10)})
+		case wire.ActPushBack:
+			acts = append(acts, action{kind: refuse, id: int(le.Uint32(f)), d: ms(4)})
+		case wire.ActLose:
+			acts = append(acts, action{kind: fail, id: int(le.Uint32(f))})
+		case wire.ActSetAlarm:
+			acts = append(acts, action{kind: timer, d: ms(0)})
+		case wire.ActTail:
+			acts = append(acts, action{kind: watch})
+		case wire.ActDie:
+			return nil, fmt.Errorf("the module failed: %s", f[2:])
+		case wire.ActWriteLog, wire.ActInspect, wire.ActRecall, wire.ActRelease:
+		default:
+			return nil, fmt.Errorf("action %d is none that it may use here", rec.Code)
+		}
+	}
+	return acts, nil
+}
--- /dev/null
+++ b/internal/conform/standin.go
@@ -0,0 +1,321 @@
+package conform
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// story is what the stand-ins round a real process saw, in order.
+type story struct {
+	mu      sync.Mutex
+	reached []arrival
+	answers map[string]reply
+	calls   int // of discovery
+	holds   int // the version that the last of them came with; -1: none
+	wrong   []string
+}
+
+// arrival is a request that came to a server as a whole.
+type arrival struct {
+	id, server string
+	how        string // its attempt ended, as far as it has
+}
+
+// reply is what a client was answered.
+type reply struct {
+	how    string // served, refused or failed
+	advice string
+}
+
+func (s *story) see(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f()
+}
+
+// end enters how a request's latest attempt ended.
+func (s *story) end(id, how string) {
+	s.see(func() {
+		for i := len(s.reached) - 1; i >= 0; i-- {
+			if s.reached[i].id == id {
+				s.reached[i].how = how
+				return
+			}
+		}
+	})
+}
+
+// standIn is a queue server: it takes what comes and answers as the row says, when it says so.
+type standIn struct {
+	id       string
+	listener net.Listener
+	story    *story
+	mu       sync.Mutex
+	waiting  map[string]chan string // verdicts, by request
+	served   map[string]net.Conn    // the connection of each that was answered
+	auto     string                 // how to answer at once; empty: as the row says
+	open     map[net.Conn]bool
+}
+
+func newStandIn(id string, s *story) (*standIn, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	n := &standIn{id: id, listener: l, story: s, waiting: make(map[string]chan string), served: make(map[string]net.Conn), open: make(map[net.Conn]bool)}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			n.mu.Lock()
+			n.open[c] = true
+			n.mu.Unlock()
+			go n.serve(c)
+		}
+	}()
+	return n, nil
+}
+
+func (n *standIn) close() {
+	n.listener.Close()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c := range n.open {
+		c.Close()
+	}
+}
+
+// verdict is the channel on which the row says how a request's attempt ends.
+func (n *standIn) verdict(id string) chan string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.waiting[id] == nil {
+		n.waiting[id] = make(chan string, 1)
+	}
+	return n.waiting[id]
+}
+
+func (n *standIn) serve(c net.Conn) {
+	defer func() {
+		c.Close()
+		n.mu.Lock()
+		delete(n.open, c)
+		n.mu.Unlock()
+	}()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		id := req.Header.Get("X-Request-ID")
+		n.story.see(func() {
+			n.story.reached = append(n.story.reached, arrival{id: id, server: n.id})
+			if !strings.HasPrefix(id, "q") {
+				n.story.wrong = append(n.story.wrong, fmt.Sprintf("%s had a request that no client sent: %q", n.id, id))
+			}
+		})
+		more := make(chan error, 1)
+		go func() { // the sidecar gives up by closing; else the next request begins here
+			_, err := r.Peek(1)
+			more <- err
+		}()
+		n.mu.Lock()
+		how := n.auto
+		n.mu.Unlock()
+		if how == "" {
+			select {
+			case how = <-n.verdict(id):
+			case <-more:
+				n.story.end(id, "left")
+				return
+			}
+		}
+		n.story.end(id, how)
+		if !n.answer(c, id, how) || <-more != nil {
+			return
+		}
+	}
+}
+
+// answer ends an attempt, and says whether its connection goes on.
+func (n *standIn) answer(c net.Conn, id, how string) bool {
+	n.mu.Lock()
+	n.served[id] = c
+	n.mu.Unlock()
+	text := map[string]string{
+		"error":       "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+		"full":        "HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n",
+		"spoilt":      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 7\r\n\r\nspoilt!",
+		"cut":         "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\nhalf",
+		"halved":      "HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n" + strings.Repeat("half", 50000),
+		"unsaid":      "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+		"over":        "HTTP/1.1 504 Over\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n",
+		"unproved":    "HTTP/1.1 500 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n",
+		"elsewhere":   "HTTP/1.1 302 Found\r\nLocation: /entry\r\nContent-Length: 0\r\n\r\n",
+		"chunked":     fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\ndone \r\n%x\r\n%s\r\n0\r\n\r\n", len(id), id),
+		"chunked-cut": fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\ndone \r\n%x\r\n%s\r\n", len(id), id),
+		"closing":     "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\ndone " + id,
+		"served":      made(id),
+		"twice":       made(id) + made("stray"),
+		"unsaid429":   "HTTP/1.1 429 Busy\r\nContent-Length: 0\r\n\r\n",
+		"reset":       "",
+		"timeout":     "",
+	}[how]
+	if how == "timeout" { // it says nothing until the sidecar has gone
+		_, _ = io.Copy(io.Discard, c)
+		return false
+	}
+	if text == "" && how != "reset" { // a word of a row that has no answer here
+		n.story.see(func() { n.story.wrong = append(n.story.wrong, "no stand-in answers "+how) })
+	}
+	if _, err := io.WriteString(c, text); err != nil {
+		return false
+	}
+	if how == "reset" {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // it only makes the end a reset
+		}
+	}
+	return !slices.Contains([]string{"reset", "cut", "halved", "chunked-cut", "closing"}, how)
+}
+
+// made is a whole answer to a request.
+func made(id string) string {
+	body := "done " + id
+	return "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+}
+
+// agency is discovery.
+type agency struct {
+	story    *story
+	mu       sync.Mutex
+	changed  chan struct{} // closed at the next change
+	version  int
+	entries  map[string]string // by server, in its own form
+	order    []string
+	news     map[string]int // the version that brought a server's entry
+	indented bool
+	down     bool
+	first    map[string]string // the list of the row's start, and its version
+	begun    int
+	silenced chan struct{} // closed when open calls fall silent
+	server   *http.Server
+	address  string
+}
+
+func newAgency(s *story, indented bool) (*agency, error) {
+	a := &agency{story: s, changed: make(chan struct{}), silenced: make(chan struct{}), entries: make(map[string]string), news: make(map[string]int), indented: indented}
+	return a, a.move()
+}
+
+// move goes to another address; the old one ends.
+func (a *agency) move() error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	if a.server != nil {
+		a.server.Close()
+	}
+	a.server, a.address = &http.Server{Handler: a}, l.Addr().String()
+	go func(s *http.Server) { _ = s.Serve(l) }(a.server) // it ends with the server
+	return nil
+}
+
+// change enters entries, and tells who watches.
+func (a *agency) change(entries map[string]string, order []string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.version++
+	for _, id := range order {
+		if _, ok := a.entries[id]; !ok {
+			a.order = append(a.order, id)
+		}
+		a.entries[id], a.news[id] = entries[id], a.version
+	}
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+// stale goes back to the list as the row began, as a replica may have it that is behind.
+func (a *agency) stale() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.entries, a.version = maps.Clone(a.first), a.begun
+	for id := range a.news {
+		a.news[id] = min(a.news[id], a.begun)
+	}
+}
+
+// silence makes all calls that are open wait for ever; new ones are served.
+func (a *agency) silence() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	close(a.silenced)
+	a.silenced = make(chan struct{})
+}
+
+// list is an answer: the whole, or what is newer than a version.
+func (a *agency) list(since int) string {
+	var all []string
+	for _, id := range a.order {
+		if a.news[id] > since && (since >= 0 || !strings.Contains(a.entries[id], `"gone"`)) {
+			all = append(all, a.entries[id])
+		}
+	}
+	gap, line := "", ","
+	if a.indented {
+		gap, line = "\n  ", ",\n    "
+	}
+	return fmt.Sprintf(`{%s"generation":%d,%s"reset":%v,%s"instances":[%s]}`, gap, a.version, gap, since < 0, gap, strings.Join(all, line))
+}
+
+func (a *agency) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	since, err := strconv.Atoi(r.URL.Query().Get("index"))
+	if err != nil {
+		since = -1
+	}
+	a.story.see(func() { a.story.calls, a.story.holds = a.story.calls+1, since })
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait")) // none: no wait
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		a.mu.Lock()
+		changed, silenced, down, newer, text := a.changed, a.silenced, a.down, a.version > since, a.list(since)
+		a.mu.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if newer {
+			_, _ = io.WriteString(w, text) // a caller that has gone needs none
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			_, _ = io.WriteString(w, text)
+			return
+		case <-silenced:
+			<-r.Context().Done()
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
