Hold the end of a sidecar to its rows once it takes no more connections, and enter what is dropped there

The rows behind SIGTERM ended within the half second for which the listener stays, so the planted fault of closing every connection then went unseen. They now wait until new connections are refused.

With that, one row fails on the real process and is open: a connection that had come up before the signal, whose request is written whole behind the listener's end, is closed with no answer. net/http reads the request and drops it once Shutdown was called.

--- a/internal/conform/process.go
+++ b/internal/conform/process.go
@@ -459,6 +459,17 @@
 			return err
 		}
 	}
+	if s.Shut {
+		if err := p.until("new connections to be refused", func() bool {
+			c, err := net.Dial("tcp", p.listen)
+			if err == nil {
+				c.Close()
+			}
+			return err != nil
+		}); err != nil {
+			return err
+		}
+	}
 	for _, id := range s.Dial {
 		c, err := net.Dial("tcp", p.listen)
 		if err != nil {
--- a/internal/conform/rows.go
+++ b/internal/conform/rows.go
@@ -70,6 +70,7 @@
 	Flow    *Flow         `toml:"flow"`
 	Raw     string        `toml:"raw"`       // caperarch: bytes on a new connection
 	Dial    []int         `toml:"dial"`      // caperarch: connections for these come up; they are asked later
+	Shut    bool          `toml:"shut"`      // caperarch: first it has to take no more connections
 	Pause   conf.Duration `toml:"pause"`     // caperarch: so much real time passes at least, for a rule that allows no more
 	Stray   []int         `toml:"stray"`     // caperarch: a second answer comes on the connections of these requests
 	Signal  string        `toml:"signal"`    // caperarch: TERM or HUP
