Give the older list of a replica a row with no restart, which is open

A watch that comes with a version that discovery does not have yet is answered by an older one; the whole list is asked for and taken.

A row that waits for the list of a replica that is behind ends its wait once it was asked often enough, so that it can hold when such a list is no longer taken.

--- a/internal/conform/process.go
+++ b/internal/conform/process.go
@@ -47,7 +47,8 @@
 	faults  []string
 	seen    int // of the story's arrivals, before this step
 	had     map[string]bool
-	calls   int
+	calls   int  // of discovery, before this step
+	stale   bool // discovery has an older list than it had
 }
 
 func (p *process) fault(format string, args ...any) {
@@ -404,13 +405,14 @@
 	return server
 }
 
-// watched waits until a call of discovery's shows that the program holds the list as it is there now.
+// watched waits until a call of discovery's shows that the program holds the list as it is there now, or, where that
+// is an older one, that it has asked often enough to have heard it.
 func (p *process) watched() error {
 	p.agency.mu.Lock()
 	version := p.agency.version
 	p.agency.mu.Unlock()
 	return p.until("word that it has heard", func() (there bool) {
-		p.story.see(func() { there = p.story.holds == version })
+		p.story.see(func() { there = p.story.holds == version || p.stale && p.story.calls >= p.calls+4 })
 		return there
 	})
 }
@@ -425,6 +427,7 @@
 	switch s.Disc {
 	case "stale":
 		p.agency.stale()
+		p.stale = true
 	case "silent":
 		p.agency.silence()
 	case "down", "up":
--- a/internal/conform/standin.go
+++ b/internal/conform/standin.go
@@ -260,6 +260,7 @@
 	for id := range a.news {
 		a.news[id] = min(a.news[id], a.begun)
 	}
+	a.order = slices.DeleteFunc(a.order, func(id string) bool { return a.first[id] == "" })
 }
 
 // silence makes all calls that are open wait for ever; new ones are served.
