--- a/internal/conform/process.go
+++ b/internal/conform/process.go
@@ -443,7 +443,7 @@
 		if err := p.list(s.Servers, s.List); err != nil {
 			return err
 		}
-		if s.Disc == "" && s.Signal == "" && s.Want == nil { // others wait for what comes of it
+		if (s.Disc == "" || s.Disc == "up") && s.Signal == "" && s.Want == nil { // others wait for what comes of it
 			if err := p.watched(); err != nil {
 				return err
 			}
--- a/internal/conform/standin.go
+++ b/internal/conform/standin.go
@@ -170,6 +170,8 @@
 		"chunked":     fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\ndone \r\n%x\r\n%s\r\n0\r\n\r\n", len(id), id),
 		"chunked-cut": fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\ndone \r\n%x\r\n%s\r\n", len(id), id),
 		"closing":     "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\ndone " + id,
+		"stalled":     "HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n" + strings.Repeat("half", 50000),
+		"stuck":       "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhalf",
 		"served":      made(id),
 		"twice":       made(id) + made("stray"),
 		"unsaid429":   "HTTP/1.1 429 Busy\r\nContent-Length: 0\r\n\r\n",
