--- a/internal/conform/process.go
+++ b/internal/conform/process.go
@@ -16,9 +16,11 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"runtime"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -198,6 +200,18 @@
 	atConsole = regexp.MustCompile(`msg=console.* listen=(\S+)`)
 )
 
+// starter runs what starts processes on one thread, which lasts as long as this process: they end with it.
+var starter = sync.OnceValue(func() chan<- func() {
+	c := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for f := range c {
+			f()
+		}
+	}()
+	return c
+})
+
 // restart kills the program and starts it anew, with the state that it has left.
 func (p *process) restart() error {
 	if err := p.cmd.Process.Kill(); err != nil {
@@ -218,12 +232,15 @@
 		return err
 	}
 	p.cmd = exec.Command(program)
-	p.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+path, "TMPDIR="+p.dir)
+	p.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+path, "TMPDIR="+p.dir, "EDGE_FLEET=", "EDGE_LOG=", "EDGE_LOG_LEVEL=")
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it does not outlive the thread that starts it
 	log, err := p.cmd.StderrPipe()
 	if err != nil {
 		return err
 	}
-	if err := p.cmd.Start(); err != nil {
+	started := make(chan error)
+	starter() <- func() { started <- p.cmd.Start() }
+	if err := <-started; err != nil {
 		return err
 	}
 	p.ended = make(chan error, 1)
--- a/internal/conform/virtual.go
+++ b/internal/conform/virtual.go
@@ -143,8 +143,8 @@
 	return 0
 }
 
-// playVirtual plays a row and returns what was not as expected.
-func playVirtual(t *Tables, r Row, s virtual) (faults []string, err error) {
+// playVirtual plays a row with a seed for the subject's own choices, and returns what was not as expected.
+func playVirtual(t *Tables, r Row, s virtual, seed uint64) (faults []string, err error) {
 	set := t.settings(r)
 	p := &player{row: r, s: s, now: epoch, set: set, classes: places(set, "classes"), tenants: places(set, "orgs"),
 		asked: make(map[int]*asked), told: make(map[int]balance.State), zones: make(map[int]int)}
@@ -154,7 +154,7 @@
 	}
 	p.hear(balance.ListCached, known)
 	p.begin()
-	acts, err := s.start(p.now, 7, set, known)
+	acts, err := s.start(p.now, seed, set, known)
 	if err != nil {
 		return nil, err
 	}
