Wait for a client to have quit before the program is asked what it holds

One of some forty plays of a-client-that-quits-is-sent-nowhere failed on a loaded machine: the count of those held was compared before the client that quits counted as gone, so that its place was still taken when the next request came.

--- a/internal/conform/process.go
+++ b/internal/conform/process.go
@@ -524,9 +524,15 @@
 	}
 	if len(s.Leave) > 0 {
 		if err := p.until("the program to let go of them", func() bool {
-			want := 0
-			p.story.see(func() { want = p.outstanding() })
-			return p.pending() == want
+			want, gone := 0, true
+			p.story.see(func() {
+				want = p.outstanding()
+				for _, id := range s.Leave {
+					_, quit := p.story.answers[name(id)]
+					gone = gone && quit
+				}
+			})
+			return gone && p.pending() == want
 		}); err != nil {
 			return err
 		}
