Hear all sidecars with one socket, so that the lab's listeners do not grow with pairs

A server, discovery and the way to a sidecar now have a port each, and one socket there that is bound to every address and to the device lo. The accepted connection's own address, or a packet's destination, is the caller's. Ports are shared out among labs by claims. Where the system does not permit it, there is a listener for each pair as before. The relay has two goroutines for each sidecar, was four for each pair, and bounds on connections and packets over all links. A listener that is closed stops at once, also where a process that is being started holds it for a moment, and a silent server's queue is filled once nobody accepts any more: one in ten tests found it open.

Seen to fail: caller off by one; the part of loopback not looked at (a server answers at another lab's address); a chunk's claim given up (a port given out twice); packets that go on from no set address (no answer comes back); no fillers (a silent server accepts); no bound on a link's connections (the test waits for the one that is reset).

--- a/internal/lab/conform_test.go
+++ b/internal/lab/conform_test.go
@@ -29,7 +29,7 @@
 	if r.servers, err = newServers(s, 1, r.clock, r.history, r.net); err != nil {
 		t.Fatal(err)
 	}
-	if r.roster, err = newRoster(s, r.clock, r.history, r.net); err != nil {
+	if r.roster, err = newRoster(s, r.clock, r.history, r.net, r.servers); err != nil {
 		t.Fatal(err)
 	}
 	program, err := settle(realProgram(t), rec.dir)
@@ -118,7 +118,7 @@
 			}
 		}
 	}
-	for who, address := range map[string]string{"server": r.net.at(0, serverPort), "sidecar": r.net.at(0, clientPort)} {
+	for who, address := range map[string]string{"server": r.servers.at(0, 0), "sidecar": r.net.at(0, clientPort)} {
 		request := func(work string, more ...string) (head, body, id string) {
 			id = r.history.begin(0, 0, 0, r.clock.now()).ID
 			head = fmt.Sprintf("POST /publish?work=%s HTTP/1.1\r\nHost: x\r\nX-Request-ID: %s\r\nX-Priority-Class: publish\r\n"+
@@ -180,7 +180,7 @@
 		r.servers.change(0, func(m *world.Server) { m.Slow(1000) })
 		var waiting []*talk
 		for range s.Serve.Slots + 1 {
-			w := dial(t, r.net.at(0, serverPort))
+			w := dial(t, r.servers.at(0, 0))
 			head, body, _ := request("5ms")
 			w.say(head + body)
 			waiting = append(waiting, w)
@@ -200,7 +200,7 @@
 		r.servers.change(0, func(m *world.Server) { m.Slow(1) })
 	}
 	r.servers.crash(0)
-	if c, err := net.DialTimeout("tcp", r.net.at(0, serverPort), time.Second); err == nil {
+	if c, err := net.DialTimeout("tcp", r.servers.at(0, 0), time.Second); err == nil {
 		c.Close()
 		t.Error("a server whose process is dead accepts")
 	}
@@ -216,7 +216,7 @@
 func TestVanishedServer(t *testing.T) {
 	t.Parallel()
 	r := stage(t, scene(t, "[fleet]\nsidecars=1\nservers=1"))
-	k := dial(t, r.net.at(0, serverPort))
+	k := dial(t, r.servers.at(0, 0))
 	k.say("GET /alive HTTP/1.1\r\nHost: x\r\n\r\n")
 	if status, _ := k.hear(); status != http.StatusOK {
 		t.Fatalf("probe answered %d", status)
@@ -225,7 +225,7 @@
 	k.say("GET /alive HTTP/1.1\r\nHost: x\r\n\r\n")
 	up := 0
 	for range 4 { // one may be in the queue of the kernel's own; it is answered by nobody
-		if c, err := net.DialTimeout("tcp", r.net.at(0, serverPort), 20*time.Millisecond); err == nil {
+		if c, err := net.DialTimeout("tcp", r.servers.at(0, 0), 20*time.Millisecond); err == nil {
 			defer c.Close()
 			up++
 		}
@@ -242,7 +242,7 @@
 	if !k.ended() {
 		t.Error("an old connection goes on")
 	}
-	k = dial(t, r.net.at(0, serverPort))
+	k = dial(t, r.servers.at(0, 0))
 	k.say("GET /alive HTTP/1.1\r\nHost: x\r\n\r\n")
 	if status, _ := k.hear(); status != http.StatusOK {
 		t.Errorf("probe answered %d", status)
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -390,23 +390,10 @@
 	if _, err := Play(t.Context(), s, Options{Program: "/nonexistent"}); err == nil {
 		t.Error("a program that does not exist was played")
 	}
-	many := scene(t, "[fleet]\nsidecars=400\nservers=400")
+	many := scene(t, "[fleet]\nsidecars=400\nservers=400\n[load]\nuse=5")
 	if _, err := Play(t.Context(), many, Options{}); err == nil || !strings.Contains(err.Error(), "descriptors") {
 		t.Errorf("error %v", err)
 	}
-	claim, err := claimSubnet()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer claim.release()
-	taken, err := claim.listen(0, serverPort, "a test")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer taken.Close()
-	if _, err := newServers(s, 1, newClock(), new(History), claim); err == nil || !strings.Contains(err.Error(), "server 0, for sidecar 0") {
-		t.Errorf("a port that is taken: error %v", err)
-	}
 }
 
 // A lab that is killed takes its processes with it, and the next start removes its folder: by its record only.
--- a/internal/lab/relay.go
+++ b/internal/lab/relay.go
@@ -5,14 +5,20 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 const (
-	linkQueue  = 4096     // packets under way on a link at most; more are lost, as in a full buffer
-	linkChunk  = 16 << 10 // bytes of a stream that are passed on at a time
-	packetMost = 64 << 10
+	linkQueue   = 4096     // packets under way on a link at most; more are lost, as in a full buffer
+	linkStreams = 64       // connections on a link at most; more are reset
+	linkChunk   = 16 << 10 // bytes of a stream that are passed on at a time
+	packetMost  = 64 << 10
+	packetRoom  = 1 << 20 // bytes of packets that wait for the relay at one port
+	meshQueue   = 1 << 16 // packets under way on all links
+	meshStreams = 1 << 12 // connections on all links; each has five goroutines
 )
 
 // weather is what a link does to what passes.
@@ -25,7 +31,7 @@
 	rate      float64       // bytes a second; 0: as many as come
 }
 
-// link is the way from one sidecar to another. Its methods are safe for concurrent use.
+// link is the way from one sidecar to another. Its methods are safe for concurrent use; open is guarded by the mesh's lock.
 type link struct {
 	mesh     *mesh
 	from, to int
@@ -36,19 +42,33 @@
 	rng     *rand.Rand
 	free    time.Time // when the link has room for the next bytes, where it is limited
 	flying  int       // packets under way
+	lost    int       // and those that were cut off or dropped
+	open    int       // connections
+}
 
-	tcp net.Listener
-	udp *net.UDPConn
+// gate is where all others reach one sidecar: one socket for packets and one for streams, or one of each for each of the
+// others where the system permits no other. The address that was called tells who calls.
+type gate struct {
+	port int
+	udp  []*net.UDPConn
+	tcp  []*net.TCPListener
 }
 
-// mesh is the network between sidecars: a link for each ordered pair, at an address that only one of them calls.
+// out is the socket by which packets go out from a sidecar's address at the gate's port.
+func (g *gate) out(sidecar int) *net.UDPConn { return g.udp[min(sidecar, len(g.udp)-1)] }
+
+// mesh is the network between sidecars: a gate for each sidecar, and a link for each ordered pair.
 type mesh struct {
 	net   *subnet
+	gates []*gate
 	links [][]*link // by from and to
 	added *lateSum  // the relays' own added time
 
+	flying atomic.Int64 // packets under way on all links
+
 	mu    sync.Mutex
 	conns map[net.Conn]bool
+	open  int // connections on all links
 	done  chan struct{}
 	work  sync.WaitGroup
 }
@@ -69,6 +89,14 @@
 
 func newMesh(sidecars int, n *subnet, seed uint64) (*mesh, error) {
 	m := &mesh{net: n, added: new(lateSum), conns: make(map[net.Conn]bool), done: make(chan struct{})}
+	for to := range sidecars {
+		g, err := m.gate(to, sidecars)
+		if err != nil {
+			m.close()
+			return nil, err
+		}
+		m.gates = append(m.gates, g)
+	}
 	for from := range sidecars {
 		m.links = append(m.links, make([]*link, sidecars))
 		for to := range sidecars {
@@ -78,44 +106,58 @@
 			l := &link{mesh: m, from: from, to: to, changed: make(chan struct{})}
 			l.rng = rand.New(rand.NewPCG(seed, 6+uint64(from)<<16+uint64(to)<<32))
 			m.links[from][to] = l
-			if err := l.open(); err != nil {
-				m.close()
-				return nil, err
-			}
 		}
 	}
-	for from := range m.links { // once all are there: a packet goes on from the address of the way back
-		for _, l := range m.links[from] {
-			if l != nil {
-				m.work.Go(l.packets)
-				m.work.Go(l.streams)
-			}
+	for to, g := range m.gates { // once all are there: a packet goes on from the address of the way back
+		for _, p := range g.udp {
+			m.work.Go(func() { m.packets(to, p) })
+		}
+		for _, l := range g.tcp {
+			m.work.Go(func() { m.streams(to, l) })
 		}
 	}
 	return m, nil
 }
 
-// open listens where the sender calls.
-func (l *link) open() error {
-	tcp, err := l.mesh.net.listen(l.from, linkPort+l.to, "relay")
+// gate opens one.
+func (m *mesh) gate(to, sidecars int) (*gate, error) {
+	port, err := m.net.port()
+	if err != nil {
+		return nil, err
+	}
+	whose := "the way to sidecar " + sidecarName(to)
+	udp, err := m.net.openPackets(port, sidecars, whose)
 	if err != nil {
-		return err
+		return nil, err
+	}
+	for _, p := range udp {
+		_ = p.SetReadBuffer(packetRoom) // as much as the system gives
 	}
-	l.tcp = tcp
-	address, err := net.ResolveUDPAddr("udp", l.mesh.net.at(l.from, linkPort+l.to))
+	tcp, err := m.net.open(port, sidecars, whose)
 	if err != nil {
-		return err
+		for _, p := range udp {
+			p.Close()
+		}
+		return nil, err
+	}
+	return &gate{port, udp, tcp}, nil
+}
+
+// link is the way from the sidecar at an address that was called to another; nil: there is none.
+func (m *mesh) link(called netip.Addr, to int) *link {
+	from := m.net.sidecar(called)
+	if from < 0 || from >= len(m.links) {
+		return nil
 	}
-	l.udp, err = net.ListenUDP("udp", address)
-	return err
+	return m.links[from][to]
 }
 
 // routes are how a sidecar reaches its peers, by their names.
 func (m *mesh) routes(sidecar int) map[string]string {
 	r := make(map[string]string)
-	for to := range m.links {
+	for to, g := range m.gates {
 		if to != sidecar {
-			r[sidecarName(to)] = m.net.at(sidecar, linkPort+to)
+			r[sidecarName(to)] = m.net.at(sidecar, g.port)
 		}
 	}
 	return r
@@ -136,14 +178,12 @@
 
 func (m *mesh) close() {
 	close(m.done)
-	for _, row := range m.links {
-		for _, l := range row {
-			if l != nil && l.tcp != nil {
-				l.tcp.Close()
-			}
-			if l != nil && l.udp != nil {
-				l.udp.Close()
-			}
+	for _, g := range m.gates {
+		for _, l := range g.tcp {
+			l.Close()
+		}
+		for _, p := range g.udp {
+			p.Close()
 		}
 	}
 	m.mu.Lock()
@@ -154,16 +194,12 @@
 	m.work.Wait()
 }
 
-// packets passes packets on until the link is closed.
-func (l *link) packets() {
-	to, err := net.ResolveUDPAddr("udp", l.mesh.net.at(l.to, peerPort))
-	if err != nil {
-		panic(err) // an address of the lab's own making
-	}
-	back := l.mesh.links[l.to][l.from].udp // its address is where the receiver reaches the sender
-	buffer := make([]byte, packetMost)
+// packets passes the packets to one sidecar on until the mesh is closed.
+func (m *mesh) packets(to int, p *net.UDPConn) {
+	buffer, oob := make([]byte, packetMost), make([]byte, 256)
+	address, from := netip.AddrPortFrom(m.net.ip(to), peerPort), source(m.net.ip(to))
 	for {
-		n, _, err := l.udp.ReadFromUDPAddrPort(buffer)
+		n, more, _, _, err := p.ReadMsgUDPAddrPort(buffer, oob)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -171,22 +207,29 @@
 			continue // the kernel's word that somebody's port was closed
 		}
 		came := time.Now()
+		called, _ := destination(oob[:more])
+		l := m.link(called, to)
+		if l == nil {
+			continue // by an address that is no other's of this run
+		}
+		back := m.gates[l.from].out(to) // the address at its port is where the receiver reaches the sender
 		for _, wait := range l.fate(n) {
 			if wait == 0 {
-				_, _ = back.WriteToUDP(buffer[:n], to) // packets may be lost
-				l.mesh.added.add(time.Since(came))
+				_, _, _ = back.WriteMsgUDPAddrPort(buffer[:n], from, address) // packets may be lost
+				m.added.add(time.Since(came))
 				continue
 			}
 			packet := append([]byte(nil), buffer[:n]...)
 			due := came.Add(wait)
 			time.AfterFunc(wait, func() {
+				m.flying.Add(-1)
 				l.mu.Lock()
 				l.flying--
 				cut := l.now.cut
 				l.mu.Unlock()
 				if !cut {
-					_, _ = back.WriteToUDP(packet, to)
-					l.mesh.added.add(time.Since(due))
+					_, _, _ = back.WriteMsgUDPAddrPort(packet, from, address)
+					m.added.add(time.Since(due))
 				}
 			})
 		}
@@ -199,6 +242,7 @@
 	defer l.mu.Unlock()
 	w := l.now
 	if w.cut || l.rng.Float64() < w.drop {
+		l.lost++
 		return nil
 	}
 	copies := 1
@@ -211,10 +255,11 @@
 			wait += time.Duration(l.rng.Int64N(int64(w.jitter)))
 		}
 		if wait > 0 {
-			if l.flying >= linkQueue {
+			if l.flying >= linkQueue || l.mesh.flying.Load() >= meshQueue {
 				continue
 			}
 			l.flying++
+			l.mesh.flying.Add(1)
 		}
 		waits = append(waits, wait)
 	}
@@ -235,15 +280,40 @@
 	return wait
 }
 
-// streams passes connections on until the link is closed.
-func (l *link) streams() {
+// streams passes connections to one sidecar on until the mesh is closed.
+func (m *mesh) streams(to int, from *net.TCPListener) {
 	for {
-		c, err := l.tcp.Accept()
+		c, err := from.AcceptTCP()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
 		if err != nil {
-			return // closed, as the link is
+			time.Sleep(time.Millisecond) // no descriptor is free, or whoever called has gone already
+			continue
+		}
+		l := m.link(c.LocalAddr().(*net.TCPAddr).AddrPort().Addr(), to)
+		if l == nil || !l.enter(1) {
+			_ = c.SetLinger(0) // fails only on a closed one
+			c.Close()
+			continue
 		}
-		l.mesh.work.Go(func() { l.stream(c) })
+		m.work.Go(func() {
+			defer l.enter(-1)
+			l.stream(c)
+		})
+	}
+}
+
+// enter counts connections; false: there are as many as there may be.
+func (l *link) enter(n int) bool {
+	l.mesh.mu.Lock()
+	defer l.mesh.mu.Unlock()
+	if n > 0 && (l.open >= linkStreams || l.mesh.open >= meshStreams) {
+		return false
 	}
+	l.open += n
+	l.mesh.open += n
+	return true
 }
 
 // stream passes one connection on. While the link is cut nothing passes, and nothing ends: nobody is told.
--- a/internal/lab/relay_test.go
+++ b/internal/lab/relay_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -16,13 +18,10 @@
 	tcp  [2]net.Listener
 }
 
-func newPeers(t testing.TB) *peers {
+func newPeers(t testing.TB, wide bool) *peers {
 	t.Helper()
-	n, err := claimSubnet()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(n.release)
+	n := land(t, wide)
+	var err error
 	p := new(peers)
 	if p.mesh, err = newMesh(2, n, 1); err != nil {
 		t.Fatal(err)
@@ -33,7 +32,7 @@
 		if p.udp[i], err = net.ListenUDP("udp", at); err != nil {
 			t.Fatal(err)
 		}
-		if p.tcp[i], err = n.listen(i, peerPort, "a test"); err != nil {
+		if p.tcp[i], err = net.Listen("tcp", n.at(i, peerPort)); err != nil {
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { p.udp[i].Close(); p.tcp[i].Close() })
@@ -62,8 +61,10 @@
 	return string(b[:n]), from
 }
 
-func TestRelayPackets(t *testing.T) {
-	p := newPeers(t)
+func TestRelayPackets(t *testing.T) { eachWay(t, relayPackets) }
+
+func relayPackets(t *testing.T, wide bool) {
+	p := newPeers(t, wide)
 	p.send(t, 0, "there")
 	text, from := p.receive(t, 1)
 	if _, err := p.udp[1].WriteToUDP([]byte("and back"), from); err != nil { // an answer to whoever sent it finds its way
@@ -87,6 +88,12 @@
 	}
 	p.mesh.set(0, 1, func(w *weather) { *w = weather{cut: true} })
 	p.send(t, 0, "cut off")
+	link := p.mesh.links[0][1]
+	for lost := 0; lost < 2; time.Sleep(time.Millisecond) {
+		link.mu.Lock()
+		lost = link.lost
+		link.mu.Unlock()
+	}
 	p.mesh.set(0, 1, func(w *weather) { *w = weather{delay: 30 * time.Millisecond} })
 	began := time.Now()
 	p.send(t, 0, "late")
@@ -110,8 +117,10 @@
 	}
 }
 
-func TestRelayStreams(t *testing.T) {
-	p := newPeers(t)
+func TestRelayStreams(t *testing.T) { eachWay(t, relayStreams) }
+
+func relayStreams(t *testing.T, wide bool) {
+	p := newPeers(t, wide)
 	go func() { // the second end answers with what it gets
 		for {
 			c, err := p.tcp[1].Accept()
@@ -164,10 +173,31 @@
 	if rest, err := io.ReadAll(c); err != nil || len(rest) > 0 {
 		t.Errorf("after the end: %q, error %v", rest, err)
 	}
+	p.mesh.set(0, 1, func(w *weather) { *w = weather{cut: true} })
+	var held []net.Conn
+	for range linkStreams + 1 {
+		c, err := net.Dial("tcp", p.mesh.routes(0)[sidecarName(1)])
+		if errors.Is(err, syscall.ECONNRESET) {
+			return // so soon
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+		held = append(held, c)
+	}
+	reset := make(chan error, len(held)) // one of them is, and the others are held
+	for _, c := range held {
+		go func() { _, err := c.Read(make([]byte, 1)); reset <- err }()
+	}
+	if err := <-reset; !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("one connection over the bound: %v", err)
+	}
 }
 
 func BenchmarkRelayPacket(b *testing.B) {
-	p := newPeers(b)
+	p := newPeers(b, true)
 	for b.Loop() {
 		p.send(b, 0, "a packet of about the size that gossip has, more or less, give or take some")
 		p.receive(b, 1)
@@ -176,7 +206,7 @@
 }
 
 func BenchmarkRelayStream(b *testing.B) {
-	p := newPeers(b)
+	p := newPeers(b, true)
 	go func() {
 		for {
 			c, err := p.tcp[1].Accept()
--- a/internal/lab/roster.go
+++ b/internal/lab/roster.go
@@ -23,13 +23,15 @@
 // watchMost is how long discovery holds a watch at most.
 const watchMost = time.Minute
 
-// roster is the stand-in for discovery: one list, one desk, and a listener for each sidecar, as each reaches the
+// roster is the stand-in for discovery: one list, one desk, and an answer for each sidecar, as each reaches the
 // servers at addresses of its own.
 type roster struct {
 	clock   clock
 	history *History
 	net     *subnet
 	scene   *Scenario
+	servers *servers
+	port    int // of now
 	delays  []*time.Timer
 
 	mu      sync.Mutex
@@ -43,13 +45,13 @@
 	lines   int
 	failed  int
 
-	moves  int
-	places []*http.Server // by move
+	places []*http.Server     // the one of now is the last
+	doors  []*net.TCPListener // its listeners
 }
 
-func newRoster(s *Scenario, c clock, h *History, n *subnet) (*roster, error) {
+func newRoster(s *Scenario, c clock, h *History, n *subnet, servers *servers) (*roster, error) {
 	r := &roster{
-		clock: c, history: h, net: n, scene: s, changed: make(chan struct{}),
+		clock: c, history: h, net: n, scene: s, servers: servers, changed: make(chan struct{}),
 		list: world.NewRoster(s.Fleet.Servers, firstVersion),
 		desk: world.NewDesk(s.List.Call.D(), s.List.Line.D(), s.List.Wait.D()),
 	}
@@ -61,13 +63,19 @@
 
 // open begins to serve at the address of now.
 func (r *roster) open() error {
+	port, err := r.net.port()
+	if err != nil {
+		return err
+	}
+	all, err := r.net.open(port, r.scene.Fleet.Sidecars, "discovery")
+	if err != nil {
+		return err
+	}
 	place := &http.Server{Handler: r, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelDebug)}
-	r.places = append(r.places, place)
-	for sidecar := range r.scene.Fleet.Sidecars {
-		l, err := r.net.listen(sidecar, discoveryPort+r.moves, "discovery")
-		if err != nil {
-			return err
-		}
+	r.mu.Lock()
+	r.places, r.port, r.doors = append(r.places, place), port, all
+	r.mu.Unlock()
+	for _, l := range all {
 		go func() { _ = place.Serve(l) }() // ends with the place
 	}
 	return nil
@@ -86,11 +94,13 @@
 
 // move opens another address. The old one takes no new connections, and ends a little later.
 func (r *roster) move() error {
-	old := r.places[r.moves]
-	r.moves++
+	old, doors := r.places[len(r.places)-1], r.doors
 	if err := r.open(); err != nil {
 		return err
 	}
+	for _, l := range doors {
+		endListener(l)
+	}
 	soon, cancel := context.WithTimeout(context.Background(), oldClose)
 	go func() {
 		defer cancel()
@@ -101,7 +111,11 @@
 }
 
 // address is where a sidecar reaches discovery now.
-func (r *roster) address(sidecar int) string { return r.net.at(sidecar, discoveryPort+r.moves) }
+func (r *roster) address(sidecar int) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.net.at(sidecar, r.port)
+}
 
 // hear takes what happened to a server; the list knows it after the lag.
 func (r *roster) hear(lag time.Duration, e world.Entry) {
@@ -149,8 +163,9 @@
 
 // ServeHTTP is discovery's side of the protocol.
 func (r *roster) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	sidecar := r.caller(req)
-	if req.URL.Path != "/discovery/hosts" || sidecar < 0 {
+	local, _ := req.Context().Value(http.LocalAddrContextKey).(net.Addr)
+	sidecar := r.net.caller(local)
+	if req.URL.Path != "/discovery/hosts" || sidecar < 0 || sidecar >= len(r.knows) {
 		http.NotFound(w, req)
 		return
 	}
@@ -179,16 +194,6 @@
 	}
 }
 
-// caller is the number of the sidecar that calls, by the address that it called.
-func (r *roster) caller(req *http.Request) int {
-	local, ok := req.Context().Value(http.LocalAddrContextKey).(*net.TCPAddr)
-	if !ok {
-		return -1
-	}
-	ip := local.IP.To4()
-	return (int(ip[2])-1)*250 + int(ip[3]) - 1
-}
-
 // answer waits for its turn, and a watch for news.
 func (r *roster) answer(ctx context.Context, since int64, wait time.Duration) (entries []world.Entry, version int64, whole, ok bool) {
 	end := time.NewTimer(wait)
@@ -308,7 +313,7 @@
 	l := listingJSON{Generation: version, Reset: whole, Instances: []instance{}}
 	for _, e := range entries {
 		i := instance{
-			InstanceID: serverName(e.Server), HostPort: r.net.at(sidecar, serverPort+e.Server),
+			InstanceID: serverName(e.Server), HostPort: r.servers.at(sidecar, e.Server),
 			Zone: zoneName(r.scene.zoneOf(e.Server)), MachineType: "one-core", Cell: e.Server / 4, Lifecycle: string(e.Life), Weight: 1,
 		}
 		if e.Started > 0 {
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -71,7 +71,11 @@
 	if _, err := Sweep(); err != nil {
 		return nil, fmt.Errorf("what an earlier lab left can't be removed: %w", err)
 	}
-	if err := descriptors(s); err != nil {
+	wide, err := widePermitted()
+	if err != nil {
+		return nil, err
+	}
+	if err := descriptors(s, wide); err != nil {
 		return nil, err
 	}
 	rec, err := newRecord()
@@ -103,7 +107,7 @@
 		return nil, err
 	}
 	defer r.servers.close()
-	r.roster, err = newRoster(s, r.clock, r.history, r.net)
+	r.roster, err = newRoster(s, r.clock, r.history, r.net, r.servers)
 	defer r.roster.close()
 	if err != nil {
 		return nil, err
@@ -141,14 +145,25 @@
 	return path, errors.Join(err, to.Close())
 }
 
-// descriptors sees whether the machine lets the lab open what the scenario needs, and asks for more.
-func descriptors(s *Scenario) error {
-	n := s.Fleet.Sidecars
-	need := 200 + n*(s.Fleet.Servers+4) // listeners
-	need += 40 * int(s.capacity())      // requests under way at twice what the servers can do, for a third of a second
-	need += n * 2 * min(s.Fleet.Servers, 12)
+// needed is how many descriptors the lab may need for a scenario; wide: one listener hears all sidecars.
+func needed(s *Scenario, wide bool) int {
+	n, listeners := s.Fleet.Sidecars, s.Fleet.Servers+4
+	need := 200 + int(90*s.busiest()) + n*2*min(s.Fleet.Servers, 12) // requests under way, for a second and at two ends; connections kept
 	if s.Fleet.Mesh {
-		need += n * n * 4
+		listeners += 2 * n
+		need += 8 * n // streams
+	}
+	if !wide {
+		listeners *= n
+	}
+	return need + listeners
+}
+
+// descriptors sees whether the machine lets the lab open what the scenario needs, and asks for more.
+func descriptors(s *Scenario, wide bool) error {
+	need, why := needed(s, wide), ""
+	if !wide {
+		why = "; one listener may not hear all of loopback here (SO_BINDTODEVICE), so that there is one for each pair"
 	}
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
@@ -161,8 +176,8 @@
 		}
 	}
 	if uint64(need) > limit.Cur {
-		return fmt.Errorf("%d descriptors may be needed for %d sidecars and %d servers, and this process may hold %d (ulimit -n): raise the limit or play fewer",
-			need, n, s.Fleet.Servers, limit.Cur)
+		return fmt.Errorf("%d descriptors may be needed for %d sidecars and %d servers, and this process may hold %d (ulimit -n): raise the limit or play fewer%s",
+			need, s.Fleet.Sidecars, s.Fleet.Servers, limit.Cur, why)
 	}
 	return nil
 }
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -42,6 +42,7 @@
 
 type loadSpec struct {
 	Use     float64       `toml:"use" default:"0.5" min:"0" max:"5" help:"work asked for, as a share of what the servers can do when warm"`
+	Each    float64       `toml:"each" default:"0" min:"0" max:"1000" help:"requests a second for each sidecar in the mean, whatever the servers can do; 0: by use"`
 	Skew    float64       `toml:"skew" default:"0.5" min:"0" max:"3" help:"standard deviation of the sidecars' parts of the traffic, against the mean"`
 	Keys    int           `toml:"keys" default:"2500" min:"1" max:"1000000" help:"distinct keys"`
 	Zipf    float64       `toml:"zipf" default:"1" min:"0" max:"3" help:"exponent of the keys' popularity"`
@@ -274,7 +275,7 @@
 	for _, t := range tenants {
 		spec.Tenants = append(spec.Tenants, t.share)
 	}
-	spec.Rate = s.Load.Use * s.capacity() / spec.MeanWork().Seconds()
+	spec.Rate = s.work() / spec.MeanWork().Seconds()
 	for _, f := range s.Fault {
 		if f.Do == "burst" {
 			spec.Bursts = append(spec.Bursts, world.Burst{At: f.At.D(), For: f.For.D(), Times: f.Size})
@@ -283,6 +284,26 @@
 	return world.Draw(spec, seed)
 }
 
+// work is the work in seconds that is asked for in a second, before bursts.
+func (s *Scenario) work() float64 {
+	if s.Load.Each > 0 {
+		mean := (&world.LoadSpec{Classes: s.classes()}).MeanWork().Seconds()
+		return s.Load.Each * float64(s.Fleet.Sidecars) * mean
+	}
+	return s.Load.Use * s.capacity()
+}
+
+// busiest is the same with all bursts.
+func (s *Scenario) busiest() float64 {
+	work := s.work()
+	for _, f := range s.Fault {
+		if f.Do == "burst" {
+			work *= max(1, f.Size)
+		}
+	}
+	return work
+}
+
 // capacity is the work in seconds that all servers can do in a second when they are warm.
 func (s *Scenario) capacity() float64 {
 	return float64(s.Fleet.Servers) * s.Serve.Cores * s.Serve.Speed
--- a/internal/lab/upstream.go
+++ b/internal/lab/upstream.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"arrowgw/internal/world"
 )
 
@@ -20,6 +22,9 @@
 	bodyLimit  = 64 << 10 // bytes of a body in the protocol
 	serverIdle = 15 * time.Second
 	backlog    = 4096
+	fillMost   = 8 // connections that fill a silent server's queue, which is for one
+	fillTime   = 50 * time.Millisecond
+	parkTime   = time.Second
 )
 
 // servers are the stand-ins for all queue servers. One lock serialises their models, which share zones.
@@ -28,29 +33,33 @@
 	history *History
 	net     *subnet
 	tally   []*counter // requests that reached each, by second
+	dialled *counter   // connections that were opened to all
 
 	mu  sync.Mutex
 	all []*server
 }
 
-// server is one of them: a model behind a listener for each sidecar.
+// server is one of them: a model behind the listeners at its port.
 type server struct {
 	of      *servers
 	number  int
+	port    int
 	sockets int
+	callers int // sidecars
 	model   *world.Server
 	waiting map[uint64]chan world.Ended // by job
 	last    uint64
 	timer   *time.Timer
-	doors   []*door
+	doors   []*door // none while its process is dead
 	conns   map[*conn]bool
 	pushed  bool          // over, in this life
+	fell    time.Duration // when it was, for good
 	silent  chan struct{} // not nil while it says nothing; closed when it speaks again
 	http    *http.Server
 }
 
 func newServers(s *Scenario, seed uint64, c clock, h *History, n *subnet) (*servers, error) {
-	all := &servers{clock: c, history: h, net: n}
+	all := &servers{clock: c, history: h, net: n, dialled: newCounter(int(s.For.D() / time.Second))}
 	zones := make([]*world.Zone, s.Fleet.Zones)
 	for i := range zones {
 		for _, class := range s.classes() {
@@ -61,7 +70,7 @@
 	}
 	for i := range s.Fleet.Servers {
 		u := &server{
-			of: all, number: i, sockets: s.Serve.Sockets, model: s.server(i, zones[s.zoneOf(i)], seed),
+			of: all, number: i, sockets: s.Serve.Sockets, callers: s.Fleet.Sidecars, model: s.server(i, zones[s.zoneOf(i)], seed),
 			waiting: make(map[uint64]chan world.Ended), conns: make(map[*conn]bool),
 		}
 		u.timer = time.AfterFunc(time.Hour, u.tick)
@@ -74,24 +83,28 @@
 					u.advance()
 					u.model.Connect(all.clock.now())
 					u.look()
+					all.dialled.add(all.clock.now(), 1)
 				}
 			},
 			ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		}
 		all.all = append(all.all, u)
 		all.tally = append(all.tally, newCounter(int(s.For.D()/time.Second)))
-		for sidecar := range s.Fleet.Sidecars {
-			d := &door{server: u, sidecar: sidecar}
-			u.doors = append(u.doors, d)
-			if err := d.open(); err != nil {
-				all.close()
-				return nil, err
-			}
+		var err error
+		if u.port, err = n.port(); err == nil {
+			err = u.open()
+		}
+		if err != nil {
+			all.close()
+			return nil, err
 		}
 	}
 	return all, nil
 }
 
+// at is where a sidecar reaches a server.
+func (a *servers) at(sidecar, server int) string { return a.net.at(sidecar, a.all[server].port) }
+
 type connKey struct{}
 
 func (a *servers) close() {
@@ -107,40 +120,55 @@
 	}
 }
 
-// door is where one sidecar reaches a server.
+// door is where sidecars reach a server: one for all, or one for each where the system permits no other.
 type door struct {
-	server  *server
-	sidecar int
-
+	server   *server
 	mu       sync.Mutex
 	listener *net.TCPListener // nil: refused
-	filler   net.Conn         // fills the queue of a door that is silent
+	fillers  []net.Conn       // fill the queue of a door that is silent
+	parked   chan struct{}    // has one where nobody accepts any more, as the server is silent
 }
 
 // open listens, and serves what comes.
-func (d *door) open() error {
-	l, err := d.server.of.net.listen(d.sidecar, serverPort+d.server.number, fmt.Sprintf("server %d", d.server.number))
+func (u *server) open() error {
+	all, err := u.of.net.open(u.port, u.callers, fmt.Sprintf("server %d", u.number))
 	if err != nil {
 		return err
 	}
-	d.mu.Lock()
-	d.listener = l.(*net.TCPListener)
-	d.mu.Unlock()
-	go func() { _ = d.server.http.Serve(&doorway{d, l.(*net.TCPListener)}) }() // ends with the listener
+	u.of.mu.Lock()
+	defer u.of.mu.Unlock()
+	u.doors = nil
+	for _, l := range all {
+		d := &door{server: u, listener: l, parked: make(chan struct{}, 1)}
+		u.doors = append(u.doors, d)
+		go func() { _ = u.http.Serve(&doorway{d, l}) }() // ends with the listener
+	}
 	return nil
 }
 
+// ways are a server's doors of now.
+func (u *server) ways() []*door {
+	u.of.mu.Lock()
+	defer u.of.mu.Unlock()
+	return u.doors
+}
+
 func (d *door) shut() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.listener != nil {
-		d.listener.Close()
+		endListener(d.listener)
 		d.listener = nil
 	}
-	if d.filler != nil {
-		d.filler.Close()
-		d.filler = nil
+	d.empty()
+}
+
+// empty lets the fillers go.
+func (d *door) empty() {
+	for _, c := range d.fillers {
+		c.Close()
 	}
+	d.fillers = nil
 }
 
 // hush makes the door that of a machine that has vanished: nobody accepts, and the queue of those that may come up
@@ -153,7 +181,24 @@
 	}
 	_ = d.listener.SetDeadline(time.Unix(1, 0)) // fails only on a closed one, as the next does
 	d.queue(0)
-	d.filler, _ = net.DialTimeout("tcp", d.listener.Addr().String(), 50*time.Millisecond) // where others were faster, it is full already
+	select {
+	case <-d.parked: // or who is about to accept would take the first filler
+	case <-time.After(parkTime): // there is nobody: the door was closed meanwhile
+	}
+	at := d.listener.Addr().(*net.TCPAddr)
+	if at.IP.IsUnspecified() {
+		at.IP = net.IP(d.server.of.net.ip(0).AsSlice())
+	}
+	for range fillMost {
+		if c, err := net.DialTimeout("tcp", at.String(), fillTime); err == nil {
+			d.fillers = append(d.fillers, c)
+		}
+		for end := time.Now().Add(fillTime); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			if d.full() { // the last of a connection's coming up is done by the kernel in its own time
+				return
+			}
+		}
+	}
 }
 
 // unhush makes it a door again.
@@ -163,9 +208,10 @@
 	if d.listener == nil {
 		return
 	}
-	if d.filler != nil {
-		d.filler.Close()
-		d.filler = nil
+	d.empty()
+	select {
+	case <-d.parked:
+	default:
 	}
 	_ = d.listener.SetDeadline(time.Now().Add(time.Millisecond))
 	for { // whoever waited to come up all the time finds a machine that knows nothing of it
@@ -180,6 +226,19 @@
 	_ = d.listener.SetDeadline(time.Time{})
 }
 
+// full says whether the queue has no room.
+func (d *door) full() (full bool) {
+	raw, err := d.listener.SyscallConn()
+	if err != nil {
+		return true // closed
+	}
+	_ = raw.Control(func(fd uintptr) { // fails only on a closed one
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		full = err == nil && info.Unacked > info.Sacked // of a listener: how many wait, and how many may
+	})
+	return full
+}
+
 // queue sets how many connections may come up before they are accepted.
 func (d *door) queue(n int) {
 	raw, err := d.listener.SyscallConn()
@@ -198,11 +257,17 @@
 func (w *doorway) Accept() (net.Conn, error) {
 	for {
 		c, err := w.TCPListener.AcceptTCP()
-		u := w.d.server
+		u, caller := w.d.server, -1
+		if err == nil {
+			if caller = u.of.net.caller(c.LocalAddr()); caller < 0 || caller >= u.callers { // by an address that is none of this run's
+				c.Close()
+				continue
+			}
+		}
 		u.of.mu.Lock()
 		silent := u.silent
 		if err == nil && silent == nil && u.model.Up() {
-			wrapped := &conn{TCPConn: c, server: u, sidecar: w.d.sidecar}
+			wrapped := &conn{TCPConn: c, server: u, sidecar: caller}
 			u.conns[wrapped] = true
 			u.of.mu.Unlock()
 			return wrapped, nil
@@ -220,6 +285,10 @@
 			return nil, err
 		}
 		if silent != nil {
+			select {
+			case w.d.parked <- struct{}{}:
+			default:
+			}
 			<-silent
 		}
 	}
@@ -322,12 +391,7 @@
 	a.all[i].model.Start(a.clock.now())
 	a.all[i].pushed = false
 	a.mu.Unlock()
-	for _, d := range a.all[i].doors {
-		if err := d.open(); err != nil {
-			return err
-		}
-	}
-	return nil
+	return a.all[i].open()
 }
 
 // silence makes a server's machine vanish, or brings it back; its process is then a new one.
@@ -339,9 +403,11 @@
 			u.silent = make(chan struct{})
 		}
 		a.mu.Unlock()
-		for _, d := range u.doors {
-			d.hush()
+		var all sync.WaitGroup
+		for _, d := range u.ways() {
+			all.Go(d.hush)
 		}
+		all.Wait()
 		return
 	}
 	a.mu.Lock()
@@ -350,7 +416,7 @@
 	u.drop()
 	u.model.Start(now)
 	a.mu.Unlock()
-	for _, d := range u.doors {
+	for _, d := range u.ways() {
 		d.unhush()
 	}
 	a.mu.Lock()
@@ -389,7 +455,7 @@
 // look sets the timer, and sees whether the server has fallen over.
 func (u *server) look() {
 	if u.model.Fell() && !u.pushed {
-		u.pushed = true
+		u.pushed, u.fell = true, u.of.clock.now()
 		h := u.of.history
 		h.note(&h.fallen, "at %v server %d was pushed over when it was cold", u.of.clock.now(), u.number)
 		u.drop()
