Start a lab's sidecar again where the program's file is still open

Labs that play side by side in one process copy the program and start it; a start by one holds the other's open file until it is another program, and the other's start failed with "text file busy": two of four runs of the lab's tests on a machine with a load of 25. It is tried again for two seconds.

--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -32,6 +32,7 @@
 const (
 	readyTime    = 10 * time.Second // a sidecar that is not ready by then has failed
 	readyPoll    = 10 * time.Millisecond
+	busyTime     = 2 * time.Second // another lab in this process may be starting one of its own, which holds the program open to be written until then
 	endTime      = 5 * time.Second // a sidecar told to stop has to end by then: the longest deadline, the linger, and room
 	starvePeriod = 200 * time.Millisecond
 	consoles     = 50      // console ports, used in turn by a sidecar's processes
@@ -201,18 +202,24 @@
 		return nil, err
 	}
 	defer out.Close()
-	q.cmd = exec.Command(p.program)
-	q.cmd.Dir, q.cmd.Stdout, q.cmd.Stderr = p.dir, out, out
-	q.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+config, "TMPDIR="+p.stateDir(sidecar), "EDGE_LISTEN=", "EDGE_FLEET=")
-	q.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
-	if os.Getuid() == 0 {
-		q.cmd.SysProcAttr.Credential = &syscall.Credential{Uid: ordinary, Gid: ordinary}
-	}
 	born := p.clock.now()
-	started := make(chan error)
-	p.starter <- func() { started <- q.cmd.Start() }
-	if err := <-started; err != nil {
-		return nil, fmt.Errorf("sidecar %s: %w", sidecarName(sidecar), err)
+	for end := born + busyTime; ; time.Sleep(time.Millisecond) {
+		q.cmd = exec.Command(p.program)
+		q.cmd.Dir, q.cmd.Stdout, q.cmd.Stderr = p.dir, out, out
+		q.cmd.Env = append(os.Environ(), "EDGE_CONFIG="+config, "TMPDIR="+p.stateDir(sidecar), "EDGE_LISTEN=", "EDGE_FLEET=")
+		q.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+		if os.Getuid() == 0 {
+			q.cmd.SysProcAttr.Credential = &syscall.Credential{Uid: ordinary, Gid: ordinary}
+		}
+		started := make(chan error)
+		p.starter <- func() { started <- q.cmd.Start() }
+		err := <-started
+		if err == nil {
+			break
+		}
+		if !errors.Is(err, syscall.ETXTBSY) || p.clock.now() > end {
+			return nil, fmt.Errorf("sidecar %s: %w", sidecarName(sidecar), err)
+		}
 	}
 	if err := p.record.add(q.cmd.Process.Pid); err != nil {
 		_ = q.cmd.Process.Kill()
