Learn in the lab how evenly servers are sent to

An uneven spread was not to be seen: worth hides it while servers have room. Sends per server and second are in result.json, and figures of them: variation over 1 s and 10 s, busiest and least over the mean, idle servers, the largest herd within 50 ms, connections opened to servers; up to the first fault, and after the last. Beside each stands what chance gives: the same sends at the same times, each dealt to a server drawn anew among those ready and warm. The report has a plot; `fleetlab compare` and `experiment` take `--figures spread`.

--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -179,12 +180,19 @@
 var shown = []string{"worth", "refused", "failed", "p99_ms", "attempts", "work", "recovery_s", "cpu_ms", "rss_mib"}
 
 func figureFlag(c *cobra.Command) *[]string {
-	return c.Flags().StringSlice("figures", shown, "the figures to show; all: every one")
+	return c.Flags().StringSlice("figures", shown, "the figures to show; all: every one; spread: how evenly servers are sent to")
 }
 
 func chosen(names []string, results ...*lab.Result) []string {
-	if len(names) == 1 && names[0] == "all" {
-		return lab.FigureNames(results...)
+	if len(names) != 1 {
+		return names
+	}
+	all := lab.FigureNames(results...)
+	switch names[0] {
+	case "all":
+		return all
+	case "spread":
+		return slices.DeleteFunc(lab.SpreadFigures(), func(name string) bool { return !slices.Contains(all, name) })
 	}
 	return names
 }
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -92,6 +92,7 @@
 		{"Time of an answer, from when its request was due", "milliseconds", []curve{{"p50", p50}, {"p99", p99}}},
 		{"Attempts that reached each server", "attempts a second", servers},
 		{"Requests served by each sidecar", "requests a second", sidecars},
+		{"Sends to the ready, warm servers", "against their mean", spreadCurves(run.servers.tally, run.fits, run.scene.For.D())},
 	} {
 		svg, err := drawPlot(p.unit, p.curves, run.faults.marks, run.scene.For.D())
 		if err != nil {
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -39,6 +39,7 @@
 	Verdicts []Verdict          `json:"verdicts"`
 	Figures  map[string]float64 `json:"figures"`
 	Plan     []string           `json:"plan"`
+	Sends    [][]float64        `json:"sends,omitempty"` // attempts that reached each server, second by second
 }
 
 // ResultName is the file of a result in its folder.
@@ -61,7 +62,12 @@
 		res.Plan = append(res.Plan, fmt.Sprintf("%v %s", a.At, a.text()))
 	}
 	res.Verdicts = judge(r.history, s, res.Late != "")
+	r.fits = r.fitTimes(plan)
 	res.Figures = r.figures(lab)
+	r.spread(plan, res.Figures)
+	for _, c := range r.servers.tally {
+		res.Sends = append(res.Sends, c.values()[:int(s.For.D()/time.Second)])
+	}
 	return res
 }
 
@@ -308,6 +314,13 @@
 	fmt.Fprintf(w, "  cost       %.2f attempts and %.2f client tries a request, %.2f of the work, discovery %.3f calls\n",
 		f["attempts"], f["client_tries"], f["work"], f["discovery_calls"])
 	fmt.Fprintf(w, "  processes  cpu %.2f ms a request, most memory %.1f MiB, most descriptors %.0f\n", f["cpu_ms"], f["rss_mib"], f["descriptors"])
+	for _, when := range []struct{ name, text string }{{"", "spread"}, {"after_", "  after"}} {
+		if v, ok := f[when.name+"spread_10s"]; ok {
+			fmt.Fprintf(w, "  %-10s %.1f%% over 10 s, %.1f%% of it beyond chance; busiest %.2f, least %.2f of the mean (%.2f, %.2f beyond chance); idle for %.1f s\n",
+				when.text, 100*v, 100*f[when.name+"spread_10s_over"], f[when.name+"busiest"], f[when.name+"least"],
+				f[when.name+"busiest_over"], f[when.name+"least_over"], f[when.name+"idle_most_s"])
+		}
+	}
 	if back, ok := f["recovery_s"]; ok {
 		fmt.Fprintf(w, "  recovery   %.1f s after the last fault\n", back)
 	}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -48,6 +48,7 @@
 	clients   *clients
 	mesh      *mesh
 	faults    *faults
+	fits      []fit // once it is over
 }
 
 // Build builds the sidecar of the tree that the working folder is in, into a folder.
