--- a/internal/lab/address_test.go
+++ b/internal/lab/address_test.go
@@ -74,6 +74,15 @@
 			}
 		}
 	}
+	for lab, all := range labs {
+		sum := 0.0
+		for _, n := range all.dialled.values() {
+			sum += n
+		}
+		if sum != 5*count {
+			t.Errorf("lab %d: %v connections are counted", lab, sum)
+		}
+	}
 	if wide {
 		stray := labs[1].net.at(0, labs[0].all[0].port)
 		if res, err := client.Get("http://" + stray + "/alive"); err == nil {
