--- a/internal/lab/relay_test.go
+++ b/internal/lab/relay_test.go
@@ -11,11 +11,11 @@
 	"time"
 )
 
-// peers are two ends with a mesh between them: each has a packet socket and a listener.
+// peers are three ends with a mesh between them: each has a packet socket and a listener. Most tests use the first two.
 type peers struct {
 	mesh *mesh
-	udp  [2]*net.UDPConn
-	tcp  [2]net.Listener
+	udp  [3]*net.UDPConn
+	tcp  [3]net.Listener
 }
 
 func newPeers(t testing.TB, wide bool) *peers {
@@ -23,11 +23,11 @@
 	n := land(t, wide)
 	var err error
 	p := new(peers)
-	if p.mesh, err = newMesh(2, n, 1); err != nil {
+	if p.mesh, err = newMesh(len(p.udp), n, 1); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(p.mesh.close)
-	for i := range 2 {
+	for i := range p.udp {
 		at, _ := net.ResolveUDPAddr("udp", n.at(i, peerPort))
 		if p.udp[i], err = net.ListenUDP("udp", at); err != nil {
 			t.Fatal(err)
@@ -117,6 +117,67 @@
 	}
 }
 
+// Each pair has a link of its own: packets and connections come to whom they were sent, an answer to where they came from
+// finds its way back, and one link that is cut is cut alone.
+func TestRelayPairs(t *testing.T) { eachWay(t, relayPairs) }
+
+func relayPairs(t *testing.T, wide bool) {
+	p := newPeers(t, wide)
+	for i, l := range p.tcp {
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				fmt.Fprintf(c, "%d", i)
+				c.Close()
+			}
+		}()
+	}
+	for round := range 2 {
+		if round == 1 {
+			p.mesh.set(0, 2, func(w *weather) { w.cut = true })
+		}
+		for from := range p.udp {
+			for to := range p.udp {
+				if from == to || round == 1 && from == 0 && to == 2 {
+					continue
+				}
+				route := p.mesh.routes(from)[sidecarName(to)]
+				at, _ := net.ResolveUDPAddr("udp", route)
+				if _, err := p.udp[from].WriteToUDP(fmt.Appendf(nil, "%d to %d", from, to), at); err != nil {
+					t.Fatal(err)
+				}
+				text, back := p.receive(t, to)
+				if text != fmt.Sprintf("%d to %d", from, to) || back.String() != p.mesh.routes(to)[sidecarName(from)] {
+					t.Errorf("%d received %q by %v", to, text, back)
+				}
+				if round == 1 && (from != 1 || to != 0) && (from != 0 || to != 1) {
+					continue // a stream needs both ways
+				}
+				c, err := net.Dial("tcp", route)
+				if err != nil {
+					t.Fatal(err)
+				}
+				_ = c.SetDeadline(time.Now().Add(20 * time.Second))
+				if who, err := io.ReadAll(c); err != nil || string(who) != fmt.Sprint(to) {
+					t.Errorf("a connection from %d to %d came to %q, error %v", from, to, who, err)
+				}
+				c.Close()
+			}
+		}
+	}
+	at, _ := net.ResolveUDPAddr("udp", p.mesh.routes(0)[sidecarName(2)])
+	_, _ = p.udp[0].WriteToUDP([]byte("cut off"), at)
+	for lost := 0; lost == 0; time.Sleep(time.Millisecond) {
+		l := p.mesh.links[0][2]
+		l.mu.Lock()
+		lost = l.lost
+		l.mu.Unlock()
+	}
+}
+
 func TestRelayStreams(t *testing.T) { eachWay(t, relayStreams) }
 
 func relayStreams(t *testing.T, wide bool) {
