Replace servers in the lab by others, and let a stale list keep the servers that are gone

A server that came back had the id and the place in the list that it had before, so that no arc moved when half of them were new ones. `replace` ends a process for good and starts another under another id, cold. Beside it: discovery that stood still answered with the servers ready that were gone when it began to stand still.

Seen to fail: a server in another's place that gets nothing is idle (its sends left out of the history).

--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -171,6 +172,15 @@
 			r.hear(list.Notice.D(), fresh())
 			return s.start(i)
 		}
+	case "replace":
+		s.crash(i)
+		r.hear(list.Notice.D(), entry(world.Gone))
+		sleep(ctx, a.For.D())
+		if ctx.Err() == nil {
+			i = a.Spares[slices.Index(a.Targets, i)]
+			r.hear(list.Notice.D(), fresh())
+			return s.start(i)
+		}
 	case "silence":
 		s.silence(i, true)
 		r.hear(list.Silence.D(), entry(world.Gone))
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -14,6 +14,7 @@
 	"os/signal"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -303,6 +304,11 @@
 for = "1s"
 [[fault]]
 at = "3s"
+do = "replace"
+target = "4"
+for = "500ms"
+[[fault]]
+at = "3s"
 do = "upgrade"
 target = "2"
 [[fault]]
@@ -325,6 +331,9 @@
 	if res.Figures["served"] < 0.3 || res.Figures["requests"] < 300 { // it did carry requests
 		t.Errorf("figures %v", res.Figures)
 	}
+	if len(res.Sends) != 7 || slices.Max(res.Sends[6]) == 0 { // and so did the one that came in another's place
+		t.Errorf("sends %v", res.Sends)
+	}
 	again, err := ReadResults(dir)
 	if err != nil || len(again) != 1 || !reflect.DeepEqual(again[0].Figures, res.Figures) {
 		t.Errorf("read again: %v, error %v", again, err)
--- a/internal/lab/roster.go
+++ b/internal/lab/roster.go
@@ -55,8 +55,9 @@
 		list: world.NewRoster(s.Fleet.Servers, firstVersion),
 		desk: world.NewDesk(s.List.Call.D(), s.List.Line.D(), s.List.Wait.D()),
 	}
+	r.list.Reserve(s.spares())
 	for range s.Fleet.Sidecars {
-		r.knows = append(r.knows, make([]bool, s.Fleet.Servers))
+		r.knows = append(r.knows, make([]bool, s.Fleet.Servers+s.spares()))
 	}
 	return r, r.open()
 }
@@ -147,10 +148,7 @@
 	defer r.mu.Unlock()
 	r.stale = nil
 	if on {
-		r.stale = world.NewRoster(r.scene.Fleet.Servers, r.list.Version())
-		for _, e := range r.list.Whole() {
-			r.stale.Set(e)
-		}
+		r.stale = r.list.Copy()
 	}
 }
 
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -148,7 +148,7 @@
 
 // needed is how many descriptors the lab may need for a scenario; wide: one listener hears all sidecars.
 func needed(s *Scenario, wide bool) int {
-	n, listeners := s.Fleet.Sidecars, s.Fleet.Servers+4
+	n, listeners := s.Fleet.Sidecars, s.Fleet.Servers+s.spares()+4
 	need := 200 + int(90*s.busiest()) + n*2*min(s.Fleet.Servers, 12) // requests under way, for a second and at two ends; connections kept
 	if s.Fleet.Mesh {
 		listeners += 2 * n
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -87,7 +87,7 @@
 // Fault is one line of the timetable.
 type Fault struct {
 	At     conf.Duration `toml:"at" need:"yes" min:"0s" max:"1h" help:"when, after the first request"`
-	Do     string        `toml:"do" need:"yes" oneof:"kill stop pause starve upgrade full crash slow err silence refuse drain out away move stale crawl burst cut delay drop duplicate reorder limit" help:"what; docs/lab.md words them"`
+	Do     string        `toml:"do" need:"yes" oneof:"kill stop pause starve upgrade full crash slow err silence replace refuse drain out away move stale crawl burst cut delay drop duplicate reorder limit" help:"what; docs/lab.md words them"`
 	Target string        `toml:"target" help:"whom: all, 3, 0-2, 25%, or zone a; of sidecars, servers or links, as the fault has it"`
 	Peer   string        `toml:"peer" help:"links only: the other end, in the same form; empty: all others"`
 	Way    string        `toml:"way" default:"both" oneof:"both out in" help:"links only: both ways, or from or to the target"`
@@ -103,7 +103,7 @@
 	size bool
 }{
 	"kill": {"sidecar", false}, "stop": {"sidecar", false}, "pause": {"sidecar", false}, "starve": {"sidecar", true}, "upgrade": {"sidecar", false}, "full": {"sidecar", true},
-	"crash": {"server", false}, "slow": {"server", true}, "err": {"server", true}, "silence": {"server", false}, "refuse": {"server", false},
+	"crash": {"server", false}, "replace": {"server", false}, "slow": {"server", true}, "err": {"server", true}, "silence": {"server", false}, "refuse": {"server", false},
 	"drain": {"server", false}, "out": {"server", false},
 	"away": {"discovery", false}, "move": {"discovery", false}, "stale": {"discovery", false}, "crawl": {"discovery", false},
 	"burst": {"load", true},
@@ -231,15 +231,23 @@
 type Action struct {
 	Fault
 	Targets, Peers []int `toml:"-"`
+	Spares         []int `toml:"-"` // replace: who comes in each target's place
 }
 
 // Plan draws what the timetable leaves open. The same seed gives the same plan.
 func (s *Scenario) Plan(seed uint64) []Action {
 	rng := rand.New(rand.NewPCG(seed, 3))
 	var plan []Action
+	spare := s.Fleet.Servers
 	for _, f := range s.Fault {
 		a := Action{Fault: f}
 		a.Targets, _ = s.targets(f, f.Target, rng) // checked when the file was read
+		if f.Do == "replace" {
+			for range a.Targets {
+				a.Spares = append(a.Spares, spare)
+				spare++
+			}
+		}
 		if kinds[f.Do].on == "link" {
 			a.Peers, _ = s.targets(f, cmp.Or(f.Peer, "all"), rng)
 		}
@@ -304,6 +312,17 @@
 	return work
 }
 
+// spares is how many servers come in others' places, numbered after the servers that there are at the start.
+func (s *Scenario) spares() (n int) {
+	for _, f := range s.Fault {
+		if f.Do == "replace" {
+			some, _ := s.targets(f, f.Target, nil) // checked when the file was read
+			n += len(some)
+		}
+	}
+	return n
+}
+
 // capacity is the work in seconds that all servers can do in a second when they are warm.
 func (s *Scenario) capacity() float64 {
 	return float64(s.Fleet.Servers) * s.Serve.Cores * s.Serve.Speed
--- a/internal/lab/spread.go
+++ b/internal/lab/spread.go
@@ -36,8 +36,8 @@
 // again and the list has said so.
 func (r *run) fitTimes(plan []Action) []fit {
 	s := r.scene
-	all := make([]fit, s.Fleet.Servers)
-	for i := range all {
+	all := make([]fit, s.Fleet.Servers+s.spares())
+	for i := range s.Fleet.Servers {
 		all[i] = fit{{0, s.For.D()}}
 	}
 	without := func(server int, from, to time.Duration) {
@@ -57,13 +57,18 @@
 			continue
 		}
 		back := s.List.Notice.D()
-		if a.Do == "crash" || a.Do == "silence" {
+		if a.Do == "crash" || a.Do == "silence" || a.Do == "replace" {
 			back = max(back, s.Serve.ColdTime.D())
 		}
 		for i, server := range a.Targets {
 			from := a.At.D() + time.Duration(i)*a.Pause.D()
 			to := s.For.D()
-			if a.For > 0 {
+			switch {
+			case a.Do == "replace":
+				if warm := from + a.For.D() + back; warm < to {
+					all[a.Spares[i]] = fit{{warm, to}}
+				}
+			case a.For > 0:
 				to = from + a.For.D() + back
 			}
 			without(server, from, to)
--- a/internal/lab/spread_test.go
+++ b/internal/lab/spread_test.go
@@ -16,7 +16,7 @@
 	r := &run{scene: scene(t, text), history: new(History), servers: &servers{dialled: newCounter(60)}}
 	rng := rand.New(rand.NewPCG(1, 1))
 	try := r.history.begin(0, 0, 0, 0)
-	for server := range r.scene.Fleet.Servers {
+	for server := range r.scene.Fleet.Servers + r.scene.spares() {
 		for at := 0.0; ; {
 			at += rng.ExpFloat64() / (12 * weight(server))
 			now := time.Duration(at * float64(time.Second))
@@ -62,6 +62,10 @@
 			}},
 		{"one that is back and warm is", fleet + "[[fault]]\nat='12s'\ndo='crash'\ntarget='7'\nfor='4s'", even,
 			func(at time.Duration, i int) bool { return i == 7 && at > 12*s && at < 32*s }, 0, map[string][2]float64{"after_idle_most_s": {5, 7}}},
+		{"one that was replaced has no turns, and the other has", fleet + "[[fault]]\nat='12s'\ndo='replace'\ntarget='7'\nfor='1s'", even,
+			func(at time.Duration, i int) bool { return i == 7 && at > 12*s || i == 200 && at < 28*s }, 0, map[string][2]float64{
+				"after_idle_most_s": {4.5, 6.5}, "idle_most_s": {0.3, 1.5},
+			}},
 		{"a herd in the first moment of a fault", fleet + "[[fault]]\nat='19900ms'\ndo='kill'\ntarget='0'", even, never, 30, map[string][2]float64{
 			"herd": {4, 8}, "after_herd": {30, 36}, "after_herd_chance": {4, 8},
 		}},
--- a/internal/lab/upstream.go
+++ b/internal/lab/upstream.go
@@ -68,7 +68,7 @@
 			}
 		}
 	}
-	for i := range s.Fleet.Servers {
+	for i := range s.Fleet.Servers + s.spares() {
 		u := &server{
 			of: all, number: i, sockets: s.Serve.Sockets, callers: s.Fleet.Sidecars, model: s.server(i, zones[s.zoneOf(i)], seed),
 			waiting: make(map[uint64]chan world.Ended), conns: make(map[*conn]bool),
@@ -91,8 +91,13 @@
 		all.all = append(all.all, u)
 		all.tally = append(all.tally, newCounter(int(s.For.D()/time.Second)))
 		var err error
-		if u.port, err = n.port(); err == nil {
+		u.port, err = n.port()
+		switch {
+		case err != nil:
+		case i < s.Fleet.Servers:
 			err = u.open()
+		default: // its place is taken by nobody yet
+			u.model.Crash(c.now())
 		}
 		if err != nil {
 			all.close()
--- a/internal/world/roster.go
+++ b/internal/world/roster.go
@@ -1,6 +1,9 @@
 package world
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Life is what the list of servers says of one.
 type Life string
@@ -38,6 +41,18 @@
 	return r
 }
 
+// Reserve adds servers that are gone until they are set, at the version of now.
+func (r *Roster) Reserve(servers int) {
+	for range servers {
+		r.entries = append(r.entries, Entry{Server: len(r.entries), Life: Gone})
+	}
+}
+
+// Copy is the list as it stands, with no changes remembered.
+func (r *Roster) Copy() *Roster {
+	return &Roster{first: r.Version(), entries: slices.Clone(r.entries)}
+}
+
 // Version is the list's version.
 func (r *Roster) Version() int64 { return r.first + int64(len(r.log)) }
 
