--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -254,8 +254,14 @@
 	if got, ok := r.Since(r.Version()); !ok || len(got) > 0 || r.Version() != 4 {
 		t.Errorf("since version %d: %v %v", r.Version(), got, ok)
 	}
-	if len(r.Whole()) != 1 {
-		t.Errorf("the whole list: %v", r.Whole())
+	still := r.Copy()
+	r.Reserve(2)
+	if len(r.Whole()) != 1 || r.Version() != 4 {
+		t.Errorf("the whole list: %v, version %d", r.Whole(), r.Version())
+	}
+	r.Set(Entry{Server: 4, Life: Ready})
+	if !reflect.DeepEqual(still.Whole(), []Entry{{0, Ready, 0}}) || still.Version() != 4 || len(r.Whole()) != 2 {
+		t.Errorf("a copy has %v at version %d, the list %v", still.Whole(), still.Version(), r.Whole())
 	}
 	for range rosterLog {
 		r.Set(Entry{Server: 0, Life: Draining})
