--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -11,8 +11,9 @@
 //   - Nothing of a run outlives it: processes die with the lab, even where it is killed, and what lies in its folder is
 //     swept by the next lab, by the record of the one that is gone.
 //
-// A run has one goroutine for each request that is open, each connection and each relayed packet that is delayed, and
-// bounds each: by the load of its scenario, by a server's sockets, by linkQueue.
+// A run has one goroutine for each request that is open, one for each connection to a server, two for each sidecar that others reach
+// and five for each connection between two, and bounds each: by the load of its scenario, by a server's sockets, by linkStreams and
+// meshStreams. Packets that are delayed are bounded by linkQueue and meshQueue.
 package lab
 
 import (
