Let a duty's holder enter a version and its digest among the voters, once for ever

Rule sets need one document for one version, whoever pushed it and whoever holds the duty since. Group.Enter puts (version, digest) in the voters' log; Entry.Next takes it only by the token of the present holding and above the last version, or the same again. Entered reads it from a leader that is sure to lead. A program that knows of no entries passes the command over.

--- a/internal/duty/calls.go
+++ b/internal/duty/calls.go
@@ -63,6 +63,38 @@
 	return v.release(args.Given)
 }
 
+// EnterArgs is an entry under a duty.
+type EnterArgs struct {
+	Duty string
+	Entry
+}
+
+// EnterReply is the entry that stands, and why that is not the one asked for.
+type EnterReply struct {
+	Entry   Entry
+	Refused string
+}
+
+// Enter takes a holder's entry.
+func (s *service) Enter(args EnterArgs, reply *EnterReply) error {
+	v, err := s.leading()
+	if err != nil {
+		return err
+	}
+	*reply, err = v.enter(args)
+	return err
+}
+
+// Entered tells a duty's entry.
+func (s *service) Entered(duty string, reply *Entry) error {
+	v, err := s.leading()
+	if err != nil {
+		return err
+	}
+	*reply, err = v.entered(duty)
+	return err
+}
+
 // Move has a duty passed on.
 func (s *service) Move(args MoveArgs, _ *struct{}) error {
 	v, err := s.leading()
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -102,6 +102,58 @@
 	begun bool          // Begin was called, and End was not
 }
 
+// Entry is a version that a duty's holder has entered for all, with the digest of what it means. Versions only grow, and one version
+// has one digest for ever. Its zero value is that of a duty whose holders have entered nothing.
+type Entry struct {
+	Token   uint64 `json:"token"` // of the holder that entered it
+	Version uint64 `json:"version"`
+	Digest  string `json:"digest"`
+}
+
+// digestMost is how many bytes a digest may have.
+const digestMost = 128
+
+// Next is the entry that stands after a holder has asked for another. It is refused where its token is not that of the duty's present
+// holding, its version is below the last, or the same with another digest. The same again changes nothing.
+func (e Entry) Next(present uint64, n Entry) (Entry, error) {
+	switch {
+	case present == 0 || n.Token != present:
+		return e, fmt.Errorf("token %d: the duty is held by %d", n.Token, present)
+	case n.Version == 0 || n.Digest == "" || len(n.Digest) > digestMost:
+		return e, fmt.Errorf("version %d with a digest of %d bytes is no entry", n.Version, len(n.Digest))
+	case n.Version < e.Version:
+		return e, fmt.Errorf("version %d is below %d, which is entered", n.Version, e.Version)
+	case n.Version == e.Version && n.Digest != e.Digest:
+		return e, fmt.Errorf("version %d is entered with another digest", n.Version)
+	case n.Version == e.Version:
+		return e, nil
+	}
+	return n, nil
+}
+
+// ErrNotEntered says that an entry was refused, and will be whenever it is tried again by that holding.
+var ErrNotEntered = errors.New("not entered")
+
+// Enter enters a version under a duty that this process holds by that token; it is then agreed among the voters for ever. An error that
+// is no ErrNotEntered leaves open whether it was entered: try again, or ask Entered.
+func (g *Group) Enter(duty string, token, version uint64, digest string) error {
+	var reply EnterReply
+	if err := g.ask("Enter", EnterArgs{duty, Entry{token, version, digest}}, &reply); err != nil {
+		return err
+	}
+	if reply.Refused != "" {
+		return fmt.Errorf("%w: %s", ErrNotEntered, reply.Refused)
+	}
+	return nil
+}
+
+// Entered is the entry under a duty as the voters have it. A holder that asks after it was given its token sees all that any earlier
+// holder could enter.
+func (g *Group) Entered(duty string) (e Entry, err error) {
+	err = g.ask("Entered", duty, &e)
+	return e, err
+}
+
 // Group is a process's part in its fleet's duties. Its methods are safe for concurrent use.
 type Group struct {
 	cfg Config
--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -599,3 +599,84 @@
 		t.Error("a log with a gap is read")
 	}
 }
+
+// An entry is taken from the present holder alone, its version never goes back, and one version has one digest; that outlives holders,
+// leaders, their disks one at a time, and snapshots.
+func TestEntries(t *testing.T) {
+	last := Entry{Token: 5, Version: 7, Digest: "a"}
+	for _, c := range []struct {
+		what    string
+		present uint64
+		n, want Entry
+		refused bool
+	}{
+		{"a higher version", 9, Entry{9, 8, "b"}, Entry{9, 8, "b"}, false},
+		{"the same again", 9, Entry{9, 7, "a"}, last, false},
+		{"one version, another digest", 9, Entry{9, 7, "b"}, last, true},
+		{"a lower version", 9, Entry{9, 6, "a"}, last, true},
+		{"an earlier holder", 9, Entry{5, 8, "b"}, last, true},
+		{"a token that nobody has yet", 9, Entry{10, 8, "b"}, last, true},
+		{"nobody holds the duty", 0, Entry{0, 8, "b"}, last, true},
+		{"no digest", 9, Entry{9, 8, ""}, last, true},
+	} {
+		if got, err := last.Next(c.present, c.n); got != c.want || (err != nil) != c.refused {
+			t.Errorf("%s: %+v, %v", c.what, got, err)
+		}
+	}
+	play(t, 1, func(t *testing.T, f *fleet) {
+		who, _ := f.holder("ask", 20*time.Second)
+		token, _ := f.live[who].Holds("ask")
+		old := f.live[who]
+		enter := func(g *node, token, version uint64, digest string, refused bool) {
+			t.Helper()
+			err := g.Enter("ask", token, version, digest)
+			for tries := 0; err != nil && !errors.Is(err, ErrNotEntered) && tries < 20; tries++ {
+				f.watch(time.Second)
+				err = g.Enter("ask", token, version, digest)
+			}
+			if refused != errors.Is(err, ErrNotEntered) || !refused && err != nil {
+				t.Errorf("version %d, digest %s by token %d: %v", version, digest, token, err)
+			}
+		}
+		stands := func(want Entry) {
+			t.Helper()
+			for tries := 0; ; tries++ {
+				e, err := f.live["n5"].Entered("ask")
+				if err == nil && e == want {
+					return
+				}
+				if err == nil || tries > 20 {
+					t.Fatalf("entered: %+v, %v; not %+v", e, err, want)
+				}
+				f.watch(time.Second)
+			}
+		}
+		stands(Entry{})
+		enter(old, token, 3, "a", false)
+		enter(old, token, 3, "a", false)
+		enter(old, token, 3, "b", true)
+		stands(Entry{token, 3, "a"})
+		to := "n4"
+		if who == to {
+			to = "n3"
+		}
+		if err := f.live["n5"].Move("ask", to); err != nil {
+			t.Fatal(err)
+		}
+		for next := ""; next != to; next, _ = f.holder("ask", 20*time.Second) {
+			f.watch(10 * time.Millisecond)
+		}
+		enter(old, token, 4, "c", true) // its lease is over, and it does not look
+		high, _ := f.live[to].Holds("ask")
+		for v := uint64(4); v < 150; v++ { // past a snapshot
+			enter(f.live[to], high, v, "c", false)
+		}
+		for _, name := range []string{"n0", "n1", "n2"} { // each voter is lost with its disk, in turn
+			f.kill(name)
+			f.watch(3 * time.Second)
+			f.begin(name, true)
+			f.watch(10 * time.Second)
+			stands(Entry{high, 149, "c"})
+		}
+	})
+}
--- a/internal/duty/voter.go
+++ b/internal/duty/voter.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"slices"
 	"strings"
@@ -65,7 +66,7 @@
 			return nil, err
 		}
 	}
-	v := &voter{told: make(map[string]bool), g: g, id: raft.ServerID(g.cfg.Name + "#" + string(birth)), table: &table{holdings: make(map[string]Holding)}}
+	v := &voter{told: make(map[string]bool), g: g, id: raft.ServerID(g.cfg.Name + "#" + string(birth)), table: newTable()}
 	if len(v.id) > idsMost {
 		return nil, fmt.Errorf("duty: the id %q is too long", v.id)
 	}
@@ -253,6 +254,36 @@
 	return granted, nil
 }
 
+// enter has the log take an entry, or say why not.
+func (v *voter) enter(args EnterArgs) (reply EnterReply, err error) {
+	term := v.current()
+	if term == 0 {
+		return reply, errors.New(errNotLeader)
+	}
+	raw, err := json.Marshal(command{Term: term, Enter: &args})
+	if err != nil {
+		return reply, err
+	}
+	f := v.raft.Apply(raw, applyTime)
+	if err := f.Error(); err != nil {
+		return reply, fmt.Errorf("it may have been entered or not: %w", err)
+	}
+	reply, ok := f.Response().(EnterReply)
+	if !ok {
+		return reply, errors.New("decided in another term: it was not entered")
+	}
+	return reply, nil
+}
+
+// entered reads a duty's entry, once it is sure that no other leads.
+func (v *voter) entered(duty string) (Entry, error) {
+	if v.current() == 0 || v.raft.VerifyLeader().Error() != nil {
+		hint, _ := v.leads()
+		return Entry{}, errors.New(errNotLeader + hint)
+	}
+	return v.table.entry(duty), nil
+}
+
 // release frees duties that their holder holds no more.
 func (v *voter) release(given []Holding) error {
 	v.mu.Lock()
@@ -471,6 +502,8 @@
 	Duty   string `json:"duty"`
 	Holder string `json:"holder"`
 	Start  uint64 `json:"start"`
+
+	Enter *EnterArgs `json:"enter,omitempty"` // in place of a holder; a program that knows of no entries passes such a command over
 }
 
 // table is the library's state machine.
@@ -478,16 +511,29 @@
 	mu       sync.Mutex
 	base     uint64
 	holdings map[string]Holding
+	entries  map[string]Entry
 }
 
-// Apply implements raft.FSM. It returns the Holding, or nil for an entry that counts for nothing.
+func newTable() *table {
+	return &table{holdings: make(map[string]Holding), entries: make(map[string]Entry)}
+}
+
+// Apply implements raft.FSM. It returns the Holding or the EnterReply, or nil for an entry that counts for nothing.
 func (t *table) Apply(l *raft.Log) any {
 	var c command
-	if err := json.Unmarshal(l.Data, &c); err != nil || c.Term != l.Term || c.Duty == "" {
+	if err := json.Unmarshal(l.Data, &c); err != nil || c.Term != l.Term || c.Duty == "" && c.Enter == nil {
 		return nil
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if c.Enter != nil {
+		e, err := t.entries[c.Enter.Duty].Next(t.holdings[c.Enter.Duty].Token, c.Enter.Entry)
+		if err != nil {
+			return EnterReply{e, err.Error()}
+		}
+		t.entries[c.Enter.Duty] = e
+		return EnterReply{Entry: e}
+	}
 	if t.base == 0 {
 		t.base = c.Base
 	}
@@ -506,6 +552,12 @@
 	return h, ok
 }
 
+func (t *table) entry(duty string) Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.entries[duty]
+}
+
 // all are the holdings, by duty.
 func (t *table) all() (all []Holding) {
 	t.mu.Lock()
@@ -519,8 +571,9 @@
 
 // saved is the table as a snapshot has it.
 type saved struct {
-	Base     uint64    `json:"base"`
-	Holdings []Holding `json:"holdings"`
+	Base     uint64           `json:"base"`
+	Holdings []Holding        `json:"holdings"`
+	Entries  map[string]Entry `json:"entries,omitempty"`
 }
 
 // Snapshot implements raft.FSM.
@@ -528,7 +581,7 @@
 	s := &saved{Holdings: t.all()}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s.Base = t.base
+	s.Base, s.Entries = t.base, maps.Clone(t.entries)
 	return s, nil
 }
 
@@ -556,6 +609,8 @@
 	for _, h := range s.Holdings {
 		t.holdings[h.Duty] = h
 	}
+	t.entries = make(map[string]Entry)
+	maps.Copy(t.entries, s.Entries)
 	return nil
 }
 
