--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -85,6 +85,10 @@
 	return errors.Join(c.errs...)
 }
 
+// Lines tells on which line each key of a file stands, for whoever finds more wrong with one than Parse does. An entry of an array of
+// tables is a[0], a[1] and so on.
+func Lines(raw []byte) (map[string]int, error) { return linesOf(raw) }
+
 // explain names the file, the line and the key that the library's error is about.
 func explain(name string, err error) error {
 	var unknown *toml.StrictMissingError
