Check the keys of an embedded struct as the outer one's

The fuzzer found a document of form 2 without a version taken: the reader walked past embedded structs. Seen to fail before (the two new rows).

--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -180,8 +180,11 @@
 	switch v.Kind() {
 	case reflect.Struct:
 		for i := range v.NumField() {
-			if key := v.Type().Field(i).Tag.Get("toml"); key != "" && key != "-" {
-				c.walk(join(path, key), v.Field(i), v.Type().Field(i))
+			f := v.Type().Field(i)
+			if key := f.Tag.Get("toml"); key != "" && key != "-" {
+				c.walk(join(path, key), v.Field(i), f)
+			} else if f.Anonymous { // its keys are the outer one's
+				c.walk(path, v.Field(i), f)
 			}
 		}
 		return
--- a/internal/rules/document_test.go
+++ b/internal/rules/document_test.go
@@ -29,6 +29,8 @@
 		"form=3\nversion=1":                                 `rules:1: key "form" is 3: this program reads forms up to 2`,
 		"version=1":                                         `key "form" is missing`,
 		"form=1":                                            `key "version" is missing`,
+		"form=2\nversion=0":                                 `rules:2: key "version" is 0`,
+		"form=2":                                            `key "version" is missing`,
 		"form=1\nversion=0":                                 `rules:2: key "version" is 0`,
 		"form=1\nversion=-1":                                `key "version"`,
 		"form=1\nversion='x'":                               `rules:2: key "version"`,
