Run rule sets on peers' streams, and wire them into the sidecar

rules.file names a set; the duty rules has it checked, stored and entered; members say what forms they read. Off unless the fleet file has rules.file.

--- a/internal/duty/duty_test.go
+++ b/internal/duty/duty_test.go
@@ -671,7 +671,7 @@
 		for v := uint64(4); v < 150; v++ { // past a snapshot
 			enter(f.live[to], high, v, "c", false)
 		}
-		f.watch(3 * time.Minute) // the library looks once in one to two minutes
+		f.watch(3 * time.Minute)                          // the library looks once in one to two minutes
 		for _, name := range []string{"n0", "n1", "n2"} { // each voter is lost with its disk, in turn
 			f.kill(name)
 			f.watch(3 * time.Second)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -19,6 +19,7 @@
 type File struct {
 	Duty   Duty              `toml:"duty"`
 	Member Member            `toml:"member"`
+	Rules  Rules             `toml:"rules"`
 	State  State             `toml:"state"`
 	Routes map[string]string `toml:"routes" help:"address (IP:port) by which this process reaches a peer, by the peer's name; one without a route is reached where it says that it is"`
 }
@@ -44,6 +45,11 @@
 	Report bool          `toml:"report" default:"false" help:"the duty report: its holder has a line on the whole fleet in its log every 10 s"`
 }
 
+// Rules is the section of rule sets (docs/rules.md).
+type Rules struct {
+	File string `toml:"file" help:"path of the rule set that this process pushes where it is newer, read at the start and at SIGHUP; there need be none; empty: no rule sets"`
+}
+
 // check finds what no single key can be blamed for.
 func (m *Member) check() error {
 	if m.Listen == "" {
@@ -77,6 +83,9 @@
 	case n > 0 && f.Member.Listen == "":
 		bad = append(bad, fmt.Errorf("%s: key \"duty.voters\" needs member.listen beside it", path))
 	}
+	if f.Rules.File != "" && len(f.Duty.Voters) == 0 {
+		bad = append(bad, fmt.Errorf("%s: key \"rules.file\" needs duty.voters beside it", path))
+	}
 	for _, peer := range slices.Sorted(maps.Keys(f.Routes)) {
 		if _, err := netip.ParseAddrPort(f.Routes[peer]); err != nil {
 			bad = append(bad, fmt.Errorf("%s: key %q: %w", path, "routes."+peer, err))
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -91,6 +91,7 @@
 	Zone    string
 	Version string // of the program
 	Digest  string // of what should be the same everywhere in the configuration
+	Forms   string // of rule sets that it reads
 
 	Listen  netip.AddrPort // UDP and TCP
 	Cluster string         // on every packet: other fleets' are passed over
@@ -112,6 +113,7 @@
 	Zone      string
 	Version   string
 	Digest    string
+	Forms     string
 	Phase     Phase
 	State     State
 	Address   string
@@ -143,6 +145,7 @@
 	Version string `json:"v,omitempty"`
 	Digest  string `json:"d,omitempty"`
 	Phase   Phase  `json:"p"`
+	Forms   string `json:"f,omitempty"`
 }
 
 // entry is a member in the table.
@@ -246,7 +249,7 @@
 func (g *Group) encode() []byte {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	raw, err := json.Marshal(meta{g.cfg.Start, g.cfg.Zone, g.cfg.Version, g.cfg.Digest, g.phase})
+	raw, err := json.Marshal(meta{g.cfg.Start, g.cfg.Zone, g.cfg.Version, g.cfg.Digest, g.phase, g.cfg.Forms})
 	if err != nil {
 		panic(err) // of plain fields
 	}
@@ -304,7 +307,7 @@
 	for _, name := range slices.Sorted(maps.Keys(g.table)) {
 		e := g.table[name]
 		m := MemberInfo{
-			Name: name, Start: e.Start, Zone: e.Zone, Version: e.Version, Digest: e.Digest, Phase: e.Phase, State: e.state,
+			Name: name, Start: e.Start, Zone: e.Zone, Version: e.Version, Digest: e.Digest, Forms: e.Forms, Phase: e.Phase, State: e.state,
 			Address: e.address, Since: now.Sub(e.since), Word: -1, Suspected: g.suspects(e, now),
 		}
 		if !e.word.IsZero() {
--- a/internal/rules/core.go
+++ b/internal/rules/core.go
@@ -354,7 +354,7 @@
 		if p := c.push.with[m.To]; p != nil {
 			p.busy = false
 		}
-	} else {
+	} else if m.Kind == Force {
 		delete(c.busy, m.To)
 	}
 }
--- a/internal/sidecar/console.go
+++ b/internal/sidecar/console.go
@@ -31,6 +31,7 @@
 	server  func(ctx context.Context, id string, out bool) error // takes a server out by hand, or brings it back
 	duties  func(io.Writer) error                                // who of the fleet has which duty
 	move    func(words []string) error                           // passes a duty on
+	rules   func(io.Writer) error                                // which rule set is in force, and who refused one
 	members func(io.Writer) error                                // who of the fleet is there
 	confirm func() error                                         // takes an operator's word that a damaged state has the right servers out
 
@@ -113,25 +114,25 @@
 // call carries out one call.
 func (c *console) call(ctx context.Context, w io.Writer, words []string) {
 	name := strings.Join(words[:min(len(words), 1)], "")
-	wanted := map[string]int{"ready": 1, "show-stat": 1, "confirm-state": 1, "show-members": 1, "show-duties": 1, "move-duty": 2, "disable-server": 2, "enable-server": 2}[name]
+	wanted := map[string]int{"ready": 1, "show-stat": 1, "confirm-state": 1, "show-members": 1, "show-duties": 1, "show-rules": 1, "move-duty": 2, "disable-server": 2, "enable-server": 2}[name]
 	var err error
 	switch {
 	case wanted == 0:
-		err = errors.New("unknown call; there are ready, show-stat, show-members, show-duties, move-duty NAME [MEMBER], disable-server ID, enable-server ID and confirm-state")
+		err = errors.New("unknown call; there are ready, show-stat, show-members, show-duties, show-rules, move-duty NAME [MEMBER], disable-server ID, enable-server ID and confirm-state")
 	case len(words) != wanted && !(name == "move-duty" && len(words) == 3):
 		err = fmt.Errorf("%s takes %d words after it", name, wanted-1)
 	case name == "show-stat":
 		c.stat(w)
 		return
-	case name == "show-members" || name == "show-duties":
-		show := map[string]func(io.Writer) error{"show-members": c.members, "show-duties": c.duties}[name]
+	case name == "show-members" || name == "show-duties" || name == "show-rules":
+		show := map[string]func(io.Writer) error{"show-members": c.members, "show-duties": c.duties, "show-rules": c.rules}[name]
 		if err = show(w); err == nil {
 			return
 		}
 	case name == "move-duty":
 		err = c.move(words[1:])
 	case name == "ready" && !c.ready():
-		err = errors.New("no, it is stopping")
+		err = errors.New("no, it is stopping, or serves nothing by its rules")
 	case name == "confirm-state":
 		err = c.confirm()
 	case name == "disable-server" || name == "enable-server":
--- a/internal/sidecar/duties.go
+++ b/internal/sidecar/duties.go
@@ -47,6 +47,9 @@
 	if cfg.Fleet.Duty.Report {
 		c.Duties = append(c.Duties, duty.Duty{Name: dutyReport})
 	}
+	if cfg.Fleet.Rules.File != "" {
+		c.Duties = append(c.Duties, duty.Duty{Name: dutyRules})
+	}
 	var err error
 	d.group, err = duty.New(c)
 	return d, err
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -39,9 +39,13 @@
 		broken atomic.Int64 // by their server, or cut off as it stood still
 		still  atomic.Int64 // cut off as the client did
 	}
-	ready atomic.Bool // what GET /up tells
+	ready  atomic.Bool // no stop was asked for
+	serves func() bool // rules allow it
 }
 
+// up is what GET /up tells.
+func (f *front) up() bool { return f.ready.Load() && f.serves() }
+
 // tally counts the requests of a class by their answer.
 type tally struct{ completed, rejected, failed atomic.Uint64 }
 
@@ -58,7 +62,7 @@
 }
 
 func newFront(cfg *Config, c clock, l *loop, k *clients) *front {
-	return &front{cfg: cfg, clock: c, loop: l, clients: k, ended: make([]tally, len(cfg.Policy.Classes))}
+	return &front{cfg: cfg, clock: c, loop: l, clients: k, serves: func() bool { return true }, ended: make([]tally, len(cfg.Policy.Classes))}
 }
 
 // server is the HTTP server that serves the application.
@@ -81,7 +85,7 @@
 
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/up" && r.Method == http.MethodGet {
-		if !f.ready.Load() {
+		if !f.up() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
@@ -117,6 +121,9 @@
 	case full && !leaving:
 		f.reply(w, r, q.Class, answer{status: http.StatusServiceUnavailable, pause: f.pause()}, m.rest)
 		return
+	case !f.serves(): // not by rules of before
+		f.reply(w, r, q.Class, answer{status: http.StatusServiceUnavailable, pause: f.pause()}, m.rest)
+		return
 	case f.cfg.MostOpen > 0 && held > int64(f.cfg.MostOpen):
 		f.reply(w, r, q.Class, answer{status: http.StatusServiceUnavailable, pause: f.pause()}, m.rest)
 		return
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -17,6 +17,7 @@
 
 	"arrowgw/internal/balance"
 	"arrowgw/internal/member"
+	"arrowgw/internal/rules"
 )
 
 const (
@@ -34,12 +35,13 @@
 	loop  *loop
 	state *handover
 
+	barred   func() bool // by rules: it serves nothing, and is given no duties
 	stopping atomic.Bool
 }
 
 // newPeers reads what the configuration and the state say of the fleet.
 func newPeers(cfg *Config, l *loop, state *handover) (*peers, error) {
-	p := &peers{cfg: cfg, loop: l, state: state}
+	p := &peers{cfg: cfg, loop: l, state: state, barred: func() bool { return false }}
 	if !cfg.hasPeers() {
 		return p, nil
 	}
@@ -58,6 +60,9 @@
 			c.Zone = zone
 		}
 	}
+	if cfg.Fleet.Rules.File != "" {
+		c.Forms = rules.Highest
+	}
 	if state.store != nil {
 		c.Start = state.store.Number()
 		c.Known, _, _ = read[[]string](state.store, sectionPeers)
@@ -103,7 +108,9 @@
 	if p.group == nil {
 		return
 	}
-	p.group.Say(member.Serving)
+	if !p.barred() {
+		p.group.Say(member.Serving)
+	}
 	go p.group.Run(ctx)
 	go p.follow(ctx)
 }
@@ -125,6 +132,8 @@
 		switch {
 		case p.stopping.Load():
 			phase = member.Draining
+		case p.barred():
+			phase = member.Starting
 		case v.Starved: // it is given no duties
 			phase = member.Starved
 		}
--- /dev/null
+++ b/internal/sidecar/rules.go
@@ -0,0 +1,178 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"log/slog"
+	"os"
+	"time"
+
+	"arrowgw/internal/duty"
+	"arrowgw/internal/member"
+	"arrowgw/internal/rules"
+)
+
+const dutyRules = "rules"
+
+// ruleSets is this sidecar's part in its fleet's rules. Where the fleet file has no rules.file there is none.
+type ruleSets struct {
+	node  *rules.Node
+	path  string
+	ended chan struct{}
+}
+
+// newRuleSets reads what is kept of rules. Nothing is in force before begin.
+func newRuleSets(cfg *Config, p *peers, work *duties, l *loop, state *handover) (*ruleSets, error) {
+	s := &ruleSets{ended: make(chan struct{})}
+	if work.group == nil || cfg.Fleet.Rules.File == "" {
+		return s, nil
+	}
+	forms, err := rules.Forms()
+	if err != nil {
+		return nil, err
+	}
+	s.path = cfg.Fleet.Rules.File
+	against := rules.Settings{Forms: forms, Tenants: cfg.Tenants, Zones: cfg.Zones, Server: serverID, Config: cfg.Policy}
+	keep := keeper{state.store}
+	s.node = rules.New(rules.Config{
+		Name: cfg.Name, Start: state.store.Number(), Keep: keep, Damaged: len(state.store.Damage().Files) > 0, Wire: p.group,
+		Voters:  &voters{group: work.group, fence: duty.Fence{Keep: keep}},
+		Members: p.forRules,
+		Read:    func(text []byte) (*rules.Set, error) { return rules.Read(text, against) },
+		Force: func(ctx context.Context, set *rules.Set) error {
+			return l.do(ctx, func(now time.Duration) { l.b.Rules(now, set.Rules) })
+		},
+	})
+	p.barred = func() bool { return !s.node.Serves() }
+	return s, nil
+}
+
+// forRules are the members that a push asks: all that may serve.
+func (p *peers) forRules() (all []rules.Member) {
+	for _, m := range p.group.View().Members {
+		if m.State == member.Present || m.State == member.Silent {
+			all = append(all, rules.Member{Peer: rules.Peer{Name: m.Name, Start: m.Start}, Silent: m.State == member.Silent})
+		}
+	}
+	return all
+}
+
+// voters are the duties' voters as rules want them.
+type voters struct {
+	group *duty.Group
+	fence duty.Fence
+}
+
+// Holds implements rules.Voters.
+func (v *voters) Holds() (uint64, bool) { return v.group.Holds(dutyRules) }
+
+// Holder implements rules.Voters.
+func (v *voters) Holder() (string, error) {
+	t, err := v.group.Table()
+	for _, h := range t.Holdings {
+		if h.Duty == dutyRules {
+			return h.Holder, err
+		}
+	}
+	return "", err
+}
+
+// Entered implements rules.Voters.
+func (v *voters) Entered() (rules.Floor, error) {
+	e, err := v.group.Entered(dutyRules)
+	return rules.Floor{Version: e.Version, Digest: e.Digest, Token: e.Token}, err
+}
+
+// Enter implements rules.Voters.
+func (v *voters) Enter(f rules.Floor) (refused, err error) {
+	err = v.group.Enter(dutyRules, f.Token, f.Version, f.Digest)
+	if errors.Is(err, duty.ErrNotEntered) {
+		return err, nil
+	}
+	return nil, err
+}
+
+// Fence implements rules.Voters.
+func (v *voters) Fence(token uint64) (bool, error) { return v.fence.Pass(dutyRules, token) }
+
+// begin puts the floor's set in force; the loop runs, and no request has come.
+func (s *ruleSets) begin(ctx context.Context) error {
+	if s.node == nil {
+		return nil
+	}
+	return s.node.Begin(ctx)
+}
+
+// run takes part until ctx ends.
+func (s *ruleSets) run(ctx context.Context) {
+	if s.node == nil {
+		return
+	}
+	s.read()
+	go s.node.Run(ctx)
+}
+
+// read takes the file, which need not be there.
+func (s *ruleSets) read() {
+	if s.node == nil {
+		return
+	}
+	f, err := os.Open(s.path)
+	if errors.Is(err, fs.ErrNotExist) {
+		return
+	}
+	var text []byte
+	if err == nil {
+		defer f.Close()
+		text, err = io.ReadAll(io.LimitReader(f, rules.DocumentMost+1))
+	}
+	if err == nil && len(text) > rules.DocumentMost {
+		err = fmt.Errorf("%s: more than %d bytes", s.path, rules.DocumentMost)
+	}
+	if err != nil {
+		slog.Error("rules", "notPushed", s.path, "error", err)
+		return
+	}
+	s.node.Push(text)
+}
+
+// serves says whether requests may be served.
+func (s *ruleSets) serves() bool {
+	return s.node == nil || s.node.Serves()
+}
+
+// stat writes the figures of rules, where there are any.
+func (s *ruleSets) stat(w io.Writer) {
+	if s.node == nil {
+		return
+	}
+	st, barred := s.node.Status(), 0
+	if !st.Serves {
+		barred = 1
+	}
+	fmt.Fprintf(w, "app.rules_version=%d\napp.rules_floor=%d\napp.rules_barred=%d\n", st.InForce, st.Floor.Version, barred)
+}
+
+// show writes what is in force, and why a push was refused.
+func (s *ruleSets) show(w io.Writer) error {
+	if s.node == nil {
+		return errors.New("there are no rule sets: the fleet file has no rules.file")
+	}
+	st := s.node.Status()
+	fmt.Fprintf(w, "200 in-force=%d floor=%d digest=%s token=%d serves=%v differs=%v holds=%d file=%d forms=%s\n",
+		st.InForce, st.Floor.Version, st.Floor.Digest, st.Floor.Token, st.Serves, st.Differs, st.Holding, st.File, rules.Highest)
+	if st.Why != "" {
+		fmt.Fprintf(w, "barred\t%s\n", st.Why)
+	}
+	if st.Never != "" {
+		fmt.Fprintf(w, "refused for good\t%d\t%s\n", st.File, st.Never)
+	}
+	for _, r := range st.Refused {
+		fmt.Fprintf(w, "refused\t%d\tby %s\t%s\n", r.Version, r.Name, r.Why)
+	}
+	fmt.Fprintln(w, "EOF")
+	return nil
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -63,6 +63,11 @@
 	if err != nil {
 		return err
 	}
+	sets, err := newRuleSets(cfg, peers, work, l, state)
+	if err != nil {
+		return err
+	}
+	f.serves = sets.serves
 	slog.Info("serving", "name", cfg.Name, "listen", listener.Addr(), "servers", len(cfg.Known.servers))
 
 	running, stop := context.WithCancel(context.Background())
@@ -89,13 +94,17 @@
 		state.keep(running, l.learned)
 	}()
 	go d.run(running)
+	if err := sets.begin(running); err != nil {
+		return err
+	}
 	f.ready.Store(true)
 	peers.run(running)
 	work.run(running)
+	sets.run(running)
 	if door != nil {
 		c := &console{
-			ready: f.ready.Load, server: l.server, confirm: state.confirm, members: peers.show, duties: work.show, move: work.move,
-			stat: func(w io.Writer) { f.stat(w); peers.stat(w); work.stat(w); fmt.Fprintln(w, "EOF") },
+			ready: f.up, rules: sets.show, server: l.server, confirm: state.confirm, members: peers.show, duties: work.show, move: work.move,
+			stat: func(w io.Writer) { f.stat(w); peers.stat(w); work.stat(w); sets.stat(w); fmt.Fprintln(w, "EOF") },
 		}
 		go c.serve(running, door)
 		slog.Info("console", "listen", door.Addr())
@@ -109,6 +118,7 @@
 			return err
 		case <-reload:
 			d.reconfigure(cfg.path)
+			sets.read()
 		case <-ctx.Done():
 			replaced := l.handover.count() > 1
 			left := make(chan struct{})
