Play rule sets on real processes that are killed, and beside an old program

Conditions decide, never time. A document that is too large for the state is taken out of it again, or it would keep all other values out.

--- a/cmd/caperarch/rules_test.go
+++ b/cmd/caperarch/rules_test.go
@@ -288,7 +288,7 @@
 					}
 				}
 			}
-			time.Sleep(time.Duration(rng.IntN(1500)) * time.Millisecond) // it decides where the kill falls, and no verdict
+			time.Sleep(time.Duration(rng.IntN(800)) * time.Millisecond) // it decides where the kill falls, and no verdict
 			s.kill(m)
 			killed++
 			if rng.IntN(3) == 0 {
@@ -296,9 +296,21 @@
 			}
 			s.start(m, program)
 		}
+		if k%4 == 1 { // all at once: nobody is left to tell a floor
+			for _, m := range s.nodes {
+				s.kill(m)
+				killed++
+			}
+			for _, m := range s.nodes {
+				s.start(m, program)
+			}
+		}
 		// Whoever had the file may have been given an older one since.
 		s.give(s.nodes[rng.IntN(len(s.nodes))], ruleSet(1, version, 2))
 		s.until(fmt.Sprintf("version %d is in force", version), inForce(version))
+		if k%20 == 19 {
+			t.Logf("%d pushes, %d kills", k+1, killed)
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/rules/node.go
+++ b/internal/rules/node.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/rpc"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -315,6 +316,9 @@
 		}
 		if err != nil {
 			n.log.Error("rules", "notKept", w.Key, "error", err)
+			if w.Value != nil && strings.HasPrefix(w.Key, "set-") { // one that is too large would keep all others out
+				_ = n.cfg.Keep.Delete(section, w.Key)
+			}
 			break
 		}
 	}
