--- a/cmd/caperarch/rules_test.go
+++ b/cmd/caperarch/rules_test.go
@@ -62,11 +62,13 @@
 	log                              *os.File
 }
 
-// free is addresses that nobody listens at.
+// free is addresses that nobody listens at. They are of an address of this test's own: a port of 127.0.0.1 may be taken by somebody's
+// outgoing connection between a kill and the next start.
 func free(t *testing.T, n int) (all []string) {
 	t.Helper()
+	pid := os.Getpid()
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", 2+pid%200, 1+pid/200%250))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/rules/core.go
+++ b/internal/rules/core.go
@@ -230,15 +230,8 @@
 // Settle ends the wait for peers' floors: what is known by now has to do.
 func (c *Core) Settle() { c.asking = false }
 
-// Asking says whether a start still waits for peers' words, and to whom a question is due.
-func (c *Core) Asking(peers []Peer) (due []Peer, asking bool) {
-	for _, p := range peers {
-		if p != c.self && !c.asked[p] {
-			due = append(due, p)
-		}
-	}
-	return due, c.asking
-}
+// Asking says whether a start still waits for peers' words, and how many there are.
+func (c *Core) Asking() (answers int, asking bool) { return len(c.asked), c.asking }
 
 // Question is what a start asks a peer.
 func (c *Core) Question(to Peer) Message {
--- a/internal/rules/core_test.go
+++ b/internal/rules/core_test.go
@@ -185,7 +185,7 @@
 			}
 			c.step(core.Question(c.cores["b"].self))
 			c.flush(core)
-			if _, asking := core.Asking([]Peer{c.cores["b"].self}); !asking {
+			if answers, asking := core.Asking(); !asking || answers != 1 {
 				c.t.Error("it has settled by itself")
 			}
 			core.Settle()
--- a/internal/rules/node.go
+++ b/internal/rules/node.go
@@ -24,6 +24,7 @@
 	dialTime  = time.Second
 	pushTime  = 5 * time.Second // from an offer to the entry
 	offerTime = 3 * time.Second // between two offers of one document
+	askMost   = 8               // peers that a start asks
 	askTime   = 2 * time.Second // a start waits for so long for its peers' floors
 	callsMost = 16              // made at a time, and served
 	section   = "rules"         // of what outlives the process
@@ -87,7 +88,8 @@
 
 	mu       sync.Mutex // also held while a disk is written: what comes meanwhile is late, as its answer would be
 	core     *Core
-	needed   bool // the start had to ask
+	needed   bool // the start has to ask
+	asks     map[Peer]bool
 	began    time.Time
 	pushed   uint64 // the push that the time runs for
 	pushedAt time.Time
@@ -104,7 +106,7 @@
 func New(cfg Config) *Node {
 	n := &Node{
 		cfg: cfg, log: cfg.Log, ctx: context.Background(),
-		places: make(chan struct{}, callsMost), calls: make(chan struct{}, callsMost), wake: make(chan struct{}, 1),
+		places: make(chan struct{}, callsMost), calls: make(chan struct{}, callsMost), wake: make(chan struct{}, 1), asks: make(map[Peer]bool),
 		core: NewCore(Peer{cfg.Name, cfg.Start}, cfg.Keep.All(section), cfg.Damaged, cfg.Read),
 	}
 	if n.log == nil {
@@ -264,23 +266,7 @@
 	}
 	n.flush()
 	n.follow()
-	if n.needed {
-		var peers []Peer
-		for _, m := range members {
-			if !m.Silent {
-				peers = append(peers, m.Peer)
-			}
-		}
-		due, asking := n.core.Asking(peers)
-		for _, p := range due {
-			n.say(n.core.Question(p))
-		}
-		if asking && (time.Since(n.began) > askTime || len(peers) > 1 && len(due) == 0) {
-			n.core.Settle()
-			n.publish()
-			n.log.Info("rules", "floor", n.core.floor.Version, "of", "its peers", "asked", len(peers)-1)
-		}
-	}
+	n.askAround(members)
 	if text := fmt.Sprint(n.core.refused); len(n.core.refused) > 0 && text != n.said {
 		n.said = text
 		for _, r := range n.core.refused {
@@ -289,6 +275,37 @@
 	}
 }
 
+// askAround asks some peers for their floors, where a start has to. It begins with those that come after this process by name, so that a
+// fleet that starts as a whole does not ask one. What they do not know the holder tells later.
+func (n *Node) askAround(members []Member) {
+	if !n.needed {
+		return
+	}
+	var peers []Peer
+	for _, m := range members {
+		if !m.Silent && m.Name != n.cfg.Name {
+			peers = append(peers, m.Peer)
+		}
+	}
+	slices.SortFunc(peers, func(a, b Peer) int {
+		after := func(p Peer) int { return cmp.Compare(n.cfg.Name, p.Name) } // -1: it comes after
+		return cmp.Or(after(a)-after(b), cmp.Compare(a.Name, b.Name))
+	})
+	for _, p := range peers {
+		if len(n.asks) < askMost && !n.asks[p] {
+			n.asks[p] = true
+			n.say(n.core.Question(p))
+		}
+	}
+	answers, _ := n.core.Asking()
+	if time.Since(n.began) > askTime || answers > 0 && answers >= min(askMost, len(peers)) {
+		n.core.Settle()
+		n.publish()
+		n.needed = false
+		n.log.Info("rules", "floor", n.core.floor.Version, "asked", answers)
+	}
+}
+
 // follow takes a floor that another process of this node has written, in an upgrade.
 func (n *Node) follow() {
 	kept := n.cfg.Keep.All(section)
@@ -400,6 +417,9 @@
 		defer n.mu.Unlock()
 		if err != nil || answer.From.Name != m.To.Name || answer.Kind != m.Kind || answer.Answer == Question {
 			n.core.Lost(m)
+			if m.Kind == Ask {
+				delete(n.asks, m.To)
+			}
 			return
 		}
 		answer.To = n.core.self
