--- a/cmd/caperarch/rules_test.go
+++ b/cmd/caperarch/rules_test.go
@@ -46,7 +46,7 @@
 	nodes []*member
 
 	mu       sync.Mutex
-	high     map[string]uint64 // by node: the highest version that it had in force
+	high     map[string]uint64 // by console: the highest version that was in force there
 	meant    map[uint64]string // by version: the digest
 	forbid   map[uint64]bool   // versions that must be nowhere
 	broken   []string
@@ -57,9 +57,9 @@
 
 // member is one sidecar's place; cmd is nil while none runs there.
 type member struct {
-	name, dir, listen, console, peer string
-	cmd                              *exec.Cmd
-	log                              *os.File
+	name, dir, listen, console, peer, config string
+	cmd                                      *exec.Cmd
+	log                                      *os.File
 }
 
 // free is addresses that nobody listens at. They are of an address of this test's own: a port of 127.0.0.1 may be taken by somebody's
@@ -86,7 +86,7 @@
 		seeds += fmt.Sprintf("%q, ", fmt.Sprintf("n%d/%s", i, places[3*i+2]))
 	}
 	for i := range n {
-		m := &member{name: fmt.Sprint("n", i), listen: places[3*i], console: places[3*i+1], peer: places[3*i+2]}
+		m := &member{name: fmt.Sprint("n", i), listen: places[3*i], console: places[3*i+1], peer: places[3*i+2], config: "config.json"}
 		m.dir = filepath.Join(s.dir, m.name)
 		config := strings.Replace(usable, `"listen":"127.0.0.1:0"`, fmt.Sprintf(`"name":%q,"listen":%q,"console":%q,"fleet":%q`,
 			m.name, m.listen, m.console, filepath.Join(m.dir, "fleet.toml")), 1)
@@ -132,7 +132,7 @@
 	}
 	m.log = log
 	m.cmd = exec.Command(program)
-	m.cmd.Env = append(os.Environ(), "TMPDIR="+filepath.Join(m.dir, "state"), "EDGE_CONFIG="+filepath.Join(m.dir, "config.json"))
+	m.cmd.Env = append(os.Environ(), "TMPDIR="+filepath.Join(m.dir, "state"), "EDGE_CONFIG="+filepath.Join(m.dir, m.config))
 	m.cmd.Stderr = log
 	m.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := m.cmd.Start(); err != nil {
@@ -192,8 +192,8 @@
 		}
 		s.mu.Lock()
 		s.looks++
-		if v.serves && v.inForce < s.high[m.name] {
-			s.broken = append(s.broken, fmt.Sprintf("%s has version %d in force, after %d", m.name, v.inForce, s.high[m.name]))
+		if v.serves && v.inForce < s.high[m.console] {
+			s.broken = append(s.broken, fmt.Sprintf("%s has version %d in force, after %d", m.name, v.inForce, s.high[m.console]))
 		}
 		if v.serves && v.inForce < v.floor {
 			s.broken = append(s.broken, fmt.Sprintf("%s serves by version %d, below its floor %d", m.name, v.inForce, v.floor))
@@ -205,7 +205,7 @@
 			s.broken = append(s.broken, fmt.Sprintf("%s has version %d, which a present member can't read", m.name, v.floor))
 		}
 		s.meant[v.floor] = v.digest
-		s.high[m.name] = max(s.high[m.name], v.inForce)
+		s.high[m.console] = max(s.high[m.console], v.inForce)
 		s.mu.Unlock()
 	}
 }
@@ -379,12 +379,50 @@
 		t.Fatal(err)
 	}
 	s.mu.Lock()
-	delete(s.high, last.name)
+	delete(s.high, last.console)
 	s.mu.Unlock()
 	s.start(last, program) // without its state: its peers tell
 	s.until("it serves again", inForce(5))
 }
 
+// An upgrade from a program of form 1: the new process begins with the floor, takes what comes into force meanwhile from the folder that both
+// have, and is the member once the old one has ended; then a set of form 2 passes.
+func TestRulesInAnUpgrade(t *testing.T) {
+	program, old := built(t, "2"), built(t, "1")
+	s := newSite(t, 3)
+	for _, m := range s.nodes {
+		s.start(m, old)
+	}
+	s.give(s.nodes[0], ruleSet(1, 1, 2))
+	s.until("version 1 is in force", inForce(1))
+	for i, before := range slices.Clone(s.nodes) {
+		after := *before
+		after.config, after.console = "next.json", free(t, 1)[0]
+		raw, err := os.ReadFile(filepath.Join(before.dir, before.config))
+		if err == nil {
+			err = os.WriteFile(filepath.Join(before.dir, after.config), bytes.Replace(raw, []byte(before.console), []byte(after.console), 1), 0o600)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.start(&after, program)
+		s.nodes = append(s.nodes, &after)
+		s.watchers.Go(func() { s.watch(&after) })
+		s.until("the new process has the floor", inForce(uint64(1+i)))
+		s.give(s.nodes[0], ruleSet(1, uint64(2+i), 1+i%2))
+		s.until("both have the next", inForce(uint64(2+i)))
+		_ = before.cmd.Process.Signal(syscall.SIGTERM) // it is there until it is waited for
+		if err := before.cmd.Wait(); err != nil {
+			t.Errorf("the old process ends with %v", err)
+		}
+		before.log.Close()
+		before.cmd = nil
+		s.nodes = slices.DeleteFunc(s.nodes, func(m *member) bool { return m == before })
+	}
+	s.give(s.nodes[0], ruleSet(2, 9, 1))
+	s.until("form 2 is in force", inForce(9))
+}
+
 // members is what a console says of the fleet's members, n3's line alone.
 func members(m *member) string {
 	var answer bytes.Buffer
