Tell those again of what is in force that could not keep it, but not at once

A member whose disk was full between stored and in force was not told again; and a holder without the entry's document, or with a full disk, asked itself without end under its lock (found by a new case, by running out of stack). Refusals go when their version is in force. Seen to fail: the case of the full disk on the code before.

--- a/internal/rules/core.go
+++ b/internal/rules/core.go
@@ -149,7 +149,8 @@
 	text    []byte // of entry
 	enter   *Floor // asked of the voters, and not known to have been taken or refused
 	told    map[Peer]bool
-	busy    map[Peer]bool // a question that belongs to no push is under way
+	busy    map[Peer]bool // a question that belongs to no push is under way, or to come later
+	again   []Peer        // and to whom
 	push    *push
 	pushes  uint64
 	refused []Refusal // of the last push that came to nothing, here or at another holder
@@ -260,7 +261,7 @@
 // Hold takes that this process holds the duty, and what the voters had entered at some moment after it was given that token.
 func (c *Core) Hold(token uint64, entry Floor) {
 	c.token, c.entry, c.enter, c.push, c.text = token, entry, nil, nil, nil
-	c.told, c.busy = make(map[Peer]bool), make(map[Peer]bool)
+	c.told, c.busy, c.again = make(map[Peer]bool), make(map[Peer]bool), nil
 	if c.floor.Version > entry.Version { // the voters have lost their disks: floors have not
 		c.restore(c.floor.Floor)
 	}
@@ -308,7 +309,7 @@
 		c.text = c.push.set.Text
 	}
 	c.push = nil
-	c.told, c.busy = make(map[Peer]bool), make(map[Peer]bool)
+	c.told, c.busy, c.again = make(map[Peer]bool), make(map[Peer]bool), nil
 	c.advance()
 }
 
@@ -684,14 +685,19 @@
 	delete(c.busy, m.From)
 	switch {
 	case m.Answer != Missing:
-		c.told[m.From] = true
 		if m.Answer == No {
 			c.refused = []Refusal{{m.Version, m.From.Name, short(m.Why)}}
 		}
+		if m.Floor.Version >= m.Version {
+			c.told[m.From] = true
+		} else {
+			c.later(m.From) // it could not keep it
+		}
 	case m.From != c.self && c.textOf(c.entry) != nil:
 		c.busy[m.From] = true
 		c.say(m.From, Message{Kind: Force, Version: c.entry.Version, Digest: c.entry.Digest, Text: c.textOf(c.entry)})
 	case m.From == c.self:
+		c.later(c.self)
 		for _, p := range c.members {
 			if p.Peer != c.self {
 				c.say(p.Peer, Message{Kind: Fetch, Version: c.entry.Version, Digest: c.entry.Digest})
@@ -700,6 +706,21 @@
 	}
 }
 
+// later has a member told of what is in force again, but not at once.
+func (c *Core) later(p Peer) {
+	c.busy[p] = true
+	c.again = append(c.again, p)
+}
+
+// Retry tells those again of what is in force that could not take it. It is called now and then.
+func (c *Core) Retry() {
+	for _, p := range c.again {
+		delete(c.busy, p)
+	}
+	c.again = nil
+	c.advance()
+}
+
 // textOf is the document of an entry, where this process has it.
 func (c *Core) textOf(f Floor) []byte {
 	switch {
@@ -729,6 +750,9 @@
 			c.next = document{}
 		}
 		c.others = nil
+		if len(c.refused) > 0 && c.refused[0].Version <= c.floor.Version {
+			c.refused = nil
+		}
 	case ch.next != nil:
 		c.next, c.others = *ch.next, nil
 	}
--- a/internal/rules/core_test.go
+++ b/internal/rules/core_test.go
@@ -11,13 +11,15 @@
 
 // cluster is Cores that hear each other at once, for single cases; the explorer has the orders.
 type cluster struct {
-	t     *testing.T
-	cores map[string]*Core
-	disks map[string]map[string][]byte
-	full  map[string]bool // disks
-	cut   map[string]bool
-	start uint64
-	entry Floor
+	t      *testing.T
+	cores  map[string]*Core
+	disks  map[string]map[string][]byte
+	full   map[string]bool // disks
+	cut    map[string]bool
+	fullAt string // no disk has room for keys that begin so
+	start  uint64
+	steps  int
+	entry  Floor
 }
 
 func newCluster(t *testing.T, names ...string) *cluster {
@@ -60,7 +62,7 @@
 func (c *cluster) carry(core *Core, r Ready) {
 	var err error
 	for _, w := range r.Writes {
-		if c.full[core.self.Name] && w.Value != nil {
+		if c.full[core.self.Name] && w.Value != nil || c.fullAt != "" && strings.HasPrefix(w.Key, c.fullAt) {
 			err = errors.New("no space")
 			break
 		}
@@ -75,6 +77,9 @@
 }
 
 func (c *cluster) flush(core *Core) {
+	if c.steps++; c.steps > 1000 {
+		c.t.Fatal("they talk for ever")
+	}
 	for _, m := range core.Outbox() {
 		c.step(m)
 	}
@@ -152,6 +157,15 @@
 			c.offer("a", doc1a)
 			c.are(map[string]int{"a": 1, "b": 1, "c": 1})
 		},
+		"a disk is full between stored and in force": func(c *cluster) {
+			c.fullAt = "floor-"
+			c.offer("a", doc1a)
+			c.are(map[string]int{"a": 0, "b": 0, "c": 0})
+			c.fullAt = ""
+			c.cores["a"].Retry()
+			c.flush(c.cores["a"])
+			c.are(map[string]int{"a": 1, "b": 1, "c": 1})
+		},
 		"a silent member refuses, and hears of it later": func(c *cluster) {
 			c.cut["c"] = true
 			c.offer("a", doc1a)
--- a/internal/rules/explore_test.go
+++ b/internal/rules/explore_test.go
@@ -133,7 +133,7 @@
 	}
 	d := *c
 	d.asked, d.told, d.busy = nil, maps.Clone(c.told), maps.Clone(c.busy)
-	d.asked = make(map[Peer]bool)
+	d.asked, d.again = make(map[Peer]bool), slices.Clone(c.again)
 	if c.push != nil {
 		p := *c.push
 		p.with = make(map[Peer]*progress)
@@ -176,7 +176,7 @@
 		fmt.Fprint(&b, n.view)
 		if c := n.core; c != nil {
 			fmt.Fprint(&b, shortened(c.floor.Floor), c.floor.text != nil, shortened(c.next.Floor), c.force != nil, c.barred != "", c.differs, c.token,
-				shortened(c.entry), c.text != nil, peers(c.told), peers(c.busy), c.others, c.pushes, c.latest)
+				shortened(c.entry), c.text != nil, peers(c.told), peers(c.busy), c.others, c.pushes, c.latest, c.again)
 			if c.enter != nil {
 				fmt.Fprint(&b, "e", shortened(*c.enter))
 			}
--- a/internal/rules/node.go
+++ b/internal/rules/node.go
@@ -91,6 +91,7 @@
 	needed   bool // the start has to ask
 	asks     map[Peer]bool
 	began    time.Time
+	retried  time.Time
 	pushed   uint64 // the push that the time runs for
 	pushedAt time.Time
 
@@ -264,6 +265,10 @@
 	} else if id != 0 && time.Since(n.pushedAt) > pushTime {
 		n.core.Expire(id)
 	}
+	if time.Since(n.retried) > offerTime {
+		n.retried = time.Now()
+		n.core.Retry()
+	}
 	n.flush()
 	n.follow()
 	n.askAround(members)
@@ -549,6 +554,12 @@
 		return
 	}
 	n.log.Info("rules", "pushing", version, "to", holder, "answer", a.Answer.String(), "why", a.Why)
+	if a.Answer == No {
+		n.mu.Lock()
+		n.core.refused = []Refusal{{version, holder, short(a.Why)}}
+		n.publish()
+		n.mu.Unlock()
+	}
 	if a.Answer == Never {
 		n.mu.Lock()
 		n.never = a.Why
