Show on the console who reads which forms, and let processes stand still among the kills

Who pushes a document of a later form sees before whom it would be refused by. A fifth of the kills on real processes are pauses now, some longer than a lease.

--- a/cmd/caperarch/rules_test.go
+++ b/cmd/caperarch/rules_test.go
@@ -274,7 +274,7 @@
 		s.start(m, program)
 	}
 	rng := rand.New(rand.NewPCG(*seed, 1))
-	killed, holders := 0, 0
+	killed, holders, paused := 0, 0, 0
 	for k := range *pushes {
 		version := uint64(k + 1)
 		for range 1 + rng.IntN(2) { // two bodies under one version, now and then
@@ -291,6 +291,13 @@
 				}
 			}
 			time.Sleep(time.Duration(rng.IntN(800)) * time.Millisecond) // it decides where the kill falls, and no verdict
+			if rng.IntN(5) == 0 {                                       // it stands still, for longer than a lease at times
+				_ = m.cmd.Process.Signal(syscall.SIGSTOP)
+				time.Sleep(time.Duration(rng.IntN(2500)) * time.Millisecond)
+				_ = m.cmd.Process.Signal(syscall.SIGCONT)
+				paused++
+				continue
+			}
 			s.kill(m)
 			killed++
 			if rng.IntN(3) == 0 {
@@ -316,7 +323,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t.Logf("%d pushes, %d kills (%d of holders), %d looks: versions only grew, one digest for each of %d versions", *pushes, killed, holders, s.looks, len(s.meant))
+	t.Logf("%d pushes, %d kills and %d pauses (%d of holders), %d looks: versions only grew, one digest for each of %d versions", *pushes, killed, paused, holders, s.looks, len(s.meant))
 	if s.looks == 0 {
 		t.Error("nobody has looked")
 	}
@@ -333,7 +340,9 @@
 	last := s.nodes[3]
 	s.start(last, old)
 	s.give(s.nodes[1], ruleSet(1, 1, 2))
-	s.until("version 1 is in force", inForce(1))
+	s.until("version 1 is in force, and all know who reads what", func(m *member, v shown) bool {
+		return inForce(1)(m, v) && strings.Contains(v.all, "member\tn3\tforms=1") == (m != last)
+	})
 	s.mu.Lock()
 	s.forbid[2] = true
 	s.mu.Unlock()
--- a/internal/sidecar/rules.go
+++ b/internal/sidecar/rules.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -20,13 +21,13 @@
 // ruleSets is this sidecar's part in its fleet's rules. Where the fleet file has no rules.file there is none.
 type ruleSets struct {
 	node  *rules.Node
+	peers *peers
 	path  string
-	ended chan struct{}
 }
 
 // newRuleSets reads what is kept of rules. Nothing is in force before begin.
 func newRuleSets(cfg *Config, p *peers, work *duties, l *loop, state *handover) (*ruleSets, error) {
-	s := &ruleSets{ended: make(chan struct{})}
+	s := &ruleSets{peers: p}
 	if work.group == nil || cfg.Fleet.Rules.File == "" {
 		return s, nil
 	}
@@ -173,6 +174,11 @@
 	for _, r := range st.Refused {
 		fmt.Fprintf(w, "refused\t%d\tby %s\t%s\n", r.Version, r.Name, r.Why)
 	}
+	for _, m := range s.peers.group.View().Members { // who can't take what this one can, or takes more
+		if m.State == member.Present && m.Forms != rules.Highest {
+			fmt.Fprintf(w, "member\t%s\tforms=%s\n", m.Name, cmp.Or(m.Forms, "none"))
+		}
+	}
 	fmt.Fprintln(w, "EOF")
 	return nil
 }
