--- a/policy/policy.go
+++ b/policy/policy.go
@@ -454,7 +454,7 @@
 	return true
 }
 
-// stands says whether a server takes part: the list has it ready, and nobody has taken it out by hand.
+// stands says whether a server takes part: the list has it ready, and it is not out by hand or by the set.
 func (s *server) stands() bool { return s.State == balance.Ready && !s.away }
 
 // mayServe says whether a server may be sent anything now: it takes part and does not rest from failures.
@@ -538,23 +538,9 @@
 		b.host.Log(err.Error())
 		return
 	}
-	b.rules, b.cfg = r, b.settings
-	b.cfg.MaxAttempts = cmp.Or(r.MaxAttempts, b.cfg.MaxAttempts)
-	if r.Budget != nil {
-		b.cfg.Budget = *r.Budget
-	}
-	if len(r.Tenants) > 0 {
-		b.cfg.Tenants = r.Tenants
-	}
+	b.rules, b.cfg = r, r.Over(b.settings)
 	b.wall()
-	stood := b.ready()
-	b.weigh()
-	for _, s := range stood {
-		if !s.stands() {
-			s.ours = false // back, it begins at a random point: all learn of that at about the same time
-			b.close(now, s)
-		}
-	}
+	b.weigh(now)
 }
 
 // warmth is the share of its capacity that a server has at least.
@@ -745,7 +731,7 @@
 			b.rate = b.first / b.every
 		}
 	}
-	b.weigh()
+	b.weigh(now)
 	for _, s := range started { // only now are the weights known that a cold one's part is taken of
 		b.spreadFirst(now, s)
 	}
@@ -760,7 +746,7 @@
 
 // enter takes over one line of the list. It returns the server if this line tells of its start.
 func (b *Balancer) enter(now time.Duration, e balance.Server) (started *server) {
-	if !(e.Weight > 0) || math.IsInf(e.Weight, 0) {
+	if !(e.Weight > 1e-9 && e.Weight < 1e9) {
 		e.Weight = 1 // no weights, even turns
 	}
 	i, known := b.find(e.ID)
@@ -784,9 +770,7 @@
 func (b *Balancer) TakeOut(now time.Duration, id balance.ServerID) {
 	b.away[id] = true
 	if s := b.server(id); s != nil && !s.away {
-		s.away = true
-		b.close(now, s)
-		b.weigh()
+		b.weigh(now)
 	}
 }
 
@@ -801,7 +785,7 @@
 	b.back[id] = at + b.cfg.ColdTime
 	if s := b.server(id); s != nil {
 		*s = server{Server: s.Server, told: s.told, out: s.out, warmAt: max(s.warmAt, b.back[id]), strain: 1}
-		b.weigh()
+		b.weigh(now)
 		b.spreadFirst(now, s)
 		b.feed(now)
 	}
