--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -85,6 +85,10 @@
 	return errors.Join(c.errs...)
 }
 
+// Lines tells on which line each key of a file stands, for whoever finds more wrong with one than Parse does. An entry of an array of
+// tables is a[0], a[1] and so on.
+func Lines(raw []byte) (map[string]int, error) { return linesOf(raw) }
+
 // explain names the file, the line and the key that the library's error is about.
 func explain(name string, err error) error {
 	var unknown *toml.StrictMissingError
@@ -114,6 +118,15 @@
 	var p unstable.Parser
 	p.Reset(raw)
 	lines, arrays, table := make(map[string]int), make(map[string]int), ""
+	at, on := 0, 1 // a place, and its line: the library would count from the start for each key
+	lineAt := func(offset int) int {
+		if offset < at {
+			at, on = 0, 1
+		}
+		on += bytes.Count(raw[at:offset], []byte{'\n'})
+		at = offset
+		return on
+	}
 	for p.NextExpression() {
 		e := p.Expression()
 		path, line := "", 0
@@ -122,7 +135,7 @@
 			if n, ok := arrays[path]; ok && (e.Kind != unstable.ArrayTable || !k.IsLast()) {
 				path = fmt.Sprintf("%s[%d]", path, n-1)
 			}
-			line = p.Shape(k.Node().Raw).Start.Line
+			line = lineAt(int(k.Node().Raw.Offset))
 		}
 		switch e.Kind {
 		case unstable.Table:
@@ -176,8 +189,11 @@
 	switch v.Kind() {
 	case reflect.Struct:
 		for i := range v.NumField() {
-			if key := v.Type().Field(i).Tag.Get("toml"); key != "" && key != "-" {
-				c.walk(join(path, key), v.Field(i), v.Type().Field(i))
+			f := v.Type().Field(i)
+			if key := f.Tag.Get("toml"); key != "" && key != "-" {
+				c.walk(join(path, key), v.Field(i), f)
+			} else if f.Anonymous { // its keys are the outer one's
+				c.walk(path, v.Field(i), f)
 			}
 		}
 		return
