Let no older word of discovery bring a server back, on a node and over its restarts

A sidecar told at version 50 that a server drains was killed and started again; a stale replica of discovery answered with version 45, where it is ready, and 8 of 20 requests went to it. Any whole list was taken whatever its version, and changes of a lower version had the whole list called for.

Now an older answer takes servers away and brings none, until the whole list of a version that is not older comes. Discovery has begun anew if an older list has a server that started 5 s after the version held was first heard of, or if older words alone come for 6 s, three of them whole. Servers known to drain or to be gone then stay out for 60 s, or until told otherwise; so they do when discovery moves. startedAtMs of an id never goes back.

Seen to fail: with any older whole list taken for a new beginning and no hold, 11 of 20 requests went to the drained server. The test of a move waits for its watch now: it could move before there was one to end.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -115,9 +116,10 @@
 	failed func()
 	client http.Client
 
-	version int64                                // of the list that the loop holds, or unknown; run's own
-	entries map[balance.ServerID]json.RawMessage // of that list; run's own
-	keep    func(source string, version int64, entries map[balance.ServerID]json.RawMessage)
+	versions *versions // of the list that the loop holds; run's own
+	now      func() time.Duration
+	pause    func(context.Context, time.Duration)
+	keep     func(v *versions, durable bool)
 
 	mu      sync.Mutex
 	address string
@@ -134,11 +136,8 @@
 }
 
 func newDiscovery(cfg *Config, heard func(listing), failed func()) *discovery {
-	d := &discovery{address: cfg.Discovery, zones: cfg.Zones, heard: heard, failed: failed, version: unknown}
-	d.entries, d.keep = cfg.Known.raw, func(string, int64, map[balance.ServerID]json.RawMessage) {}
-	if len(cfg.Known.servers) > 0 {
-		d.version = cfg.Known.version
-	}
+	d := &discovery{address: cfg.Discovery, zones: cfg.Zones, heard: heard, failed: failed, now: newClock().now, pause: pause}
+	d.versions, d.keep = recall(cfg, keptList{}, time.Time{}, d.now()), func(*versions, bool) {}
 	if cfg.Policy.AskList {
 		d.asked = make(chan struct{}, 1)
 	}
@@ -181,9 +180,9 @@
 func (d *discovery) run(ctx context.Context) {
 	for moved := false; ctx.Err() == nil; moved = true {
 		here, address := d.stay(ctx)
+		d.versions.move(address, d.now()) // whether versions are the same elsewhere is not told
 		d.runAt(here, address, moved)
 		d.client.CloseIdleConnections()
-		d.version = unknown // whether versions are the same elsewhere is not told
 	}
 }
 
@@ -213,60 +212,63 @@
 		if heard {
 			pause = firstRetry
 		}
-		// Jitter: all sidecars lose discovery at the same moment and must not come back as one.
-		select {
-		case <-time.After(time.Duration(float64(pause) * (0.5 + rand.Float64()))):
-		case <-ctx.Done():
-		}
+		d.pause(ctx, pause)
 		pause = min(2*pause, lastRetry)
 	}
 }
 
+// pause waits for about d. Jitter: all sidecars lose discovery at the same moment and must not come back as one.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(time.Duration(float64(d) * (0.5 + rand.Float64()))):
+	case <-ctx.Done():
+	}
+}
+
 // follow calls discovery until a call fails: watch after watch from the version that the loop holds, or
 // the whole list first where there is none. A call that fails takes nothing away from what is held, and
-// discovery is one for all sidecars: when many start or fail at once, whole lists keep it from the others.
-// It tells whether any call went well.
+// discovery is one for all sidecars: when many start or fail at once, whole lists keep it from the others. After an
+// answer older than what is held it asks for whole lists, now and then, until it knows whether that was stale or
+// discovery has begun anew. It tells whether any call went well.
 func (d *discovery) follow(ctx context.Context, address string) (heard bool, err error) {
 	for {
 		query, limit := "", listTime
-		if d.version != unknown {
+		if d.versions.watched() {
 			wait := firstWait
 			if limit = wait + listTime; heard {
 				wait = watchWait
 				limit = wait + answerTime
 			}
-			query = fmt.Sprintf("?index=%d&wait=%d", d.version, wait.Milliseconds())
+			query = fmt.Sprintf("?index=%d&wait=%d", d.versions.top, wait.Milliseconds())
 		}
 		l, err := d.call(ctx, address, query, limit)
 		if err != nil {
 			return heard, err
 		}
 		l.whole = l.whole || query == ""
-		if !l.whole && l.version < d.version { // it has begun anew: what changed since is not to be had
-			d.version = unknown
-			return heard, fmt.Errorf("changes up to %d, older than what is held", l.version)
+		held := d.versions.top
+		news, older := d.versions.take(l, d.now())
+		heard = true
+		d.heard(news)
+		if l.whole || len(news.servers) > 0 {
+			d.keep(d.versions, l.whole || !allReady(news))
 		}
-		heard, d.version = true, l.version
-		d.heard(l)
-		if l.whole || len(l.servers) > 0 {
-			d.remember(l)
-			d.keep(address, l.version, d.entries)
+		if older {
+			slog.Warn("discovery is older than what is held", "version", l.version, "held", held, "whole", l.whole, "out", len(news.servers))
+			again := firstRetry
+			if l.whole {
+				again = lastRetry
+			}
+			if d.pause(ctx, again); ctx.Err() != nil {
+				return heard, ctx.Err()
+			}
 		}
 	}
 }
 
-// remember takes an answer into the entries that are kept.
-func (d *discovery) remember(l listing) {
-	if l.whole || d.entries == nil {
-		d.entries = make(map[balance.ServerID]json.RawMessage, len(l.servers))
-	}
-	for _, s := range l.servers {
-		if s.State == balance.Gone {
-			delete(d.entries, s.ID)
-		} else {
-			d.entries[s.ID] = l.raw[s.ID]
-		}
-	}
+// allReady says that a list takes no server away.
+func allReady(l listing) bool {
+	return !slices.ContainsFunc(l.servers, func(s balance.Server) bool { return s.State != balance.Ready })
 }
 
 // counters are for the log.
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -71,6 +71,8 @@
 	})
 	heard, failed := make(chan listing, 100), make(chan struct{}, 100)
 	d := newDiscovery(cfg, func(l listing) { heard <- l }, func() { failed <- struct{}{} })
+	clock := time.Hour
+	d.now, d.pause = func() time.Duration { return clock }, func(_ context.Context, by time.Duration) { clock += by }
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { d.run(ctx); close(ended) }()
@@ -98,17 +100,23 @@
 	wait(t, "the failure", failed)
 	step("index=43&wait=1", say(listed(45, "ready", "127.0.0.1:80")))
 	news(45, true)
-	step("index=45&wait=20000", say(`{"generation":7,"reset":false,"instances":[]}`)) // begun anew
-	wait(t, "the failure", failed)
+	step("index=45&wait=20000", say(`{"generation":7,"reset":false,"instances":[]}`)) // stale, or begun anew
+	news(45, false)
+	for range 3 {
+		step("", say(listed(8, "ready", "127.0.0.1:80")))
+		news(45, false)
+	}
 	step("", say(listed(8, "ready", "127.0.0.1:80")))
 	news(8, true)
+	step("index=8&wait=20000", say(listed(9, "ready", "127.0.0.1:80")))
+	news(9, true)
 	if len(heard)+len(failed) > 0 {
 		t.Errorf("%d more lists, %d more failures", len(heard), len(failed))
 	}
 	cancel()
 	wait(t, "the end", ended)
 	// The last call, a watch, has ended with the test.
-	want := map[string]int{"whole": 1, "watches": 7, "failed": 3, "lines": 2}
+	want := map[string]int{"whole": 4, "watches": 8, "failed": 3, "lines": 6}
 	if got := d.counters(); !maps.Equal(got, want) {
 		t.Errorf("counted %v, want %v", got, want)
 	}
@@ -146,13 +154,14 @@
 func TestDiscoveryMoves(t *testing.T) {
 	for _, how := range []string{"push", "ask"} {
 		t.Run(how, func(t *testing.T) {
-			left := make(chan struct{}, 10)
+			began, left := make(chan struct{}, 10), make(chan struct{}, 10)
 			place := func(generation int) string {
 				s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 					if r.URL.RawQuery == "" {
 						_, _ = io.WriteString(w, listed(generation, "ready"))
 						return
 					}
+					began <- struct{}{}
 					<-r.Context().Done() // a watch, which nothing comes of
 					left <- struct{}{}
 				}))
@@ -175,6 +184,7 @@
 				if generation > 1 {
 					wait(t, "the watch at the old address to end", left)
 				}
+				wait(t, "the watch", began)
 				if generation < 3 {
 					d.move(place(int(generation) + 1))
 				}
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -51,14 +51,15 @@
 	state string   // path of the file for older programs
 	store *store.Store
 	saves chan struct{} // calls that wait for the disk
+	news  chan struct{} // there is a list to be kept
 
 	saving sync.Mutex        // one call is saved after the other; it may wait for a disk
 	read   fs.FileInfo       // the older programs' file as last read; nil: there was none
 	handed map[string]handed // by instanceId, where there is no store
 
 	mu        sync.Mutex
-	nextList  []byte // the list that is to be kept next; nil: there is no news
-	oldDamage int    // 1: the older programs' file was all there was, and it is damaged
+	nextList  *keepNext // the list that is to be kept next; nil: there is no news
+	oldDamage int       // 1: the older programs' file was all there was, and it is damaged
 }
 
 // handed is a server that is out by hand, or was until lately.
@@ -89,7 +90,7 @@
 
 // openHandover is newHandover with the options of the state that are not its own to choose.
 func openHandover(dir, name string, options store.Options) *handover {
-	h := &handover{saves: make(chan struct{}, savesAtOnce)}
+	h := &handover{saves: make(chan struct{}, savesAtOnce), news: make(chan struct{}, 1)}
 	if dir == "" {
 		slog.Info("state not kept", "reason", "TMPDIR is not set: calls by hand end with this process")
 		return h
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -39,9 +39,8 @@
 func serve(ctx context.Context, cfg *Config, listener, door net.Listener, reload <-chan os.Signal) error {
 	c := newClock()
 	state := openHandover(cfg.Shared, cfg.Name, cfg.State)
-	if kept, ok := state.list(cfg); ok {
-		cfg.Known = kept
-	}
+	versions := state.versions(cfg, c.now())
+	cfg.Known = versions.list(c.now())
 	up := newUpstream(cfg, c)
 	l, err := newLoop(cfg, c, up)
 	if err != nil {
@@ -49,7 +48,7 @@
 	}
 	d := newDiscovery(cfg, l.list, l.listFailed)
 	l.watch, l.asked = d.ask, d.counters
-	d.keep = state.keepList
+	d.versions, d.now, d.keep = versions, c.now, state.keepList
 	l.handover = state
 	peers, err := newPeers(cfg, l, state)
 	if err != nil {
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -16,11 +16,12 @@
 )
 
 const (
-	keepEvery   = time.Second      // how often what the module has learned is looked at
-	syncEvery   = 10 * time.Second // and made durable: a loss of power costs so much of it, the end of a process nothing
-	listKept    = time.Hour        // a kept list is no use past this
-	listBytes   = 256 << 10        // and one that is larger is not kept
-	rateChange  = 0.2              // traffic that changed by less than this part is not worth a write
+	keepEvery   = time.Second            // how often what the module has learned is looked at
+	syncEvery   = 10 * time.Second       // and made durable: a loss of power costs so much of it, the end of a process nothing
+	listEvery   = 100 * time.Millisecond // the list is written no more often than this
+	listKept    = time.Hour              // a kept list is no use past this
+	listBytes   = 256 << 10              // of one that is larger only servers that are not ready are kept
+	rateChange  = 0.2                    // traffic that changed by less than this part is not worth a write
 	saveWait    = 800 * time.Millisecond
 	savesAtOnce = 8 // calls that wait for a disk; past that it is stuck
 )
@@ -38,10 +39,32 @@
 
 func (e errNotKept) Error() string { return fmt.Sprintf("it holds, but is not kept: %v", e.why) }
 
-// keptList is the list of servers as discovery gave it last.
+// keptList is the list of servers as it was acted on last. Times are Unix milliseconds.
 type keptList struct {
-	Source string          `json:"source"` // discovery's address
-	Answer json.RawMessage `json:"answer"` // in discovery's form, whole
+	Source  string          `json:"source"` // discovery's address
+	Answer  json.RawMessage `json:"answer"` // in discovery's form, whole
+	Line    int64           `json:"line,omitempty"`
+	Before  int64           `json:"before,omitempty"`
+	HeardMs int64           `json:"heardMs,omitempty"`
+	Short   bool            `json:"short,omitempty"` // too long a list: only servers that are not ready are in it
+	Away    []uint64        `json:"away,omitempty"`
+	Gone    []keptHeard     `json:"gone,omitempty"`
+	Held    []keptHeard     `json:"held,omitempty"`
+	UntilMs int64           `json:"untilMs,omitempty"` // of held
+}
+
+type keptHeard struct {
+	ID        uint64 `json:"id"`
+	AtMs      int64  `json:"atMs"`
+	StartedMs int64  `json:"startedMs,omitempty"`
+}
+
+// keepNext is a list that is to be kept.
+type keepNext struct {
+	raw     []byte
+	kept    keptList
+	version int64
+	durable bool
 }
 
 // keptLearned is what the module has learned. Times are Unix milliseconds.
@@ -112,27 +135,40 @@
 	return value, e.At, true
 }
 
-// keepList has the list kept as it is now, soon: whoever follows discovery must not wait for a disk.
-func (h *handover) keepList(source string, version int64, entries map[balance.ServerID]json.RawMessage) {
-	if h.store == nil {
+// keepList has the list kept as it is now, soon: whoever follows discovery must not wait for a disk. What takes servers
+// away is made durable at once.
+func (h *handover) keepList(v *versions, durable bool) {
+	if h.store == nil || v.top == unknown {
 		return
 	}
+	k := keptList{Source: v.source, Line: v.line, Before: max(v.before, 0), HeardMs: millis(v.heard), UntilMs: millis(v.until), Short: !v.whole}
 	answer := struct {
 		Generation int64             `json:"generation"`
 		Reset      bool              `json:"reset"`
 		Instances  []json.RawMessage `json:"instances"`
-	}{version, true, []json.RawMessage{}}
+	}{v.top, true, []json.RawMessage{}}
 	size := 0
-	for _, id := range sortedIDs(entries) {
-		answer.Instances = append(answer.Instances, entries[id])
-		size += len(entries[id])
+	for _, e := range v.entries {
+		size += len(e.raw)
 	}
-	if size > listBytes {
-		return
+	k.Short = k.Short || size > listBytes
+	size = 0
+	for _, id := range slices.Sorted(maps.Keys(v.entries)) {
+		e := v.entries[id]
+		if k.Short && e.State == balance.Ready || size+len(e.raw) > listBytes {
+			continue
+		}
+		answer.Instances = append(answer.Instances, e.raw)
+		size += len(e.raw)
+	}
+	for _, id := range slices.Sorted(maps.Keys(v.away)) {
+		k.Away = append(k.Away, uint64(id))
 	}
+	k.Gone, k.Held = keptHeards(v.gone), keptHeards(v.held)
 	raw, err := json.Marshal(answer)
 	if err == nil {
-		raw, err = json.Marshal(keptList{source, raw})
+		k.Answer = raw
+		raw, err = json.Marshal(k)
 	}
 	if err != nil {
 		slog.Warn("state not kept", "reason", err)
@@ -140,40 +176,109 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.nextList = raw
+	durable = durable || h.nextList != nil && h.nextList.durable
+	h.nextList = &keepNext{raw, k, v.top, durable}
+	select {
+	case h.news <- struct{}{}:
+	default:
+	}
 }
 
-// flushList keeps the list that came last.
+// keptHeards words what was heard of servers, by id, in order; at most goneMost of them.
+func keptHeards(all map[balance.ServerID]heardOf) (kept []keptHeard) {
+	for _, id := range slices.Sorted(maps.Keys(all)) {
+		if len(kept) < goneMost {
+			kept = append(kept, keptHeard{uint64(id), millis(all[id].at), millis(all[id].started)})
+		}
+	}
+	return kept
+}
+
+// flushList keeps the list that came last, where no other process of this sidecar has kept a newer one.
 func (h *handover) flushList() error {
 	h.mu.Lock()
-	raw := h.nextList
+	next := h.nextList
 	h.nextList = nil
 	h.mu.Unlock()
-	if raw == nil {
+	if next == nil {
 		return nil
 	}
-	return h.store.Keep(sectionList, only, raw)
+	if _, err := h.store.Follow(); err != nil {
+		return err
+	}
+	if old, _, ok := read[keptList](h.store, sectionList); ok {
+		newer := old.Line > next.kept.Line
+		if old.Line == next.kept.Line && old.Source == next.kept.Source {
+			l, err := parseListing(old.Answer, nil)
+			newer = err == nil && l.version > next.version
+		}
+		if newer {
+			return nil
+		}
+	}
+	if err := h.store.Keep(sectionList, only, next.raw); err != nil || !next.durable {
+		return err
+	}
+	return h.store.Sync()
 }
 
-// list returns the list that a process before this one had, where it is better than the one in the configuration: of
-// the same discovery, newer, and not too old to be believed.
-func (h *handover) list(cfg *Config) (listing, bool) {
-	if h.store == nil {
-		return listing{}, false
+// versions returns what a process before this one knew of the list, or else what the configuration does.
+func (h *handover) versions(cfg *Config, now time.Duration) *versions {
+	var kept keptList
+	var at time.Time
+	if h.store != nil {
+		kept, at, _ = read[keptList](h.store, sectionList)
 	}
-	kept, at, ok := read[keptList](h.store, sectionList)
-	if age := time.Since(at); !ok || kept.Source != cfg.Discovery || age < 0 || age > listKept {
-		return listing{}, false
+	return recall(cfg, kept, at, now)
+}
+
+// recall begins with the newer of the list that was kept at some moment and the configuration's. Where that is the
+// configuration's as the kept one is too old to be served from, what that says against servers still holds.
+func recall(cfg *Config, kept keptList, at time.Time, now time.Duration) *versions {
+	v, known := newVersions(cfg.Discovery), cfg.Known
+	known.whole = true
+	l, err := listing{}, error(nil)
+	if len(kept.Answer) > 0 {
+		if l, err = parseListing(kept.Answer, cfg.Zones); err != nil {
+			slog.Error("state not read", "error", fmt.Errorf("section %s: %w", sectionList, err))
+		}
 	}
-	l, err := parseListing(kept.Answer, cfg.Zones)
-	if err != nil {
-		slog.Error("state not read", "error", fmt.Errorf("section %s: %w", sectionList, err))
-		return listing{}, false
+	if len(kept.Answer) == 0 || err != nil {
+		if len(known.servers) > 0 {
+			v.take(known, now)
+		}
+		return v
+	}
+	v.source, v.line, v.before, v.top = kept.Source, kept.Line, kept.Before, l.version
+	v.heard, v.until = fromMillis(kept.HeardMs), min(fromMillis(kept.UntilMs), now+heldFor)
+	for _, s := range l.servers {
+		v.entries[s.ID] = entry{s, l.address[s.ID], l.raw[s.ID]}
 	}
-	if len(l.servers) == 0 || len(cfg.Known.servers) > 0 && cfg.Known.version >= l.version {
-		return listing{}, false
+	for _, id := range kept.Away {
+		v.away[balance.ServerID(id)] = true
+	}
+	for to, all := range map[*map[balance.ServerID]heardOf][]keptHeard{&v.gone: kept.Gone, &v.held: kept.Held} {
+		for _, g := range all[:min(len(all), goneMost)] {
+			(*to)[balance.ServerID(g.ID)] = heardOf{fromMillis(g.AtMs), fromMillis(g.StartedMs)}
+		}
+	}
+	age := now - time.Duration(at.UnixNano())
+	fresh := !kept.Short && len(l.servers) > 0 && age >= 0 && age <= listKept
+	newer := known.version > v.top && known.version > v.before || known.version == v.top && !fresh
+	switch {
+	case kept.Source != cfg.Discovery: // versions of another discovery say nothing here
+		v.move(cfg.Discovery, now)
+		if clear(v.entries); len(known.servers) > 0 {
+			v.take(known, now)
+		}
+	case len(known.servers) > 0 && newer:
+		v.take(known, now)
+	case fresh:
+		v.whole = true
+	default:
+		v.doubtful(known, kept.Short)
 	}
-	return l, true
+	return v
 }
 
 // learned returns what a process before this one had learned; the module judges what of it still holds.
@@ -199,8 +304,22 @@
 	defer tick.Stop()
 	var last keptLearned
 	failing, synced := false, time.Now()
+	told := func(err error) { // once, not every second
+		if err != nil && !failing {
+			slog.Warn("state not kept", "reason", err)
+		}
+		failing = err != nil
+	}
+	news, rest := h.news, (<-chan time.Time)(nil)
 	for {
 		select {
+		case <-news:
+			told(h.flushList())
+			news, rest = nil, time.After(listEvery)
+			continue
+		case <-rest:
+			news, rest = h.news, nil
+			continue
 		case <-tick.C:
 		case <-ctx.Done():
 			return
@@ -219,10 +338,7 @@
 			err = errors.Join(err, h.store.Sync())
 			synced = time.Now()
 		}
-		if err != nil && !failing { // told once, not every second
-			slog.Warn("state not kept", "reason", err)
-		}
-		failing = err != nil
+		told(err)
 	}
 }
 
@@ -298,8 +414,3 @@
 	}
 	return all
 }
-
-// sortedIDs are the ids of a list's entries, in order.
-func sortedIDs(entries map[balance.ServerID]json.RawMessage) []balance.ServerID {
-	return slices.Sorted(maps.Keys(entries))
-}
--- a/internal/sidecar/state_test.go
+++ b/internal/sidecar/state_test.go
@@ -20,19 +20,18 @@
 func TestNextProcessGoesByWhatWasKept(t *testing.T) {
 	dir := t.TempDir()
 	cfg := testConfig(t, listed(1, "ready", "127.0.0.1:1"), nil)
-	h := newHandover(dir, "n0")
-	if _, ok := h.list(cfg); ok {
-		t.Error("a list out of nowhere")
+	h, now := newHandover(dir, "n0"), newClock().now()
+	if v := h.versions(cfg, now); v.top != 1 || !v.watched() {
+		t.Errorf("without a kept list: version %d", v.top)
 	}
 	l, err := parseListing([]byte(listed(7, "ready", "127.0.0.1:2", "127.0.0.1:3")), cfg.Zones)
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := &discovery{}
-	d.remember(l)
-	gone := listing{servers: []balance.Server{{ID: serverID("s-0"), State: balance.Gone}}}
-	d.remember(gone)
-	h.keepList(cfg.Discovery, 8, d.entries)
+	v := newVersions(cfg.Discovery)
+	v.take(l, now)
+	v.take(listing{version: 8, servers: []balance.Server{{ID: serverID("s-0"), State: balance.Gone}}}, now)
+	h.keepList(v, true)
 	told := balance.Learned{At: time.Duration(time.Now().UnixMilli()) * time.Millisecond, Rate: 120, Servers: []balance.LearnedServer{
 		{ID: serverID("s-1"), Fails: 3, Silent: 5 * time.Second, WarmAt: 9 * time.Second, Strain: 7.5},
 	}}
@@ -50,20 +49,28 @@
 	h.die()
 
 	next := newHandover(dir, "n0")
-	got, ok := next.list(cfg)
-	if !ok || got.version != 8 || len(got.servers) != 1 || got.address[serverID("s-1")] != "127.0.0.1:3" {
-		t.Errorf("the list is %+v, %v", got, ok)
-	}
 	if learned, ok := next.learned(); !ok || !reflect.DeepEqual(learned, told) {
 		t.Errorf("learned %+v, %v, want %+v", learned, ok, told)
 	}
-	cfg.Known.version = 9 // the configuration's is younger
-	if _, ok := next.list(cfg); ok {
-		t.Error("an older list is taken")
-	}
-	cfg.Known.version, cfg.Discovery = 1, "127.0.0.1:9" // versions of another discovery say nothing here
-	if _, ok := next.list(cfg); ok {
-		t.Error("another discovery's list is taken")
+	for name, c := range map[string]struct {
+		known  int64 // the configuration's version
+		source string
+		later  time.Duration
+		top    int64
+		want   string
+	}{
+		"kept":                      {1, cfg.Discovery, 0, 8, "s-1@127.0.0.1:3"},
+		"the configuration's newer": {9, cfg.Discovery, 0, 9, "s-0@127.0.0.1:1"},
+		"of another discovery":      {1, "127.0.0.1:9", 0, 1, "s-0@127.0.0.1:1 out"},
+		"kept long ago":             {1, cfg.Discovery, 2 * listKept, 8, "s-0@127.0.0.1:1 out"},
+		"kept in the future":        {1, cfg.Discovery, -2 * listKept, 8, "s-0@127.0.0.1:1 out"},
+	} {
+		cfg.Known.version, cfg.Discovery = c.known, c.source
+		at := newClock().now() + c.later
+		v := next.versions(cfg, at)
+		if got := wording(v.list(at)); got != c.want || v.top != c.top {
+			t.Errorf("%s: version %d, %s, want %d, %s", name, v.top, got, c.top, c.want)
+		}
 	}
 }
 
--- a/internal/sidecar/stub_test.go
+++ b/internal/sidecar/stub_test.go
@@ -183,6 +183,12 @@
 		}
 	})
 	cfg.Shared, cfg.State.FS = t.TempDir(), disk
+	return startWith(t, cfg)
+}
+
+// startWith serves by a configuration.
+func startWith(t *testing.T, cfg *Config) *running {
+	t.Helper()
 	l, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/sidecar/versions.go
@@ -0,0 +1,270 @@
+package sidecar
+
+import (
+	"cmp"
+	"encoding/json"
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"arrowgw/internal/balance"
+)
+
+// Versions of the list only move forward (docs/list.md).
+const (
+	anewAfter = 6 * time.Second // older words alone for so long, and
+	anewWords = 3               // so many of them, each whole: discovery has begun anew
+	anewSkew  = 5 * time.Second // a server that started so long after a version was heard of is proof that what lists it came later
+	heldFor   = time.Minute     // a drain known before outlives the first list of another line by so long
+	goneMost  = 512             // servers that are remembered to be gone
+)
+
+// heardOf is what is remembered of a server that was told draining or gone. Times are since the Unix epoch.
+type heardOf struct {
+	at      time.Duration // when it was told
+	started time.Duration // its last start then; one that started later is another
+}
+
+// entry is one line of the list, as of the version that is acted on.
+type entry struct {
+	balance.Server
+	address string
+	raw     json.RawMessage
+}
+
+// versions is what a sidecar knows of the list. Versions can be compared within a line: that of one source, until it
+// begins anew. Whoever uses it keeps to one call at a time.
+type versions struct {
+	source string // discovery's address
+	line   int64  // grows with each source and each beginning; of two words of a node the one of the higher line is newer
+	top    int64  // the highest version acted on in this line, or unknown
+	before int64  // the highest of this source's earlier lines, or unknown
+	heard  time.Duration
+	whole  bool // entries are those of top; otherwise the whole list is needed
+
+	entries map[balance.ServerID]entry
+	away    map[balance.ServerID]bool    // ready as of top, and out by an older word
+	gone    map[balance.ServerID]heardOf // told gone lately
+	held    map[balance.ServerID]heardOf // out by the word of an earlier line, until it has a word of its own
+	until   time.Duration                // no longer than this
+
+	doubt struct { // whether discovery has begun anew
+		open        bool
+		top         int64         // the highest of the older words
+		words       int           // that were whole and not older still
+		since, last time.Duration // of the first of them, and of the last that was not older still
+	}
+}
+
+func newVersions(source string) *versions {
+	return &versions{
+		source: source, top: unknown, before: unknown, entries: make(map[balance.ServerID]entry),
+		away: make(map[balance.ServerID]bool), gone: make(map[balance.ServerID]heardOf), held: make(map[balance.ServerID]heardOf),
+	}
+}
+
+// watched says that changes are enough; otherwise the whole list is needed.
+func (v *versions) watched() bool {
+	return v.top != unknown && v.whole && !v.doubt.open && len(v.away) == 0
+}
+
+// take takes an answer, and returns what is to be acted on: the answer as it is, but for what may not go back. An
+// answer that is older than what is acted on takes servers away, and returns none (older).
+func (v *versions) take(l listing, now time.Duration) (news listing, older bool) {
+	if v.top != unknown && l.version < v.top {
+		if !v.anew(l, now) {
+			return v.takeAway(l), true
+		}
+		slog.Warn("discovery has begun anew", "from", v.top, "to", l.version, "words", v.doubt.words)
+		v.begin(now)
+	}
+	if l.version > v.top || v.top == unknown {
+		v.heard = now
+	}
+	v.top, v.whole = l.version, v.whole || l.whole
+	v.doubt.open = false
+	was := v.entries
+	if l.whole {
+		v.entries = make(map[balance.ServerID]entry, len(l.servers))
+	}
+	news = listing{version: l.version, whole: l.whole, address: l.address, raw: l.raw}
+	for _, s := range l.servers {
+		raw := l.raw[s.ID]
+		if started := max(was[s.ID].Started, v.gone[s.ID].started, v.held[s.ID].started); s.Started < started {
+			s.Started, raw = started, restarted(raw, started) // the start of one id never goes back
+		}
+		if !l.whole || s.State != balance.Ready {
+			delete(v.held, s.ID) // a change told in this line
+		}
+		delete(v.away, s.ID)
+		if s.State == balance.Gone {
+			v.leave(s.ID, was[s.ID], now)
+			delete(v.entries, s.ID)
+		} else {
+			v.entries[s.ID] = entry{s, l.address[s.ID], raw}
+			delete(v.gone, s.ID)
+		}
+		s.State = v.state(s, now)
+		news.servers = append(news.servers, s)
+	}
+	if l.whole {
+		clear(v.away)
+		for id, e := range was {
+			if _, listed := v.entries[id]; !listed {
+				v.leave(id, e, now)
+			}
+		}
+	}
+	if len(v.held) > 0 && now >= v.until { // they are as the list has them from now on
+		held := v.held
+		v.held = make(map[balance.ServerID]heardOf)
+		v.name(&news, slices.Sorted(maps.Keys(held)))
+	}
+	return news, false
+}
+
+// state is what a line of the list comes to: nothing is brought back by an older word.
+func (v *versions) state(s balance.Server, now time.Duration) balance.State {
+	if h, held := v.held[s.ID]; s.State == balance.Ready && (v.away[s.ID] || held && s.Started <= h.started && now < v.until) {
+		return balance.Draining
+	}
+	return s.State
+}
+
+// name adds servers to what is told, as the list has them.
+func (v *versions) name(news *listing, ids []balance.ServerID) {
+	at := make(map[balance.ServerID]int, len(news.servers))
+	for i, s := range news.servers {
+		at[s.ID] = i
+	}
+	address := make(map[balance.ServerID]string)
+	maps.Copy(address, news.address)
+	for _, id := range ids {
+		e, listed := v.entries[id]
+		if i, told := at[id]; listed && told {
+			news.servers[i].State = e.State
+		} else if listed {
+			news.servers = append(news.servers, e.Server)
+			address[id] = e.address
+		}
+	}
+	news.address = address
+}
+
+// leave remembers that a server is gone. Those that went first are forgotten first.
+func (v *versions) leave(id balance.ServerID, e entry, now time.Duration) {
+	if _, known := v.gone[id]; known {
+		return
+	}
+	v.gone[id] = heardOf{now, max(e.Started, v.held[id].started)}
+	for len(v.gone) > goneMost {
+		delete(v.gone, slices.MinFunc(slices.Sorted(maps.Keys(v.gone)), func(a, b balance.ServerID) int {
+			return cmp.Compare(v.gone[a].at, v.gone[b].at)
+		}))
+	}
+}
+
+// takeAway returns the ready servers that an older word has draining or gone. They stay out until the whole list of
+// a version that is not older names them.
+func (v *versions) takeAway(l listing) listing {
+	news := listing{version: v.top, address: make(map[balance.ServerID]string)}
+	says := make(map[balance.ServerID]balance.State, len(l.servers))
+	for _, s := range l.servers {
+		says[s.ID] = s.State
+	}
+	for _, id := range slices.Sorted(maps.Keys(v.entries)) {
+		e := v.entries[id]
+		state, told := says[id]
+		if e.State == balance.Ready && !v.away[id] && (told && state != balance.Ready || !told && l.whole) {
+			v.away[id] = true
+			e.State = balance.Draining
+			news.servers = append(news.servers, e.Server)
+			news.address[id] = e.address
+		}
+	}
+	return news
+}
+
+// anew judges an answer that is older than what is acted on: whether discovery has begun anew, or is stale.
+func (v *versions) anew(l listing, now time.Duration) bool {
+	d := &v.doubt
+	if !d.open || now < d.last || l.version < d.top && now-d.last >= anewAfter {
+		d.open, d.top, d.words, d.since, d.last = true, l.version, 0, now, now
+	}
+	if l.version < d.top || !l.whole {
+		return false
+	}
+	d.top, d.last, d.words = l.version, now, d.words+1
+	for _, s := range l.servers {
+		if v.heard > 0 && s.Started > v.heard+anewSkew && s.Started <= now+anewSkew {
+			return true // what was made before top can't know of it
+		}
+	}
+	return d.words >= anewWords && now-d.since >= anewAfter
+}
+
+// begin begins a line: its versions say nothing on those before, and what was out by those stays out for a while.
+func (v *versions) begin(now time.Duration) {
+	v.before = max(v.before, v.top)
+	v.line, v.top, v.heard, v.whole, v.until = v.line+1, unknown, 0, false, now+heldFor
+	clear(v.away)
+	maps.Copy(v.held, v.gone)
+	for id, e := range v.entries {
+		if _, known := v.held[id]; e.State == balance.Draining && !known {
+			v.held[id] = heardOf{now, e.Started}
+		}
+	}
+}
+
+// move goes on at another source.
+func (v *versions) move(source string, now time.Duration) {
+	if source != v.source {
+		v.begin(now)
+		v.source, v.before = source, unknown
+	}
+}
+
+// doubtful goes on with an older list than top's, where that can't be had: of its servers those that top's word leaves
+// ready. A short word names only servers that are not.
+func (v *versions) doubtful(older listing, short bool) {
+	top := v.entries
+	v.entries, v.whole = make(map[balance.ServerID]entry), false
+	for _, s := range older.servers {
+		if s.State == balance.Gone {
+			continue
+		}
+		v.entries[s.ID] = entry{s, older.address[s.ID], older.raw[s.ID]}
+		if e, listed := top[s.ID]; listed && e.State != balance.Ready || !listed && !short {
+			v.away[s.ID] = true
+		}
+	}
+}
+
+// list is the whole list as it is acted on.
+func (v *versions) list(now time.Duration) listing {
+	l := listing{version: v.top, whole: true, address: make(map[balance.ServerID]string)}
+	for _, id := range slices.Sorted(maps.Keys(v.entries)) {
+		e := v.entries[id]
+		e.State = v.state(e.Server, now)
+		l.servers = append(l.servers, e.Server)
+		l.address[id] = e.address
+	}
+	return l
+}
+
+// restarted is a line of the list with another start.
+func restarted(raw json.RawMessage, started time.Duration) json.RawMessage {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(raw, &fields) != nil {
+		return raw // it has been read before
+	}
+	maps.DeleteFunc(fields, func(name string, _ json.RawMessage) bool { return strings.EqualFold(name, "startedAtMs") })
+	fields["startedAtMs"], _ = json.Marshal(float64(started) / float64(time.Millisecond)) // a number is no error
+	changed, err := json.Marshal(fields)
+	if err != nil {
+		return raw
+	}
+	return changed
+}
