Have the lab's stale discovery keep to the version that it stands still at

It was made anew from the entries that stood in the list: its version ran ahead of the true one by their number of changes, so that the true list seemed to have gone back afterwards, and servers that were gone were ready in it again. It is a copy now.

Seen to fail: with the entries set one by one the copy's version is not the list's.

--- a/internal/lab/roster.go
+++ b/internal/lab/roster.go
@@ -133,10 +133,7 @@
 	defer r.mu.Unlock()
 	r.stale = nil
 	if on {
-		r.stale = world.NewRoster(r.scene.Fleet.Servers, r.list.Version())
-		for _, e := range r.list.Whole() {
-			r.stale.Set(e)
-		}
+		r.stale = r.list.Copy()
 	}
 }
 
--- a/internal/world/roster.go
+++ b/internal/world/roster.go
@@ -1,6 +1,9 @@
 package world
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Life is what the list of servers says of one.
 type Life string
@@ -38,6 +41,11 @@
 	return r
 }
 
+// Copy is the roster as it is now.
+func (r *Roster) Copy() *Roster {
+	return &Roster{first: r.first, entries: slices.Clone(r.entries), log: slices.Clone(r.log)}
+}
+
 // Version is the list's version.
 func (r *Roster) Version() int64 { return r.first + int64(len(r.log)) }
 
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -257,6 +257,9 @@
 	if len(r.Whole()) != 1 {
 		t.Errorf("the whole list: %v", r.Whole())
 	}
+	if c := r.Copy(); c.Version() != 4 || len(c.Whole()) != 1 || !c.Set(Entry{Server: 0, Life: Gone}) || r.Version() != 4 || len(r.Whole()) != 1 {
+		t.Errorf("a copy at version %d with %v, after a change of it version %d", c.Version(), c.Whole(), r.Version())
+	}
 	for range rosterLog {
 		r.Set(Entry{Server: 0, Life: Draining})
 		r.Set(Entry{Server: 0, Life: Ready})
