Play generated histories of discovery, its replicas, restarts and moves against an oracle of versions

200 histories of 120 words, with replicas that answer with any older version, discovery that begins anew, restarts over the durable state and moves: no word that takes away is passed over, nothing is back by an older one, no start goes back, a new beginning is believed within 16 s, and in the end the list is the true one. A table has the rule's edges.

What it found: a start of a server was kept in ms and read back 64 ns younger or older, and so passed for a later one, which ends a hold. It is kept exactly now.

Seen to fail, each with its cause planted: older words taking nothing away, or nothing for servers that they lack; any older list believed; none ever believed; no hold; hold, gone or away not kept; hold or away without an end; a hold of the past after a restart; starts going back, or kept as they came; an older list of another process kept over a newer, by version and by line; words that fall counted; a later start passed over; the version not held after a restart.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -40,7 +40,7 @@
 	c := newClock()
 	state := openHandover(cfg.Shared, cfg.Name, cfg.State)
 	versions := state.versions(cfg, c.now())
-	cfg.Known = versions.list(c.now())
+	cfg.Known = versions.list()
 	up := newUpstream(cfg, c)
 	l, err := newLoop(cfg, c, up)
 	if err != nil {
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -56,7 +56,7 @@
 type keptHeard struct {
 	ID        uint64 `json:"id"`
 	AtMs      int64  `json:"atMs"`
-	StartedMs int64  `json:"startedMs,omitempty"`
+	StartedNs int64  `json:"startedNs,omitempty"` // to be the same as the list's
 }
 
 // keepNext is a list that is to be kept.
@@ -188,7 +188,7 @@
 func keptHeards(all map[balance.ServerID]heardOf) (kept []keptHeard) {
 	for _, id := range slices.Sorted(maps.Keys(all)) {
 		if len(kept) < goneMost {
-			kept = append(kept, keptHeard{uint64(id), millis(all[id].at), millis(all[id].started)})
+			kept = append(kept, keptHeard{uint64(id), millis(all[id].at), int64(all[id].started)})
 		}
 	}
 	return kept
@@ -259,9 +259,12 @@
 	}
 	for to, all := range map[*map[balance.ServerID]heardOf][]keptHeard{&v.gone: kept.Gone, &v.held: kept.Held} {
 		for _, g := range all[:min(len(all), goneMost)] {
-			(*to)[balance.ServerID(g.ID)] = heardOf{fromMillis(g.AtMs), fromMillis(g.StartedMs)}
+			(*to)[balance.ServerID(g.ID)] = heardOf{fromMillis(g.AtMs), time.Duration(g.StartedNs)}
 		}
 	}
+	if now >= v.until {
+		clear(v.held)
+	}
 	age := now - time.Duration(at.UnixNano())
 	fresh := !kept.Short && len(l.servers) > 0 && age >= 0 && age <= listKept
 	newer := known.version > v.top && known.version > v.before || known.version == v.top && !fresh
--- a/internal/sidecar/state_test.go
+++ b/internal/sidecar/state_test.go
@@ -68,7 +68,7 @@
 		cfg.Known.version, cfg.Discovery = c.known, c.source
 		at := newClock().now() + c.later
 		v := next.versions(cfg, at)
-		if got := wording(v.list(at)); got != c.want || v.top != c.top {
+		if got := wording(v.list()); got != c.want || v.top != c.top {
 			t.Errorf("%s: version %d, %s, want %d, %s", name, v.top, got, c.top, c.want)
 		}
 	}
--- a/internal/sidecar/versions.go
+++ b/internal/sidecar/versions.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"log/slog"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -106,7 +107,7 @@
 			v.entries[s.ID] = entry{s, l.address[s.ID], raw}
 			delete(v.gone, s.ID)
 		}
-		s.State = v.state(s, now)
+		s.State = v.state(s)
 		news.servers = append(news.servers, s)
 	}
 	if l.whole {
@@ -126,8 +127,8 @@
 }
 
 // state is what a line of the list comes to: nothing is brought back by an older word.
-func (v *versions) state(s balance.Server, now time.Duration) balance.State {
-	if h, held := v.held[s.ID]; s.State == balance.Ready && (v.away[s.ID] || held && s.Started <= h.started && now < v.until) {
+func (v *versions) state(s balance.Server) balance.State {
+	if h, held := v.held[s.ID]; s.State == balance.Ready && (v.away[s.ID] || held && s.Started <= h.started) {
 		return balance.Draining
 	}
 	return s.State
@@ -243,11 +244,11 @@
 }
 
 // list is the whole list as it is acted on.
-func (v *versions) list(now time.Duration) listing {
+func (v *versions) list() listing {
 	l := listing{version: v.top, whole: true, address: make(map[balance.ServerID]string)}
 	for _, id := range slices.Sorted(maps.Keys(v.entries)) {
 		e := v.entries[id]
-		e.State = v.state(e.Server, now)
+		e.State = v.state(e.Server)
 		l.servers = append(l.servers, e.Server)
 		l.address[id] = e.address
 	}
@@ -261,7 +262,11 @@
 		return raw // it has been read before
 	}
 	maps.DeleteFunc(fields, func(name string, _ json.RawMessage) bool { return strings.EqualFold(name, "startedAtMs") })
-	fields["startedAtMs"], _ = json.Marshal(float64(started) / float64(time.Millisecond)) // a number is no error
+	ms := float64(started) / float64(time.Millisecond)
+	for time.Duration(ms*float64(time.Millisecond)) < started { // as it is read again
+		ms = math.Nextafter(ms, math.Inf(1))
+	}
+	fields["startedAtMs"], _ = json.Marshal(ms) // a number is no error
 	changed, err := json.Marshal(fields)
 	if err != nil {
 		return raw
--- a/internal/sidecar/versions_test.go
+++ b/internal/sidecar/versions_test.go
@@ -3,14 +3,18 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"arrowgw/internal/balance"
+	"arrowgw/internal/store"
 )
 
 // wording tells a list of servers that are named s-0 to s-9, for comparison.
@@ -92,3 +96,338 @@
 		t.Errorf("%d of 20 requests went to the server that drains", n)
 	}
 }
+
+// fact is one server of the oracle's truth.
+type fact struct {
+	state   balance.State
+	started time.Duration
+}
+
+// truth is discovery as it really is: what it had at each version. A replica may answer with any of them.
+type truth struct {
+	rng      *rand.Rand
+	versions []map[int]fact // the list at each version from first on
+	first    int64
+}
+
+func (h *truth) now() map[int]fact { return h.versions[len(h.versions)-1] }
+
+func (h *truth) newest() int64 { return h.first + int64(len(h.versions)) - 1 }
+
+// change gives one server another life.
+func (h *truth) change(at time.Duration) {
+	list := maps.Clone(h.now())
+	i := h.rng.IntN(10)
+	switch f, listed := list[i]; {
+	case !listed || h.rng.IntN(3) == 0: // it has started, since it was last told of or just now
+		list[i] = fact{balance.Ready, at - time.Duration(h.rng.IntN(2000))*time.Millisecond}
+	case f.state == balance.Ready && h.rng.IntN(4) > 0:
+		list[i] = fact{balance.Draining, f.started}
+	case f.state == balance.Draining && h.rng.IntN(4) == 0: // thought better of
+		list[i] = fact{balance.Ready, f.started}
+	default:
+		delete(list, i)
+	}
+	h.versions = append(h.versions, list)
+}
+
+// answer is the list at a version, whole, or what changed in it since another.
+func (h *truth) answer(version, since int64) listing {
+	var entries []string
+	list, old := h.versions[version-h.first], map[int]fact{}
+	if since != unknown {
+		old = h.versions[since-h.first]
+	}
+	for i := range 10 {
+		name := fmt.Sprintf("s-%d", i)
+		f, listed := list[i]
+		if was, before := old[i]; f == was && listed == before {
+			continue
+		}
+		life := map[balance.State]string{balance.Gone: "gone", balance.Draining: "draining", balance.Ready: "ready"}[f.state]
+		entries = append(entries, fmt.Sprintf(`{"instanceId":%q,"hostPort":"127.0.0.1:8%d","lifecycle":%q,"weight":1,"startedAtMs":%d}`,
+			name, i, life, f.started.Milliseconds()))
+	}
+	l, err := parseListing(fmt.Appendf(nil, `{"generation":%d,"reset":%v,"instances":[%s]}`, version, since == unknown, strings.Join(entries, ",")), nil)
+	if err != nil {
+		panic(err) // of the test's own making
+	}
+	return l
+}
+
+// Over generated histories of discovery and its replicas, of ends and starts of the process, of moves and of new
+// beginnings: what is acted on against what it may be. Each seed is one history, the same at each run.
+func TestVersionsOnlyMoveForward(t *testing.T) {
+	begun, older, restarts := 0, 0, 0
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		now := time.Duration(1_700_000_000) * time.Second
+		h := &truth{rng: rng, versions: []map[int]fact{{}}, first: 40 + rng.Int64N(20)}
+		for range 8 {
+			h.change(now)
+		}
+		cfg := &Config{Discovery: "127.0.0.1:1"}
+		v := newVersions(cfg.Discovery)
+		acted := make(map[balance.ServerID]balance.Server) // as the module has it
+		starts := make(map[balance.ServerID]time.Duration)
+		out := make(map[balance.ServerID]time.Duration) // drained or gone as of the newest word of its line: since when
+		taken := make(map[balance.ServerID]bool)        // out by an older word since the last one that was not
+		var renewed time.Duration                       // discovery began anew then, and the node does not know; 0: it does
+		take := func(l listing) {
+			was := v.line
+			news, isOlder := v.take(l, now)
+			if isOlder {
+				older++
+			} else if l.whole {
+				clear(taken)
+			}
+			for _, s := range l.servers {
+				if !isOlder {
+					delete(taken, s.ID)
+				}
+			}
+			if news.whole {
+				clear(acted)
+			}
+			for _, s := range news.servers {
+				if acted[s.ID] = s; s.State == balance.Gone {
+					delete(acted, s.ID)
+				}
+				if s.Started < starts[s.ID] {
+					t.Fatalf("seed %d: the start of a server goes from %v back to %v", seed, starts[s.ID], s.Started)
+				}
+				starts[s.ID] = s.Started
+			}
+			named := make(map[balance.ServerID]bool)
+			for _, s := range l.servers { // any word that takes away binds
+				named[s.ID] = true
+				if s.State != balance.Ready && acted[s.ID].State == balance.Ready {
+					t.Fatalf("seed %d: a server that discovery has draining at %d is ready", seed, l.version)
+				}
+			}
+			for id, s := range acted {
+				if l.whole && !named[id] && s.State == balance.Ready {
+					t.Fatalf("seed %d: a server that the whole list %d does not have is ready", seed, l.version)
+				}
+			}
+			if !isOlder && v.line == was { // its line's newest word
+				for _, s := range l.servers {
+					if delete(out, s.ID); s.State != balance.Ready {
+						out[s.ID] = s.Started
+					}
+				}
+			}
+			if was != v.line {
+				begun++
+			}
+			for id := range acted {
+				if isOlder && acted[id].State != balance.Ready {
+					taken[id] = true
+				}
+				if taken[id] && acted[id].State == balance.Ready {
+					t.Fatalf("seed %d: a server is back without a newer list that has it, by version %d", seed, l.version)
+				}
+			}
+			for id, started := range out { // undone by time alone, or by a later start
+				if s := acted[id]; s.State == balance.Ready && s.Started <= started && now < v.until {
+					t.Fatalf("seed %d: a server that was out is back by version %d", seed, l.version)
+				}
+			}
+			for id := range acted {
+				if _, known := starts[id]; !known {
+					t.Fatalf("seed %d: a server out of nowhere", seed)
+				}
+			}
+		}
+		take(h.answer(h.newest(), unknown))
+		for range 120 {
+			now += time.Duration(500+rng.IntN(1500)) * time.Millisecond
+			if rng.IntN(3) > 0 {
+				h.change(now)
+			}
+			switch n := rng.IntN(40); {
+			case n == 0 && renewed == 0: // discovery begins anew, from what is there
+				h.versions, h.first = []map[int]fact{maps.Clone(h.now())}, 1+rng.Int64N(10)
+				renewed = now
+			case n == 1: // the process ends and starts; what it kept is what there is
+				restarts++
+				s := &handover{store: memoryStore(t), news: make(chan struct{}, 1)}
+				s.keepList(v, true)
+				if err := s.flushList(); err != nil {
+					t.Fatal(err)
+				}
+				kept, _, ok := read[keptList](s.store, sectionList)
+				if !ok {
+					t.Fatal("nothing was kept")
+				}
+				v, renewed = recall(cfg, kept, time.Unix(0, int64(now)), now), min(renewed, 1)*now // it counts from the start again
+				clear(acted)
+				for _, e := range v.list().servers {
+					acted[e.ID] = e
+					if taken[e.ID] && e.State == balance.Ready {
+						t.Fatalf("seed %d: a restart brings back a server that an older word took away", seed)
+					}
+				}
+			case n == 2: // discovery moves
+				cfg.Discovery = fmt.Sprintf("127.0.0.1:%d", 1+rng.IntN(1000))
+				v.move(cfg.Discovery, now)
+				renewed = 0
+			}
+			version, since := h.newest(), unknown
+			stale := rng.IntN(4) == 0 && renewed == 0
+			if stale {
+				version = h.first + rng.Int64N(h.newest()-h.first+1)
+			}
+			if v.watched() && renewed == 0 && version >= v.top && v.top >= h.first {
+				since = v.top
+			}
+			take(h.answer(version, since))
+			if renewed > 0 && v.top <= h.newest() && v.line > 0 && !v.doubt.open {
+				renewed = 0
+			}
+			if renewed > 0 && now-renewed > 2*anewAfter+4*time.Second {
+				t.Fatalf("seed %d: discovery has begun anew %v ago, and is not believed", seed, now-renewed)
+			}
+		}
+		for range 3 { // in the end, with the truth alone and time enough, the list is the true one
+			now += 2 * heldFor
+			take(h.answer(h.newest(), unknown))
+			take(h.answer(h.newest(), unknown))
+			take(h.answer(h.newest(), unknown))
+		}
+		if !v.watched() || len(v.held) > 0 {
+			t.Errorf("seed %d: in the end the whole list is still needed, or %d servers are held", seed, len(v.held))
+		}
+		for i := range 10 {
+			id := serverID(fmt.Sprintf("s-%d", i))
+			if f := h.now()[i]; acted[id].State != f.state {
+				t.Errorf("seed %d: in the end server %d is %v, and truly %v", seed, i, acted[id].State, f.state)
+			}
+		}
+	}
+	if begun < 100 || older < 500 || restarts < 400 {
+		t.Errorf("%d beginnings, %d older answers, %d restarts: too few to show anything", begun, older, restarts)
+	}
+}
+
+// memoryStore is a state of this test alone.
+func memoryStore(t *testing.T) *store.Store {
+	t.Helper()
+	s, err := store.Open(store.Options{Dir: t.TempDir()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Close() })
+	return s
+}
+
+// Of two processes' lists the newer is kept, whichever writes last; a line that began later goes before its versions.
+func TestNewerOfTwoListsIsKept(t *testing.T) {
+	dir, now := t.TempDir(), newClock().now()
+	cfg := testConfig(t, listed(1, "ready", "127.0.0.1:1"), nil)
+	word := func(version int64) listing {
+		l, err := parseListing([]byte(listed(int(version), "ready", "127.0.0.1:2")), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return l
+	}
+	old, next := newHandover(dir, "n0"), newHandover(dir, "n0")
+	a, b := old.versions(cfg, now), next.versions(cfg, now)
+	for i, step := range []struct {
+		by      *handover
+		v       *versions
+		version int64
+		kept    int64
+	}{
+		{old, a, 60, 60}, {next, b, 55, 60}, {next, b, 61, 61}, {old, a, 61, 61},
+		{next, b, 7, 7}, {old, a, 70, 7}, {next, b, 8, 8},
+	} {
+		if step.version == 7 { // discovery has begun anew, and only one of them knows
+			step.v.begin(now)
+		}
+		step.v.take(word(step.version), now)
+		step.by.keepList(step.v, true)
+		if err := step.by.flushList(); err != nil {
+			t.Fatal(err)
+		}
+		last := newHandover(dir, "n0")
+		if got := last.versions(cfg, now).top; got != step.kept {
+			t.Errorf("step %d: version %d is kept, want %d", i, got, step.kept)
+		}
+		last.die()
+	}
+}
+
+// What decides whether an older word is a new beginning, and how long what was known before it holds: s-0 drained at
+// version 50, which came at 0 s.
+func TestNewBeginnings(t *testing.T) {
+	type word struct {
+		at      time.Duration
+		version int64  // 0: none; -1: the process starts again; -2: discovery moves
+		s0      string // lifecycle; "": a change of nothing
+		started time.Duration
+		whole   bool
+	}
+	at := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+	zero := time.Duration(1_700_000_000) * time.Second
+	for name, c := range map[string]struct {
+		words []word
+		line  int64
+		out   bool
+	}{
+		"one older list":            {[]word{{at(9), 45, "ready", 0, true}}, 0, true},
+		"older lists for 6 s":       {[]word{{at(1), 45, "ready", 0, true}, {at(4), 45, "ready", 0, true}, {at(7), 45, "ready", 0, true}}, 1, true},
+		"for less":                  {[]word{{at(1), 45, "ready", 0, true}, {at(4), 45, "ready", 0, true}, {at(6.9), 45, "ready", 0, true}}, 0, true},
+		"two":                       {[]word{{at(1), 45, "ready", 0, true}, {at(9), 45, "ready", 0, true}}, 0, true},
+		"changes":                   {[]word{{at(1), 45, "", 0, false}, {at(5), 45, "", 0, false}, {at(9), 45, "", 0, false}}, 0, true},
+		"one that is older still":   {[]word{{at(1), 45, "ready", 0, true}, {at(4), 45, "ready", 0, true}, {at(7), 44, "ready", 0, true}}, 0, true},
+		"a newer one between":       {[]word{{at(1), 45, "ready", 0, true}, {at(4), 45, "ready", 0, true}, {at(5), 50, "draining", 0, true}, {at(7), 45, "ready", 0, true}}, 0, true},
+		"a later start":             {[]word{{at(20), 45, "ready", at(6), true}}, 1, false},
+		"within the clocks' margin": {[]word{{at(20), 45, "ready", at(5), true}}, 0, true},
+		"a start in the future":     {[]word{{at(20), 45, "ready", at(90), true}}, 0, true},
+		"a move":                    {[]word{{at(1), -2, "", 0, false}, {at(2), 9, "ready", 0, true}}, 1, true},
+		"and a change":              {[]word{{at(1), -2, "", 0, false}, {at(2), 9, "ready", 0, true}, {at(3), 10, "ready", 0, false}}, 1, false},
+		"and a minute less":         {[]word{{at(1), -2, "", 0, false}, {at(2), 9, "ready", 0, true}, {at(60), 10, "ready", 0, true}}, 1, true},
+		"and a minute":              {[]word{{at(1), -2, "", 0, false}, {at(2), 9, "ready", 0, true}, {at(61), 9, "", 0, false}}, 1, false},
+		"a start again in it":       {[]word{{at(1), -2, "", 0, false}, {at(2), 9, "ready", 0, true}, {at(60), -1, "", 0, false}}, 1, true},
+		"and after it":              {[]word{{at(1), -2, "", 0, false}, {at(2), 9, "ready", 0, true}, {at(61), -1, "", 0, false}}, 1, false},
+		"a start again":             {[]word{{at(1), -1, "", 0, false}, {at(2), 45, "ready", 0, true}}, 0, true},
+	} {
+		cfg := &Config{Discovery: "127.0.0.1:1"}
+		v := newVersions(cfg.Discovery)
+		for _, w := range append([]word{{0, 50, "draining", 0, true}}, c.words...) {
+			now := zero + w.at
+			switch {
+			case w.version == -1:
+				s := &handover{store: memoryStore(t), news: make(chan struct{}, 1)}
+				s.keepList(v, true)
+				if err := s.flushList(); err != nil {
+					t.Fatal(err)
+				}
+				kept, _, _ := read[keptList](s.store, sectionList)
+				v = recall(cfg, kept, time.Unix(0, int64(now)), now)
+			case w.version == -2:
+				cfg.Discovery = "127.0.0.1:2"
+				v.move(cfg.Discovery, now)
+			default:
+				var entries []string
+				if w.s0 != "" {
+					started := (w.started + zero).Milliseconds()
+					if w.started == 0 {
+						started = 0
+					}
+					entries = []string{fmt.Sprintf(`{"instanceId":"s-0","hostPort":"127.0.0.1:80","lifecycle":%q,"startedAtMs":%d}`, w.s0, started)}
+				}
+				l, err := parseListing(fmt.Appendf(nil, `{"generation":%d,"reset":%v,"instances":[%s]}`, w.version, w.whole, strings.Join(entries, ",")), nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				v.take(l, now)
+			}
+		}
+		if out := wording(v.list()) == "s-0@127.0.0.1:80 out"; out != c.out || v.line != c.line {
+			t.Errorf("%s: %s, line %d, want out %v, line %d", name, wording(v.list()), v.line, c.out, c.line)
+		}
+	}
+}
