Call a discovery that was away again within a second where lists are pushed

What was pushed counts at once, also after an outage, and a drain has to be kept within a second of being told. The pause grows to 0.5 s now, 0.75 s with its jitter; where the list is asked for the module says when to call, as before.

Seen to fail: with the pause growing to 2 s the next call may be 1.2 s, 2.4 s and 3 s away from the third failure on.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -25,8 +25,9 @@
 	answerTime = 2 * time.Second  // and how long its answer may take besides
 	listTime   = 6 * time.Second  // how long it may take over the whole list
 	firstRetry = 200 * time.Millisecond
-	lastRetry  = 2 * time.Second // with jitter, well under the 6 s after which a drain counts as told
-	listLimit  = 8 << 20         // bytes of one answer; far above any real list
+	lastRetry  = 500 * time.Millisecond // with jitter and a call within 1 s: what was pushed meanwhile counts once discovery is back
+	staleRetry = 2 * time.Second        // and where its word was older than what is held
+	listLimit  = 8 << 20                // bytes of one answer; far above any real list
 )
 
 // unknown is no version: the whole list is needed.
@@ -257,7 +258,7 @@
 			slog.Warn("discovery is older than what is held", "version", l.version, "held", held, "whole", l.whole, "out", len(news.servers))
 			again := firstRetry
 			if l.whole {
-				again = lastRetry
+				again = staleRetry
 			}
 			if d.pause(ctx, again); ctx.Err() != nil {
 				return heard, ctx.Err()
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"testing"
 	"time"
 
@@ -122,6 +123,33 @@
 	}
 }
 
+// Where lists are pushed, what changed while discovery was away counts as told as soon as it is back, and a drain has to be kept within
+// a second of that: no pause between calls may be as long, however long discovery was away.
+func TestPushedListIsHeardSoonAfterAnOutage(t *testing.T) {
+	const most, failures = time.Second, 12
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }))
+	defer server.Close()
+	cfg := testConfig(t, listed(40, "ready", "127.0.0.1:80"), func(file, _ map[string]any) { file["discovery"] = server.Listener.Addr().String() })
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	d := newDiscovery(cfg, func(listing) {}, func() {})
+	var pauses []time.Duration
+	d.pause = func(_ context.Context, by time.Duration) {
+		if pauses = append(pauses, by); len(pauses) == failures {
+			cancel()
+		}
+	}
+	d.run(ctx)
+	for i, by := range pauses {
+		if longest := by * 3 / 2; longest >= most*8/10 || by <= 0 { // jitter makes it half as long again; the call takes time too
+			t.Errorf("after %d failures the next call may be %v away", i+1, longest)
+		}
+	}
+	if len(pauses) != failures || slices.Max(pauses) < 2*pauses[0] {
+		t.Errorf("pauses %v: want %d that grow", pauses, failures)
+	}
+}
+
 // Where the list must be asked for, nothing is called before the module asks.
 func TestDiscoveryIsAsked(t *testing.T) {
 	calls := make(chan struct{}, 100)
