Leave a server that the other process of an upgrade was told drains

Two processes of a sidecar each follow discovery, maybe at different replicas: one told of a drain at version 60 left the server, and the other at 55 went on sending to it until its own replica had caught up. The list kept by either is seen by both 20 times a second, as calls by hand are; of a newer version of the same line, what it has not ready is out here too, until this process is told as new a version.

Seen to fail: without it, with a version in between bringing the server back, with an older list of the other process heard, and with the wiring cut on two running sidecars of which discovery tells one.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -117,7 +117,8 @@
 	failed func()
 	client http.Client
 
-	versions *versions // of the list that the loop holds; run's own
+	taking   sync.Mutex // held while news go on to the loop, so that they do so in order
+	versions *versions  // of the list that the loop holds; changed only with taking held
 	now      func() time.Duration
 	pause    func(context.Context, time.Duration)
 	keep     func(v *versions, durable bool)
@@ -181,7 +182,9 @@
 func (d *discovery) run(ctx context.Context) {
 	for moved := false; ctx.Err() == nil; moved = true {
 		here, address := d.stay(ctx)
+		d.taking.Lock()
 		d.versions.move(address, d.now()) // whether versions are the same elsewhere is not told
+		d.taking.Unlock()
 		d.runAt(here, address, moved)
 		d.client.CloseIdleConnections()
 	}
@@ -233,29 +236,21 @@
 // discovery has begun anew. It tells whether any call went well.
 func (d *discovery) follow(ctx context.Context, address string) (heard bool, err error) {
 	for {
-		query, limit := "", listTime
-		if d.versions.watched() {
-			wait := firstWait
-			if limit = wait + listTime; heard {
-				wait = watchWait
-				limit = wait + answerTime
-			}
-			query = fmt.Sprintf("?index=%d&wait=%d", d.versions.top, wait.Milliseconds())
+		wait, limit := firstWait, firstWait+listTime
+		if heard {
+			wait, limit = watchWait, watchWait+answerTime
+		}
+		query := d.query(wait)
+		if query == "" {
+			limit = listTime
 		}
 		l, err := d.call(ctx, address, query, limit)
 		if err != nil {
 			return heard, err
 		}
 		l.whole = l.whole || query == ""
-		held := d.versions.top
-		news, older := d.versions.take(l, d.now())
 		heard = true
-		d.heard(news)
-		if l.whole || len(news.servers) > 0 {
-			d.keep(d.versions, l.whole || !allReady(news))
-		}
-		if older {
-			slog.Warn("discovery is older than what is held", "version", l.version, "held", held, "whole", l.whole, "out", len(news.servers))
+		if d.take(l) {
 			again := firstRetry
 			if l.whole {
 				again = staleRetry
@@ -267,6 +262,42 @@
 	}
 }
 
+// take acts on an answer, and says whether it left the whole list to be asked for again.
+func (d *discovery) take(l listing) (again bool) {
+	d.taking.Lock()
+	defer d.taking.Unlock()
+	held := d.versions.top
+	news, older := d.versions.take(l, d.now())
+	d.heard(news)
+	if l.whole || len(news.servers) > 0 {
+		d.keep(d.versions, l.whole || !allReady(news))
+	}
+	if older {
+		slog.Warn("discovery is older than what is held", "version", l.version, "held", held, "whole", l.whole, "out", len(news.servers))
+	}
+	return !d.versions.watched()
+}
+
+// beside acts on what another process of this sidecar goes by.
+func (d *discovery) beside(k keptList, l listing) {
+	d.taking.Lock()
+	defer d.taking.Unlock()
+	if news := d.versions.beside(k, l); len(news.servers) > 0 {
+		slog.Info("out by the other process", "version", l.version, "held", d.versions.top, "out", len(news.servers))
+		d.heard(news)
+	}
+}
+
+// query is what is asked next: changes, or the whole list.
+func (d *discovery) query(wait time.Duration) string {
+	d.taking.Lock()
+	defer d.taking.Unlock()
+	if !d.versions.watched() {
+		return ""
+	}
+	return fmt.Sprintf("?index=%d&wait=%d", d.versions.top, wait.Milliseconds())
+}
+
 // allReady says that a list takes no server away.
 func allReady(l listing) bool {
 	return !slices.ContainsFunc(l.servers, func(s balance.Server) bool { return s.State != balance.Ready })
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -82,7 +82,14 @@
 	go l.run(running, cfg.Known)
 	n := l.handover.count()
 	share(n)
-	go l.handover.watch(running, n, share, func(handed map[string]handed) { l.calls(running, handed) })
+	var beside []byte
+	go l.handover.watch(running, n, share, func(handed map[string]handed) {
+		l.calls(running, handed)
+		k, list, raw, news := state.beside(beside, cfg.Zones)
+		if beside = raw; news {
+			d.beside(k, list)
+		}
+	})
 	go func() {
 		defer close(kept)
 		state.keep(running, l.learned)
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -47,12 +48,17 @@
 	Before  int64           `json:"before,omitempty"`
 	HeardMs int64           `json:"heardMs,omitempty"`
 	Short   bool            `json:"short,omitempty"` // too long a list: only servers that are not ready are in it
-	Away    []uint64        `json:"away,omitempty"`
+	Away    []keptAway      `json:"away,omitempty"`
 	Gone    []keptHeard     `json:"gone,omitempty"`
 	Held    []keptHeard     `json:"held,omitempty"`
 	UntilMs int64           `json:"untilMs,omitempty"` // of held
 }
 
+type keptAway struct {
+	ID    uint64 `json:"id"`
+	Until int64  `json:"until"` // a version
+}
+
 type keptHeard struct {
 	ID        uint64 `json:"id"`
 	AtMs      int64  `json:"atMs"`
@@ -162,7 +168,7 @@
 		size += len(e.raw)
 	}
 	for _, id := range slices.Sorted(maps.Keys(v.away)) {
-		k.Away = append(k.Away, uint64(id))
+		k.Away = append(k.Away, keptAway{uint64(id), v.away[id]})
 	}
 	k.Gone, k.Held = keptHeards(v.gone), keptHeards(v.held)
 	raw, err := json.Marshal(answer)
@@ -222,6 +228,19 @@
 	return h.store.Sync()
 }
 
+// beside returns the list that this sidecar's processes have kept last, where it is another than the one before.
+func (h *handover) beside(before []byte, zones map[string]int) (k keptList, l listing, raw []byte, news bool) {
+	if h.store == nil {
+		return k, l, nil, false
+	}
+	e, ok := h.store.Get(sectionList, only)
+	if !ok || bytes.Equal(e.Value, before) || json.Unmarshal(e.Value, &k) != nil {
+		return k, l, e.Value, false
+	}
+	l, err := parseListing(k.Answer, zones)
+	return k, l, e.Value, err == nil
+}
+
 // versions returns what a process before this one knew of the list, or else what the configuration does.
 func (h *handover) versions(cfg *Config, now time.Duration) *versions {
 	var kept keptList
@@ -254,8 +273,8 @@
 	for _, s := range l.servers {
 		v.entries[s.ID] = entry{s, l.address[s.ID], l.raw[s.ID]}
 	}
-	for _, id := range kept.Away {
-		v.away[balance.ServerID(id)] = true
+	for _, a := range kept.Away {
+		v.away[balance.ServerID(a.ID)] = a.Until
 	}
 	for to, all := range map[*map[balance.ServerID]heardOf][]keptHeard{&v.gone: kept.Gone, &v.held: kept.Held} {
 		for _, g := range all[:min(len(all), goneMost)] {
--- a/internal/sidecar/versions.go
+++ b/internal/sidecar/versions.go
@@ -46,7 +46,7 @@
 	whole  bool // entries are those of top; otherwise the whole list is needed
 
 	entries map[balance.ServerID]entry
-	away    map[balance.ServerID]bool    // ready as of top, and out by an older word
+	away    map[balance.ServerID]int64   // ready as of top, and out by another word: until a list of this version
 	gone    map[balance.ServerID]heardOf // told gone lately
 	held    map[balance.ServerID]heardOf // out by the word of an earlier line, until it has a word of its own
 	until   time.Duration                // no longer than this
@@ -62,13 +62,18 @@
 func newVersions(source string) *versions {
 	return &versions{
 		source: source, top: unknown, before: unknown, entries: make(map[balance.ServerID]entry),
-		away: make(map[balance.ServerID]bool), gone: make(map[balance.ServerID]heardOf), held: make(map[balance.ServerID]heardOf),
+		away: make(map[balance.ServerID]int64), gone: make(map[balance.ServerID]heardOf), held: make(map[balance.ServerID]heardOf),
 	}
 }
 
 // watched says that changes are enough; otherwise the whole list is needed.
 func (v *versions) watched() bool {
-	return v.top != unknown && v.whole && !v.doubt.open && len(v.away) == 0
+	for _, until := range v.away {
+		if until <= v.top {
+			return false
+		}
+	}
+	return v.top != unknown && v.whole && !v.doubt.open
 }
 
 // take takes an answer, and returns what is to be acted on: the answer as it is, but for what may not go back. An
@@ -76,7 +81,7 @@
 func (v *versions) take(l listing, now time.Duration) (news listing, older bool) {
 	if v.top != unknown && l.version < v.top {
 		if !v.anew(l, now) {
-			return v.takeAway(l), true
+			return v.takeAway(l, v.top), true
 		}
 		slog.Warn("discovery has begun anew", "from", v.top, "to", l.version, "words", v.doubt.words)
 		v.begin(now)
@@ -99,7 +104,9 @@
 		if !l.whole || s.State != balance.Ready {
 			delete(v.held, s.ID) // a change told in this line
 		}
-		delete(v.away, s.ID)
+		if v.away[s.ID] <= l.version {
+			delete(v.away, s.ID)
+		}
 		if s.State == balance.Gone {
 			v.leave(s.ID, was[s.ID], now)
 			delete(v.entries, s.ID)
@@ -111,7 +118,7 @@
 		news.servers = append(news.servers, s)
 	}
 	if l.whole {
-		clear(v.away)
+		maps.DeleteFunc(v.away, func(_ balance.ServerID, until int64) bool { return until <= l.version })
 		for id, e := range was {
 			if _, listed := v.entries[id]; !listed {
 				v.leave(id, e, now)
@@ -128,7 +135,8 @@
 
 // state is what a line of the list comes to: nothing is brought back by an older word.
 func (v *versions) state(s balance.Server) balance.State {
-	if h, held := v.held[s.ID]; s.State == balance.Ready && (v.away[s.ID] || held && s.Started <= h.started) {
+	_, away := v.away[s.ID]
+	if h, held := v.held[s.ID]; s.State == balance.Ready && (away || held && s.Started <= h.started) {
 		return balance.Draining
 	}
 	return s.State
@@ -167,9 +175,9 @@
 	}
 }
 
-// takeAway returns the ready servers that an older word has draining or gone. They stay out until the whole list of
-// a version that is not older names them.
-func (v *versions) takeAway(l listing) listing {
+// takeAway returns the ready servers that another word has draining or gone. They stay out until a list of a version from
+// until on names them, or all of such a one is known.
+func (v *versions) takeAway(l listing, until int64) listing {
 	news := listing{version: v.top, address: make(map[balance.ServerID]string)}
 	says := make(map[balance.ServerID]balance.State, len(l.servers))
 	for _, s := range l.servers {
@@ -178,8 +186,11 @@
 	for _, id := range slices.Sorted(maps.Keys(v.entries)) {
 		e := v.entries[id]
 		state, told := says[id]
-		if e.State == balance.Ready && !v.away[id] && (told && state != balance.Ready || !told && l.whole) {
-			v.away[id] = true
+		if e.State != balance.Ready || told && state == balance.Ready || !told && !l.whole {
+			continue
+		}
+		_, away := v.away[id]
+		if v.away[id] = max(v.away[id], until); !away {
 			e.State = balance.Draining
 			news.servers = append(news.servers, e.Server)
 			news.address[id] = e.address
@@ -188,6 +199,16 @@
 	return news
 }
 
+// beside takes what another process of this sidecar goes by, where that is a newer version of the same line: what it has
+// not ready is out here too, until this process is told as much.
+func (v *versions) beside(k keptList, l listing) listing {
+	if k.Source != v.source || k.Line != v.line || v.top == unknown || l.version <= v.top {
+		return listing{}
+	}
+	l.whole = !k.Short
+	return v.takeAway(l, l.version)
+}
+
 // anew judges an answer that is older than what is acted on: whether discovery has begun anew, or is stale.
 func (v *versions) anew(l listing, now time.Duration) bool {
 	d := &v.doubt
@@ -238,7 +259,7 @@
 		}
 		v.entries[s.ID] = entry{s, older.address[s.ID], older.raw[s.ID]}
 		if e, listed := top[s.ID]; listed && e.State != balance.Ready || !listed && !short {
-			v.away[s.ID] = true
+			v.away[s.ID] = v.top
 		}
 	}
 }
--- a/internal/sidecar/versions_test.go
+++ b/internal/sidecar/versions_test.go
@@ -431,3 +431,97 @@
 		}
 	}
 }
+
+// What the other process of an upgrade was told against a server holds in this one too, until this one's own word is as new: a list
+// in between doesn't bring the server back, and that version's does as it says.
+func TestOtherProcessDrains(t *testing.T) {
+	dir, now := t.TempDir(), newClock().now()
+	cfg := testConfig(t, listed(50, "ready", "127.0.0.1:1", "127.0.0.1:2"), nil)
+	whole := func(version int, first string) listing {
+		text := strings.Replace(listed(version, "ready", "127.0.0.1:1", "127.0.0.1:2"), `"ready"`, `"`+first+`"`, 1)
+		l, err := parseListing([]byte(text), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return l
+	}
+	changes := func(version int64) listing { return listing{version: version} }
+	other, h := newHandover(dir, "n0"), newHandover(dir, "n0")
+	theirs := other.versions(cfg, now)
+	heard := make(chan listing, 10)
+	d := newDiscovery(cfg, func(l listing) { heard <- l }, func() {})
+	d.versions = h.versions(cfg, now)
+	var last []byte
+	for _, step := range []struct {
+		theirs listing // what the other process is told, if anything
+		ours   listing // and this one
+		want   string
+		whole  bool // the whole list is asked for next
+	}{
+		{theirs: whole(60, "draining"), want: "s-0@127.0.0.1:1 out, s-1@127.0.0.1:2"},
+		{ours: whole(57, "ready"), want: "s-0@127.0.0.1:1 out, s-1@127.0.0.1:2"},
+		{ours: changes(58), want: "s-0@127.0.0.1:1 out, s-1@127.0.0.1:2"},
+		{ours: changes(61), want: "s-0@127.0.0.1:1 out, s-1@127.0.0.1:2", whole: true},
+		{ours: whole(61, "ready"), want: "s-0@127.0.0.1:1, s-1@127.0.0.1:2"},
+		{theirs: whole(62, "gone"), want: "s-0@127.0.0.1:1 out, s-1@127.0.0.1:2"},
+		{ours: whole(62, "draining"), want: "s-0@127.0.0.1:1 out, s-1@127.0.0.1:2"},
+		{ours: whole(63, "ready"), want: "s-0@127.0.0.1:1, s-1@127.0.0.1:2"},
+		{theirs: whole(62, "draining"), want: "s-0@127.0.0.1:1, s-1@127.0.0.1:2"},
+	} {
+		if step.theirs.version > 0 {
+			theirs.take(step.theirs, now)
+			other.keepList(theirs, true)
+			if err := other.flushList(); err != nil {
+				t.Fatal(err)
+			}
+			h.known() // as it looks for calls by hand
+			k, l, raw, news := h.beside(last, nil)
+			if last = raw; news {
+				d.beside(k, l)
+			}
+		} else if again := d.take(step.ours); again != step.whole {
+			t.Errorf("version %d: the whole list is asked for: %v", step.ours.version, again)
+		}
+		if got := wording(d.versions.list()); got != step.want {
+			t.Errorf("after %d and %d: %s, want %s", step.theirs.version, step.ours.version, got, step.want)
+		}
+	}
+	if got := wording(<-heard); got != "s-0@127.0.0.1:1 out" {
+		t.Errorf("the module hears %s first", got)
+	}
+}
+
+// Two processes of a sidecar stand side by side, and discovery tells only one of them that a server drains: both leave it.
+func TestBothProcessesLeaveADrainedServer(t *testing.T) {
+	s := newStub(t, echo)
+	one := make(chan struct{}, 1)
+	d := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-one:
+			_, _ = io.WriteString(w, listed(60, "draining", s.address))
+		case <-r.Context().Done():
+		}
+	}))
+	t.Cleanup(d.Close)
+	dir := t.TempDir()
+	run := func() *running {
+		cfg := testConfig(t, listed(50, "ready", s.address), func(file, _ map[string]any) { file["discovery"] = d.Listener.Addr().String() })
+		cfg.Shared = dir
+		return startWith(t, cfg)
+	}
+	both := []*running{run(), run()}
+	end := time.Now().Add(generous)
+	see := func(figures string) {
+		t.Helper()
+		for _, side := range both {
+			for got := ""; !strings.Contains(got, figures); {
+				if got = side.call(t, "show-stat\n"); time.Now().After(end) {
+					t.Fatalf("waited in vain for %q: %s", figures, got)
+				}
+			}
+		}
+	}
+	see("app.members=1\napp.members_unavailable=0\n")
+	one <- struct{}{}
+	see("app.members=1\napp.members_unavailable=1\n")
+}
