--- a/internal/sidecar/versions_test.go
+++ b/internal/sidecar/versions_test.go
@@ -525,3 +525,35 @@
 	one <- struct{}{}
 	see("app.members=1\napp.members_unavailable=1\n")
 }
+
+// Of a list too long to be kept whole the version and the servers that are not ready are kept: the next process goes by the
+// configuration's list, without those, and asks for the whole.
+func TestLongListIsKeptInShort(t *testing.T) {
+	var addresses []string
+	for i := range 3000 {
+		addresses = append(addresses, fmt.Sprintf("127.0.0.1:%d", 1+i))
+	}
+	cfg := testConfig(t, listed(45, "ready", addresses...), nil)
+	l, err := parseListing([]byte(strings.Replace(listed(50, "ready", addresses...), `"ready"`, `"draining"`, 1)), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h, now := &handover{store: memoryStore(t), news: make(chan struct{}, 1)}, newClock().now()
+	v := newVersions(cfg.Discovery)
+	v.take(l, now)
+	h.keepList(v, true)
+	if err := h.flushList(); err != nil {
+		t.Fatal(err)
+	}
+	if e, _ := h.store.Get(sectionList, only); len(e.Value) > 1000 {
+		t.Errorf("%d bytes are kept", len(e.Value))
+	}
+	next := h.versions(cfg, now)
+	if got := wording(next.list()); next.top != 50 || next.watched() || !strings.HasPrefix(got, "s-0@127.0.0.1:1 out, s-1@127.0.0.1:2, ") || len(next.entries) != 3000 {
+		t.Errorf("version %d with %d servers: %s", next.top, len(next.entries), got)
+	}
+	next.take(l, now)
+	if got := wording(next.list()); !next.watched() || !strings.HasPrefix(got, "s-0@127.0.0.1:1 out, s-1@127.0.0.1:2, ") {
+		t.Errorf("after the whole list: %s", got)
+	}
+}
