Compare kept lists by a version beside them, not by reading them again

Since the list is kept as soon as it changes, up to ten times a second, each keep read the whole list kept before to compare versions: 2,300 allocations for 200 servers. The version stands beside the answer now; what an older program kept is still read. 256 servers that are gone are remembered in place of 512: their part of a keep was larger than the list.

--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -45,6 +45,7 @@
 	Source  string          `json:"source"` // discovery's address
 	Answer  json.RawMessage `json:"answer"` // in discovery's form, whole
 	Line    int64           `json:"line,omitempty"`
+	Version int64           `json:"version,omitempty"` // the answer's, to be read without it; 0: an older program wrote this
 	Before  int64           `json:"before,omitempty"`
 	HeardMs int64           `json:"heardMs,omitempty"`
 	Short   bool            `json:"short,omitempty"` // too long a list: only servers that are not ready are in it
@@ -69,7 +70,6 @@
 type keepNext struct {
 	raw     []byte
 	kept    keptList
-	version int64
 	durable bool
 }
 
@@ -147,7 +147,7 @@
 	if h.store == nil || v.top == unknown {
 		return
 	}
-	k := keptList{Source: v.source, Line: v.line, Before: max(v.before, 0), HeardMs: millis(v.heard), UntilMs: millis(v.until), Short: !v.whole}
+	k := keptList{Source: v.source, Line: v.line, Version: v.top, Before: max(v.before, 0), HeardMs: millis(v.heard), UntilMs: millis(v.until), Short: !v.whole}
 	answer := struct {
 		Generation int64             `json:"generation"`
 		Reset      bool              `json:"reset"`
@@ -183,7 +183,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	durable = durable || h.nextList != nil && h.nextList.durable
-	h.nextList = &keepNext{raw, k, v.top, durable}
+	h.nextList = &keepNext{raw, k, durable}
 	select {
 	case h.news <- struct{}{}:
 	default:
@@ -215,8 +215,11 @@
 	if old, _, ok := read[keptList](h.store, sectionList); ok {
 		newer := old.Line > next.kept.Line
 		if old.Line == next.kept.Line && old.Source == next.kept.Source {
-			l, err := parseListing(old.Answer, nil)
-			newer = err == nil && l.version > next.version
+			if old.Version == 0 {
+				l, _ := parseListing(old.Answer, nil) // one that can't be read is no newer
+				old.Version = l.version
+			}
+			newer = old.Version > next.kept.Version
 		}
 		if newer {
 			return nil
--- a/internal/sidecar/versions.go
+++ b/internal/sidecar/versions.go
@@ -19,7 +19,7 @@
 	anewWords = 3               // so many of them, each whole: discovery has begun anew
 	anewSkew  = 5 * time.Second // a server that started so long after a version was heard of is proof that what lists it came later
 	heldFor   = time.Minute     // a drain known before outlives the first list of another line by so long
-	goneMost  = 512             // servers that are remembered to be gone
+	goneMost  = 256             // servers that are remembered to be gone
 )
 
 // heardOf is what is remembered of a server that was told draining or gone. Times are since the Unix epoch.
