Watch the older line while it is not known whether discovery began anew

Whole lists were called for every 1 to 3 s then: four for each sidecar, and a drain told by a pushed list in between was heard up to 3 s late, where it has to be kept within one. Now changes are called for from the older version on, with a wait of 2 s, and two whole lists are enough: the first, and the one that decides.

Seen to fail: with only whole lists called for, with a beginning believed by changes alone, with words that fall counted, and with no whole list called for again.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -26,7 +26,7 @@
 	listTime   = 6 * time.Second  // how long it may take over the whole list
 	firstRetry = 200 * time.Millisecond
 	lastRetry  = 500 * time.Millisecond // with jitter and a call within 1 s: what was pushed meanwhile counts once discovery is back
-	staleRetry = 2 * time.Second        // and where its word was older than what is held
+	staleRetry = 2 * time.Second        // and between whole lists, or to wait for changes, where its word is older than what is held
 	listLimit  = 8 << 20                // bytes of one answer; far above any real list
 )
 
@@ -236,25 +236,18 @@
 // discovery has begun anew. It tells whether any call went well.
 func (d *discovery) follow(ctx context.Context, address string) (heard bool, err error) {
 	for {
-		wait, limit := firstWait, firstWait+listTime
+		wait := firstWait
 		if heard {
-			wait, limit = watchWait, watchWait+answerTime
-		}
-		query := d.query(wait)
-		if query == "" {
-			limit = listTime
+			wait = watchWait
 		}
+		query, limit := d.query(wait)
 		l, err := d.call(ctx, address, query, limit)
 		if err != nil {
 			return heard, err
 		}
 		l.whole = l.whole || query == ""
 		heard = true
-		if d.take(l) {
-			again := firstRetry
-			if l.whole {
-				again = staleRetry
-			}
+		if again := d.take(l); again > 0 {
 			if d.pause(ctx, again); ctx.Err() != nil {
 				return heard, ctx.Err()
 			}
@@ -262,8 +255,8 @@
 	}
 }
 
-// take acts on an answer, and says whether it left the whole list to be asked for again.
-func (d *discovery) take(l listing) (again bool) {
+// take acts on an answer, and returns a pause until the next call, where that is not a watch from it.
+func (d *discovery) take(l listing) (pause time.Duration) {
 	d.taking.Lock()
 	defer d.taking.Unlock()
 	held := d.versions.top
@@ -275,7 +268,14 @@
 	if older {
 		slog.Warn("discovery is older than what is held", "version", l.version, "held", held, "whole", l.whole, "out", len(news.servers))
 	}
-	return !d.versions.watched()
+	_, doubted := d.versions.doubted(d.now())
+	switch {
+	case d.versions.watched():
+		return 0
+	case l.whole && !doubted: // and the next is whole too
+		return staleRetry
+	}
+	return lastRetry
 }
 
 // beside acts on what another process of this sidecar goes by.
@@ -288,14 +288,24 @@
 	}
 }
 
-// query is what is asked next: changes, or the whole list.
-func (d *discovery) query(wait time.Duration) string {
+// query is what is asked next: changes, for so long, or the whole list.
+func (d *discovery) query(wait time.Duration) (query string, limit time.Duration) {
 	d.taking.Lock()
 	defer d.taking.Unlock()
-	if !d.versions.watched() {
-		return ""
+	since, older := d.versions.doubted(d.now())
+	switch {
+	case d.versions.watched():
+		since = d.versions.top
+	case older:
+		wait = staleRetry
+	default:
+		return "", listTime
+	}
+	limit = wait + answerTime
+	if wait == firstWait {
+		limit = wait + listTime
 	}
-	return fmt.Sprintf("?index=%d&wait=%d", d.versions.top, wait.Milliseconds())
+	return fmt.Sprintf("?index=%d&wait=%d", since, wait.Milliseconds()), limit
 }
 
 // allReady says that a list takes no server away.
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,8 +73,8 @@
 	})
 	heard, failed := make(chan listing, 100), make(chan struct{}, 100)
 	d := newDiscovery(cfg, func(l listing) { heard <- l }, func() { failed <- struct{}{} })
-	clock := time.Hour
-	d.now, d.pause = func() time.Duration { return clock }, func(_ context.Context, by time.Duration) { clock += by }
+	var clock atomic.Int64
+	d.now, d.pause = func() time.Duration { return time.Duration(clock.Load()) }, func(_ context.Context, by time.Duration) { clock.Add(int64(by)) }
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { d.run(ctx); close(ended) }()
@@ -103,8 +104,13 @@
 	news(45, true)
 	step("index=45&wait=20000", say(`{"generation":7,"reset":false,"instances":[]}`)) // stale, or begun anew
 	news(45, false)
-	for range 3 {
-		step("", say(listed(8, "ready", "127.0.0.1:80")))
+	step("", say(listed(8, "ready", "127.0.0.1:80"))) // 0.5 s later
+	news(45, false)
+	for range 2 { // 1 s and 3.5 s later
+		step("index=8&wait=2000", func(w http.ResponseWriter) {
+			clock.Add(int64(staleRetry))
+			_, _ = io.WriteString(w, `{"generation":8,"reset":false,"instances":[]}`)
+		})
 		news(45, false)
 	}
 	step("", say(listed(8, "ready", "127.0.0.1:80")))
@@ -117,7 +123,7 @@
 	cancel()
 	wait(t, "the end", ended)
 	// The last call, a watch, has ended with the test.
-	want := map[string]int{"whole": 4, "watches": 8, "failed": 3, "lines": 6}
+	want := map[string]int{"whole": 2, "watches": 10, "failed": 3, "lines": 4}
 	if got := d.counters(); !maps.Equal(got, want) {
 		t.Errorf("counted %v, want %v", got, want)
 	}
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -147,7 +147,9 @@
 	if h.store == nil || v.top == unknown {
 		return
 	}
-	k := keptList{Source: v.source, Line: v.line, Version: v.top, Before: max(v.before, 0), HeardMs: millis(v.heard), UntilMs: millis(v.until), Short: !v.whole}
+	k := keptList{
+		Source: v.source, Line: v.line, Version: v.top, Before: max(v.before, 0), HeardMs: millis(v.heard), UntilMs: millis(v.until), Short: !v.whole,
+	}
 	answer := struct {
 		Generation int64             `json:"generation"`
 		Reset      bool              `json:"reset"`
--- a/internal/sidecar/versions.go
+++ b/internal/sidecar/versions.go
@@ -16,7 +16,7 @@
 // Versions of the list only move forward (docs/list.md).
 const (
 	anewAfter = 6 * time.Second // older words alone for so long, and
-	anewWords = 3               // so many of them, each whole: discovery has begun anew
+	anewWords = 3               // so many of them, the last of them whole: discovery has begun anew
 	anewSkew  = 5 * time.Second // a server that started so long after a version was heard of is proof that what lists it came later
 	heldFor   = time.Minute     // a drain known before outlives the first list of another line by so long
 	goneMost  = 256             // servers that are remembered to be gone
@@ -52,9 +52,9 @@
 	until   time.Duration                // no longer than this
 
 	doubt struct { // whether discovery has begun anew
-		open        bool
-		top         int64         // the highest of the older words
-		words       int           // that were whole and not older still
+		open, whole bool          // whole: one of the older words was
+		top         int64         // the highest of them
+		words       int           // that were not older still
 		since, last time.Duration // of the first of them, and of the last that was not older still
 	}
 }
@@ -76,6 +76,12 @@
 	return v.top != unknown && v.whole && !v.doubt.open
 }
 
+// doubted says that changes to older words are enough for now: since this version, until it is time to judge by a whole list.
+func (v *versions) doubted(now time.Duration) (since int64, yes bool) {
+	d := &v.doubt
+	return d.top, d.open && d.whole && v.whole && now-d.since < anewAfter
+}
+
 // take takes an answer, and returns what is to be acted on: the answer as it is, but for what may not go back. An
 // answer that is older than what is acted on takes servers away, and returns none (older).
 func (v *versions) take(l listing, now time.Duration) (news listing, older bool) {
@@ -213,12 +219,16 @@
 func (v *versions) anew(l listing, now time.Duration) bool {
 	d := &v.doubt
 	if !d.open || now < d.last || l.version < d.top && now-d.last >= anewAfter {
-		d.open, d.top, d.words, d.since, d.last = true, l.version, 0, now, now
+		d.open, d.whole, d.top, d.words, d.since, d.last = true, false, l.version, 0, now, now
 	}
-	if l.version < d.top || !l.whole {
+	if l.version < d.top {
 		return false
 	}
 	d.top, d.last, d.words = l.version, now, d.words+1
+	d.whole = d.whole || l.whole
+	if !l.whole {
+		return false
+	}
 	for _, s := range l.servers {
 		if v.heard > 0 && s.Started > v.heard+anewSkew && s.Started <= now+anewSkew {
 			return true // what was made before top can't know of it
--- a/internal/sidecar/versions_test.go
+++ b/internal/sidecar/versions_test.go
@@ -281,6 +281,9 @@
 			if v.watched() && renewed == 0 && version >= v.top && v.top >= h.first {
 				since = v.top
 			}
+			if from, yes := v.doubted(now); yes && from >= h.first && from <= version {
+				since = from
+			}
 			take(h.answer(version, since))
 			if renewed > 0 && v.top <= h.newest() && v.line > 0 && !v.doubt.open {
 				renewed = 0
@@ -479,7 +482,7 @@
 			if last = raw; news {
 				d.beside(k, l)
 			}
-		} else if again := d.take(step.ours); again != step.whole {
+		} else if again := d.take(step.ours) > 0; again != step.whole {
 			t.Errorf("version %d: the whole list is asked for: %v", step.ours.version, again)
 		}
 		if got := wording(d.versions.list()); got != step.want {
