--- a/internal/world/roster.go
+++ b/internal/world/roster.go
@@ -48,9 +48,9 @@
 	}
 }
 
-// Copy is the list as it stands, with no changes remembered.
+// Copy is the roster as it is now.
 func (r *Roster) Copy() *Roster {
-	return &Roster{first: r.Version(), entries: slices.Clone(r.entries)}
+	return &Roster{first: r.first, entries: slices.Clone(r.entries), log: slices.Clone(r.log)}
 }
 
 // Version is the list's version.
--- a/internal/world/world_test.go
+++ b/internal/world/world_test.go
@@ -254,6 +254,9 @@
 	if got, ok := r.Since(r.Version()); !ok || len(got) > 0 || r.Version() != 4 {
 		t.Errorf("since version %d: %v %v", r.Version(), got, ok)
 	}
+	if c := r.Copy(); c.Version() != 4 || len(c.Whole()) != 1 || !c.Set(Entry{Server: 0, Life: Gone}) || r.Version() != 4 || len(r.Whole()) != 1 {
+		t.Errorf("a copy at version %d with %v, after a change of it version %d", c.Version(), c.Whole(), r.Version())
+	}
 	still := r.Copy()
 	r.Reserve(2)
 	if len(r.Whole()) != 1 || r.Version() != 4 {
