--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -229,6 +229,9 @@
 		}
 		results, err := e.Run(c.Context(), dir, os.Stderr, find)
 		lab.Summary(os.Stdout, results, chosen(*figures, results...))
+		if e.Edge.To > 0 {
+			lab.Edges(os.Stdout, results)
+		}
 		if err != nil {
 			return err
 		}
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -1,12 +1,14 @@
 package lab
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"io/fs"
 	"maps"
+	"math"
 	"os"
 	"path/filepath"
 	"slices"
@@ -23,9 +25,45 @@
 	Seeds     int       `toml:"seeds" default:"5" min:"1" max:"1000" help:"seeds 1 to this"`
 	Parallel  int       `toml:"parallel" default:"1" min:"1" max:"64" help:"runs at a time; each wants about two cores"`
 	Sidecars  []int     `toml:"sidecars" help:"numbers of sidecars; none: as each scenario has it"`
+	Edge      edgeSpec  `toml:"edge"`
 	With      []Subject `toml:"with" help:"the programs and settings to compare; none: this tree"`
 }
 
+// edgeSpec has an experiment look for the largest load at which a fleet still returns after its faults, seed by seed, by
+// bisection over a grid of loads.
+type edgeSpec struct {
+	From float64 `toml:"from" default:"0.5" min:"0.05" max:"5" help:"the least load.use that is tried"`
+	To   float64 `toml:"to" default:"0" min:"0" max:"5" help:"and the most; 0: each scenario is played at its own"`
+	Step float64 `toml:"step" default:"0.05" min:"0.005" max:"1" help:"between two loads of the grid"`
+}
+
+// uses is the grid of loads; none where no edge is looked for.
+func (e edgeSpec) uses() (all []float64) {
+	for i := 0; e.To > 0 && e.From+float64(i)*e.Step < e.To+e.Step/2; i++ {
+		all = append(all, e.From+float64(i)*e.Step)
+	}
+	return all
+}
+
+// bisect finds how many of n loads, the least first, a fleet returns at, where it returns at none above the first at which
+// it does not. It asks log2(n+1) times at most, rounded up.
+func bisect(n int, returns func(i int) (bool, error)) (int, error) {
+	least, most := 0, n // returns at all below least, at none from most on
+	for least < most {
+		mid := (least + most) / 2
+		back, err := returns(mid)
+		switch {
+		case err != nil:
+			return least, err
+		case back:
+			least = mid + 1
+		default:
+			most = mid
+		}
+	}
+	return least, nil
+}
+
 // Subject is one program or setting that an experiment plays.
 type Subject struct {
 	Label   string `toml:"label" need:"yes" help:"its name in results"`
@@ -42,6 +80,9 @@
 	if len(e.With) == 0 {
 		e.With = []Subject{{Label: "tree"}}
 	}
+	if e.Edge.To > 0 && e.Edge.To < e.Edge.From {
+		return nil, fmt.Errorf("%s: edge.to %v is under edge.from %v", path, e.Edge.To, e.Edge.From)
+	}
 	return &e, nil
 }
 
@@ -62,33 +103,54 @@
 	var mu sync.Mutex
 	var all []*Result
 	var bad []error
+	one := func(c cell) (*Result, error) {
+		r, err := ReadResult(filepath.Join(c.options.Out, ResultName))
+		kept := err == nil && r.Program == digest(c.options.Program)
+		if !kept {
+			if r, err = Play(ctx, c.scene, c.options); err == nil {
+				r.Label = c.label
+				err = r.rewrite(c.options.Out)
+			}
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil {
+			bad = append(bad, fmt.Errorf("%s, seed %d: %w", c.scene.Name, c.options.Seed, err))
+			return nil, err
+		}
+		all = append(all, r)
+		if !kept {
+			fmt.Fprintf(w, "%-10s %-24s seed %-3d worth %.3f  %s\n", c.label, c.scene.Name, c.options.Seed, r.Figures["worth"], r.summary())
+		}
+		return r, nil
+	}
 	places, work := make(chan struct{}, e.Parallel), sync.WaitGroup{}
+	uses := e.Edge.uses()
 	for _, c := range cells {
-		if r, err := ReadResult(filepath.Join(c.options.Out, ResultName)); err == nil && r.Program == digest(c.options.Program) {
-			mu.Lock()
-			all = append(all, r)
-			mu.Unlock()
-			continue
-		}
 		places <- struct{}{}
 		if ctx.Err() != nil {
 			break
 		}
 		work.Go(func() {
 			defer func() { <-places }()
-			r, err := Play(ctx, c.scene, c.options)
-			if err == nil {
-				r.Label = c.label
-				err = r.rewrite(c.options.Out)
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				bad = append(bad, fmt.Errorf("%s, seed %d: %w", c.scene.Name, c.options.Seed, err))
+			if len(uses) == 0 {
+				_, _ = one(c) // which keeps its error
 				return
 			}
-			all = append(all, r)
-			fmt.Fprintf(w, "%-10s %-24s seed %-3d worth %.3f  %s\n", c.label, c.scene.Name, c.options.Seed, r.Figures["worth"], r.summary())
+			_, _ = bisect(len(uses), func(i int) (bool, error) {
+				r, err := one(c.at(uses[i]))
+				if err != nil {
+					return false, err
+				}
+				back, ok := r.Figures["returned"]
+				if !ok {
+					mu.Lock()
+					defer mu.Unlock()
+					err = fmt.Errorf("%s: it ends too soon after its last fault to tell whether the fleet returns", c.scene.Name)
+					bad = append(bad, err)
+				}
+				return back > 0, err
+			})
 		})
 	}
 	work.Wait()
@@ -98,6 +160,62 @@
 	return all, errors.Join(bad...)
 }
 
+// at is the same run at another load.
+func (c cell) at(use float64) cell {
+	scene := *c.scene
+	scene.Load.Use = use
+	scene.Name = fmt.Sprintf("%s@%.3g", c.scene.Name, use)
+	c.scene = &scene
+	c.options.Out = filepath.Join(filepath.Dir(c.options.Out), fmt.Sprintf("use-%.3g", use), filepath.Base(c.options.Out))
+	return c
+}
+
+// Edges writes a line for each program and scenario of an experiment that looked for edges: the largest load at which the
+// fleet returned, the median over seeds with its spread, and each seed's; 0 where it returned at no load that was tried.
+func Edges(w io.Writer, all []*Result) {
+	type key struct{ label, scenario, size string }
+	edges, late := make(map[key]map[uint64][2]float64), make(map[key]int)
+	for _, r := range all {
+		name, _, ok := strings.Cut(r.Scenario, "@")
+		if !ok {
+			continue
+		}
+		k := key{r.Label, name, fmt.Sprintf("%dx%d", r.Sidecars, r.Servers)}
+		if edges[k] == nil {
+			edges[k] = make(map[uint64][2]float64)
+		}
+		e, known := edges[k][r.Seed] // the largest load that it returned at, and the least that it did not
+		if !known {
+			e[1] = math.Inf(1)
+		}
+		if use := r.Figures["use"]; r.Figures["returned"] > 0 {
+			e[0] = max(e[0], use)
+		} else {
+			e[1] = min(e[1], use)
+		}
+		edges[k][r.Seed] = e
+		if r.Late != "" {
+			late[k]++
+		}
+	}
+	fmt.Fprintf(w, "\n| program | scenario | size | seeds | late plays | largest load that it returned at | by seed |\n|%s\n", strings.Repeat(" --- |", 7))
+	keys := slices.SortedFunc(maps.Keys(edges), func(a, b key) int {
+		return cmp.Or(cmp.Compare(a.scenario, b.scenario), cmp.Compare(a.size, b.size), cmp.Compare(a.label, b.label))
+	})
+	for _, k := range keys {
+		var values []float64
+		var by []string
+		for _, seed := range slices.Sorted(maps.Keys(edges[k])) {
+			e := edges[k][seed]
+			values = append(values, e[0])
+			by = append(by, fmt.Sprintf("%.3g", e[0]))
+		}
+		s := spreadOf(values)
+		fmt.Fprintf(w, "| %s | %s | %s | %d | %d | %.3g (%.3g to %.3g) | %s |\n",
+			k.label, k.scenario, k.size, len(values), late[k], s.median, s.least, s.most, strings.Join(by, ", "))
+	}
+}
+
 // summary is a run's verdicts in a few words.
 func (r *Result) summary() string {
 	var words []string
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -330,7 +330,7 @@
 		t.Errorf("read again: %v, error %v", again, err)
 	}
 	page, err := os.ReadFile(filepath.Join(dir, "report.html"))
-	if err != nil || bytes.Count(page, []byte("<svg")) != 4 || !bytes.Contains(page, []byte("--seed 3")) {
+	if err != nil || bytes.Count(page, []byte("<svg")) != 5 || !bytes.Contains(page, []byte("--seed 3")) {
 		t.Errorf("the report has %d plots, error %v", bytes.Count(page, []byte("<svg")), err)
 	}
 	if left, _ := filepath.Glob(filepath.Join(dir, "logs", "*.log")); len(left) != 6 { // four, one again, one upgraded
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -91,6 +91,7 @@
 		}},
 		{"Time of an answer, from when its request was due", "milliseconds", []curve{{"p50", p50}, {"p99", p99}}},
 		{"Attempts that reached each server", "attempts a second", servers},
+		{"Servers that a crowd has made slow", "servers", []curve{{"tipped", run.servers.tipped.values()}}},
 		{"Requests served by each sidecar", "requests a second", sidecars},
 	} {
 		svg, err := drawPlot(p.unit, p.curves, run.faults.marks, run.scene.For.D())
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -131,7 +131,8 @@
 	if back, ok := r.recovery(); ok {
 		f["recovery_s"] = back
 	}
-	f["capacity"] = s.capacity()
+	r.returned(f)
+	f["capacity"], f["use"] = s.capacity(), s.Load.Use
 	return f
 }
 
@@ -202,35 +203,81 @@
 // recovery is how long after the last fault was mended (or began, if it is for good) the share of requests answered
 // in time was at 95% of what it had been before the first, for two seconds on end; the rest of the run if it never was.
 func (r *run) recovery() (seconds float64, ok bool) {
-	marks := r.faults.marks
-	if len(marks) == 0 {
+	first, last, ok := r.trouble()
+	if !ok {
 		return 0, false
 	}
-	first, last := marks[0].At, time.Duration(0)
-	for _, m := range marks {
-		first, last = min(first, m.At), max(last, m.At, m.Until)
+	before := r.inTimeShare(1, int(first/time.Second))
+	end := int(r.scene.For.D() / time.Second)
+	for i := int((last + time.Second - 1) / time.Second); i+2 <= end; i++ {
+		if r.inTimeShare(i, i+1) >= asBefore*before && r.inTimeShare(i+1, i+2) >= asBefore*before {
+			return max(0, float64(i)-last.Seconds()), true
+		}
 	}
-	in, total := r.clients.inTime.values(), make([]float64, len(r.clients.inTime.by))
-	for _, c := range r.clients.count {
-		for i, v := range c.values() {
-			total[i] += v
+	return max(0, float64(end)-last.Seconds()), true
+}
+
+const (
+	asBefore   = 0.95             // of the share in time before the first fault: it is as before
+	beforeOver = 5 * time.Second  // which is that of so long before it
+	returnsIn  = 10 * time.Second // after the last fault a fleet has to be as before, and to stay so
+)
+
+// returned counts how a fleet fares from 10 s after its last fault on: the share answered in time against that of the 5 s
+// before the first, whether that is as before, the refused, clients' tries, and the share of the servers that a crowd keeps
+// slow. A run that ends sooner tells nothing of that.
+func (r *run) returned(f map[string]float64) {
+	first, last, ok := r.trouble()
+	from, end := last+returnsIn, int(r.scene.For.D()/time.Second)
+	if !ok || int(first/time.Second) < 2 || int(from/time.Second)+2 > end {
+		return
+	}
+	second := int((from + time.Second - 1) / time.Second)
+	before, after := r.inTimeShare(int((first-beforeOver)/time.Second), int(first/time.Second)), r.inTimeShare(second, end)
+	f["before"], f["after"], f["returned"] = before, after, 0
+	if after >= asBefore*before {
+		f["returned"] = 1
+	}
+	n, refused, tries := 0.0, 0.0, 0.0
+	for _, a := range r.history.asked {
+		if a.At < from {
+			continue
+		}
+		n++
+		tries += float64(a.Tries)
+		if a.End == Refused {
+			refused++
 		}
 	}
-	share := func(from, to int) float64 {
-		a, b := 0.0, 0.0
-		for i := max(0, from); i < min(to, len(in)); i++ {
-			a, b = a+in[i], b+total[i]
+	tipped := 0.0
+	for _, v := range r.servers.tipped.values()[second:end] {
+		tipped += v
+	}
+	f["after_refused"], f["after_tries"] = refused/max(1, n), tries/max(1, n)
+	f["after_tipped"] = tipped / float64(end-second) / float64(r.scene.Fleet.Servers)
+}
+
+// trouble is when the first fault began, and when the last was mended, or began if it is for good.
+func (r *run) trouble() (first, last time.Duration, ok bool) {
+	for i, m := range r.faults.marks {
+		if i == 0 {
+			first = m.At
 		}
-		return a / max(b, 1)
+		first, last = min(first, m.At), max(last, m.At, m.Until)
 	}
-	before := share(1, int(first/time.Second))
-	end := int(r.scene.For.D() / time.Second)
-	for i := int((last + time.Second - 1) / time.Second); i+2 <= end; i++ {
-		if share(i, i+1) >= 0.95*before && share(i+1, i+2) >= 0.95*before {
-			return max(0, float64(i)-last.Seconds()), true
+	return first, last, len(r.faults.marks) > 0
+}
+
+// inTimeShare is the share of the requests due in some seconds that was answered in time.
+func (r *run) inTimeShare(from, to int) float64 {
+	in, total := 0.0, 0.0
+	for i := max(0, from); i < min(to, len(r.clients.inTime.by)); i++ {
+		in += float64(r.clients.inTime.by[i].Load())
+		for _, c := range r.clients.count {
+			total += float64(c.by[i].Load())
 		}
 	}
-	return max(0, float64(end)-last.Seconds()), true
+	return in / max(total, 1)
 }
 
 // commit names the tree that the lab runs in.
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -29,6 +29,7 @@
 	At                             time.Duration
 	Asked, InTime, Refused, Failed int // in the second before last: later ones are not settled
 	Open, Sidecars, Servers        int
+	Tipped, Held                   int      // servers that a crowd has made slow; requests that all servers have
 	Marks                          []string // faults that began in the last second
 }
 
@@ -258,11 +259,12 @@
 		case <-t.C:
 		}
 		r.processes.sample()
+		now := r.clock.now()
+		p := Progress{At: now, Open: int(r.clients.live.Load())}
+		p.Tipped, p.Held, p.Servers = r.servers.sample()
 		if live == nil {
 			continue
 		}
-		now := r.clock.now()
-		p := Progress{At: now, Open: int(r.clients.live.Load())}
 		second := int(now/time.Second) - 2
 		if second >= 0 && second < len(r.clients.inTime.by) {
 			for o, c := range r.clients.count {
@@ -283,13 +285,6 @@
 				p.Sidecars++
 			}
 		}
-		r.servers.mu.Lock()
-		for _, u := range r.servers.all {
-			if u.model.Up() && u.silent == nil {
-				p.Servers++
-			}
-		}
-		r.servers.mu.Unlock()
 		r.faults.mu.Lock()
 		for ; told < len(r.faults.marks); told++ {
 			p.Marks = append(p.Marks, r.faults.marks[told].Text)
@@ -314,7 +309,7 @@
 		for _, m := range p.Marks {
 			fmt.Fprintf(w, "%6s  *** %s\n", p.At.Round(time.Second), m)
 		}
-		fmt.Fprintf(w, "%6s  asked %4d/s  in time %4d  refused %3d  failed %3d  open %3d  sidecars %d  servers %d\n",
-			p.At.Round(time.Second), p.Asked, p.InTime, p.Refused, p.Failed, p.Open, p.Sidecars, p.Servers)
+		fmt.Fprintf(w, "%6s  asked %4d/s  in time %4d  refused %3d  failed %3d  open %3d  sidecars %d  servers %d, %d tipped, with %d\n",
+			p.At.Round(time.Second), p.Asked, p.InTime, p.Refused, p.Failed, p.Open, p.Sidecars, p.Servers, p.Tipped, p.Held)
 	}
 }
--- a/internal/lab/upstream.go
+++ b/internal/lab/upstream.go
@@ -28,6 +28,8 @@
 	history *History
 	net     *subnet
 	tally   []*counter // requests that reached each, by second
+	tipped  *counter   // servers that a crowd has made slow, by second
+	held    *counter   // requests that all servers have
 
 	mu  sync.Mutex
 	all []*server
@@ -50,7 +52,8 @@
 }
 
 func newServers(s *Scenario, seed uint64, c clock, h *History, n *subnet) (*servers, error) {
-	all := &servers{clock: c, history: h, net: n}
+	seconds := int(s.For.D() / time.Second)
+	all := &servers{clock: c, history: h, net: n, tipped: newCounter(seconds), held: newCounter(seconds)}
 	zones := make([]*world.Zone, s.Fleet.Zones)
 	for i := range zones {
 		for _, class := range s.classes() {
@@ -79,7 +82,7 @@
 			ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		}
 		all.all = append(all.all, u)
-		all.tally = append(all.tally, newCounter(int(s.For.D()/time.Second)))
+		all.tally = append(all.tally, newCounter(seconds))
 		for sidecar := range s.Fleet.Sidecars {
 			d := &door{server: u, sidecar: sidecar}
 			u.doors = append(u.doors, d)
@@ -92,6 +95,27 @@
 	return all, nil
 }
 
+// sample counts, once a second, what the servers are at.
+func (a *servers) sample() (tipped, held, up int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, u := range a.all {
+		u.advance()
+		u.look()
+		held += u.model.Held()
+		if u.model.Tipped() {
+			tipped++
+		}
+		if u.model.Up() && u.silent == nil {
+			up++
+		}
+	}
+	now := a.clock.now()
+	a.tipped.add(now, int64(tipped))
+	a.held.add(now, int64(held))
+	return tipped, held, up
+}
+
 type connKey struct{}
 
 func (a *servers) close() {
