--- a/internal/lab/upstream.go
+++ b/internal/lab/upstream.go
@@ -34,6 +34,8 @@
 	net     *subnet
 	tally   []*counter // requests that reached each, by second
 	dialled *counter   // connections that were opened to all
+	tipped  *counter   // servers that a crowd has made slow, by second
+	held    *counter   // requests that all servers have
 
 	mu  sync.Mutex
 	all []*server
@@ -59,7 +61,11 @@
 }
 
 func newServers(s *Scenario, seed uint64, c clock, h *History, n *subnet) (*servers, error) {
-	all := &servers{clock: c, history: h, net: n, dialled: newCounter(int(s.For.D() / time.Second))}
+	seconds := int(s.For.D() / time.Second)
+	all := &servers{
+		clock: c, history: h, net: n,
+		dialled: newCounter(seconds), tipped: newCounter(seconds), held: newCounter(seconds),
+	}
 	zones := make([]*world.Zone, s.Fleet.Zones)
 	for i := range zones {
 		for _, class := range s.classes() {
@@ -89,7 +95,7 @@
 			ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		}
 		all.all = append(all.all, u)
-		all.tally = append(all.tally, newCounter(int(s.For.D()/time.Second)))
+		all.tally = append(all.tally, newCounter(seconds))
 		var err error
 		u.port, err = n.port()
 		switch {
@@ -110,6 +116,27 @@
 // at is where a sidecar reaches a server.
 func (a *servers) at(sidecar, server int) string { return a.net.at(sidecar, a.all[server].port) }
 
+// sample counts, once a second, what the servers are at.
+func (a *servers) sample() (tipped, held, up int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, u := range a.all {
+		u.advance()
+		u.look()
+		held += u.model.Held()
+		if u.model.Tipped() {
+			tipped++
+		}
+		if u.model.Up() && u.silent == nil {
+			up++
+		}
+	}
+	now := a.clock.now()
+	a.tipped.add(now, int64(tipped))
+	a.held.add(now, int64(held))
+	return tipped, held, up
+}
+
 type connKey struct{}
 
 func (a *servers) close() {
