Let members tell each other how much traffic they have, coarsely and seldom

An even spread over the servers needs the traffic of all, which nobody knows. With Config.Tells a member's words on itself carry its index and its traffic: steps of 2^(1/4), said at once, again after a change by a factor of 1.3 that lasts (3 to 5 s apart at least), and every 1.5 to 2.5 min all the same. Whoever reads passes over what is more than 5 min old or out of bounds. It is no part of a view, so that views and duties are as before. Off unless the fleet file has spread.share.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -19,6 +19,7 @@
 type File struct {
 	Duty   Duty              `toml:"duty"`
 	Member Member            `toml:"member"`
+	Spread Spread            `toml:"spread"`
 	State  State             `toml:"state"`
 	Routes map[string]string `toml:"routes" help:"address (IP:port) by which this process reaches a peer, by the peer's name; one without a route is reached where it says that it is"`
 }
@@ -28,6 +29,11 @@
 	Limit int `toml:"limit" default:"1024" min:"32" max:"65536" unit:"KiB" help:"size of the state's files together; a new one is begun at half of it"`
 }
 
+// Spread is the section of the fleet's spread over the servers (docs/spread.md).
+type Spread struct {
+	Share bool `toml:"share" default:"false" help:"members tell each other how much traffic they have, and each chooses its servers, and how often they come, by what all have; the same at all"`
+}
+
 // Member is the section of membership (docs/membership.md).
 type Member struct {
 	Listen  string        `toml:"listen" help:"address (IP:port, UDP and TCP) where peers reach this process; empty: no membership"`
@@ -77,6 +83,9 @@
 	case n > 0 && f.Member.Listen == "":
 		bad = append(bad, fmt.Errorf("%s: key \"duty.voters\" needs member.listen beside it", path))
 	}
+	if f.Spread.Share && f.Member.Listen == "" {
+		bad = append(bad, fmt.Errorf("%s: key \"spread.share\" needs member.listen beside it", path))
+	}
 	for _, peer := range slices.Sorted(maps.Keys(f.Routes)) {
 		if _, err := netip.ParseAddrPort(f.Routes[peer]); err != nil {
 			bad = append(bad, fmt.Errorf("%s: key %q: %w", path, "routes."+peer, err))
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -24,6 +24,8 @@
 		{"[member]\nlisten = '127.0.0.1:7946'\ncluster = 'farm'\n[duty]\nvoters = ['a', 'b', 'c']", ""},
 		{"[member]\nlisten = '127.0.0.1:7946'\ncluster = 'farm'\n[duty]\nvoters = ['a', 'b']", `key "duty.voters"`},
 		{"[duty]\nvoters = ['a', 'b', 'c']", `needs member.listen`},
+		{"[spread]\nshare = true", `needs member.listen`},
+		{"[spread]\nshare = 'x'", ":2:"},
 		{"[member]\nprobe = '1ms'", `member.probe`},
 	} {
 		path := filepath.Join(t.TempDir(), "fleet.toml")
--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -226,7 +226,10 @@
 	if e.state != Present && e.state != "" || e.state == Present && m.Start != e.Start {
 		g.log.Info("membership", "member", n.Name, "state", Present, "start", m.Start, "before", cmp.Or(e.state, "unknown"), "startBefore", e.Start)
 	}
-	e.meta, e.mark, e.address, e.state, e.suspected = m, markOf(n.Name, n.Meta), n.Address(), Present, time.Time{}
+	if m.Load != nil && (e.Load == nil || *m.Load != *e.Load || m.Start != e.Start) {
+		e.told = now
+	}
+	e.meta, e.mark, e.address, e.state, e.suspected = m, markOf(n.Name, lasting(n.Meta)), n.Address(), Present, time.Time{}
 	if n.Name != g.cfg.Name && g.stands == Alone {
 		g.standLocked(Member)
 	}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -12,6 +12,7 @@
 package member
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -21,6 +22,7 @@
 	"io"
 	"log/slog"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -71,6 +73,7 @@
 	viewsMost   = 8
 	keptMost    = 64 // members that Known tells, for a later start
 	metaMost    = memberlist.MetaMaxSize
+	loadMost    = 64 // of these for a word on traffic
 
 	suspectProbes = 9 // probes' time that a suspect has to object, where members are few
 
@@ -80,8 +83,18 @@
 	starvedFor   = 10 * time.Second // and is not trusted for this long
 	addressWait  = 50 * time.Millisecond
 	leaveTime    = 500 * time.Millisecond // the word of leaving may take so long
-	streamTime   = time.Second            // so may a dial, and each side of an exchange
-	lastPause    = 4 * time.Second        // between two attempts to reach anybody at all
+	tellEvery    = 2 * time.Minute        // traffic is told again after about this long
+	tellPause    = 4 * time.Second        // and about this long after the last word, if it has changed
+	tellChange   = 1.3                    // by this factor,
+	tellOver     = 20 * time.Second       // taken over about this long,
+	tellJump     = 1.5                    // or at once where it is off by this factor,
+	tellSteps    = 4                      // in steps of 2^(1/tellSteps) requests a second,
+	tellLeast    = -3 * tellSteps         // an eighth at least,
+	tellMost     = 20 * tellSteps         // and about a million at most
+	trafficKept  = 5 * time.Minute        // an older word on traffic counts for nothing
+	indexMost    = 1 << 20
+	streamTime   = time.Second     // so may a dial, and each side of an exchange
+	lastPause    = 4 * time.Second // between two attempts to reach anybody at all
 )
 
 // Config says who this process is and how it finds the others.
@@ -100,6 +113,8 @@
 	Probe   time.Duration // between two probes; 0: 100 ms
 	Expect  int           // members, about: for how long a suspect has to object
 	Forget  time.Duration // a member that was lost is forgotten after this; 0: 15 min
+	Index   int           // this process's number in the fleet, told along with its traffic
+	Tells   bool          // Tell is called
 
 	Log     *slog.Logger
 	Network func(Config) (memberlist.NodeAwareTransport, error) // nil: sockets at Listen
@@ -118,6 +133,8 @@
 	Since     time.Duration // in this state for so long
 	Word      time.Duration // since its last own word to this process; -1: none so far
 	Suspected bool          // by this process: it did not answer
+	Index     int           // its number in the fleet, where Traffic is known
+	Traffic   float64       // requests a second, coarse; 0: not told, or too long ago
 }
 
 // View is what a process sees. It is a copy.
@@ -143,6 +160,32 @@
 	Version string `json:"v,omitempty"`
 	Digest  string `json:"d,omitempty"`
 	Phase   Phase  `json:"p"`
+	Load    *load  `json:"l,omitempty"` // the last: lasting cuts it out
+}
+
+// load is a process's word on its traffic.
+type load struct {
+	Index int    `json:"i"`
+	Step  int    `json:"t"` // of 2^(1/tellSteps) requests a second
+	Said  uint64 `json:"s"` // grows with each word
+}
+
+// lasting is what of a member's particulars makes a view. Its traffic changes all the time and is nobody's coming or going.
+func lasting(raw []byte) []byte {
+	head, tail, found := bytes.Cut(raw, []byte(`,"l":{`))
+	if !found {
+		return raw
+	}
+	_, tail, _ = bytes.Cut(tail, []byte("}"))
+	return append(bytes.Clone(head), tail...)
+}
+
+// traffic is what a word on traffic is worth at its age; 0 where it can't be used.
+func (l *load) traffic(age time.Duration) float64 {
+	if l == nil || age > trafficKept || l.Index < 0 || l.Index > indexMost || l.Step < tellLeast || l.Step > tellMost {
+		return 0
+	}
+	return math.Exp2(float64(l.Step) / tellSteps)
 }
 
 // entry is a member in the table.
@@ -154,6 +197,7 @@
 	since     time.Time
 	word      time.Time
 	suspected time.Time
+	told      time.Time // its last word on its traffic came
 }
 
 // Group is a process's part in its fleet. Its methods are safe for concurrent use.
@@ -161,9 +205,15 @@
 	cfg Config
 	log *slog.Logger
 	rng *rand.Rand // of Run's goroutine
+	jit *rand.Rand // of whoever calls Tell
 
 	mu        sync.Mutex // never held while the library is called, as the library calls back under locks of its own
 	phase     Phase
+	load      *load     // this process's own word
+	rate      float64   // its traffic over tellOver
+	ratedAt   time.Time // when that was taken
+	tellAt    time.Time // it may change from then on
+	tellBy    time.Time // and is said again then
 	stands    Standing
 	table     map[string]*entry
 	number    uint64
@@ -191,6 +241,7 @@
 	g := &Group{
 		cfg: cfg, log: cfg.Log, phase: Starting, stands: Waiting,
 		rng:   rand.New(rand.NewPCG(cfg.Start, uint64(len(cfg.Name)))),
+		jit:   rand.New(rand.NewPCG(cfg.Start, markOf(cfg.Name, nil))),
 		table: make(map[string]*entry), kinds: make(map[byte]*listener), views: make(map[uint64]time.Time), since: time.Now(),
 		leaving: make(chan struct{}), closing: make(chan struct{}), ended: make(chan struct{}),
 	}
@@ -206,7 +257,9 @@
 		return nil, errors.New("member: listen is no IP:port")
 	case cfg.Probe < 20*time.Millisecond:
 		return nil, fmt.Errorf("member: probe %v is under 20ms", cfg.Probe)
-	case len(g.encode()) > metaMost:
+	case cfg.Index < 0 || cfg.Index > indexMost:
+		return nil, fmt.Errorf("member: index %d: 0 to %d", cfg.Index, indexMost)
+	case len(g.encode()) > metaMost, cfg.Tells && len(g.encode()) > metaMost-loadMost:
 		return nil, fmt.Errorf("member: zone, version and digest are more than %d bytes together", metaMost)
 	}
 	for _, s := range slices.Concat(cfg.Seeds, cfg.Known) {
@@ -246,7 +299,7 @@
 func (g *Group) encode() []byte {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	raw, err := json.Marshal(meta{g.cfg.Start, g.cfg.Zone, g.cfg.Version, g.cfg.Digest, g.phase})
+	raw, err := json.Marshal(meta{g.cfg.Start, g.cfg.Zone, g.cfg.Version, g.cfg.Digest, g.phase, g.load})
 	if err != nil {
 		panic(err) // of plain fields
 	}
@@ -260,12 +313,42 @@
 	g.phase = p
 }
 
-// untold says that the others have not been told the phase that this process is in.
+// Tell takes how much traffic this process has, in requests a second, as often as the caller likes. The others are told coarsely and
+// seldom: at once at first, later only where it has changed by tellChange and tellPause has passed, and now and then all the same.
+func (g *Group) Tell(rate float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	if rate = min(rate, math.MaxInt32); !(rate > 0) { // no number either
+		rate = 0
+	}
+	since := now.Sub(g.ratedAt)
+	g.ratedAt = now
+	if rate > g.rate*tellJump || rate < g.rate/tellJump {
+		g.rate = rate
+	}
+	g.rate += (rate - g.rate) * min(1, since.Seconds()/tellOver.Seconds())
+	at := min(max(tellLeast, tellSteps*math.Log2(g.rate)), tellMost)
+	l := load{Index: g.cfg.Index, Step: int(math.Round(at))}
+	if g.load != nil {
+		l.Said = g.load.Said
+		changed := math.Abs(at-float64(g.load.Step)) > tellSteps*math.Log2(tellChange)
+		if now.Before(g.tellAt) || !changed && now.Before(g.tellBy) {
+			return
+		}
+	}
+	l.Said++
+	g.load = &l
+	some := func(d time.Duration) time.Time { return now.Add(d*3/4 + time.Duration(g.jit.Int64N(int64(d/2)))) } // not all in step
+	g.tellAt, g.tellBy = some(tellPause), some(tellEvery)
+}
+
+// untold says that the others have not been told the phase that this process is in, or its last word on its traffic.
 func (g *Group) untold() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e := g.table[g.cfg.Name]
-	return e != nil && e.Phase != g.phase
+	return e != nil && (e.Phase != g.phase || g.load != nil && (e.Load == nil || *e.Load != *g.load))
 }
 
 // Leave ends Run with a word to the others, which then know that this process has left.
@@ -307,6 +390,9 @@
 			Name: name, Start: e.Start, Zone: e.Zone, Version: e.Version, Digest: e.Digest, Phase: e.Phase, State: e.state,
 			Address: e.address, Since: now.Sub(e.since), Word: -1, Suspected: g.suspects(e, now),
 		}
+		if m.Traffic = e.Load.traffic(now.Sub(e.told)); m.Traffic > 0 {
+			m.Index = e.Load.Index
+		}
 		if !e.word.IsZero() {
 			m.Word = now.Sub(e.word)
 		}
