--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -207,6 +207,18 @@
 	Present int  // balancers that are present, this one included
 	Silent  int  // lost without a word: they may have ended, or be cut off and still send
 	Agreed  bool // all that can be reached see the same
+
+	// Sharers are those that have told their traffic, this one included, in an order that is the same at all of them.
+	// Where it is not among them, it keeps to an arc of the servers that its own traffic gives. The slice is the
+	// Balancer's from then on.
+	Sharers []Sharer
+}
+
+// Sharer is one of the balancers that send to the same servers, as it has told the others.
+type Sharer struct {
+	Index int     // its Config.Index
+	Zone  int     // and Config.Zone
+	Rate  float64 // requests a second; one that is no number above 0 counts for nothing
 }
 
 // Host carries out what the Balancer decides. Its methods must not call back
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -48,6 +48,10 @@
 	sharersMost = 10                    // and that so many balancers share a server, if there are more
 	fewest      = 4.0                   // but at least this many
 	fleetHalf   = 10 * time.Second      // a fleet that shrinks counts for half in no less than this
+	overlap     = 2.0                   // told arcs reach so many times round the list together, if traffic is little
+	widest      = 4.0                   // but none beyond this multiple of what its own traffic feeds
+	fitRounds   = 5                     // of proportional fitting find how often servers have turns,
+	turnsMost   = 4.0                   // up to this multiple of the usual, and down to this part
 	fleetEvery  = time.Second           // Fleet comes this often; a longer gap between two counts for no more
 	toldFor     = 50 * time.Millisecond // a load report is good for this long
 	askWait     = 30 * time.Millisecond // a request waits this long for one
@@ -173,7 +177,7 @@
 	b.wake(now, busyTick)
 	b.rate = b.rate*math.Exp(-float64(now-b.rateAt)/float64(rateOver)) + 1/rateOver.Seconds()
 	b.rateAt = now
-	if want := b.want(); want > 1.25*b.wanted || want < 0.75*b.wanted {
+	if want := b.want(b.rate); want > 1.25*b.wanted || want < 0.75*b.wanted {
 		b.cut()
 	}
 	if !b.admit(now, r) {
@@ -524,8 +528,8 @@
 	}
 	n := max(1, float64(f.Present+f.Silent), least)
 	b.fleetAt = now
-	if n != b.fleet {
-		b.fleet = n
+	if n != b.fleet || !slices.Equal(f.Sharers, b.told) {
+		b.fleet, b.told = n, f.Sharers
 		b.wall()
 		b.cut()
 	}
@@ -563,7 +567,7 @@
 // the aim its answers take (mean square: a long tail counts). It does not grow when others leave
 // or fail: the last would be overrun.
 func (b *Balancer) portion(s *server) float64 {
-	return max(1, b.part(float64(b.slots), s)*b.weight/b.reach*ease(s.used))
+	return max(1, b.part(float64(b.slots), s)*b.weight/b.reach*s.turns*ease(s.used))
 }
 
 // ease is the share of its portion that crowding leaves.
@@ -573,46 +577,94 @@
 // connections to all servers and never learn how any of them fares, so each keeps to an arc of the
 // list that its own traffic can feed. Arcs begin evenly spread, by the balancers' numbers.
 func (b *Balancer) cut() {
-	b.wanted = b.want()
-	_, start := math.Modf(float64(b.cfg.Index) * math.Phi)
-	all, left := b.ready(), b.wanted
-	b.reach, b.arc = 0, nil
-	for i := range all {
-		s := all[(int(start*float64(len(all)))+i)%len(all)]
-		if left <= 0 {
-			s.ours = false
-			continue
-		}
+	b.wanted = b.want(b.rate)
+	all := b.ready()
+	b.reach, b.arc = 0, b.lay(all)
+	for _, s := range all {
+		s.ours = s.ours && slices.Contains(b.arc, s)
+	}
+	for _, s := range b.arc {
 		if !s.ours { // at a random point of its round: balancers must not begin in step
 			s.ours, s.due = true, b.turn+b.rng.Float64()*b.gap(b.rateAt, s)
 			if b.back[s.ID] > 0 { // or it would wait long for a cold one's turn
 				s.due = b.turn
 			}
 		}
-		left--
 		b.reach += s.Weight
-		b.arc = append(b.arc, s)
 	}
 }
 
+// lay is our arc of all ready servers. Where we have told our traffic it lays the arcs of all who have, end to
+// end by it, wide enough to overlap; rounds of proportional fitting then say how often each server has turns, for
+// all to have an even load (docs/spread.md). It goes by what is told alone, so that all who know the same come
+// to the same. Whose arc is the whole list takes no part: that is even by itself.
+func (b *Balancer) lay(all []*server) []*server {
+	for _, s := range b.servers {
+		s.turns = 1
+	}
+	n, ring := float64(len(all)), slices.Concat(all, all)
+	arc := func(start, width float64) []*server {
+		at := int(start*n) % max(1, len(all))
+		return ring[at : at+int(math.Ceil(min(n, width)))]
+	}
+	told := slices.DeleteFunc(slices.Clone(b.told), func(a balance.Sharer) bool {
+		return !(a.Rate > 0 && b.want(a.Rate) < n)
+	})
+	slices.SortStableFunc(told, func(a, c balance.Sharer) int { return cmp.Compare(a.Index, c.Index) })
+	own := slices.IndexFunc(told, func(a balance.Sharer) bool { return a.Index == b.cfg.Index })
+	if own < 0 {
+		_, start := math.Modf(float64(b.cfg.Index) * math.Phi)
+		return arc(start, b.wanted)
+	}
+	total, sum, arcs := 0.0, 0.0, make([][]*server, len(told))
+	for _, a := range told {
+		total += a.Rate
+	}
+	for i, a := range told {
+		width := b.want(a.Rate)
+		arcs[i] = arc(sum/total, max(width, min(overlap*n*a.Rate/total, widest*width)))
+		sum += a.Rate
+	}
+	for range fitRounds {
+		for i, a := range told {
+			sum = 0
+			for _, s := range arcs[i] {
+				sum += b.size(a.Zone, s)
+			}
+			for _, s := range arcs[i] {
+				s.bears += a.Rate / total * b.size(a.Zone, s) / sum
+			}
+		}
+		for _, s := range all {
+			s.turns = max(1/turnsMost, min(s.turns*s.Weight/b.weight/s.bears, turnsMost))
+			s.bears = 0
+		}
+	}
+	return arcs[own]
+}
+
 // want is how many servers to take turns among. Where balancers are many it is fewer than our traffic
 // could feed: by the quotas no more than sharersMost share a server.
-func (b *Balancer) want() float64 {
+func (b *Balancer) want(rate float64) float64 {
 	every := b.every
 	if b.fleet > sharersMost && b.quota > 0 {
 		every = min(every, sharersMost*b.weight/b.quota)
 	}
-	return max(fewest, b.rate*every)
+	return max(fewest, rate*every)
 }
 
 // gap is the time between a server's turns, in turns' own time. It is bounded, so that turns show recovery.
 // Other zones' have turns too, if fewer: a zone may have more traffic than its own servers can bear.
 func (b *Balancer) gap(now time.Duration, s *server) float64 {
-	gap := math.Pow(max(0.5, min(s.strain, failStrain/2)), 1.5) / (s.Weight * b.warmth(now, s))
-	if b.far(s) {
-		gap /= farTurns
+	return math.Pow(max(0.5, min(s.strain, failStrain/2)), 1.5) / (b.size(b.cfg.Zone, s) * b.warmth(now, s))
+}
+
+// size is what a server's turns go by, for a balancer in a zone.
+func (b *Balancer) size(zone int, s *server) float64 {
+	if b.cfg.CrossZonePrice > 0 && s.Zone != zone {
+		return s.Weight * s.turns * farTurns
 	}
-	return gap
+	return s.Weight * s.turns
 }
 
 // turnOf finds whose turn it is, and whether a server that holds its portion lost it.
--- a/policy/state.go
+++ b/policy/state.go
@@ -15,6 +15,8 @@
 	balance.Server
 	out    int           // this balancer's attempts there
 	ours   bool          // in our arc
+	turns  float64       // multiple of its usual turns, for the fleet's load to be even
+	bears  float64       // used by lay alone: the part of the fleet's traffic that it has by these
 	due    float64       // smooth weighted round robin: when its next turn is, in turns' own time
 	strain float64       // time that its answers take, against the usual; failures count too
 	used   float64       // mean square of the share of the aim that its answers take, lately
@@ -154,6 +156,7 @@
 	fresh    int                                // and those that differed
 	fleet    float64                            // balancers that this one reckons with
 	fleetAt  time.Duration                      // when it was told of them
+	told     []balance.Sharer                   // traffic, by all who have
 	share    int                                // processes that act as this balancer
 	away     map[balance.ServerID]bool          // taken out by hand, listed or not
 	back     map[balance.ServerID]time.Duration // brought back by hand lately: cold until then
@@ -165,7 +168,9 @@
 func (b *Balancer) Counters() balance.Counters { return b.count }
 
 // SlotsFree returns the free slots in a tenant's compartment: none where it shrank below what it holds.
-func (b *Balancer) SlotsFree(tenant int) int { return max(0, b.parts[tenant].slots-b.parts[tenant].used) }
+func (b *Balancer) SlotsFree(tenant int) int {
+	return max(0, b.parts[tenant].slots-b.parts[tenant].used)
+}
 
 // QueueFree returns the free queue places in a tenant's compartment, likewise.
 func (b *Balancer) QueueFree(tenant int) int {
