--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,12 +1,11 @@
 // Package policy decides, for one client-side load balancer (a sidecar), when
 // and where each request is sent, sent again, refused or failed.
 //
-// A Balancer is single-threaded and deterministic: it has no goroutines, no
-// clock and no I/O. The program that embeds it calls one method per event and
-// passes the time; the Balancer answers through the Host it was given. Package
-// balance has the words for both. Here is every decision: the start, events,
-// compartments, the gate that all sends pass, server choice and health, list,
-// reports and endings in policy.go, what is held and counted in state.go.
+// A Balancer is single-threaded and deterministic: it has no goroutines, no clock and no I/O. The program
+// that embeds it calls one method per event and passes the time; the Balancer answers through the Host it was
+// given. Package balance has the words for both. Here is every decision: the start, events, compartments, the
+// gate that all sends pass, server choice and health, list, reports and endings in policy.go, what is held
+// and counted in state.go.
 //
 // Times are durations since a fixed moment of the embedding program's choice; they must never go
 // back, and all calls for one Balancer come from one goroutine, in the order of what happened. The
@@ -48,7 +47,7 @@
 	sharersMost = 10                    // and that so many balancers share a server, if there are more
 	fewest      = 4.0                   // but at least this many
 	fleetHalf   = 10 * time.Second      // a fleet that shrinks counts for half in no less than this
-	overlap     = 2.0                   // told arcs reach so many times round the list together, if traffic is little
+	overlap     = 2.0                   // arcs by all traffic reach so often round the list together, at least
 	widest      = 4.0                   // but none beyond this multiple of what its own traffic feeds
 	fitRounds   = 5                     // of proportional fitting find how often servers have turns,
 	turnsMost   = 4.0                   // up to this multiple of the usual, and down to this part
@@ -86,11 +85,9 @@
 		return nil, err
 	}
 	b := &Balancer{settings: cfg, cfg: cfg, host: host, lines: make(map[uint64]*line), share: 1}
-	b.fleet = float64(cfg.Balancers)
 	b.requests, b.away = make(map[balance.RequestID]*request), make(map[balance.ServerID]bool)
-	b.back = make(map[balance.ServerID]time.Duration)
-	b.parts = make([]compartment, len(cfg.Compartments()))
-	b.rng = rand.New(rand.NewPCG(seed, 0))
+	b.fleet, b.back = float64(cfg.Balancers), make(map[balance.ServerID]time.Duration)
+	b.parts, b.rng = make([]compartment, len(cfg.Compartments())), rand.New(rand.NewPCG(seed, 0))
 	b.pace, b.every = cfg.Classes[0].Aim/8, turnEvery.Seconds()
 	for _, c := range cfg.Classes {
 		b.classes = append(b.classes, class{Class: c, pace: c.Aim / 8})
@@ -130,10 +127,9 @@
 // Start begins the Balancer's life; it must be the first event.
 func (b *Balancer) Start(now time.Duration) {
 	b.rateAt = now // the mean of all balancers holds from now on; the clock's zero may be long ago
-	switch {
-	case b.cfg.AskList && b.cfg.Balancers > sharersMost:
+	if b.cfg.AskList && b.cfg.Balancers > sharersMost {
 		b.askAt = now + 1 + time.Duration(b.rng.Float64()*float64(firstAsk))
-	case b.cfg.AskList:
+	} else if b.cfg.AskList {
 		b.ask(now)
 	}
 	b.sampleAt = now + time.Duration(b.rng.Int64N(int64(4*toldFor))) // not all balancers at once
@@ -157,8 +153,7 @@
 		b.host.Refuse(q.ID, 0)
 		return
 	}
-	r := &request{id: q.ID, class: &b.classes[q.Class], home: &b.parts[q.Tenant]}
-	r.coming = q.Coming
+	r := &request{id: q.ID, class: &b.classes[q.Class], home: &b.parts[q.Tenant], coming: q.Coming}
 	r.deadline = now + min(q.Left, time.Hour)
 	r.useful, r.wanted = r.deadline, min(r.deadline, now+r.class.Aim)
 	if stretch := r.class.AimStretch; r.class.LateShare == 0 && (stretch == 0 || q.Work > 0) {
@@ -262,8 +257,7 @@
 	if r == nil || r.over || !r.coming {
 		return
 	}
-	r.coming = false
-	r.deadline = now + min(left, time.Hour)
+	r.coming, r.deadline = false, now+min(left, time.Hour)
 	r.useful, r.wanted = r.deadline, min(r.deadline, now+r.class.Aim)
 	for i := range r.attempts {
 		if a := &r.attempts[i]; a.state == inFlight {
@@ -275,18 +269,14 @@
 
 // StreamBegun takes that the answer of an attempt has begun to stream: the client owns it now. It counts as
 // answered; a place of its tenant's it keeps until its Outcome.
-func (b *Balancer) StreamBegun(now time.Duration, id balance.RequestID, attempt int) {
+func (b *Balancer) StreamBegun(now time.Duration, id balance.RequestID, n int) {
 	r := b.requests[id]
-	if r == nil || r.begun || attempt < 0 || attempt >= len(r.attempts) {
-		return
-	}
-	a := &r.attempts[attempt]
-	if a.state != inFlight {
+	if r == nil || r.begun || n < 0 || n >= len(r.attempts) || r.attempts[n].state != inFlight {
 		return
 	}
-	b.judge(now, r, a, balance.Served)
+	b.judge(now, r, &r.attempts[n], balance.Served)
 	r.begun = true
-	b.paced(r, a, true)
+	b.paced(r, &r.attempts[n], true)
 	b.feed(now)
 }
 
@@ -375,19 +365,17 @@
 		b.count.Held++
 		return false
 	}
-	s := b.pick(now, r)
-	if s == nil {
-		b.count.NoServer++
-		return false
+	if s := b.pick(now, r); s != nil {
+		b.send(now, r, s)
+		return true
 	}
-	b.send(now, r, s)
-	return true
+	b.count.NoServer++
+	return false
 }
 
-// whole is the wall over all attempts while no server is crowded: what our own traffic holds at the
-// aim, by Little's law. The slots are sized for the busiest balancer: those of eighty together are
-// far more than their servers bear. It shrinks by the servers that fail: what they lose is not to
-// fall on the others.
+// whole is the wall over all attempts while no server is crowded: what our own traffic holds at the aim, by
+// Little's law. The slots are sized for the busiest balancer: those of eighty together are far more than
+// their servers bear. It shrinks by the servers that fail: what they lose is not to fall on the others.
 func (b *Balancer) whole() float64 {
 	well := 0
 	for _, s := range b.arc {
@@ -580,10 +568,9 @@
 	}
 	b.turn = max(b.turn, best.due)
 	best.due = b.turn + b.gap(now, best)
-	switch {
-	case walled:
+	if walled {
 		b.count.Walled++
-	case len(r.attempts) == 0:
+	} else if len(r.attempts) == 0 {
 		b.count.Ordinary++
 	}
 	return best
@@ -620,10 +607,9 @@
 	}
 }
 
-// lay is our arc of all ready servers. Where we have told our traffic it lays the arcs of all who have, end to
-// end by it, wide enough to overlap; rounds of proportional fitting then say how often each server has turns, for
-// all to have an even load (docs/spread.md). It goes by what is told alone, so that all who know the same come
-// to the same. Whose arc is the whole list takes no part: that is even by itself.
+// lay is our arc of the ready servers. Where we have told our traffic it lays the arcs of all who have, end
+// to end by it, and rounds of proportional fitting find how often each server has turns for all to have an
+// even load (docs/spread.md): by what is told alone, so that all come to the same. A whole list needs none.
 func (b *Balancer) lay(all []*server) []*server {
 	for _, s := range b.servers {
 		s.turns = 1
@@ -633,9 +619,8 @@
 		at := int(start*n) % max(1, len(all))
 		return ring[at : at+int(math.Ceil(min(n, width)))]
 	}
-	told := slices.DeleteFunc(slices.Clone(b.told), func(a balance.Sharer) bool {
-		return !(a.Rate > 0 && b.want(a.Rate) < n)
-	})
+	unfit := func(a balance.Sharer) bool { return !(a.Rate > 0 && b.want(a.Rate) < n) }
+	told := slices.DeleteFunc(slices.Clone(b.told), unfit)
 	slices.SortStableFunc(told, func(a, c balance.Sharer) int { return cmp.Compare(a.Index, c.Index) })
 	own := slices.IndexFunc(told, func(a balance.Sharer) bool { return a.Index == b.cfg.Index })
 	if own < 0 {
@@ -647,8 +632,7 @@
 		total += a.Rate
 	}
 	for i, a := range told {
-		width := b.want(a.Rate)
-		arcs[i] = arc(sum/total, max(width, min(overlap*n*a.Rate/total, widest*width)))
+		arcs[i] = arc(sum/total, max(b.want(a.Rate), min(overlap*n*a.Rate/total, widest*b.want(a.Rate))))
 		sum += a.Rate
 	}
 	for range fitRounds {
@@ -662,8 +646,7 @@
 			}
 		}
 		for _, s := range all {
-			s.turns = max(1/turnsMost, min(s.turns*s.Weight/b.weight/s.bears, turnsMost))
-			s.bears = 0
+			s.turns, s.bears = max(1/turnsMost, min(s.turns*s.Weight/b.weight/s.bears, turnsMost)), 0
 		}
 	}
 	return arcs[own]
--- a/policy/state.go
+++ b/policy/state.go
@@ -171,14 +171,10 @@
 func (b *Balancer) Counters() balance.Counters { return b.count }
 
 // SlotsFree returns the free slots in a tenant's compartment: none where it shrank below what it holds.
-func (b *Balancer) SlotsFree(tenant int) int {
-	return max(0, b.parts[tenant].slots-b.parts[tenant].used)
-}
+func (b *Balancer) SlotsFree(t int) int { return max(0, b.parts[t].slots-b.parts[t].used) }
 
 // QueueFree returns the free queue places in a tenant's compartment, likewise.
-func (b *Balancer) QueueFree(tenant int) int {
-	return max(0, b.parts[tenant].places-len(b.parts[tenant].queue))
-}
+func (b *Balancer) QueueFree(t int) int { return max(0, b.parts[t].places-len(b.parts[t].queue)) }
 
 // ran returns the first attempt that may have run or still may, or nil.
 func (r *request) ran() *attempt {
@@ -209,9 +205,9 @@
 
 // multiple is the rule set's multiple of a server's weight; 0: it is excluded.
 func (b *Balancer) multiple(s *server) float64 {
-	m := 1.0
-	if by, ok := b.rules.Servers[s.ID]; ok {
-		m = by
+	m, ok := b.rules.Servers[s.ID]
+	if !ok {
+		m = 1
 	}
 	if by, ok := b.rules.Zones[s.Zone]; ok {
 		m *= by
@@ -258,13 +254,8 @@
 }
 
 // ready returns the servers that take part, in order of their ids.
-func (b *Balancer) ready() (all []*server) {
-	for _, s := range b.servers {
-		if s.stands() {
-			all = append(all, s)
-		}
-	}
-	return all
+func (b *Balancer) ready() []*server {
+	return slices.DeleteFunc(slices.Clone(b.servers), func(s *server) bool { return !s.stands() })
 }
 
 // hold counts an attempt that begins (1) or ends (-1) wherever it counts.
