Tell the module of the fleet's traffic where the fleet file has spread.share

The module spreads by the traffic that members tell, and nothing told it. follow now has this process tell its own, and gives the module the words of all members that are present and do not drain. Once another has this process's name, the module goes by nobody's traffic any more. app.fleet_sharers counts whose traffic counts; caperarch fleet notes each member's. Nothing of it without the key.

--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -51,7 +51,7 @@
 	c := member.Config{
 		Name: cfg.Name, Start: uint64(time.Now().UnixMilli()), Version: revision(), Digest: cfg.digest(),
 		Listen: listen, Cluster: m.Cluster, Seeds: m.Seeds, Routes: cfg.Fleet.Routes, Probe: m.Probe.D(),
-		Expect: cfg.Policy.Balancers, Forget: m.Forget.D(),
+		Expect: cfg.Policy.Balancers, Forget: m.Forget.D(), Index: cfg.Policy.Index, Tells: cfg.Fleet.Spread.Share,
 	}
 	for zone, i := range cfg.Zones {
 		if i == cfg.Policy.Zone {
@@ -114,6 +114,7 @@
 	defer tick.Stop()
 	var keptAt time.Time
 	var kept []string
+	var told balance.Fleet
 	for {
 		select {
 		case <-tick.C:
@@ -132,11 +133,18 @@
 		if p.stopping.Load() { // it may have begun since the last line
 			p.group.Say(member.Draining)
 		}
-		if v.Standing == member.Member && !v.Starved { // whoever has reached nobody yet can't tell how many there are
-			f := balance.Fleet{Present: v.Present, Silent: v.Silent, Agreed: v.Agreed}
-			if p.loop.do(ctx, func(now time.Duration) { p.loop.b.Fleet(now, f) }) != nil {
+		if p.cfg.Fleet.Spread.Share {
+			l, err := p.loop.learned(ctx)
+			if err != nil {
 				return // it ends
 			}
+			p.group.Tell(l.Rate)
+		}
+		if f, ok := p.fleet(v, told); ok {
+			if p.loop.do(ctx, func(now time.Duration) { p.loop.b.Fleet(now, f) }) != nil {
+				return
+			}
+			told = f
 		}
 		known := p.group.Known()
 		if p.state.store == nil || len(known) == 0 || slices.Equal(known, kept) || time.Since(keptAt) < peersKept {
@@ -150,6 +158,34 @@
 	}
 }
 
+// fleet is what the module is to be told of a view, if anything, where it was last told that. A process that stood still lately has
+// an old view. One that is no member any more, as another has its name, is not reckoned with by the others, and goes by nobody's traffic.
+func (p *peers) fleet(v member.View, told balance.Fleet) (f balance.Fleet, ok bool) {
+	switch {
+	case v.Standing != member.Member && len(told.Sharers) > 0:
+		told.Sharers, told.Agreed = nil, false
+		return told, true
+	case v.Standing != member.Member || v.Starved: // whoever has reached nobody yet can't tell how many there are
+		return f, false
+	}
+	f = balance.Fleet{Present: v.Present, Silent: v.Silent, Agreed: v.Agreed}
+	for _, m := range v.Members {
+		if p.cfg.Fleet.Spread.Share && sharer(m) {
+			zone, known := p.cfg.Zones[m.Zone]
+			if !known {
+				zone = -1
+			}
+			f.Sharers = append(f.Sharers, balance.Sharer{Index: m.Index, Zone: zone, Rate: m.Traffic})
+		}
+	}
+	return f, true
+}
+
+// sharer says whether a member's traffic counts.
+func sharer(m member.MemberInfo) bool {
+	return m.State == member.Present && m.Phase != member.Draining && m.Traffic > 0
+}
+
 // draining gives up this process's duties and tells the others that it stops; or, where another has taken over, lets that one
 // have the name.
 func (p *peers) draining(replaced bool, work *duties) {
@@ -182,6 +218,15 @@
 	}
 	fmt.Fprintf(w, "app.fleet_members=%d\napp.fleet_silent=%d\napp.fleet_suspected=%d\napp.fleet_views=%d\napp.fleet_agreed=%d\n",
 		v.Present, v.Silent, v.Suspected, v.Views, agreed)
+	if p.cfg.Fleet.Spread.Share {
+		n := 0
+		for _, m := range v.Members {
+			if sharer(m) {
+				n++
+			}
+		}
+		fmt.Fprintf(w, "app.fleet_sharers=%d\n", n)
+	}
 }
 
 // show writes who is there: a line on this process and its view, one with the columns' names, and one for each member.
@@ -216,6 +261,9 @@
 		if m.Digest != self.Digest {
 			notes = append(notes, "config")
 		}
+		if m.Traffic > 0 {
+			notes = append(notes, fmt.Sprintf("traffic=%.3g", m.Traffic))
+		}
 		word := "none"
 		if m.Word >= 0 {
 			word = m.Word.Round(time.Second / 10).String()
