--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -332,10 +332,13 @@
 	l := load{Index: g.cfg.Index, Step: int(math.Round(at))}
 	if g.load != nil {
 		l.Said = g.load.Said
-		changed := math.Abs(at-float64(g.load.Step)) > tellSteps*math.Log2(tellChange)
-		if now.Before(g.tellAt) || !changed && now.Before(g.tellBy) {
+		off := math.Abs(at - float64(g.load.Step))
+		if now.Before(g.tellAt) || off <= tellSteps*math.Log2(tellChange) && now.Before(g.tellBy) {
 			return
 		}
+		if off <= 1 {
+			l.Step = g.load.Step // arcs move with it: not for noise
+		}
 	}
 	l.Said++
 	g.load = &l
--- a/internal/member/tell_test.go
+++ b/internal/member/tell_test.go
@@ -12,19 +12,20 @@
 // that can't be read.
 func TestTellIsCoarseAndSlow(t *testing.T) {
 	for what, c := range map[string]struct {
-		rate func(s float64) float64 // s seconds after the start
-		said [2]uint64               // words within ten minutes, from and to
-		last float64                 // what is told then
+		rate  func(s float64) float64 // s seconds after the start
+		said  [2]uint64               // words within ten minutes, from and to
+		last  float64                 // what is told then
+		steps int                     // times that it differed
 	}{
-		"steady":      {func(float64) float64 { return 8 }, [2]uint64{4, 8}, 8},
-		"noise":       {func(s float64) float64 { return 8 * (1 + 0.25*math.Sin(s)) }, [2]uint64{4, 8}, 8},
-		"doubled":     {func(s float64) float64 { return 8 * (1 + math.Floor(s/300)) }, [2]uint64{5, 10}, 16},
-		"to and fro":  {func(s float64) float64 { return 8 * (1 + 9*math.Mod(math.Floor(s), 2)) }, [2]uint64{100, 200}, 0},
-		"none":        {func(float64) float64 { return 0 }, [2]uint64{4, 8}, 0.125},
-		"negative":    {func(float64) float64 { return -7 }, [2]uint64{4, 8}, 0.125},
-		"no number":   {func(float64) float64 { return math.NaN() }, [2]uint64{4, 8}, 0.125},
-		"without end": {func(float64) float64 { return math.Inf(1) }, [2]uint64{4, 8}, 1 << 20},
-		"a billion":   {func(float64) float64 { return 1e9 }, [2]uint64{4, 8}, 1 << 20},
+		"steady":      {func(float64) float64 { return 8 }, [2]uint64{4, 8}, 8, 1},
+		"noise":       {func(s float64) float64 { return 8 * (1 + 0.25*math.Sin(s)) }, [2]uint64{4, 8}, 8, 1},
+		"doubled":     {func(s float64) float64 { return 8 * (1 + math.Floor(s/300)) }, [2]uint64{5, 10}, 16, 3},
+		"to and fro":  {func(s float64) float64 { return 8 * (1 + 9*math.Mod(math.Floor(s), 2)) }, [2]uint64{100, 200}, 0, 200},
+		"none":        {func(float64) float64 { return 0 }, [2]uint64{4, 8}, 0.125, 1},
+		"negative":    {func(float64) float64 { return -7 }, [2]uint64{4, 8}, 0.125, 1},
+		"no number":   {func(float64) float64 { return math.NaN() }, [2]uint64{4, 8}, 0.125, 1},
+		"without end": {func(float64) float64 { return math.Inf(1) }, [2]uint64{4, 8}, 1 << 20, 1},
+		"a billion":   {func(float64) float64 { return 1e9 }, [2]uint64{4, 8}, 1 << 20, 1},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet(t, 1)
@@ -34,11 +35,14 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			began, last := time.Now(), time.Time{}
+			began, last, steps := time.Now(), time.Time{}, 0
 			for time.Since(began) < 10*time.Minute {
 				before := g.load
 				g.Tell(c.rate(time.Since(began).Seconds()))
 				if g.load != before {
+					if before == nil || g.load.Step != before.Step {
+						steps++
+					}
 					if time.Since(last) < tellPause*3/4 {
 						t.Fatalf("%s: two words within %v", what, time.Since(last))
 					}
@@ -49,6 +53,9 @@
 			if g.load.Said < c.said[0] || g.load.Said > c.said[1] {
 				t.Errorf("%s: %d words in ten minutes, %v expected", what, g.load.Said, c.said)
 			}
+			if steps > c.steps {
+				t.Errorf("%s: %d different words, at most %d", what, steps, c.steps)
+			}
 			if got := g.load.traffic(0); c.last > 0 && math.Abs(math.Log2(got/c.last)) > 0.25 {
 				t.Errorf("%s: %v is told, want %v", what, got, c.last)
 			}
