Tell random worlds of a fleet's traffic too, whatever it is

Where rule sets come, such words come now too: twice the same index, none of one's own, no number, without end. The member test's noise is about a rate between two steps now, so that a step taken anew each time fails.

--- a/internal/member/tell_test.go
+++ b/internal/member/tell_test.go
@@ -18,7 +18,7 @@
 		steps int                     // times that it differed
 	}{
 		"steady":      {func(float64) float64 { return 8 }, [2]uint64{4, 8}, 8, 1},
-		"noise":       {func(s float64) float64 { return 8 * (1 + 0.25*math.Sin(s)) }, [2]uint64{4, 8}, 8, 1},
+		"noise":       {func(s float64) float64 { return 8.7 * (1 + 0.25*math.Sin(s)) }, [2]uint64{4, 8}, 8, 1},
 		"doubled":     {func(s float64) float64 { return 8 * (1 + math.Floor(s/300)) }, [2]uint64{5, 10}, 16, 3},
 		"to and fro":  {func(s float64) float64 { return 8 * (1 + 9*math.Mod(math.Floor(s), 2)) }, [2]uint64{100, 200}, 0, 200},
 		"none":        {func(float64) float64 { return 0 }, [2]uint64{4, 8}, 0.125, 1},
--- a/policy/random_test.go
+++ b/policy/random_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -269,7 +270,7 @@
 	w.b.Rules(w.now, r)
 }
 
-// drive runs a world, with rule sets or without; pick(n) chooses among n possibilities.
+// drive runs a world, with rule sets and words of the fleet or without; pick(n) chooses among n possibilities.
 func drive(t testing.TB, steps int, sets bool, pick func(n int) int) []string {
 	cfg := testConfig()
 	cfg.AskList, cfg.MayProbe = true, true
@@ -296,6 +297,9 @@
 	w.b, w.sets, w.used = b, sets, make([]int, len(cfg.Tenants))
 	b.Start(w.now)
 	for range steps {
+		if sets && pick(12) == 0 {
+			w.fleet(pick)
+		}
 		if sets && pick(12) == 0 {
 			w.rules(cfg, someSet(t, cfg, pick))
 		}
@@ -321,6 +325,24 @@
 	return w.trace
 }
 
+// fleet tells of as many balancers as are set, and of traffic that may be anything.
+func (w *world) fleet(pick func(int) int) {
+	f := balance.Fleet{Present: w.cfg.Balancers, Agreed: pick(2) == 0}
+	for range pick(8) {
+		rate := []float64{1, 20, 0.1, 0, -1, 1e9, math.NaN(), math.Inf(1)}[pick(8)]
+		f.Sharers = append(f.Sharers, balance.Sharer{Index: pick(5) - 1, Zone: pick(3), Rate: rate})
+	}
+	w.b.Fleet(w.now, f)
+	for _, s := range w.b.arc {
+		if !s.stands() || !(s.turns >= 1/turnsMost && s.turns <= turnsMost) {
+			w.t.Fatalf("server %d in state %d has turns %v by %+v", s.ID, s.State, s.turns, f.Sharers)
+		}
+	}
+	if len(w.b.arc) == 0 && len(w.b.ready()) > 0 {
+		w.t.Fatalf("no arc by %+v", f.Sharers)
+	}
+}
+
 func (w *world) step(pick func(int) int) {
 	w.now += time.Duration(pick(8)) * ms
 	w.timeouts()
