Hold an index to its bound only where it is told

A sidecar with an index over a million could not join others, even with spread.share off. The bound is that of the word on traffic, and looked at with it alone. Seen to fail: the bound looked at without the key, no room kept for the word.

--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -257,7 +257,7 @@
 		return nil, errors.New("member: listen is no IP:port")
 	case cfg.Probe < 20*time.Millisecond:
 		return nil, fmt.Errorf("member: probe %v is under 20ms", cfg.Probe)
-	case cfg.Index < 0 || cfg.Index > indexMost:
+	case cfg.Tells && (cfg.Index < 0 || cfg.Index > indexMost):
 		return nil, fmt.Errorf("member: index %d: 0 to %d", cfg.Index, indexMost)
 	case len(g.encode()) > metaMost, cfg.Tells && len(g.encode()) > metaMost-loadMost:
 		return nil, fmt.Errorf("member: zone, version and digest are more than %d bytes together", metaMost)
