Keep arcs near their places, so that few connections move as a member goes

Arcs laid end to end in the order of the index moved 109 of 2,474 connections as one of 300 members left, and nearly all of a sidecar's own when it first heard of the others.

Without a word told the traces are the same. Seen to fail: no fitting, arcs left at their places, no overlap, traffic of any size let in, the mean not taken off, no bound on turns or widths, the order left to chance, places kept by six servers. First turns in step are not seen by these tests: arrivals are no more even than that.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -47,6 +47,7 @@
 	sharersMost = 10                    // and that so many balancers share a server, if there are more
 	fewest      = 4.0                   // but at least this many
 	fleetHalf   = 10 * time.Second      // a fleet that shrinks counts for half in no less than this
+	stays       = 0.5                   // arcs keep their places while all traffic puts them no more servers off
 	overlap     = 2.0                   // arcs by all traffic reach so often round the list together, at least
 	widest      = 4.0                   // but none beyond this multiple of what its own traffic feeds
 	fitRounds   = 5                     // of proportional fitting find how often servers have turns,
@@ -593,34 +594,40 @@
 	}
 }
 
-// lay is our arc of the ready servers. Where we have told our traffic it lays the arcs of all who have, end
-// to end by it, and rounds of proportional fitting find how often each server has turns for all to have an
-// even load (docs/spread.md): by what is told alone, so that all come to the same. A whole list needs none.
+// lay is our arc of the ready servers. Where we have told our traffic it lays the arcs of all who have: end
+// to end by it, but near their places; rounds of proportional fitting find how often each server has turns
+// for all to have an even load (docs/spread.md). It goes by what is told alone: all come to the same.
 func (b *Balancer) lay(all []*server) []*server {
 	for _, s := range b.servers {
 		s.turns = 1
 	}
 	n, ring := float64(len(all)), slices.Concat(all, all)
-	arc := func(start, width float64) []*server {
-		at := int(start*n) % max(1, len(all))
+	arc := func(begin, width float64) []*server {
+		at := (int(math.Floor(begin))%max(1, len(all)) + len(all)) % max(1, len(all))
 		return ring[at : at+int(math.Ceil(min(n, width)))]
 	}
 	unfit := func(a balance.Sharer) bool { return !(a.Rate > 0 && b.want(a.Rate) < n) }
 	told := slices.DeleteFunc(slices.Clone(b.told), unfit)
-	slices.SortStableFunc(told, func(a, c balance.Sharer) int { return cmp.Compare(a.Index, c.Index) })
+	places := func(a, c balance.Sharer) int { return cmp.Compare(placeOf(a.Index), placeOf(c.Index)) }
+	slices.SortStableFunc(told, places)
 	own := slices.IndexFunc(told, func(a balance.Sharer) bool { return a.Index == b.cfg.Index })
 	if own < 0 {
-		_, start := math.Modf(float64(b.cfg.Index) * math.Phi)
-		return arc(start, b.wanted)
+		return arc(n*placeOf(b.cfg.Index), b.wanted)
 	}
-	total, sum, arcs := 0.0, 0.0, make([][]*server, len(told))
+	total, sum, off, away, arcs := 0.0, 0.0, 0.0, make([]float64, len(told)), make([][]*server, len(told))
 	for _, a := range told {
 		total += a.Rate
 	}
 	for i, a := range told {
-		arcs[i] = arc(sum/total, max(b.want(a.Rate), min(overlap*n*a.Rate/total, widest*b.want(a.Rate))))
+		away[i] = n * (sum/total - placeOf(a.Index))
+		off += away[i] / float64(len(told))
 		sum += a.Rate
 	}
+	for i, a := range told {
+		away[i] -= off + max(-stays, min(away[i]-off, stays))
+		width := max(b.want(a.Rate), min(overlap*n*a.Rate/total, widest*b.want(a.Rate)))
+		arcs[i] = arc(n*placeOf(a.Index)+away[i], width)
+	}
 	for range fitRounds {
 		for i, a := range told {
 			sum = 0
@@ -638,6 +645,12 @@
 	return arcs[own]
 }
 
+// placeOf is where an arc begins by its balancer's number, as a part of the list: evenly spread.
+func placeOf(index int) float64 {
+	_, place := math.Modf(float64(index) * math.Phi)
+	return place
+}
+
 // want is how many servers to take turns among. Where balancers are many it is fewer than our traffic
 // could feed: by the quotas no more than sharersMost share a server.
 func (b *Balancer) want(rate float64) float64 {
