--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,12 +1,11 @@
 // Package policy decides, for one client-side load balancer (a sidecar), when
 // and where each request is sent, sent again, refused or failed.
 //
-// A Balancer is single-threaded and deterministic: it has no goroutines, no
-// clock and no I/O. The program that embeds it calls one method per event and
-// passes the time; the Balancer answers through the Host it was given. Package
-// balance has the words for both. Here is every decision: the start, events,
-// compartments, the gate that all sends pass, server choice and health, list,
-// reports and endings in policy.go, what is held and counted in state.go.
+// A Balancer is single-threaded and deterministic: it has no goroutines, no clock and no I/O. The program
+// that embeds it calls one method per event and passes the time; the Balancer answers through the Host it was
+// given. Package balance has the words for both. Here is every decision: the start, events, compartments, the
+// gate that all sends pass, server choice and health, list, reports and endings in policy.go, what is held
+// and counted in state.go.
 //
 // Times are durations since a fixed moment of the embedding program's choice; they must never go
 // back, and all calls for one Balancer come from one goroutine, in the order of what happened. The
@@ -48,6 +47,11 @@
 	sharersMost = 10                    // and that so many balancers share a server, if there are more
 	fewest      = 4.0                   // but at least this many
 	fleetHalf   = 10 * time.Second      // a fleet that shrinks counts for half in no less than this
+	stays       = 0.5                   // arcs keep their places while all traffic puts them no more servers off
+	overlap     = 2.0                   // arcs by all traffic reach so often round the list together, at least
+	widest      = 4.0                   // but none beyond this multiple of what its own traffic feeds
+	fitRounds   = 5                     // of proportional fitting find how often servers have turns,
+	turnsMost   = 4.0                   // up to this multiple of the usual, and down to this part
 	fleetEvery  = time.Second           // Fleet comes this often; a longer gap between two counts for no more
 	toldFor     = 50 * time.Millisecond // a load report is good for this long
 	askWait     = 30 * time.Millisecond // a request waits this long for one
@@ -61,6 +65,8 @@
 	wholeMany   = 0.6                   // or sooner where more than sharersMost balancers crowd servers
 	wholeFree   = 2.0                   // and allows this many more than our traffic holds at the aim
 	farTurns    = 0.25                  // other zones' servers have this share of turns, if crossing is priced
+	mildAlone   = 0.5                   // answers in less than this multiple of the usual time bring no turns,
+	mildShared  = 1.5                   // and in this cost none, where arcs and turns go by all traffic
 	failStrain  = 8.0                   // a failure counts as an answer that took so many times the usual
 	coldPart    = 0.5                   // this much of a cold server's budget is used, the rest left to chance
 
@@ -82,11 +88,9 @@
 		return nil, err
 	}
 	b := &Balancer{settings: cfg, cfg: cfg, host: host, lines: make(map[uint64]*line), share: 1}
-	b.fleet = float64(cfg.Balancers)
 	b.requests, b.away = make(map[balance.RequestID]*request), make(map[balance.ServerID]bool)
-	b.back = make(map[balance.ServerID]time.Duration)
-	b.parts = make([]compartment, len(cfg.Compartments()))
-	b.rng = rand.New(rand.NewPCG(seed, 0))
+	b.fleet, b.back = float64(cfg.Balancers), make(map[balance.ServerID]time.Duration)
+	b.parts, b.rng = make([]compartment, len(cfg.Compartments())), rand.New(rand.NewPCG(seed, 0))
 	b.pace, b.every = cfg.Classes[0].Aim/8, turnEvery.Seconds()
 	for _, c := range cfg.Classes {
 		b.classes = append(b.classes, class{Class: c, pace: c.Aim / 8})
@@ -126,10 +130,9 @@
 // Start begins the Balancer's life; it must be the first event.
 func (b *Balancer) Start(now time.Duration) {
 	b.rateAt = now // the mean of all balancers holds from now on; the clock's zero may be long ago
-	switch {
-	case b.cfg.AskList && b.cfg.Balancers > sharersMost:
+	if b.cfg.AskList && b.cfg.Balancers > sharersMost {
 		b.askAt = now + 1 + time.Duration(b.rng.Float64()*float64(firstAsk))
-	case b.cfg.AskList:
+	} else if b.cfg.AskList {
 		b.ask(now)
 	}
 	b.sampleAt = now + time.Duration(b.rng.Int64N(int64(4*toldFor))) // not all balancers at once
@@ -153,8 +156,7 @@
 		b.host.Refuse(q.ID, 0)
 		return
 	}
-	r := &request{id: q.ID, class: &b.classes[q.Class], home: &b.parts[q.Tenant]}
-	r.coming = q.Coming
+	r := &request{id: q.ID, class: &b.classes[q.Class], home: &b.parts[q.Tenant], coming: q.Coming}
 	r.deadline = now + min(q.Left, time.Hour)
 	r.useful, r.wanted = r.deadline, min(r.deadline, now+r.class.Aim)
 	if stretch := r.class.AimStretch; r.class.LateShare == 0 && (stretch == 0 || q.Work > 0) {
@@ -173,7 +175,7 @@
 	b.wake(now, busyTick)
 	b.rate = b.rate*math.Exp(-float64(now-b.rateAt)/float64(rateOver)) + 1/rateOver.Seconds()
 	b.rateAt = now
-	if want := b.want(); want > 1.25*b.wanted || want < 0.75*b.wanted {
+	if want := b.want(b.rate); want > 1.25*b.wanted || want < 0.75*b.wanted {
 		b.cut()
 	}
 	if !b.admit(now, r) {
@@ -258,8 +260,7 @@
 	if r == nil || r.over || !r.coming {
 		return
 	}
-	r.coming = false
-	r.deadline = now + min(left, time.Hour)
+	r.coming, r.deadline = false, now+min(left, time.Hour)
 	r.useful, r.wanted = r.deadline, min(r.deadline, now+r.class.Aim)
 	for i := range r.attempts {
 		if a := &r.attempts[i]; a.state == inFlight {
@@ -271,18 +272,14 @@
 
 // StreamBegun takes that the answer of an attempt has begun to stream: the client owns it now. It counts as
 // answered; a place of its tenant's it keeps until its Outcome.
-func (b *Balancer) StreamBegun(now time.Duration, id balance.RequestID, attempt int) {
+func (b *Balancer) StreamBegun(now time.Duration, id balance.RequestID, n int) {
 	r := b.requests[id]
-	if r == nil || r.begun || attempt < 0 || attempt >= len(r.attempts) {
-		return
-	}
-	a := &r.attempts[attempt]
-	if a.state != inFlight {
+	if r == nil || r.begun || n < 0 || n >= len(r.attempts) || r.attempts[n].state != inFlight {
 		return
 	}
-	b.judge(now, r, a, balance.Served)
+	b.judge(now, r, &r.attempts[n], balance.Served)
 	r.begun = true
-	b.paced(r, a, true)
+	b.paced(r, &r.attempts[n], true)
 	b.feed(now)
 }
 
@@ -371,19 +368,17 @@
 		b.count.Held++
 		return false
 	}
-	s := b.pick(now, r)
-	if s == nil {
-		b.count.NoServer++
-		return false
+	if s := b.pick(now, r); s != nil {
+		b.send(now, r, s)
+		return true
 	}
-	b.send(now, r, s)
-	return true
+	b.count.NoServer++
+	return false
 }
 
-// whole is the wall over all attempts while no server is crowded: what our own traffic holds at the
-// aim, by Little's law. The slots are sized for the busiest balancer: those of eighty together are
-// far more than their servers bear. It shrinks by the servers that fail: what they lose is not to
-// fall on the others.
+// whole is the wall over all attempts while no server is crowded: what our own traffic holds at the aim, by
+// Little's law. The slots are sized for the busiest balancer: those of eighty together are far more than
+// their servers bear. It shrinks by the servers that fail: what they lose is not to fall on the others.
 func (b *Balancer) whole() float64 {
 	well := 0
 	for _, s := range b.arc {
@@ -524,8 +519,8 @@
 	}
 	n := max(1, float64(f.Present+f.Silent), least)
 	b.fleetAt = now
-	if n != b.fleet {
-		b.fleet = n
+	if n != b.fleet || !slices.Equal(f.Sharers, b.told) {
+		b.fleet, b.told = n, f.Sharers
 		b.wall()
 		b.cut()
 	}
@@ -562,10 +557,9 @@
 	}
 	b.turn = max(b.turn, best.due)
 	best.due = b.turn + b.gap(now, best)
-	switch {
-	case walled:
+	if walled {
 		b.count.Walled++
-	case len(r.attempts) == 0:
+	} else if len(r.attempts) == 0 {
 		b.count.Ordinary++
 	}
 	return best
@@ -575,7 +569,7 @@
 // the aim its answers take (mean square: a long tail counts). It does not grow when others leave
 // or fail: the last would be overrun.
 func (b *Balancer) portion(s *server) float64 {
-	return max(1, b.part(float64(b.slots), s)*b.weight/b.reach*ease(s.used))
+	return max(1, b.part(float64(b.slots), s)*b.weight/b.reach*s.turns*ease(s.used))
 }
 
 // ease is the share of its portion that crowding leaves.
@@ -585,46 +579,104 @@
 // connections to all servers and never learn how any of them fares, so each keeps to an arc of the
 // list that its own traffic can feed. Arcs begin evenly spread, by the balancers' numbers.
 func (b *Balancer) cut() {
-	b.wanted = b.want()
-	_, start := math.Modf(float64(b.cfg.Index) * math.Phi)
-	all, left := b.ready(), b.wanted
-	b.reach, b.arc = 0, nil
-	for i := range all {
-		s := all[(int(start*float64(len(all)))+i)%len(all)]
-		if left <= 0 {
-			s.ours = false
-			continue
-		}
+	b.wanted = b.want(b.rate)
+	all := b.ready()
+	b.reach, b.arc = 0, b.lay(all)
+	for _, s := range all {
+		s.ours = s.ours && slices.Contains(b.arc, s)
+	}
+	for _, s := range b.arc {
 		if !s.ours { // at a random point of its round: balancers must not begin in step
 			s.ours, s.due = true, b.turn+b.rng.Float64()*b.gap(b.rateAt, s)
 			if b.back[s.ID] > 0 { // or it would wait long for a cold one's turn
 				s.due = b.turn
 			}
 		}
-		left--
 		b.reach += s.Weight
-		b.arc = append(b.arc, s)
 	}
 }
 
+// lay is our arc of the ready servers. Where we have told our traffic it lays the arcs of all who have: end
+// to end by it, but near their places; rounds of proportional fitting find how often each server has turns
+// for all to have an even load (docs/spread.md). It goes by what is told alone: all come to the same.
+func (b *Balancer) lay(all []*server) []*server {
+	b.mild = mildAlone
+	for _, s := range b.servers {
+		s.turns = 1
+	}
+	n, ring := float64(len(all)), slices.Concat(all, all)
+	arc := func(begin, width float64) []*server {
+		at := (int(math.Floor(begin))%max(1, len(all)) + len(all)) % max(1, len(all))
+		return ring[at : at+int(math.Ceil(min(n, width)))]
+	}
+	unfit := func(a balance.Sharer) bool { return !(a.Rate > 0 && b.want(a.Rate) < n) }
+	told := slices.DeleteFunc(slices.Clone(b.told), unfit)
+	places := func(a, c balance.Sharer) int { return cmp.Compare(placeOf(a.Index), placeOf(c.Index)) }
+	slices.SortStableFunc(told, places)
+	own := slices.IndexFunc(told, func(a balance.Sharer) bool { return a.Index == b.cfg.Index })
+	if own < 0 {
+		return arc(n*placeOf(b.cfg.Index), b.wanted)
+	}
+	b.mild = mildShared // or what chance makes of answers' times has more weight than all of this
+	total, sum, off, away, arcs := 0.0, 0.0, 0.0, make([]float64, len(told)), make([][]*server, len(told))
+	for _, a := range told {
+		total += a.Rate
+	}
+	for i, a := range told {
+		away[i] = n * (sum/total - placeOf(a.Index))
+		off += away[i] / float64(len(told))
+		sum += a.Rate
+	}
+	for i, a := range told {
+		away[i] -= off + max(-stays, min(away[i]-off, stays))
+		width := max(b.want(a.Rate), min(overlap*n*a.Rate/total, widest*b.want(a.Rate)))
+		arcs[i] = arc(n*placeOf(a.Index)+away[i], width)
+	}
+	for range fitRounds {
+		for i, a := range told {
+			sum = 0
+			for _, s := range arcs[i] {
+				sum += b.size(a.Zone, s)
+			}
+			for _, s := range arcs[i] {
+				s.bears += a.Rate / total * b.size(a.Zone, s) / sum
+			}
+		}
+		for _, s := range all {
+			s.turns, s.bears = max(1/turnsMost, min(s.turns*s.Weight/b.weight/s.bears, turnsMost)), 0
+		}
+	}
+	return arcs[own]
+}
+
+// placeOf is where an arc begins by its balancer's number, as a part of the list: evenly spread.
+func placeOf(index int) float64 {
+	_, place := math.Modf(float64(index) * math.Phi)
+	return place
+}
+
 // want is how many servers to take turns among. Where balancers are many it is fewer than our traffic
 // could feed: by the quotas no more than sharersMost share a server.
-func (b *Balancer) want() float64 {
+func (b *Balancer) want(rate float64) float64 {
 	every := b.every
 	if b.fleet > sharersMost && b.quota > 0 {
 		every = min(every, sharersMost*b.weight/b.quota)
 	}
-	return max(fewest, b.rate*every)
+	return max(fewest, rate*every)
 }
 
 // gap is the time between a server's turns, in turns' own time. It is bounded, so that turns show recovery.
 // Other zones' have turns too, if fewer: a zone may have more traffic than its own servers can bear.
 func (b *Balancer) gap(now time.Duration, s *server) float64 {
-	gap := math.Pow(max(0.5, min(s.strain, failStrain/2)), 1.5) / (s.Weight * b.warmth(now, s))
-	if b.far(s) {
-		gap /= farTurns
+	return math.Pow(max(b.mild, min(s.strain, failStrain/2)), 1.5) / (b.size(b.cfg.Zone, s) * b.warmth(now, s))
+}
+
+// size is what a server's turns go by, for a balancer in a zone.
+func (b *Balancer) size(zone int, s *server) float64 {
+	if b.cfg.CrossZonePrice > 0 && s.Zone != zone {
+		return s.Weight * s.turns * farTurns
 	}
-	return gap
+	return s.Weight * s.turns
 }
 
 // turnOf finds whose turn it is, and whether a server that holds its portion lost it.
