--- a/policy/state.go
+++ b/policy/state.go
@@ -26,7 +26,8 @@
 	silent time.Duration // it has not answered since; 0: it has
 	warmAt time.Duration // cold until then, by the list or by our own guess
 	coldAt time.Duration // while cold: nothing more before this
-	away   bool          // taken out by hand
+	told   float64       // its weight by the list; Weight is by the rule set too
+	away   bool          // taken out by hand, or excluded by the rule set
 }
 
 type attemptState int
@@ -76,10 +77,7 @@
 
 // since drops what happened before t and counts the rest.
 func (w *window) since(t time.Duration) int {
-	n := 0
-	for n < len(*w) && (*w)[n] < t {
-		n++
-	}
+	n, _ := slices.BinarySearch(*w, t)
 	*w = (*w)[n:]
 	return len(*w)
 }
@@ -98,7 +96,8 @@
 	sent      float64
 }
 
-func (c *recent) fade(now time.Duration, by float64) {
+func (c *recent) fade(now time.Duration) {
+	by := math.Exp(-float64(now-c.at) / float64(admitOver))
 	c.at, c.all, c.good, c.sent = now, c.all*by, c.good*by, c.sent*by
 }
 
@@ -115,7 +114,9 @@
 
 // Balancer makes the decisions of one sidecar.
 type Balancer struct {
-	cfg      balance.Config
+	settings balance.Config // as begun with
+	rules    balance.Rules  // the set in force
+	cfg      balance.Config // the settings, as the set changes them
 	host     balance.Host
 	rng      *rand.Rand
 	classes  []class
@@ -124,10 +125,11 @@
 	open     []*request // in order of arrival; ended ones are swept out by Wake
 	servers  []*server  // in order of their ids
 	slots    int        // of all compartments
+	first    float64    // servers in the first list
 	mean     float64    // what the slots of all balancers hold while traffic is at the quotas
 	quota    float64    // of all tenants together
 	weight   float64    // of all ready servers
-	full     float64    // the most of it that there was
+	full     float64    // the most of it that the list ever had
 	out      int
 	turn     float64       // due time of the latest turn
 	arc      []*server     // whom turns are taken among
@@ -165,32 +167,27 @@
 // Counters returns what was done so far.
 func (b *Balancer) Counters() balance.Counters { return b.count }
 
-// SlotsFree returns the free slots in a tenant's compartment.
-func (b *Balancer) SlotsFree(tenant int) int { return b.parts[tenant].slots - b.parts[tenant].used }
+// SlotsFree returns the free slots in a tenant's compartment: none where it shrank below what it holds.
+func (b *Balancer) SlotsFree(tenant int) int {
+	return max(0, b.parts[tenant].slots-b.parts[tenant].used)
+}
 
-// QueueFree returns the free queue places in a tenant's compartment.
+// QueueFree returns the free queue places in a tenant's compartment, likewise.
 func (b *Balancer) QueueFree(tenant int) int {
-	return b.parts[tenant].places - len(b.parts[tenant].queue)
+	return max(0, b.parts[tenant].places-len(b.parts[tenant].queue))
 }
 
 // ran returns the first attempt that may have run or still may, or nil.
 func (r *request) ran() *attempt {
-	for i := range r.attempts {
-		if r.attempts[i].state != neverRan {
-			return &r.attempts[i]
-		}
+	if i := slices.IndexFunc(r.attempts, func(a attempt) bool { return a.state != neverRan }); i >= 0 {
+		return &r.attempts[i]
 	}
 	return nil
 }
 
 // tried says whether a server has had this request already.
 func (r *request) tried(s *server) bool {
-	for i := range r.attempts {
-		if r.attempts[i].to == s {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(r.attempts, func(a attempt) bool { return a.to == s })
 }
 
 // find returns where in the list a server of that name is, or would be.
@@ -207,13 +204,30 @@
 	return nil
 }
 
-// weigh adds up the weights of the servers that take part.
-func (b *Balancer) weigh() {
+// weigh works out the weights of the servers that take part. The set's multiples keep their sum: the same for
+// all changes nothing. What is excluded counts into full, as what has left does: others' portions stay.
+func (b *Balancer) weigh(now time.Duration) {
+	listed, set := 0.0, 0.0
 	b.weight = 0
+	for _, s := range b.servers {
+		m, out := b.rules.Multiple(s.Server), b.away[s.ID]
+		if s.State == balance.Ready && !out {
+			listed += s.told
+		}
+		if out = out || m == 0; out && !s.away {
+			s.ours = false // back, it begins at a random point: all learn of that at about the same time
+			b.close(now, s)
+		}
+		if s.away, s.Weight = out, s.told; s.stands() {
+			s.Weight *= m
+			set += s.Weight
+			b.weight += s.told
+		}
+	}
+	b.full = max(b.full, listed)
 	for _, s := range b.ready() {
-		b.weight += s.Weight
+		s.Weight *= b.weight / set
 	}
-	b.full = max(b.full, b.weight)
 	b.cut()
 }
 
@@ -240,13 +254,6 @@
 	return all
 }
 
-// tally counts a request taken, for the budget.
-func (b *Balancer) tally(now time.Duration) {
-	b.taken.since(now - b.cfg.Budget.Span)
-	b.more.since(now - b.cfg.Budget.Span)
-	b.taken = append(b.taken, now)
-}
-
 // hold counts an attempt that begins (1) or ends (-1) wherever it counts.
 func (b *Balancer) hold(r *request, s *server, n int) {
 	r.out += n
@@ -275,8 +282,7 @@
 func (b *Balancer) forget(r *request) {
 	delete(b.requests, r.id)
 	if r.line != nil {
-		i := slices.Index(r.line.waiting, r)
-		r.line.waiting = slices.Delete(r.line.waiting, i, i+1)
+		r.line.waiting = slices.DeleteFunc(r.line.waiting, func(o *request) bool { return o == r })
 	}
 }
 
@@ -294,22 +300,6 @@
 	r.line = l
 }
 
-// listed returns the server of that name, entered where it was not listed yet.
-func (b *Balancer) listed(id balance.ServerID) *server {
-	i, ok := b.find(id)
-	if !ok {
-		b.servers = slices.Insert(b.servers, i, &server{strain: 1})
-	}
-	return b.servers[i]
-}
-
-// allGone marks all servers as gone.
-func (b *Balancer) allGone() {
-	for _, s := range b.servers {
-		s.State = balance.Gone
-	}
-}
-
 // ClientGone takes that a client quit: nothing more is owed for the request.
 func (b *Balancer) ClientGone(now time.Duration, id balance.RequestID) {
 	if r := b.requests[id]; r != nil && !r.over {
@@ -353,17 +343,8 @@
 		}
 		s.silent = min(max(0, m.Silent), now)
 		if s.fails = min(max(0, m.Fails), failsMost); s.fails >= restAfter {
-			b.restFor(now, s)
+			b.rest(now, s)
 		}
 	}
-	b.weigh()
-}
-
-// known says whether a request names a class and a tenant that there are, and has time left. Where
-// no tenants are set it gives the request the one for all.
-func (b *Balancer) known(q *balance.Request) bool {
-	if len(b.cfg.Tenants) == 0 {
-		q.Tenant = 0
-	}
-	return q.Class >= 0 && q.Class < len(b.classes) && q.Tenant >= 0 && q.Tenant < len(b.parts) && q.Left > 0
+	b.weigh(now)
 }
