--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -42,6 +42,7 @@
 
 type loadSpec struct {
 	Use     float64       `toml:"use" default:"0.5" min:"0" max:"5" help:"work asked for, as a share of what the servers can do when warm"`
+	Each    float64       `toml:"each" default:"0" min:"0" max:"1000" help:"requests a second for each sidecar in the mean, whatever the servers can do; 0: by use"`
 	Skew    float64       `toml:"skew" default:"0.5" min:"0" max:"3" help:"standard deviation of the sidecars' parts of the traffic, against the mean"`
 	Keys    int           `toml:"keys" default:"2500" min:"1" max:"1000000" help:"distinct keys"`
 	Zipf    float64       `toml:"zipf" default:"1" min:"0" max:"3" help:"exponent of the keys' popularity"`
@@ -67,7 +68,8 @@
 	ChokeAt   float64       `toml:"choke_at" default:"5.5" min:"0" max:"1000" help:"with more requests than this to a core"`
 	ChokeOver conf.Duration `toml:"choke_over" default:"2s" min:"0s" max:"1m" help:"for this long, it turns slower"`
 	ChokeSlow float64       `toml:"choke_slow" default:"2.7" min:"1" max:"100" help:"so many times"`
-	ChokeRest conf.Duration `toml:"choke_rest" default:"3s" min:"0s" max:"1m" help:"until it was nearly idle for so long"`
+	ChokeRest conf.Duration `toml:"choke_rest" default:"3s" min:"0s" max:"1m" help:"until it was mostly idle for so long"`
+	ChokeBusy float64       `toml:"choke_busy" default:"0.33" min:"0" max:"1" help:"that is, busy for no more than this share of that time"`
 	ChokeMost conf.Duration `toml:"choke_most" default:"24s" min:"0s" max:"10m" help:"or this has passed; 0s: it never chokes"`
 	Sockets   int           `toml:"sockets" default:"750" min:"1" max:"100000" help:"connections that it accepts"`
 	Handshake conf.Duration `toml:"handshake" default:"3ms" min:"0s" max:"1s" help:"work that a new connection costs it"`
@@ -86,7 +88,7 @@
 // Fault is one line of the timetable.
 type Fault struct {
 	At     conf.Duration `toml:"at" need:"yes" min:"0s" max:"1h" help:"when, after the first request"`
-	Do     string        `toml:"do" need:"yes" oneof:"kill stop pause starve upgrade full crash slow err silence refuse drain out away move stale crawl burst cut delay drop duplicate reorder limit" help:"what; docs/lab.md words them"`
+	Do     string        `toml:"do" need:"yes" oneof:"kill stop pause starve upgrade full crash slow err silence replace refuse drain out away move stale crawl burst cut delay drop duplicate reorder limit" help:"what; docs/lab.md words them"`
 	Target string        `toml:"target" help:"whom: all, 3, 0-2, 25%, or zone a; of sidecars, servers or links, as the fault has it"`
 	Peer   string        `toml:"peer" help:"links only: the other end, in the same form; empty: all others"`
 	Way    string        `toml:"way" default:"both" oneof:"both out in" help:"links only: both ways, or from or to the target"`
@@ -102,7 +104,7 @@
 	size bool
 }{
 	"kill": {"sidecar", false}, "stop": {"sidecar", false}, "pause": {"sidecar", false}, "starve": {"sidecar", true}, "upgrade": {"sidecar", false}, "full": {"sidecar", true},
-	"crash": {"server", false}, "slow": {"server", true}, "err": {"server", true}, "silence": {"server", false}, "refuse": {"server", false},
+	"crash": {"server", false}, "replace": {"server", false}, "slow": {"server", true}, "err": {"server", true}, "silence": {"server", false}, "refuse": {"server", false},
 	"drain": {"server", false}, "out": {"server", false},
 	"away": {"discovery", false}, "move": {"discovery", false}, "stale": {"discovery", false}, "crawl": {"discovery", false},
 	"burst": {"load", true},
@@ -230,15 +232,23 @@
 type Action struct {
 	Fault
 	Targets, Peers []int `toml:"-"`
+	Spares         []int `toml:"-"` // replace: who comes in each target's place
 }
 
 // Plan draws what the timetable leaves open. The same seed gives the same plan.
 func (s *Scenario) Plan(seed uint64) []Action {
 	rng := rand.New(rand.NewPCG(seed, 3))
 	var plan []Action
+	spare := s.Fleet.Servers
 	for _, f := range s.Fault {
 		a := Action{Fault: f}
 		a.Targets, _ = s.targets(f, f.Target, rng) // checked when the file was read
+		if f.Do == "replace" {
+			for range a.Targets {
+				a.Spares = append(a.Spares, spare)
+				spare++
+			}
+		}
 		if kinds[f.Do].on == "link" {
 			a.Peers, _ = s.targets(f, cmp.Or(f.Peer, "all"), rng)
 		}
@@ -274,7 +284,7 @@
 	for _, t := range tenants {
 		spec.Tenants = append(spec.Tenants, t.share)
 	}
-	spec.Rate = s.Load.Use * s.capacity() / spec.MeanWork().Seconds()
+	spec.Rate = s.work() / spec.MeanWork().Seconds()
 	for _, f := range s.Fault {
 		if f.Do == "burst" {
 			spec.Bursts = append(spec.Bursts, world.Burst{At: f.At.D(), For: f.For.D(), Times: f.Size})
@@ -283,6 +293,37 @@
 	return world.Draw(spec, seed)
 }
 
+// work is the work in seconds that is asked for in a second, before bursts.
+func (s *Scenario) work() float64 {
+	if s.Load.Each > 0 {
+		mean := (&world.LoadSpec{Classes: s.classes()}).MeanWork().Seconds()
+		return s.Load.Each * float64(s.Fleet.Sidecars) * mean
+	}
+	return s.Load.Use * s.capacity()
+}
+
+// busiest is the same with all bursts.
+func (s *Scenario) busiest() float64 {
+	work := s.work()
+	for _, f := range s.Fault {
+		if f.Do == "burst" {
+			work *= max(1, f.Size)
+		}
+	}
+	return work
+}
+
+// spares is how many servers come in others' places, numbered after the servers that there are at the start.
+func (s *Scenario) spares() (n int) {
+	for _, f := range s.Fault {
+		if f.Do == "replace" {
+			some, _ := s.targets(f, f.Target, nil) // checked when the file was read
+			n += len(some)
+		}
+	}
+	return n
+}
+
 // capacity is the work in seconds that all servers can do in a second when they are warm.
 func (s *Scenario) capacity() float64 {
 	return float64(s.Fleet.Servers) * s.Serve.Cores * s.Serve.Speed
@@ -297,7 +338,9 @@
 		Thrash: 0.3, ThrashAt: 11 * c.Cores,
 		Keys: c.Keys, KeyTime: c.KeyTime.D(), KeyGain: c.KeyGain,
 		ColdFrom: c.ColdFrom, ColdTime: c.ColdTime.D(), FallAt: c.FallAt, FallWithin: c.FallFor.D(),
-		ChokeAt: c.ChokeAt, ChokeOver: c.ChokeOver.D(), ChokeSlow: c.ChokeSlow, ChokeRest: c.ChokeRest.D(), ChokeMost: c.ChokeMost.D(),
+		FallMean: (&world.LoadSpec{Classes: s.classes()}).MeanWork(),
+		ChokeAt:  c.ChokeAt, ChokeOver: c.ChokeOver.D(), ChokeSlow: c.ChokeSlow, ChokeRest: c.ChokeRest.D(),
+		ChokeBusy: c.ChokeBusy, ChokeMost: c.ChokeMost.D(),
 		Errors: c.Errors, CancelRunning: c.Cancel == "all", Handshake: c.Handshake.D(), Probe: 450 * time.Microsecond,
 	}
 	return world.NewServer(spec, zone, rng.Uint64())
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -6,6 +6,8 @@
 	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -71,6 +73,8 @@
 	})
 	heard, failed := make(chan listing, 100), make(chan struct{}, 100)
 	d := newDiscovery(cfg, func(l listing) { heard <- l }, func() { failed <- struct{}{} })
+	var clock atomic.Int64
+	d.now, d.pause = func() time.Duration { return time.Duration(clock.Load()) }, func(_ context.Context, by time.Duration) { clock.Add(int64(by)) }
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { d.run(ctx); close(ended) }()
@@ -98,22 +102,60 @@
 	wait(t, "the failure", failed)
 	step("index=43&wait=1", say(listed(45, "ready", "127.0.0.1:80")))
 	news(45, true)
-	step("index=45&wait=20000", say(`{"generation":7,"reset":false,"instances":[]}`)) // begun anew
-	wait(t, "the failure", failed)
+	step("index=45&wait=20000", say(`{"generation":7,"reset":false,"instances":[]}`)) // stale, or begun anew
+	news(45, false)
+	step("", say(listed(8, "ready", "127.0.0.1:80"))) // 0.5 s later
+	news(45, false)
+	for range 2 { // 1 s and 3.5 s later
+		step("index=8&wait=2000", func(w http.ResponseWriter) {
+			clock.Add(int64(staleRetry))
+			_, _ = io.WriteString(w, `{"generation":8,"reset":false,"instances":[]}`)
+		})
+		news(45, false)
+	}
 	step("", say(listed(8, "ready", "127.0.0.1:80")))
 	news(8, true)
+	step("index=8&wait=20000", say(listed(9, "ready", "127.0.0.1:80")))
+	news(9, true)
 	if len(heard)+len(failed) > 0 {
 		t.Errorf("%d more lists, %d more failures", len(heard), len(failed))
 	}
 	cancel()
 	wait(t, "the end", ended)
 	// The last call, a watch, has ended with the test.
-	want := map[string]int{"whole": 1, "watches": 7, "failed": 3, "lines": 2}
+	want := map[string]int{"whole": 2, "watches": 10, "failed": 3, "lines": 4}
 	if got := d.counters(); !maps.Equal(got, want) {
 		t.Errorf("counted %v, want %v", got, want)
 	}
 }
 
+// Where lists are pushed, what changed while discovery was away counts as told as soon as it is back, and a drain has to be kept within
+// a second of that: no pause between calls may be as long, however long discovery was away.
+func TestPushedListIsHeardSoonAfterAnOutage(t *testing.T) {
+	const most, failures = time.Second, 12
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }))
+	defer server.Close()
+	cfg := testConfig(t, listed(40, "ready", "127.0.0.1:80"), func(file, _ map[string]any) { file["discovery"] = server.Listener.Addr().String() })
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	d := newDiscovery(cfg, func(listing) {}, func() {})
+	var pauses []time.Duration
+	d.pause = func(_ context.Context, by time.Duration) {
+		if pauses = append(pauses, by); len(pauses) == failures {
+			cancel()
+		}
+	}
+	d.run(ctx)
+	for i, by := range pauses {
+		if longest := by * 3 / 2; longest >= most*8/10 || by <= 0 { // jitter makes it half as long again; the call takes time too
+			t.Errorf("after %d failures the next call may be %v away", i+1, longest)
+		}
+	}
+	if len(pauses) != failures || slices.Max(pauses) < 2*pauses[0] {
+		t.Errorf("pauses %v: want %d that grow", pauses, failures)
+	}
+}
+
 // Where the list must be asked for, nothing is called before the module asks.
 func TestDiscoveryIsAsked(t *testing.T) {
 	calls := make(chan struct{}, 100)
@@ -146,13 +188,14 @@
 func TestDiscoveryMoves(t *testing.T) {
 	for _, how := range []string{"push", "ask"} {
 		t.Run(how, func(t *testing.T) {
-			left := make(chan struct{}, 10)
+			began, left := make(chan struct{}, 10), make(chan struct{}, 10)
 			place := func(generation int) string {
 				s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 					if r.URL.RawQuery == "" {
 						_, _ = io.WriteString(w, listed(generation, "ready"))
 						return
 					}
+					began <- struct{}{}
 					<-r.Context().Done() // a watch, which nothing comes of
 					left <- struct{}{}
 				}))
@@ -175,6 +218,7 @@
 				if generation > 1 {
 					wait(t, "the watch at the old address to end", left)
 				}
+				wait(t, "the watch", began)
 				if generation < 3 {
 					d.move(place(int(generation) + 1))
 				}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -39,9 +39,8 @@
 func serve(ctx context.Context, cfg *Config, listener, door net.Listener, reload <-chan os.Signal) error {
 	c := newClock()
 	state := openHandover(cfg.Shared, cfg.Name, cfg.State)
-	if kept, ok := state.list(cfg); ok {
-		cfg.Known = kept
-	}
+	versions := state.versions(cfg, c.now())
+	cfg.Known = versions.list()
 	up := newUpstream(cfg, c)
 	l, err := newLoop(cfg, c, up)
 	if err != nil {
@@ -49,7 +48,7 @@
 	}
 	d := newDiscovery(cfg, l.list, l.listFailed)
 	l.watch, l.asked = d.ask, d.counters
-	d.keep = state.keepList
+	d.versions, d.now, d.keep = versions, c.now, state.keepList
 	l.handover = state
 	peers, err := newPeers(cfg, l, state)
 	if err != nil {
@@ -63,6 +62,11 @@
 	if err != nil {
 		return err
 	}
+	sets, err := newRuleSets(cfg, peers, work, l, state)
+	if err != nil {
+		return err
+	}
+	f.serves = sets.serves
 	slog.Info("serving", "name", cfg.Name, "listen", listener.Addr(), "servers", len(cfg.Known.servers))
 
 	running, stop := context.WithCancel(context.Background())
@@ -83,19 +87,30 @@
 	go l.run(running, cfg.Known)
 	n := l.handover.count()
 	share(n)
-	go l.handover.watch(running, n, share, func(handed map[string]handed) { l.calls(running, handed) })
+	var beside []byte
+	go l.handover.watch(running, n, share, func(handed map[string]handed) {
+		l.calls(running, handed)
+		k, list, raw, news := state.beside(beside, cfg.Zones)
+		if beside = raw; news {
+			d.beside(k, list)
+		}
+	})
 	go func() {
 		defer close(kept)
 		state.keep(running, l.learned)
 	}()
 	go d.run(running)
+	if err := sets.begin(running); err != nil {
+		return err
+	}
 	f.ready.Store(true)
 	peers.run(running)
 	work.run(running)
+	sets.run(running)
 	if door != nil {
 		c := &console{
-			ready: f.ready.Load, server: l.server, confirm: state.confirm, members: peers.show, duties: work.show, move: work.move,
-			stat: func(w io.Writer) { f.stat(w); peers.stat(w); work.stat(w); fmt.Fprintln(w, "EOF") },
+			ready: f.up, rules: sets.show, server: l.server, confirm: state.confirm, members: peers.show, duties: work.show, move: work.move,
+			stat: func(w io.Writer) { f.stat(w); peers.stat(w); work.stat(w); sets.stat(w); fmt.Fprintln(w, "EOF") },
 		}
 		go c.serve(running, door)
 		slog.Info("console", "listen", door.Addr())
@@ -109,6 +124,7 @@
 			return err
 		case <-reload:
 			d.reconfigure(cfg.path)
+			sets.read()
 		case <-ctx.Done():
 			replaced := l.handover.count() > 1
 			left := make(chan struct{})
--- a/policy/state.go
+++ b/policy/state.go
@@ -15,6 +15,8 @@
 	balance.Server
 	out    int           // this balancer's attempts there
 	ours   bool          // in our arc
+	turns  float64       // multiple of its usual turns, for the fleet's load to be even
+	bears  float64       // used by lay alone: the part of the fleet's traffic that it has by these
 	due    float64       // smooth weighted round robin: when its next turn is, in turns' own time
 	strain float64       // time that its answers take, against the usual; failures count too
 	used   float64       // mean square of the share of the aim that its answers take, lately
@@ -139,6 +141,7 @@
 	rate     float64       // requests a second, lately
 	rateAt   time.Duration // when it was taken
 	wanted   float64       // servers that it can feed
+	mild     float64       // strain that turns do not go by
 	every    float64       // seconds in which each of them gets a turn
 	pace     time.Duration // usual time of an answer, over all classes
 	aim      float64       // mean aim, in seconds
@@ -157,6 +160,7 @@
 	fresh    int                                // and those that differed
 	fleet    float64                            // balancers that this one reckons with
 	fleetAt  time.Duration                      // when it was told of them
+	told     []balance.Sharer                   // traffic, by all who have
 	share    int                                // processes that act as this balancer
 	away     map[balance.ServerID]bool          // taken out by hand, listed or not
 	back     map[balance.ServerID]time.Duration // brought back by hand lately: cold until then
@@ -168,14 +172,10 @@
 func (b *Balancer) Counters() balance.Counters { return b.count }
 
 // SlotsFree returns the free slots in a tenant's compartment: none where it shrank below what it holds.
-func (b *Balancer) SlotsFree(tenant int) int {
-	return max(0, b.parts[tenant].slots-b.parts[tenant].used)
-}
+func (b *Balancer) SlotsFree(t int) int { return max(0, b.parts[t].slots-b.parts[t].used) }
 
 // QueueFree returns the free queue places in a tenant's compartment, likewise.
-func (b *Balancer) QueueFree(tenant int) int {
-	return max(0, b.parts[tenant].places-len(b.parts[tenant].queue))
-}
+func (b *Balancer) QueueFree(t int) int { return max(0, b.parts[t].places-len(b.parts[t].queue)) }
 
 // ran returns the first attempt that may have run or still may, or nil.
 func (r *request) ran() *attempt {
@@ -245,13 +245,8 @@
 }
 
 // ready returns the servers that take part, in order of their ids.
-func (b *Balancer) ready() (all []*server) {
-	for _, s := range b.servers {
-		if s.stands() {
-			all = append(all, s)
-		}
-	}
-	return all
+func (b *Balancer) ready() []*server {
+	return slices.DeleteFunc(slices.Clone(b.servers), func(s *server) bool { return !s.stands() })
 }
 
 // hold counts an attempt that begins (1) or ends (-1) wherever it counts.
