Let the wall over all attempts come down sooner where many share servers

The wall came down only when answers took 0.23 of the aim, three in line at a server of one core, and chance takes some of them to the four to seven that tip it.

Change: wholeMany 0.4 in place of 0.6; fleets of ten sidecars and fewer decide as before.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -62,7 +62,7 @@
 	admitFree   = 1.5                   // and this many requests, or a light balancer refuses after one failure
 	admitOver   = 2 * time.Second       // lately: about as long as queues take to build up
 	wholeFew    = 1.0                   // the wall over all attempts begins at this multiple of a server's,
-	wholeMany   = 0.6                   // or sooner where more than sharersMost balancers crowd servers
+	wholeMany   = 0.4                   // or sooner where more than sharersMost balancers crowd servers
 	wholeFree   = 2.0                   // and allows this many more than our traffic holds at the aim
 	farTurns    = 0.25                  // other zones' servers have this share of turns, if crossing is priced
 	mildAlone   = 0.5                   // answers in less than this multiple of the usual time bring no turns,
