--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,17 +1,16 @@
 // Package policy decides, for one client-side load balancer (a sidecar), when
 // and where each request is sent, sent again, refused or failed.
 //
-// A Balancer is single-threaded and deterministic: it has no goroutines, no
-// clock and no I/O. The program that embeds it calls one method per event and
-// passes the time; the Balancer answers through the Host it was given. Package
-// balance has the words for both. Here is every decision: the start, events,
-// compartments, the gate that all sends pass, server choice and health, list,
-// reports and endings in policy.go, what is held and counted in state.go.
+// A Balancer is single-threaded and deterministic: it has no goroutines, no clock and no I/O. The program
+// that embeds it calls one method per event and passes the time; the Balancer answers through the Host it was
+// given. Package balance has the words for both. Here is every decision: the start, events, compartments, the
+// gate that all sends pass, server choice and health, list, reports and endings in policy.go, what is held
+// and counted in state.go.
 //
 // Times are durations since a fixed moment of the embedding program's choice; they must never go
 // back, and all calls for one Balancer come from one goroutine, in the order of what happened. The
-// order of calls: New, Start, List with the servers known so far, then Request, Outcome, Wake,
-// List, Probed, ClientGone, BodyEnded, StreamBegun, TakeOut, BringBack, Recall, Share and Fleet as they
+// order of calls: New, Start, List with the servers known so far, then Request, Outcome, Wake, List,
+// Probed, ClientGone, BodyEnded, StreamBegun, TakeOut, BringBack, Recall, Share, Fleet and Rules as they
 // occur. Each Host.Send brings exactly one Outcome, also after the request has been answered; each
 // Host.Wake one call of Wake, late rather than never.
 // A request is answered once: by an Outcome with Settled set, or by Host.Refuse or Host.Fail.
@@ -37,7 +36,7 @@
 	busyTick = 10 * time.Millisecond  // how often open requests are looked at
 	idleTick = 100 * time.Millisecond // and the rest when none is open
 
-	slotAim     = 0.12 // slots hold a quota's traffic for this share of the aim (deriveSlots)
+	slotAim     = 0.12 // slots hold a quota's traffic for this share of the aim (wall)
 	spread      = 2.0  // and this many standard deviations of such a count more
 	serverSlots = 3.0  // slots for each server first listed, where no quota is known
 	placesShare = 0.15 // queue places for each slot: short, just enough to keep slots fed
@@ -48,6 +47,11 @@
 	sharersMost = 10                    // and that so many balancers share a server, if there are more
 	fewest      = 4.0                   // but at least this many
 	fleetHalf   = 10 * time.Second      // a fleet that shrinks counts for half in no less than this
+	stays       = 0.5                   // arcs keep their places while all traffic puts them no more servers off
+	overlap     = 2.0                   // arcs by all traffic reach so often round the list together, at least
+	widest      = 4.0                   // but none beyond this multiple of what its own traffic feeds
+	fitRounds   = 5                     // of proportional fitting find how often servers have turns,
+	turnsMost   = 4.0                   // up to this multiple of the usual, and down to this part
 	fleetEvery  = time.Second           // Fleet comes this often; a longer gap between two counts for no more
 	toldFor     = 50 * time.Millisecond // a load report is good for this long
 	askWait     = 30 * time.Millisecond // a request waits this long for one
@@ -58,9 +62,11 @@
 	admitFree   = 1.5                   // and this many requests, or a light balancer refuses after one failure
 	admitOver   = 2 * time.Second       // lately: about as long as queues take to build up
 	wholeFew    = 1.0                   // the wall over all attempts begins at this multiple of a server's,
-	wholeMany   = 0.6                   // or sooner where more than sharersMost balancers crowd servers
+	wholeMany   = 0.4                   // or sooner where more than sharersMost balancers crowd servers
 	wholeFree   = 2.0                   // and allows this many more than our traffic holds at the aim
 	farTurns    = 0.25                  // other zones' servers have this share of turns, if crossing is priced
+	mildAlone   = 0.5                   // answers in less than this multiple of the usual time bring no turns,
+	mildShared  = 1.5                   // and in this cost none, where arcs and turns go by all traffic
 	failStrain  = 8.0                   // a failure counts as an answer that took so many times the usual
 	coldPart    = 0.5                   // this much of a cold server's budget is used, the rest left to chance
 
@@ -81,12 +87,10 @@
 	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
-	b := &Balancer{cfg: cfg, host: host, lines: make(map[uint64]*line), share: 1}
-	b.fleet = float64(cfg.Balancers)
+	b := &Balancer{settings: cfg, cfg: cfg, host: host, lines: make(map[uint64]*line), share: 1}
 	b.requests, b.away = make(map[balance.RequestID]*request), make(map[balance.ServerID]bool)
-	b.back = make(map[balance.ServerID]time.Duration)
-	b.parts = make([]compartment, len(cfg.Compartments()))
-	b.rng = rand.New(rand.NewPCG(seed, 0))
+	b.fleet, b.back = float64(cfg.Balancers), make(map[balance.ServerID]time.Duration)
+	b.parts, b.rng = make([]compartment, len(cfg.Compartments())), rand.New(rand.NewPCG(seed, 0))
 	b.pace, b.every = cfg.Classes[0].Aim/8, turnEvery.Seconds()
 	for _, c := range cfg.Classes {
 		b.classes = append(b.classes, class{Class: c, pace: c.Aim / 8})
@@ -94,35 +98,27 @@
 		b.worth += c.Worth / float64(len(cfg.Classes))
 		b.pace = min(b.pace, c.Aim/8)
 	}
-	b.deriveSlots()
-	return b, nil
-}
-
-// deriveSlots sizes the walls, once. By Little's law a rate holds rate x time slots: the quotas
-// times a small share of the aim, to leave most of it for what goes wrong. Each balancer gets
-// what the largest of n random parts of the traffic comes to, ln n + 0.58 even ones, and two
-// standard deviations of such a count, so as not to refuse on chance.
-func (b *Balancer) deriveSlots() {
-	for _, t := range b.cfg.Compartments() {
-		b.quota += t.Quota
-	}
-	b.mean = cmp.Or(b.quota*b.aim*slotAim, serverSlots*float64(len(b.servers)))
-	b.rate = cmp.Or(b.quota/b.fleet, float64(len(b.servers))/b.every)
 	b.wall()
+	b.rate = b.quota / b.fleet
+	return b, nil
 }
 
-// wall gives the slots to the compartments.
+// wall sizes the compartments. By Little's law a rate holds rate x time slots: the quotas times a small
+// share of the aim, to leave most of it for what goes wrong. Each balancer gets what the largest of n
+// random parts of the traffic comes to, ln n + 0.58 even ones, and two standard deviations of such a
+// count, so as not to refuse on chance.
 func (b *Balancer) wall() {
-	tenants, shares := b.cfg.Compartments(), 0.0
+	tenants, n, shares := b.cfg.Compartments(), b.fleet, 0.0
+	b.quota, b.slots = 0, 0
 	for _, t := range tenants {
+		b.quota += t.Quota
 		shares += t.Share
 	}
-	n := b.fleet
+	b.mean = cmp.Or(b.quota*b.aim*slotAim, serverSlots*b.first)
 	total, room := b.mean*min(1, (math.Log(n)+0.58)/n), spread
 	if b.cfg.Slots > 0 {
 		total, room = float64(b.cfg.Slots), 0
 	}
-	b.slots = 0
 	for i, t := range tenants {
 		c, mean := &b.parts[i], total*t.Share/shares
 		c.slots = max(1, int(math.Ceil(mean+room*math.Sqrt(mean))))
@@ -134,10 +130,9 @@
 // Start begins the Balancer's life; it must be the first event.
 func (b *Balancer) Start(now time.Duration) {
 	b.rateAt = now // the mean of all balancers holds from now on; the clock's zero may be long ago
-	switch {
-	case b.cfg.AskList && b.cfg.Balancers > sharersMost:
+	if b.cfg.AskList && b.cfg.Balancers > sharersMost {
 		b.askAt = now + 1 + time.Duration(b.rng.Float64()*float64(firstAsk))
-	case b.cfg.AskList:
+	} else if b.cfg.AskList {
 		b.ask(now)
 	}
 	b.sampleAt = now + time.Duration(b.rng.Int64N(int64(4*toldFor))) // not all balancers at once
@@ -150,14 +145,18 @@
 	if _, held := b.requests[q.ID]; held {
 		return
 	}
-	b.tally(now)
-	if !b.known(&q) {
+	b.taken.since(now - b.cfg.Budget.Span)
+	b.more.since(now - b.cfg.Budget.Span)
+	b.taken = append(b.taken, now)
+	if len(b.cfg.Tenants) == 0 {
+		q.Tenant = 0 // the one for all
+	}
+	if min(q.Class, q.Tenant) < 0 || q.Class >= len(b.classes) || q.Tenant >= len(b.parts) || q.Left <= 0 {
 		b.count.Refused++
 		b.host.Refuse(q.ID, 0)
 		return
 	}
-	r := &request{id: q.ID, class: &b.classes[q.Class], home: &b.parts[q.Tenant]}
-	r.coming = q.Coming
+	r := &request{id: q.ID, class: &b.classes[q.Class], home: &b.parts[q.Tenant], coming: q.Coming}
 	r.deadline = now + min(q.Left, time.Hour)
 	r.useful, r.wanted = r.deadline, min(r.deadline, now+r.class.Aim)
 	if stretch := r.class.AimStretch; r.class.LateShare == 0 && (stretch == 0 || q.Work > 0) {
@@ -176,7 +175,7 @@
 	b.wake(now, busyTick)
 	b.rate = b.rate*math.Exp(-float64(now-b.rateAt)/float64(rateOver)) + 1/rateOver.Seconds()
 	b.rateAt = now
-	if want := b.want(); want > 1.25*b.wanted || want < 0.75*b.wanted {
+	if want := b.want(b.rate); want > 1.25*b.wanted || want < 0.75*b.wanted {
 		b.cut()
 	}
 	if !b.admit(now, r) {
@@ -193,33 +192,28 @@
 // serve in time, and its work goes into answers that come late (i47e131, i50e019). Each then lets in
 // little more than what it was lately answered in time, of worthier classes more.
 func (b *Balancer) admit(now time.Duration, r *request) bool {
-	b.asked.fade(now, math.Exp(-float64(now-b.asked.at)/float64(admitOver)))
+	b.asked.fade(now)
 	share := (admitFree + admitMost*b.asked.good) / (admitFree + b.asked.all)
 	return share >= 1 || b.rng.Float64() < math.Pow(share, b.worth/max(r.class.Worth, b.worth/8))
 }
 
 // place sends a request, or lets it wait, or refuses it.
 func (b *Balancer) place(now time.Duration, r *request) {
-	if b.inquire(now, r) {
-		return
-	}
-	if now > r.lateIn() { // late, or as good as: it takes nothing from others
+	switch {
+	case b.inquire(now, r):
+	case now > r.lateIn(): // late, or as good as: it takes nothing from others
 		r.useful = r.deadline
 		if ease(b.crowd) < 1 || !b.dispatch(now, r) {
 			b.count.Late++
 			b.finish(r)
 		}
-		return
-	}
-	if b.dispatch(now, r) {
-		return
-	}
-	if len(r.home.queue) >= r.home.places { // full: refuse promptly
+	case b.dispatch(now, r):
+	case len(r.home.queue) >= r.home.places: // full: refuse promptly
 		b.finish(r)
-		return
+	default:
+		b.count.Queued++
+		r.home.queue = append(r.home.queue, r)
 	}
-	b.count.Queued++
-	r.home.queue = append(r.home.queue, r)
 }
 
 // Outcome takes the end of an attempt. What is unknown or came before is passed over.
@@ -234,9 +228,6 @@
 		a.state = neverRan
 	}
 	r.spent = r.spent || o.Spent
-	if !r.begun {
-		b.answered(now, r, o.Ending)
-	}
 	b.paced(r, a, false)
 	b.hold(r, a.to, -1)
 	if r.line != nil && slices.Contains(unsettled, o.Ending) {
@@ -262,18 +253,6 @@
 	b.feed(now)
 }
 
-// answered counts an attempt that ended, or whose answer has begun, for what is let in.
-func (b *Balancer) answered(now time.Duration, r *request, end balance.Ending) {
-	if r.over || end == balance.NotSent {
-		return
-	}
-	b.asked.sent++
-	b.asked.all++
-	if end == balance.Served && now <= r.wanted {
-		b.asked.good += min(1, 2*float64(r.wanted-now)/float64(r.class.Aim))
-	}
-}
-
 // BodyEnded takes that the last byte of a request has gone out: its time begins. A server begins with the
 // last byte too, so that what came before tells nothing of it.
 func (b *Balancer) BodyEnded(now time.Duration, id balance.RequestID, left time.Duration) {
@@ -281,8 +260,7 @@
 	if r == nil || r.over || !r.coming {
 		return
 	}
-	r.coming = false
-	r.deadline = now + min(left, time.Hour)
+	r.coming, r.deadline = false, now+min(left, time.Hour)
 	r.useful, r.wanted = r.deadline, min(r.deadline, now+r.class.Aim)
 	for i := range r.attempts {
 		if a := &r.attempts[i]; a.state == inFlight {
@@ -294,19 +272,14 @@
 
 // StreamBegun takes that the answer of an attempt has begun to stream: the client owns it now. It counts as
 // answered; a place of its tenant's it keeps until its Outcome.
-func (b *Balancer) StreamBegun(now time.Duration, id balance.RequestID, attempt int) {
+func (b *Balancer) StreamBegun(now time.Duration, id balance.RequestID, n int) {
 	r := b.requests[id]
-	if r == nil || r.begun || attempt < 0 || attempt >= len(r.attempts) {
-		return
-	}
-	a := &r.attempts[attempt]
-	if a.state != inFlight {
+	if r == nil || r.begun || n < 0 || n >= len(r.attempts) || r.attempts[n].state != inFlight {
 		return
 	}
+	b.judge(now, r, &r.attempts[n], balance.Served)
 	r.begun = true
-	b.answered(now, r, balance.Served)
-	b.judge(now, r, a, balance.Served)
-	b.paced(r, a, true)
+	b.paced(r, &r.attempts[n], true)
 	b.feed(now)
 }
 
@@ -358,7 +331,7 @@
 			b.place(now, r)
 		}
 		ends := now+2*max(busyTick, b.cfg.Tick) > r.deadline || now >= r.lateIn()
-		waited := r.out == 0 && (ends || !r.mayRepeat(now, nil))
+		waited := r.out == 0 && (ends || !r.mayRepeat(now, nil) || len(r.attempts) >= b.cfg.MaxAttempts)
 		sending := r.coming && r.out > 0 // it takes the client's time, not ours
 		if !r.begun && !sending && (waited || now >= r.deadline) {
 			b.finish(r)
@@ -395,18 +368,17 @@
 		b.count.Held++
 		return false
 	}
-	s := b.pick(now, r)
-	if s == nil {
-		b.count.NoServer++
-		return false
+	if s := b.pick(now, r); s != nil {
+		b.send(now, r, s)
+		return true
 	}
-	return b.send(now, r, s)
+	b.count.NoServer++
+	return false
 }
 
-// whole is the wall over all attempts while no server is crowded: what our own traffic holds at the
-// aim, by Little's law. The slots are sized for the busiest balancer: those of eighty together are
-// far more than their servers bear. It shrinks by the servers that fail: what they lose is not to
-// fall on the others.
+// whole is the wall over all attempts while no server is crowded: what our own traffic holds at the aim, by
+// Little's law. The slots are sized for the busiest balancer: those of eighty together are far more than
+// their servers bear. It shrinks by the servers that fail: what they lose is not to fall on the others.
 func (b *Balancer) whole() float64 {
 	well := 0
 	for _, s := range b.arc {
@@ -419,12 +391,11 @@
 
 // further gives a request whose attempts have all failed another one, or ends it.
 func (b *Balancer) further(now time.Duration, r *request) {
-	over := r.spent || len(r.attempts) >= b.cfg.MaxAttempts || now >= r.lateIn()
-	if over || !r.mayRepeat(now, nil) || b.spent(now) {
+	switch {
+	case r.spent || len(r.attempts) >= b.cfg.MaxAttempts || now >= r.lateIn(),
+		!r.mayRepeat(now, nil) || b.spent(now):
 		b.finish(r)
-		return
-	}
-	if !b.dispatch(now, r) {
+	case !b.dispatch(now, r):
 		r.home.queue = slices.Insert(r.home.queue, 0, r) // it has waited already: to the front
 	}
 }
@@ -467,23 +438,18 @@
 // mayGo is the gate: whether the rules let a request go to a server now.
 func (b *Balancer) mayGo(now time.Duration, r *request, s *server) bool {
 	switch {
-	case r.over || r.begun || now >= r.deadline || len(r.attempts) >= b.cfg.MaxAttempts:
-		return false // rule 1, and the limit on attempts
-	case !s.mayServe(now):
-		return false // rule 3: at once, long before the grace is over
-	case now < s.warmAt && now < s.coldAt:
-		return false // rule 4
-	case r.out > 0 || !r.mayRepeat(now, s):
-		return false // rule 2: one attempt at a time (no second copies), and only where it may be repeated
-	case !r.inTurn(now):
-		return false // rule 5
-	case len(r.attempts) > 0 && b.spent(now):
-		return false // rule 6
+	case r.over || r.begun || now >= r.deadline || len(r.attempts) >= b.cfg.MaxAttempts, // rule 1, and attempts
+		!s.mayServe(now),                    // rule 3: at once, long before the grace is over
+		now < s.warmAt && now < s.coldAt,    // rule 4
+		r.out > 0 || !r.mayRepeat(now, s),   // rule 2: one at a time (no second copies), where it may be repeated
+		!r.inTurn(now),                      // rule 5
+		len(r.attempts) > 0 && b.spent(now): // rule 6
+		return false
 	}
 	return true
 }
 
-// stands says whether a server takes part: the list has it ready, and nobody has taken it out by hand.
+// stands says whether a server takes part: the list has it ready, and it is not out by hand or by the set.
 func (s *server) stands() bool { return s.State == balance.Ready && !s.away }
 
 // mayServe says whether a server may be sent anything now: it takes part and does not rest from failures.
@@ -514,11 +480,8 @@
 	}
 }
 
-// send is the one place that sends.
-func (b *Balancer) send(now time.Duration, r *request, s *server) bool {
-	if !b.mayGo(now, r, s) {
-		return false
-	}
+// send is the one place that sends, to a server that pick found: mayGo lets the request go there.
+func (b *Balancer) send(now time.Duration, r *request, s *server) {
 	s.coldAt = now + b.coldGap(now, s)
 	r.attempts = append(r.attempts, attempt{to: s, sent: now})
 	b.hold(r, s, 1)
@@ -531,7 +494,6 @@
 	}
 	b.paced(r, &r.attempts[len(r.attempts)-1], r.coming)
 	b.host.Send(r.id, s.ID, r.useful-now)
-	return true
 }
 
 // coldGap spaces sends to a cold server so that all balancers together stay
@@ -551,21 +513,31 @@
 // many there are, and more is the safe side of each: too many of them keep us to less than our part, too
 // few push servers over. So more count at once; fewer only while all agree, without the silent, and slowly.
 func (b *Balancer) Fleet(now time.Duration, f balance.Fleet) {
-	n, since := math.Max(1, float64(f.Present+f.Silent)), min(now-b.fleetAt, fleetEvery)
-	switch {
-	case n < b.fleet && !f.Agreed:
-		n = b.fleet
-	case n < b.fleet:
-		n = max(n, b.fleet*math.Exp2(-float64(since)/float64(fleetHalf)))
+	least := b.fleet
+	if f.Agreed {
+		least *= math.Exp2(-float64(min(now-b.fleetAt, fleetEvery)) / float64(fleetHalf))
 	}
+	n := max(1, float64(f.Present+f.Silent), least)
 	b.fleetAt = now
-	if n != b.fleet {
-		b.fleet = n
+	if n != b.fleet || !slices.Equal(f.Sharers, b.told) {
+		b.fleet, b.told = n, f.Sharers
 		b.wall()
 		b.cut()
 	}
 }
 
+// Rules puts a rule set in force, in place of the one before; the empty one restores the settings. What was
+// sent ends under what it was sent by. One that Check refuses changes nothing.
+func (b *Balancer) Rules(now time.Duration, r balance.Rules) {
+	if err := r.Check(b.settings); err != nil {
+		b.host.Log(err.Error())
+		return
+	}
+	b.rules, b.cfg = r, r.Over(b.settings)
+	b.wall()
+	b.weigh(now)
+}
+
 // warmth is the share of its capacity that a server has at least.
 func (b *Balancer) warmth(now time.Duration, s *server) float64 {
 	left := float64(max(0, s.warmAt-now)) / float64(max(1, b.cfg.ColdTime))
@@ -585,10 +557,9 @@
 	}
 	b.turn = max(b.turn, best.due)
 	best.due = b.turn + b.gap(now, best)
-	switch {
-	case walled:
+	if walled {
 		b.count.Walled++
-	case len(r.attempts) == 0:
+	} else if len(r.attempts) == 0 {
 		b.count.Ordinary++
 	}
 	return best
@@ -598,7 +569,7 @@
 // the aim its answers take (mean square: a long tail counts). It does not grow when others leave
 // or fail: the last would be overrun.
 func (b *Balancer) portion(s *server) float64 {
-	return max(1, b.part(float64(b.slots), s)*b.weight/b.reach*ease(s.used))
+	return max(1, b.part(float64(b.slots), s)*b.weight/b.reach*s.turns*ease(s.used))
 }
 
 // ease is the share of its portion that crowding leaves.
@@ -608,46 +579,104 @@
 // connections to all servers and never learn how any of them fares, so each keeps to an arc of the
 // list that its own traffic can feed. Arcs begin evenly spread, by the balancers' numbers.
 func (b *Balancer) cut() {
-	b.wanted = b.want()
-	_, start := math.Modf(float64(b.cfg.Index) * math.Phi)
-	all, left := b.ready(), b.wanted
-	b.reach, b.arc = 0, nil
-	for i := range all {
-		s := all[(int(start*float64(len(all)))+i)%len(all)]
-		if left <= 0 {
-			s.ours = false
-			continue
-		}
+	b.wanted = b.want(b.rate)
+	all := b.ready()
+	b.reach, b.arc = 0, b.lay(all)
+	for _, s := range all {
+		s.ours = s.ours && slices.Contains(b.arc, s)
+	}
+	for _, s := range b.arc {
 		if !s.ours { // at a random point of its round: balancers must not begin in step
 			s.ours, s.due = true, b.turn+b.rng.Float64()*b.gap(b.rateAt, s)
 			if b.back[s.ID] > 0 { // or it would wait long for a cold one's turn
 				s.due = b.turn
 			}
 		}
-		left--
 		b.reach += s.Weight
-		b.arc = append(b.arc, s)
 	}
 }
 
+// lay is our arc of the ready servers. Where we have told our traffic it lays the arcs of all who have: end
+// to end by it, but near their places; rounds of proportional fitting find how often each server has turns
+// for all to have an even load (docs/spread.md). It goes by what is told alone: all come to the same.
+func (b *Balancer) lay(all []*server) []*server {
+	b.mild = mildAlone
+	for _, s := range b.servers {
+		s.turns = 1
+	}
+	n, ring := float64(len(all)), slices.Concat(all, all)
+	arc := func(begin, width float64) []*server {
+		at := (int(math.Floor(begin))%max(1, len(all)) + len(all)) % max(1, len(all))
+		return ring[at : at+int(math.Ceil(min(n, width)))]
+	}
+	unfit := func(a balance.Sharer) bool { return !(a.Rate > 0 && b.want(a.Rate) < n) }
+	told := slices.DeleteFunc(slices.Clone(b.told), unfit)
+	places := func(a, c balance.Sharer) int { return cmp.Compare(placeOf(a.Index), placeOf(c.Index)) }
+	slices.SortStableFunc(told, places)
+	own := slices.IndexFunc(told, func(a balance.Sharer) bool { return a.Index == b.cfg.Index })
+	if own < 0 {
+		return arc(n*placeOf(b.cfg.Index), b.wanted)
+	}
+	b.mild = mildShared // or what chance makes of answers' times has more weight than all of this
+	total, sum, off, away, arcs := 0.0, 0.0, 0.0, make([]float64, len(told)), make([][]*server, len(told))
+	for _, a := range told {
+		total += a.Rate
+	}
+	for i, a := range told {
+		away[i] = n * (sum/total - placeOf(a.Index))
+		off += away[i] / float64(len(told))
+		sum += a.Rate
+	}
+	for i, a := range told {
+		away[i] -= off + max(-stays, min(away[i]-off, stays))
+		width := max(b.want(a.Rate), min(overlap*n*a.Rate/total, widest*b.want(a.Rate)))
+		arcs[i] = arc(n*placeOf(a.Index)+away[i], width)
+	}
+	for range fitRounds {
+		for i, a := range told {
+			sum = 0
+			for _, s := range arcs[i] {
+				sum += b.size(a.Zone, s)
+			}
+			for _, s := range arcs[i] {
+				s.bears += a.Rate / total * b.size(a.Zone, s) / sum
+			}
+		}
+		for _, s := range all {
+			s.turns, s.bears = max(1/turnsMost, min(s.turns*s.Weight/b.weight/s.bears, turnsMost)), 0
+		}
+	}
+	return arcs[own]
+}
+
+// placeOf is where an arc begins by its balancer's number, as a part of the list: evenly spread.
+func placeOf(index int) float64 {
+	_, place := math.Modf(float64(index) * math.Phi)
+	return place
+}
+
 // want is how many servers to take turns among. Where balancers are many it is fewer than our traffic
 // could feed: by the quotas no more than sharersMost share a server.
-func (b *Balancer) want() float64 {
+func (b *Balancer) want(rate float64) float64 {
 	every := b.every
 	if b.fleet > sharersMost && b.quota > 0 {
 		every = min(every, sharersMost*b.weight/b.quota)
 	}
-	return max(fewest, b.rate*every)
+	return max(fewest, rate*every)
 }
 
 // gap is the time between a server's turns, in turns' own time. It is bounded, so that turns show recovery.
 // Other zones' have turns too, if fewer: a zone may have more traffic than its own servers can bear.
 func (b *Balancer) gap(now time.Duration, s *server) float64 {
-	gap := math.Pow(max(0.5, min(s.strain, failStrain/2)), 1.5) / (s.Weight * b.warmth(now, s))
-	if b.far(s) {
-		gap /= farTurns
+	return math.Pow(max(b.mild, min(s.strain, failStrain/2)), 1.5) / (b.size(b.cfg.Zone, s) * b.warmth(now, s))
+}
+
+// size is what a server's turns go by, for a balancer in a zone.
+func (b *Balancer) size(zone int, s *server) float64 {
+	if b.cfg.CrossZonePrice > 0 && s.Zone != zone {
+		return s.Weight * s.turns * farTurns
 	}
-	return gap
+	return s.Weight * s.turns
 }
 
 // turnOf finds whose turn it is, and whether a server that holds its portion lost it.
@@ -674,6 +703,13 @@
 // judge learns how a server fares: strain stretches the gap between its turns. It guards against any cause,
 // slowness, errors, silence, refusals, a limit shared with others. The turns left show when it is well again.
 func (b *Balancer) judge(now time.Duration, r *request, a *attempt, end balance.Ending) {
+	if !r.over && !r.begun && end != balance.NotSent { // for what is let in: as it ends, or begins to answer
+		b.asked.sent++
+		b.asked.all++
+		if end == balance.Served && now <= r.wanted {
+			b.asked.good += min(1, 2*float64(r.wanted-now)/float64(r.class.Aim))
+		}
+	}
 	s, took := a.to, now-a.sent
 	lost := end == balance.TimedOut && s.strain < failStrain/2 // a strained one alone is no crowd
 	if end == balance.Served || lost {
@@ -696,51 +732,43 @@
 		}
 		s.silent = 0
 	case balance.TimedOut, balance.NoConnection:
-		if s.silent == 0 {
-			s.silent = now
-		}
+		s.silent = cmp.Or(s.silent, now)
 	}
 	if before := s.strain; before < failStrain/2 && before+(x-before)/4 >= failStrain/2 {
 		b.host.Log(fmt.Sprintf("server %x strained, %d attempts out", s.ID, s.out))
 	}
 	s.strain += (x - s.strain) / 4
-	b.rest(now, s, end)
-}
-
-// rest keeps sends from a server that fails time and again, longer each time. Each balancer learns for
-// itself that a server is lost and pays for it with requests, and again with each test; where many share
-// a server, their tests alone keep a crowded one from its rest. So the more they are, the longer each waits.
-func (b *Balancer) rest(now time.Duration, s *server, end balance.Ending) {
 	if end == balance.Served { // halved, not cleared: one that errs may answer one request in four
 		s.fails, s.rested = s.fails/2, 0
-		return
-	}
-	if s.fails = min(s.fails+1, failsMost); s.fails >= restAfter {
-		b.restFor(now, s)
+	} else if s.fails = min(s.fails+1, failsMost); s.fails >= restAfter {
+		b.rest(now, s)
 	}
 }
 
-// restFor begins a rest.
-func (b *Balancer) restFor(now time.Duration, s *server) {
+// rest keeps sends from a server that fails time and again, longer each time. Each balancer learns for
+// itself that a server is lost and pays for it with requests, and again with each test; where many share
+// a server, their tests alone keep a crowded one from its rest. So the more they are, the longer each waits.
+func (b *Balancer) rest(now time.Duration, s *server) {
 	sharers := b.fleet * b.reach / max(b.weight, 1e-9)
 	s.rested = now + b.backoff(time.Duration(sharers*float64(restEach)), s.fails-restAfter)
 }
 
 // List takes news of the server list.
 func (b *Balancer) List(now time.Duration, kind balance.ListKind, entries []balance.Server) {
-	if kind == balance.ListFailed {
+	switch {
+	case kind == balance.ListFailed:
 		b.askAt = now + b.backoff(firstPause, b.askFails)
 		b.askFails++
 		return
-	}
-	if kind != balance.ListCached && b.cfg.AskList {
+	case b.cfg.AskList && kind != balance.ListCached:
 		b.askAt, b.askFails = 0, 0
-	}
-	if kind == balance.ListCached && b.cfg.AskList && len(entries) == 0 {
+	case b.cfg.AskList && len(entries) == 0:
 		b.ask(now) // nothing is known: no time to spare
 	}
-	if kind != balance.ListDelta {
-		b.allGone() // until the list names them
+	for _, s := range b.servers {
+		if kind != balance.ListDelta {
+			s.State = balance.Gone // until the list names it
+		}
 	}
 	var started []*server
 	for _, e := range entries {
@@ -749,10 +777,13 @@
 		}
 	}
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return s.State == balance.Gone })
-	if b.mean == 0 {
-		b.deriveSlots() // no quotas: the first list is all there is to go by
+	if b.first == 0 { // with no quotas, the first list is all there is to go by
+		b.first = float64(len(b.servers))
+		if b.wall(); b.quota == 0 {
+			b.rate = b.first / b.every
+		}
 	}
-	b.weigh()
+	b.weigh(now)
 	for _, s := range started { // only now are the weights known that a cold one's part is taken of
 		b.spreadFirst(now, s)
 	}
@@ -767,15 +798,19 @@
 
 // enter takes over one line of the list. It returns the server if this line tells of its start.
 func (b *Balancer) enter(now time.Duration, e balance.Server) (started *server) {
-	if !(e.Weight > 0) || math.IsInf(e.Weight, 0) {
+	if !(e.Weight > 1e-9 && e.Weight < 1e9) {
 		e.Weight = 1 // no weights, even turns
 	}
-	s := b.listed(e.ID)
+	i, known := b.find(e.ID)
+	if !known {
+		b.servers = slices.Insert(b.servers, i, &server{strain: 1})
+	}
+	s := b.servers[i]
 	if e.Started > 0 && e.Started > s.Started { // cold, and nothing known of it holds any more
 		*s = server{Server: e, out: s.out, warmAt: max(s.warmAt, e.Started+b.cfg.ColdTime), strain: 1}
 		started = s
 	}
-	s.Server, s.away, s.warmAt = e, b.away[e.ID], max(s.warmAt, b.back[e.ID])
+	s.Server, s.told, s.away, s.warmAt = e, e.Weight, b.away[e.ID], max(s.warmAt, b.back[e.ID])
 	if !s.stands() {
 		b.close(now, s)
 	}
@@ -787,9 +822,7 @@
 func (b *Balancer) TakeOut(now time.Duration, id balance.ServerID) {
 	b.away[id] = true
 	if s := b.server(id); s != nil && !s.away {
-		s.away = true
-		b.close(now, s)
-		b.weigh()
+		b.weigh(now)
 	}
 }
 
@@ -802,14 +835,12 @@
 	delete(b.away, id)
 	maps.DeleteFunc(b.back, func(_ balance.ServerID, warmAt time.Duration) bool { return now >= warmAt })
 	b.back[id] = at + b.cfg.ColdTime
-	s := b.server(id)
-	if s == nil {
-		return
+	if s := b.server(id); s != nil {
+		*s = server{Server: s.Server, told: s.told, out: s.out, warmAt: max(s.warmAt, b.back[id]), strain: 1}
+		b.weigh(now)
+		b.spreadFirst(now, s)
+		b.feed(now)
 	}
-	*s = server{Server: s.Server, out: s.out, warmAt: max(s.warmAt, b.back[id]), strain: 1}
-	b.weigh()
-	b.spreadFirst(now, s)
-	b.feed(now)
 }
 
 // ask subscribes to the list. Without any word it asks again before its silence counts as being told.
@@ -901,9 +932,7 @@
 // settle closes a request that has its answer: out of the queue, attempts called off.
 func (b *Balancer) settle(r *request) {
 	r.over = true
-	if i := slices.Index(r.home.queue, r); i >= 0 {
-		r.home.queue = slices.Delete(r.home.queue, i, i+1)
-	}
+	r.home.queue = slices.DeleteFunc(r.home.queue, func(o *request) bool { return o == r })
 	for i := range r.attempts {
 		if r.attempts[i].state == inFlight && b.cfg.MayCancel {
 			b.host.Cancel(r.id, i)
