End connections at a stop by what was read on them, not by what net/http calls idle

Cause: net/http calls a connection idle until it has parsed the next request's head. At SIGTERM SetKeepAlivesEnabled(false) closed those, also ones whose request had been read in that moment.

Shutdown, half a second later, also reads a first request and drops it (server.go, shuttingDown behind readRequest).

Change: each look for bytes is under the connection's lock, and so is the decision to end it. Bytes read: the request is served, and its answer ends the connection. Not read: it is closed unread, and its client sends it again. Making room for others goes by the same. Neither SetKeepAlivesEnabled nor Shutdown is called; the listener ends by leave, so what has come is accepted. A request that comes later than 0.7 s behind the signal has until the end at most. SIGHUP still counts during a stop.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -55,10 +56,18 @@
 // Content-Length beside Transfer-Encoding and reads the rest of that length as further requests:
 // requests that stood inside a body, which nobody sent. It does not tell a handler, so the
 // heads are checked on the way to it.
+//
+// Whether a connection stands idle is known here alone: net/http calls one idle until it has parsed the next request's
+// head, and so closes some, at a stop, whose request has been read and then goes out though nobody can be answered.
 type clientConn struct {
 	net.Conn
+	raw syscall.RawConn
+
+	mu      sync.Mutex // held by each look for bytes, so that none are read of one that was found idle and is ended
 	framing framing
 	failed  error
+	begun   bool // bytes of a request have come that has had no answer yet
+	ended   bool // nothing more is read
 
 	spoke atomic.Int64 // when the last of its bytes came, in Unix nanoseconds; 0: none has
 
@@ -139,7 +148,10 @@
 		l.queued = append(l.queued, c)
 		l.mu.Unlock()
 	}
-	return errors.Join(err, failed, l.Listener.Close())
+	if closed := l.Listener.Close(); !errors.Is(closed, net.ErrClosed) { // the server does so too, as Accept fails
+		failed = errors.Join(failed, closed)
+	}
+	return errors.Join(err, failed)
 }
 
 // accept returns the next connection, and once this process leaves those that had come before.
@@ -167,8 +179,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if k := (&clientConn{Conn: c}); l.enter(k) {
-			return k, nil
+		if raw, err := c.(syscall.Conn).SyscallConn(); err == nil { // fails only on a closed one
+			if k := (&clientConn{Conn: c, raw: raw}); l.enter(k) {
+				return k, nil
+			}
 		}
 		c.Close()
 	}
@@ -200,13 +214,14 @@
 	var still [3]time.Duration
 	for c := range l.conns {
 		kind, waited, spoke := 2, now.Sub(c.since), c.spoke.Load()
+		begun, whole := c.at()
 		switch {
-		case c.known && c.state != http.StateIdle:
+		case c.known && c.state != http.StateIdle, whole:
 			continue
+		case begun:
+			waited = now.Sub(time.Unix(0, spoke))
 		case c.known && waited > silentTime:
 			kind = 1
-		case !c.known && spoke > 0:
-			waited = now.Sub(time.Unix(0, spoke))
 		case !c.known && waited > silentTime:
 			kind = 0
 		}
@@ -215,25 +230,82 @@
 		}
 	}
 	for kind, c := range first {
-		if c != nil {
-			c.Conn.Close()
-			delete(l.conns, c)
-			l.shed[kind]++
-			return true
+		if c == nil {
+			continue
 		}
+		if !c.end(kind == 2) { // its request has come just now
+			return l.shedOne()
+		}
+		delete(l.conns, c)
+		l.shed[kind]++
+		return true
 	}
 	return false
 }
 
+// at tells whether bytes of a request have come that has had no answer, and whether they are a whole one.
+func (c *clientConn) at() (begun, whole bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.begun, c.begun && c.framing.between()
+}
+
+// end closes a connection that no request is open on, or half of one if that is to go too. A request that comes in
+// this moment is either left unread, so that its client sends it again, or read before: then end returns false, and
+// it is served.
+func (c *clientConn) end(half bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.begun && (!half || c.framing.between()) {
+		return false
+	}
+	c.ended = true
+	c.Conn.Close()
+	return true
+}
+
+// endIdle ends the connections that stand idle between requests, and from half on all that hold no whole one.
+func (l *clients) endIdle(half bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		if c.state == http.StateIdle || half && !c.known {
+			c.end(half)
+		}
+	}
+}
+
+// stop has every answer from now on end its connection, and those end that stand idle between requests.
+func (l *clients) stop() {
+	l.mu.Lock()
+	l.leaving = true
+	l.mu.Unlock()
+	l.endIdle(false)
+}
+
+// open is how many connections there are.
+func (l *clients) open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
 // stateOf follows what the server makes of a connection.
 func (l *clients) stateOf(c net.Conn, s http.ConnState) {
 	k := c.(*clientConn)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if s == http.StateIdle {
+	k.state = s
+	switch s {
+	case http.StateIdle:
 		k.since = time.Now()
-	}
-	if k.state = s; s == http.StateClosed || s == http.StateHijacked {
+		k.mu.Lock()
+		k.begun = !k.framing.between()
+		k.mu.Unlock()
+		if l.leaving { // its answer was under way before it could say so
+			k.end(false)
+		}
+	case http.StateClosed, http.StateHijacked:
 		delete(l.conns, k)
 	}
 }
@@ -291,20 +363,48 @@
 
 // Read holds back the end of a head that must not be served, and fails from there on: the server
 // then answers 400 and closes the connection.
-func (c *clientConn) Read(p []byte) (int, error) {
-	if c.failed != nil {
-		return 0, c.failed
+func (c *clientConn) Read(p []byte) (n int, err error) {
+	waited := c.raw.Read(func(fd uintptr) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		switch {
+		case c.ended:
+			err = &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
+		case c.failed != nil:
+			err = c.failed
+		default:
+			n, err = c.look(int(fd), p)
+		}
+		return err != syscall.EAGAIN
+	})
+	if waited != nil { // until its deadline, or it was closed
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: waited} // by which the server knows not to answer
+	}
+	return n, err
+}
+
+// look takes the bytes that have come. The caller holds the lock.
+func (c *clientConn) look(fd int, p []byte) (int, error) {
+	n, err := syscall.Read(fd, p)
+	for err == syscall.EINTR {
+		n, err = syscall.Read(fd, p)
+	}
+	if err == syscall.EAGAIN {
+		return 0, err
 	}
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.spoke.Store(time.Now().UnixNano())
+	if err != nil {
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: err}
 	}
+	if n == 0 && len(p) > 0 {
+		return 0, io.EOF
+	}
+	c.begun = true
+	c.spoke.Store(time.Now().UnixNano())
 	if good, bad := c.framing.follow(p[:n]); bad != nil {
-		c.failed = bad
-		if good == 0 {
+		if c.failed = bad; good == 0 {
 			return 0, bad
 		}
 		return good, nil
 	}
-	return n, err
+	return n, nil
 }
--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -21,6 +22,9 @@
 		state http.ConnState
 	}{
 		{"open request", time.Hour, time.Hour, true, http.StateActive},
+		{"first request read", time.Hour, time.Hour, false, http.StateNew},
+		{"next request read", time.Hour, time.Hour, true, http.StateIdle},
+		{"half a next request", 1500 * time.Millisecond, 1500 * time.Millisecond, true, http.StateIdle},
 		{"slow, goes on", 2 * time.Second, 50 * time.Millisecond, false, http.StateNew},
 		{"half a request", time.Second, time.Second, false, http.StateActive},
 		{"idle, newer", time.Second, time.Second, true, http.StateIdle},
@@ -38,6 +42,9 @@
 		if c.spoke > 0 {
 			k.spoke.Store(time.Now().Add(-c.spoke).UnixNano())
 		}
+		if k.begun = c.spoke > 0 && !strings.HasPrefix(c.name, "idle"); k.begun && !strings.HasSuffix(c.name, "read") {
+			_, _ = k.framing.follow([]byte("POST")) // a good beginning
+		}
 		names[k] = c.name
 	}
 	var order []string
@@ -49,7 +56,7 @@
 			}
 		}
 	}
-	want := []string{"silent", "idle", "idle, newer", "half a request", "slow, goes on", "just come"}
+	want := []string{"silent", "idle", "idle, newer", "half a next request", "half a request", "slow, goes on", "just come"}
 	if !slices.Equal(order, want) {
 		t.Errorf("room is made by %q, want %q", order, want)
 	}
--- a/internal/sidecar/framing.go
+++ b/internal/sidecar/framing.go
@@ -23,6 +23,9 @@
 	rest    bool   // nothing more is followed: the server closes after this request
 }
 
+// between tells whether what has come ends with a request's last byte, as far as it is followed.
+func (f *framing) between() bool { return len(f.line) == 0 && !f.begun && f.body == 0 && !f.rest }
+
 // follow takes the next bytes. Where a head frames its body in two ways, or with a length that is
 // none, it returns how many bytes come before that head's end, and an error.
 func (f *framing) follow(p []byte) (int, error) {
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -40,6 +40,7 @@
 		still  atomic.Int64 // cut off as the client did
 	}
 	ready  atomic.Bool // no stop was asked for
+	stop   atomic.Pointer[stop]
 	serves func() bool // rules allow it
 }
 
@@ -108,6 +109,8 @@
 		return
 	}
 	arrived := f.clock.now() // the client's time began with the last byte; that of a longer body's is still to come
+	left = f.stop.Load().left(arrived, left)
+	m.left = left
 	if !f.clients.took(r.Context()) {
 		panic(http.ErrAbortHandler) // its connection has made room for others
 	}
@@ -194,6 +197,9 @@
 func (f *front) reply(w http.ResponseWriter, r *http.Request, class int, a answer, rest *upload) {
 	out := http.NewResponseController(w)
 	_ = out.SetWriteDeadline(time.Now().Add(writeTime)) // fails only on a closed connection, as this and the next do
+	if _, leaving := f.clients.crowded(0); leaving {    // since the request came
+		w.Header().Set("Connection", "close")
+	}
 	switch {
 	case a.stream != nil:
 		f.pass(w, r, class, a)
--- a/internal/sidecar/front_test.go
+++ b/internal/sidecar/front_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -456,6 +457,71 @@
 	}
 }
 
+// A request that comes on a connection in the very moment in which it is to be closed, as half of its head has been
+// read, is served, and the connection ends with its answer; one that stands idle ends at once.
+func TestStopCrossesRequests(t *testing.T) {
+	for name, first := range map[string]string{"kept": "GET /up HTTP/1.1\r\nHost: service.internal\r\n\r\n", "new": ""} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newStub(t, echo)
+			side := start(t, nil, s.address)
+			idle, c := side.dial(t), side.dial(t)
+			r := bufio.NewReader(c)
+			for _, conn := range []net.Conn{idle, c} {
+				in, text := bufio.NewReader(conn), first
+				if conn == c {
+					in = r
+				} else if text == "" {
+					text = "GET /up HTTP/1.1\r\nHost: service.internal\r\n\r\n"
+				}
+				if _, err := io.WriteString(conn, text); err != nil || text == "" {
+					continue
+				}
+				if res, err := http.ReadResponse(in, nil); err != nil || res.StatusCode != http.StatusOK {
+					t.Fatalf("before: %+v, error %v", res, err)
+				}
+			}
+			whole := head("1", "Content-Length: 0")
+			if _, err := io.WriteString(c, whole[:20]); err != nil {
+				t.Fatal(err)
+			}
+			waitRead(t, c)
+			side.stop()
+			if more, err := io.ReadAll(idle); err != nil || len(more) > 0 {
+				t.Errorf("the idle one: %q, error %v, want a close", more, err)
+			}
+			if _, err := io.WriteString(c, whole[20:]); err != nil {
+				t.Fatal(err)
+			}
+			res, err := http.ReadResponse(r, nil)
+			if err != nil || res.StatusCode != http.StatusOK || !res.Close {
+				t.Fatalf("%+v, error %v, want 200 and a close", res, err)
+			}
+			res.Body.Close()
+			if err := wait(t, "the end", side.ended); err != nil {
+				t.Errorf("ended with %v", err)
+			}
+		})
+	}
+}
+
+// waitRead waits until the other side has read all that was written on a connection, by what the kernel tells of its end.
+func waitRead(t *testing.T, c net.Conn) {
+	t.Helper()
+	port := func(a net.Addr) string { return fmt.Sprintf("0100007F:%04X", a.(*net.TCPAddr).Port) }
+	ends := " " + port(c.RemoteAddr()) + " " + port(c.LocalAddr()) + " 01 "
+	for end := time.Now().Add(generous); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		table, err := os.ReadFile("/proc/net/tcp")
+		if err != nil {
+			t.Skip(err)
+		}
+		if _, line, there := strings.Cut(string(table), ends); there && strings.HasPrefix(line, "00000000:00000000 ") {
+			return
+		}
+	}
+	t.Fatal("it is not read")
+}
+
 // Whoever connects and sends nothing, or stops halfway through a head or a body, is answered or
 // closed; the connection is not held for longer than a request may take.
 func TestSilentPeersAreClosed(t *testing.T) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
-	"net/http"
 	"os"
 	"time"
 )
@@ -16,6 +14,9 @@
 	lingerTime = 500 * time.Millisecond // new connections go on coming for so long after a stop is asked for
 	leaveWait  = time.Second            // the end waits no longer for duties to be passed on
 	exitMargin = 600 * time.Millisecond // more than the longest deadline that may pass until the end
+	lateFrom   = 700 * time.Millisecond // behind the signal; what comes later has to be answered before
+	killedFrom = 3 * time.Second        // and a little more have passed, or the longest deadline if that is shorter
+	lookEvery  = 5 * time.Millisecond   // how often it is seen whether all connections are closed
 )
 
 // Run listens and serves until ctx ends and everything taken by then is answered. On each signal from
@@ -116,16 +117,20 @@
 		slog.Info("console", "listen", door.Addr())
 	}
 	server := f.server()
-	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(k) }()
+	served, stopped := make(chan error, 1), make(chan error, 1)
+	go func() { served <- server.Serve(k) }()
+	asked, failed := ctx.Done(), served
 	for {
 		select {
 		case err := <-failed:
 			return err
+		case err := <-stopped:
+			return err
 		case <-reload:
 			d.reconfigure(cfg.path)
 			sets.read()
-		case <-ctx.Done():
+		case <-asked:
+			asked, failed = nil, nil // a signal to read the configuration again still counts, for what is held
 			replaced := l.handover.count() > 1
 			left := make(chan struct{})
 			go func() { // what this process holds for its clients does not wait for that
@@ -139,7 +144,7 @@
 				}
 				peers.leave()
 			}()
-			return f.drain(server, cfg.Longest, replaced)
+			go func() { stopped <- f.drain(served, cfg.Longest, replaced) }()
 		}
 	}
 }
@@ -155,28 +160,53 @@
 	d.move(cfg.Discovery)
 }
 
-// drain ends the service without losing a request. Clients still connect for a while, and send on
-// what they have: so the listener stays open at first, and every connection closes with its next
-// answer, or at once if it is idle (a request that crosses this is sent again on a new one).
-// Shutdown at once would close the listener under those that are still coming. Where a second process has
-// taken over, new ones go there: this one takes what has come, and idle connections may linger too.
-func (f *front) drain(server *http.Server, longest time.Duration, replaced bool) error {
-	end, cancel := context.WithTimeout(context.Background(), longest+exitMargin)
-	defer cancel()
+// stop is what a request has to know of a stop under way.
+type stop struct{ late, end time.Duration }
+
+// left bounds the time of a request that arrives late: no answer could reach its client behind the end.
+func (s *stop) left(arrived, left time.Duration) time.Duration {
+	if s == nil || arrived < s.late {
+		return left
+	}
+	return max(0, min(left, s.end-arrived))
+}
+
+// drain ends the service without losing a request. Clients still connect for a while, and send on what they have: so
+// the listener stays open at first, and every connection closes with its next answer, or at once if it is idle (a
+// request that crosses this is not read, and sent again on a new one). Where a second process has taken over, new ones
+// go there, and idle connections linger too.
+//
+// http.Server's Shutdown is of no use here: behind it a request on a connection that had none yet is read and
+// dropped, and it takes connections for idle that hold a request.
+func (f *front) drain(served <-chan error, longest time.Duration, replaced bool) error {
+	end := time.Now().Add(longest + exitMargin)
+	f.stop.Store(&stop{late: f.clock.now() + lateFrom, end: f.clock.now() + min(longest, killedFrom) + exitMargin})
 	slog.Info("stopping", "held", f.held.Load(), "replaced", replaced)
 	f.ready.Store(false)
-	if replaced {
+	leave := func() {
 		if err := f.clients.leave(); err != nil {
 			slog.Error("connections may be lost", "error", err)
 		}
+	}
+	if replaced {
+		leave()
 	} else {
-		server.SetKeepAlivesEnabled(false)
+		f.clients.stop()
 	}
 	time.Sleep(lingerTime)
-	err := server.Shutdown(end)
-	slog.Info("stopped", "held", f.held.Load())
-	if errors.Is(err, context.DeadlineExceeded) && f.held.Load() == 0 {
-		return nil // what is left are connections that nothing came on
+	if replaced {
+		f.clients.stop()
+	} else {
+		leave()
 	}
-	return err
+	select {
+	case <-served: // what had come is accepted
+	case <-time.After(time.Until(end)):
+	}
+	for f.clients.open() > 0 && time.Now().Before(end) {
+		time.Sleep(lookEvery)
+	}
+	f.clients.endIdle(true)
+	slog.Info("stopped", "held", f.held.Load())
+	return nil
 }
