Close an ended connection with no lock held: its close waits for a look under way

Cause: net.Conn's Close waits until nobody reads, and the reader waited for the lock that the end held.

Change: ended is set under the lock, the close comes behind it. Also no error line where a listener knows no shutdown.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -129,7 +129,10 @@
 			case err == nil:
 				fds = append(fds, fd)
 			case err != syscall.EINTR && err != syscall.ECONNABORTED:
-				if failed = syscall.Shutdown(int(listener), syscall.SHUT_RD); err != syscall.EAGAIN {
+				if failed = syscall.Shutdown(int(listener), syscall.SHUT_RD); failed == syscall.ENOTCONN {
+					failed = nil // where a listener knows no shutdown the close behind it does
+				}
+				if err != syscall.EAGAIN {
 					failed = err
 				}
 				return
@@ -255,13 +258,13 @@
 // it is served.
 func (c *clientConn) end(half bool) bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.begun && (!half || c.framing.between()) {
-		return false
+	c.ended = c.ended || !c.begun || half && !c.framing.between()
+	ended := c.ended
+	c.mu.Unlock()
+	if ended { // with no lock held: it waits for a look under way
+		c.Conn.Close()
 	}
-	c.ended = true
-	c.Conn.Close()
-	return true
+	return ended
 }
 
 // endIdle ends the connections that stand idle between requests, and from half on all that hold no whole one.
--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -108,3 +110,43 @@
 		}
 	}
 }
+
+// Bytes that come as a connection is ended are either read, and it goes on, or it is closed and nothing is read of it.
+func TestBytesCrossTheEnd(t *testing.T) {
+	listener, err := listen(context.Background(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := newClients(testConfig(t, listed(1, "ready"), nil), listener, noUpstreams)
+	defer l.Close()
+	var read, ended int
+	for range 500 {
+		far := dialled(t, listener.Addr().String())
+		near, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		k, went, got := near.(*clientConn), make(chan bool), make(chan int)
+		go func() {
+			n, _ := k.Read(make([]byte, 10))
+			got <- n
+		}()
+		go func() { went <- k.end(false) }()
+		if _, err := far.Write([]byte("GET")); err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, syscall.ECONNRESET) {
+			t.Fatal(err)
+		}
+		n, over := wait(t, "the read", got), wait(t, "the end", went)
+		if over == (n > 0) {
+			t.Fatalf("%d bytes read, ended %v", n, over)
+		}
+		if over {
+			ended++
+		} else {
+			read++
+		}
+		far.Close()
+		near.Close()
+		l.stateOf(near, http.StateClosed)
+	}
+	t.Logf("%d read, %d ended", read, ended)
+}
