Half-close behind a last answer where bytes are left unread, and read on for a while

Cause: a close over unread bytes resets the connection, and a reset can take the answer before it along (extra bytes of old clients, a body that is not wanted).

Change: such a connection ends its sending first, and up to 256 kB are read for 250 ms. Where nothing is unread one look is all it costs. On an idle connection nothing is read at its end: what crosses that has to come again. The time left of requests that come late behind the signal has its table.

Result: TestCloseOverUnreadBytes fails without it (connection reset by peer behind the answer), passes with it. The package's tests pass.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -34,6 +34,11 @@
 // silentTime is how long a connection may be silent, or idle, before it makes room ahead of others that are needed more.
 const silentTime = 250 * time.Millisecond
 
+const (
+	restTime = 250 * time.Millisecond // what comes behind a last answer is read for so long,
+	restMost = 256 << 10              // or so many bytes of it
+)
+
 // clients is the listener that the application connects to. Anyone may connect, so it holds only so many
 // connections; past that, one with no open request makes room. Such connections may also take the descriptors that
 // upstreams have no use for now, and are closed when that changes.
@@ -411,3 +416,26 @@
 	}
 	return n, nil
 }
+
+// Close ends a connection behind its last answer. Where bytes are left unread, that would be a reset, which can take the answer
+// with it: then the sending ends first, and they are read on for a while. On one that stands idle nothing is read: what
+// crosses its end has to come again.
+func (c *clientConn) Close() error {
+	c.mu.Lock()
+	answered := c.begun && !c.ended
+	c.mu.Unlock()
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && answered {
+		var rest [4 << 10]byte
+		n := 0
+		_ = c.raw.Read(func(fd uintptr) bool { // fails only on a closed one
+			n, _ = syscall.Read(int(fd), rest[:])
+			return true
+		})
+		if n > 0 && tcp.CloseWrite() == nil && tcp.SetReadDeadline(time.Now().Add(restTime)) == nil {
+			for left := restMost; left > 0 && n > 0; left -= n {
+				n, _ = tcp.Read(rest[:])
+			}
+		}
+	}
+	return c.Conn.Close()
+}
--- a/internal/sidecar/front_test.go
+++ b/internal/sidecar/front_test.go
@@ -522,6 +522,36 @@
 	t.Fatal("it is not read")
 }
 
+// A request that comes late behind a stop's signal has no longer than there is until the end.
+func TestTimeLeftAtAStop(t *testing.T) {
+	for name, c := range map[string]struct {
+		stop          *stop
+		arrived, want time.Duration
+	}{
+		"no stop":  {nil, 10, 5},
+		"early":    {&stop{late: 7, end: 12}, 6, 5},
+		"late":     {&stop{late: 7, end: 12}, 9, 3},
+		"too late": {&stop{late: 7, end: 12}, 13, 0},
+	} {
+		if got := c.stop.left(c.arrived, 5); got != c.want {
+			t.Errorf("%s: %d left of 5, want %d", name, got, c.want)
+		}
+	}
+}
+
+// Bytes left unread behind a last answer do not reset its connection.
+func TestCloseOverUnreadBytes(t *testing.T) {
+	s := newStub(t, echo)
+	side := start(t, nil, s.address)
+	c := side.dial(t)
+	if _, err := io.WriteString(c, head("1", "Connection: close\r\nContent-Length: 0")+strings.Repeat("x", 20<<10)); err != nil {
+		t.Fatal(err)
+	}
+	if answers, err := io.ReadAll(c); err != nil || !strings.HasSuffix(string(answers), "done 1") {
+		t.Errorf("%q, error %v, want the answer and a close", answers, err)
+	}
+}
+
 // Whoever connects and sends nothing, or stops halfway through a head or a body, is answered or
 // closed; the connection is not held for longer than a request may take.
 func TestSilentPeersAreClosed(t *testing.T) {
