Give a request that may go again a place of its queue, or its answer at once

Cause: policy.further put a request whose attempt had failed to the front of its compartment's queue whether or not a place was left, so a queue of one place held two and more: the bounded queue of the design did not bind for repeats, and what found no place was held back up to its deadline.

Change: it takes a place that is left, else it is refused or failed at once. Its own slot, free again, is offered to what waits first, so that the place which this leaves counts.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -396,6 +396,10 @@
 		!r.mayRepeat(now, nil) || b.spent(now):
 		b.finish(r)
 	case !b.dispatch(now, r):
+		if b.feed(now); len(r.home.queue) >= r.home.places { // its slot may serve one that waits
+			b.finish(r)
+			return
+		}
 		r.home.queue = slices.Insert(r.home.queue, 0, r) // it has waited already: to the front
 	}
 }
