--- a/policy/policy.go
+++ b/policy/policy.go
@@ -380,13 +380,8 @@
 // Little's law. The slots are sized for the busiest balancer: those of eighty together are far more than
 // their servers bear. It shrinks by the servers that fail: what they lose is not to fall on the others.
 func (b *Balancer) whole() float64 {
-	well := 0
-	for _, s := range b.arc {
-		if s.fails < restAfter {
-			well++
-		}
-	}
-	return min(float64(b.slots), wholeFree+b.rate*b.aim) * float64(well) / max(1, float64(len(b.arc)))
+	well := slices.DeleteFunc(slices.Clone(b.arc), func(s *server) bool { return s.fails >= restAfter })
+	return min(float64(b.slots), wholeFree+b.rate*b.aim) * float64(len(well)) / max(1, float64(len(b.arc)))
 }
 
 // further gives a request whose attempts have all failed another one, or ends it.
