Spread the advice with the front's own refusals

Cause: front.pause said the same to all who were refused for too many open requests or connections, so a crowd of them came back at once.

Change: half to all of the longest pause that it said before, by chance; none where clients get no advice.

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -4,6 +4,7 @@
 	"errors"
 	"hash/fnv"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/textproto"
@@ -327,8 +328,11 @@
 	}
 }
 
-// pause is the advice with the front's own refusals: no longer than clients heed.
-func (f *front) pause() time.Duration { return min(time.Second, f.cfg.Policy.MaxRetryAfter) }
+// pause is the advice with the front's own refusals: no longer than clients heed, and spread, as they come in crowds.
+func (f *front) pause() time.Duration {
+	most := min(time.Second, f.cfg.Policy.MaxRetryAfter)
+	return most/2 + rand.N(most/2+1)
+}
 
 // refuse answers that trying again is harmless, best after the pause.
 func refuse(w http.ResponseWriter, pause time.Duration) {
