Let the limit over all attempts bind only while answers tell of crowding

Need: by the design slot counts are configured, and a free slot is taken. The limit over all attempts (policy.whole) went by the traffic of late at all times: after two quiet minutes three of four free slots were used, and a burst of one tenant kept back all of the other's, with no server crowded.

Change: as long as answers tell of no crowding the slots alone bind; from there on the limit is what it was. TestWholeWallFollowsOwnTraffic asked for the old limit with no crowding; as TestWholeLimitFollowsOwnTraffic it asks for it where there is some, and for all slots where there is none.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -364,7 +364,7 @@
 	if b.fleet > sharersMost {
 		at = wholeMany
 	}
-	if float64(b.out) >= max(1, b.whole()*ease(b.crowd/at)) {
+	if float64(b.out) >= max(1, b.whole(ease(b.crowd/at))) {
 		b.count.Held++
 		return false
 	}
@@ -376,12 +376,16 @@
 	return false
 }
 
-// whole is the wall over all attempts while no server is crowded: what our own traffic holds at the aim, by
-// Little's law. The slots are sized for the busiest balancer: those of eighty together are far more than
-// their servers bear. It shrinks by the servers that fail: what they lose is not to fall on the others.
-func (b *Balancer) whole() float64 {
+// whole is the concurrency limit over all attempts: the slots, or while answers tell of crowding the share
+// this leaves of what our own traffic holds at the aim, by Little's law: slots are sized for the busiest, those
+// of eighty together are far more than servers bear. Less by what fails: it is not to fall on the others.
+func (b *Balancer) whole(eased float64) float64 {
+	limit := float64(b.slots)
+	if eased < 1 {
+		limit = eased * min(limit, wholeFree+b.rate*b.aim)
+	}
 	well := slices.DeleteFunc(slices.Clone(b.arc), func(s *server) bool { return s.fails >= restAfter })
-	return min(float64(b.slots), wholeFree+b.rate*b.aim) * float64(len(well)) / max(1, float64(len(b.arc)))
+	return limit * float64(len(well)) / max(1, float64(len(b.arc)))
 }
 
 // further gives a request whose attempts have all failed another one, or ends it.
