--- a/policy/policy.go
+++ b/policy/policy.go
@@ -377,8 +377,8 @@
 }
 
 // whole is the concurrency limit over all attempts: the slots, or while answers tell of crowding the share
-// this leaves of what our own traffic holds at the aim, by Little's law: slots are sized for the busiest, those
-// of eighty together are far more than servers bear. Less by what fails: it is not to fall on the others.
+// this leaves of what our own traffic holds at the aim, by Little's law: slots are sized for the busiest, and
+// eighty times these are more than servers bear. Less by what fails: it is not to fall on the others.
 func (b *Balancer) whole(eased float64) float64 {
 	limit := float64(b.slots)
 	if eased < 1 {
