--- a/policy/policy.go
+++ b/policy/policy.go
@@ -7,13 +7,11 @@
 // gate that all sends pass, server choice and health, list, reports and endings in policy.go, what is held
 // and counted in state.go.
 //
-// Times are durations since a fixed moment of the embedding program's choice; they must never go
-// back, and all calls for one Balancer come from one goroutine, in the order of what happened. The
-// order of calls: New, Start, List with the servers known so far, then Request, Outcome, Wake, List,
-// Probed, ClientGone, BodyEnded, StreamBegun, TakeOut, BringBack, Recall, Share, Fleet and Rules as they
-// occur. Each Host.Send brings exactly one Outcome, also after the request has been answered; each
-// Host.Wake one call of Wake, late rather than never.
-// A request is answered once: by an Outcome with Settled set, or by Host.Refuse or Host.Fail.
+// Times are durations since a fixed moment of the embedding program's choice; they must never go back, and
+// all calls for one Balancer come from one goroutine, in the order of what happened: New, Start, List with
+// the servers known so far, then the others as they occur. Each Host.Send brings exactly one Outcome, also
+// after the request has been answered; each Host.Wake one call of Wake, late rather than never. A request is
+// answered once: by an Outcome with Settled set, or by Host.Refuse or Host.Fail.
 //
 // Bad input does no harm: a request that names no class or tenant, or has no time left, is refused;
 // an outcome, probe or departure of something unknown is passed over, and so is a repeated one.
@@ -262,11 +260,10 @@
 	}
 	r.coming, r.deadline = false, now+min(left, time.Hour)
 	r.useful, r.wanted = r.deadline, min(r.deadline, now+r.class.Aim)
-	for i := range r.attempts {
-		if a := &r.attempts[i]; a.state == inFlight {
-			a.sent = now
-			b.paced(r, a, false)
-		}
+	if r.out > 0 {
+		a := &r.attempts[len(r.attempts)-1]
+		a.sent = now
+		b.paced(r, a, false)
 	}
 }
 
@@ -332,8 +329,7 @@
 		}
 		ends := now+2*max(busyTick, b.cfg.Tick) > r.deadline || now >= r.lateIn()
 		waited := r.out == 0 && (ends || !r.mayRepeat(now, nil) || len(r.attempts) >= b.cfg.MaxAttempts)
-		sending := r.coming && r.out > 0 // it takes the client's time, not ours
-		if !r.begun && !sending && (waited || now >= r.deadline) {
+		if !r.begun && !(r.coming && r.out > 0) && (waited || now >= r.deadline) { // or it takes the client's time
 			b.finish(r)
 		}
 	}
@@ -420,33 +416,25 @@
 	}
 }
 
-// mayRepeat says whether the class allows an attempt now, on a server or (nil)
-// on some server: what may have run must be dropped there if it comes again.
+// mayRepeat says whether the class allows an attempt now, on s or (nil) on some server.
 func (r *request) mayRepeat(now time.Duration, s *server) bool {
-	first := r.ran()
-	switch {
-	case first == nil || r.class.Effect == balance.Safe:
-		return true
-	case r.class.Effect == balance.Unsafe || now >= first.sent+r.class.Window:
-		return false
-	case s == nil || r.class.Scope == balance.ScopeAll:
+	first, scope := r.ran(), r.class.Scope
+	if first == nil || r.class.Effect == balance.Safe {
 		return true
 	}
-	return s.Zone == first.to.Zone && (r.class.Scope == balance.ScopeZone || s.Cell == first.to.Cell)
+	dropped := s == nil || scope == balance.ScopeAll ||
+		s.Zone == first.to.Zone && (scope == balance.ScopeZone || s.Cell == first.to.Cell)
+	return dropped && r.class.Effect == balance.Keyed && now < first.sent+r.class.Window
 }
 
 // mayGo is the gate: whether the rules let a request go to a server now.
 func (b *Balancer) mayGo(now time.Duration, r *request, s *server) bool {
-	switch {
-	case r.over || r.begun || now >= r.deadline || len(r.attempts) >= b.cfg.MaxAttempts, // rule 1, and attempts
-		!s.mayServe(now),                    // rule 3: at once, long before the grace is over
-		now < s.warmAt && now < s.coldAt,    // rule 4
-		r.out > 0 || !r.mayRepeat(now, s),   // rule 2: one at a time (no second copies), where it may be repeated
-		!r.inTurn(now),                      // rule 5
-		len(r.attempts) > 0 && b.spent(now): // rule 6
-		return false
-	}
-	return true
+	return !r.over && !r.begun && now < r.deadline && // rule 1
+		len(r.attempts) < b.cfg.MaxAttempts && s.mayServe(now) && // rule 3: at once, long before the grace is over
+		(now >= s.warmAt || now >= s.coldAt) && // rule 4
+		r.out == 0 && r.mayRepeat(now, s) && // rule 2: one at a time (no second copies), if it may be repeated
+		r.inTurn(now) && // rule 5
+		(len(r.attempts) == 0 || !b.spent(now)) // rule 6
 }
 
 // stands says whether a server takes part: the list has it ready, and it is not out by hand or by the set.
@@ -496,8 +484,7 @@
 	b.host.Send(r.id, s.ID, r.useful-now)
 }
 
-// coldGap spaces sends to a cold server so that all balancers together stay
-// well within its budget: each keeps an even part, whatever traffic it has.
+// coldGap spaces sends to a cold server: each balancer keeps an even part of what it may be sent.
 func (b *Balancer) coldGap(now time.Duration, s *server) time.Duration {
 	rate := cmp.Or(b.quota/b.fleet, float64(max(b.out, 1))/b.pace.Seconds())
 	rate = b.part(rate, s) * b.weight / max(b.reach, s.Weight) * b.warmth(now, s)
@@ -696,8 +683,7 @@
 
 // backoff is the pause after n more failures than the first, spread so that balancers do not act as one.
 func (b *Balancer) backoff(first time.Duration, n int) time.Duration {
-	d := min(first<<min(n, 16), lastPause)
-	return time.Duration(float64(d) * (0.5 + b.rng.Float64()))
+	return time.Duration(float64(min(first<<min(n, 16), lastPause)) * (0.5 + b.rng.Float64()))
 }
 
 // judge learns how a server fares: strain stretches the gap between its turns. It guards against any cause,
@@ -790,8 +776,7 @@
 	b.feed(now)
 }
 
-// spreadFirst puts off the first send to a server that is cold from now on: all balancers are told at about
-// the same time.
+// spreadFirst puts off the first send to a server that is cold from now on: all are told at about one time.
 func (b *Balancer) spreadFirst(now time.Duration, s *server) {
 	s.coldAt = now + time.Duration(b.rng.Float64()*float64(b.coldGap(now, s)))
 }
