Write no request whose connection comes up when it may not go any more

Cause: an attempt that had to open its connection was written whenever that came up. mayRepeat compares the moment of decision with the window of a keyed class, mayGo the moment of decision with the list, and settle called off only where the settings allow to cancel; the dial that follows takes up to caps.dial_timeout_ms, and a body more. So a repeat went out past its window, a request went to a server told to drain since, and one whose client had left went out all the same.

Change: Host.Send has a bound for when the attempt is written at the latest, the rest of the window for a keyed repeat. It holds for the dial, the write and a slow body; a request that passes it is cut short, and never ran. No margin is taken off for the wire: no setting tells of it, the window is counted from the decision on the first attempt, which went out later, and the protocol makes each limit 50 ms longer. Host.Withdraw calls off an attempt of which nothing is written; it needs no permission, and its outcome proves that it never ran. The module uses it when a request is over, and when a server takes part no more (told to drain or gone, out by hand or by the set); the request then goes elsewhere as after any such end. An attempt that is withdrawn counts against caps.most_tries. On the simulator's wire a CallOut is a send at once, so both hold there by themselves; its actions are the same, but for what follows from them.

Seen to fail with each part taken out by itself: the bound (TestLateConnections/bound, TestCutShortAtItsBound, both rows on a keyed repeat, the random worlds), the long body's (TestCutShortAtItsBound/long), the withdrawal at a drain (TestDrainMeetsALateConnection, TestWithdrawn, its row on module and process, the random worlds) and at the end of a request (TestWithdrawn, the row on a client that quits, the random worlds), and that it leaves alone what is written (TestWithdrawnTooLate). Rows have servers whose connections come up late: on the process by a full queue of the listener.

--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -75,7 +75,10 @@
 // logEvery is how often an instance's counters go to the log.
 const logEvery = 10 * time.Second
 
-func (i *instance) Send(id balance.RequestID, to balance.ServerID, timeout time.Duration) {
+// Send goes out at once: on this wire an attempt counts as sent with its CallOut, in the batch that is answered,
+// however long its connection takes. So unsent, which is above 0 or none, holds by itself. patience_ms would not say
+// it: that ends the wait for the answer too.
+func (i *instance) Send(id balance.RequestID, to balance.ServerID, timeout, _ time.Duration) {
 	i.host.reply.CallOut(i.number, uint32(id), wire.Upstream(to), timeout)
 }
 
@@ -89,6 +92,9 @@
 	i.host.reply.Recall(i.number, uint32(id), uint8(attempt))
 }
 
+// Withdraw has nothing to do: no attempt is unwritten once its CallOut is.
+func (i *instance) Withdraw(balance.RequestID, int) {}
+
 func (i *instance) Wake(d time.Duration)      { i.host.reply.SetAlarm(i.number, d, 0) }
 func (i *instance) Probe(to balance.ServerID) { i.host.reply.Inspect(i.number, wire.Upstream(to)) }
 func (i *instance) Close(to balance.ServerID) { i.host.reply.Release(i.number, wire.Upstream(to)) }
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -224,14 +224,19 @@
 // Host carries out what the Balancer decides. Its methods must not call back
 // into the Balancer.
 type Host interface {
-	// Send starts the next attempt of a request, given up after timeout.
-	Send(id RequestID, to ServerID, timeout time.Duration)
+	// Send starts the next attempt of a request, given up after timeout. Its last byte may go out within
+	// unsent from now, and nothing of it later, however late its connection comes up: an attempt that can't keep to
+	// that ends as one that never ran. 0: the time-out alone bounds it.
+	Send(id RequestID, to ServerID, timeout, unsent time.Duration)
 	// Refuse ends a request; trying again is harmless, best after the pause.
 	Refuse(id RequestID, pause time.Duration)
 	// Fail ends a request with no promise about its effect.
 	Fail(id RequestID)
-	// Cancel calls off one attempt; its Outcome still comes.
+	// Cancel calls off one attempt, as far as Config.MayCancel allows; its Outcome still comes.
 	Cancel(id RequestID, attempt int)
+	// Withdraw calls off an attempt of which nothing has been written yet: its Outcome is NotSent. One that is being
+	// written, or was, goes on. It takes back no work from a server, so Config.MayCancel does not bind it.
+	Withdraw(id RequestID, attempt int)
 	// Wake asks for a call of Balancer.Wake after d.
 	Wake(d time.Duration)
 	// Close closes the idle connections to a server.
--- a/internal/conform/process.go
+++ b/internal/conform/process.go
@@ -151,7 +151,7 @@
 	entries, order := make(map[string]string), []string{}
 	for _, s := range all {
 		if p.servers[s.ID] == nil {
-			n, err := newStandIn(s.ID, p.story)
+			n, err := newStandIn(s.ID, p.story, s.Late)
 			if err != nil {
 				return err
 			}
@@ -498,6 +498,9 @@
 		p.dialled[name(id)] = c
 	}
 	time.Sleep(s.Pause.D())
+	for _, id := range s.Up {
+		p.servers[id].up()
+	}
 	for _, id := range s.Ask {
 		if err := p.ask(name(id), s); err != nil {
 			return err
--- a/internal/conform/rows.go
+++ b/internal/conform/rows.go
@@ -27,6 +27,7 @@
 	Weight  float64       `toml:"weight"`
 	Started conf.Duration `toml:"started"` // before the row begins (below 0) or in it; 0: long ago
 	Dead    bool          `toml:"dead"`    // nobody listens at its address
+	Late    bool          `toml:"late"`    // connections to it do not come up before a step says so
 }
 
 // Flow is many requests, one after the other.
@@ -68,6 +69,7 @@
 	List    string        `toml:"list"`
 	Servers []Server      `toml:"servers"`
 	Flow    *Flow         `toml:"flow"`
+	Up      []string      `toml:"up"`        // connections to these late servers come up
 	Raw     string        `toml:"raw"`       // caperarch: bytes on a new connection
 	Dial    []int         `toml:"dial"`      // caperarch: connections for these come up; they are asked later
 	Shut    bool          `toml:"shut"`      // caperarch: first it has to take no more connections
--- a/internal/conform/simhost.go
+++ b/internal/conform/simhost.go
@@ -169,7 +169,9 @@
 			acts = append(acts, action{kind: watch})
 		case wire.ActDie:
 			return nil, fmt.Errorf("the module failed: %s", f[2:])
-		case wire.ActWriteLog, wire.ActInspect, wire.ActRecall, wire.ActRelease:
+		case wire.ActRecall:
+			acts = append(acts, action{kind: cancel, id: int(le.Uint32(f))})
+		case wire.ActWriteLog, wire.ActInspect, wire.ActRelease:
 		default:
 			return nil, fmt.Errorf("action %d is none that it may use here", rec.Code)
 		}
--- a/internal/conform/standin.go
+++ b/internal/conform/standin.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -12,6 +13,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // story is what the stand-ins round a real process saw, in order.
@@ -64,15 +67,17 @@
 	served   map[string]net.Conn    // the connection of each that was answered
 	auto     string                 // how to answer at once; empty: as the row says
 	open     map[net.Conn]bool
+	up       func() // lets connections come up that did not until then
 }
 
-func newStandIn(id string, s *story) (*standIn, error) {
+// newStandIn starts a server, and where it is late one that no connection to comes up before up is called.
+func newStandIn(id string, s *story, late bool) (*standIn, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	n := &standIn{id: id, listener: l, story: s, waiting: make(map[string]chan string), served: make(map[string]net.Conn), open: make(map[net.Conn]bool)}
-	go func() {
+	accept := func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
@@ -83,10 +88,46 @@
 			n.mu.Unlock()
 			go n.serve(c)
 		}
-	}()
+	}
+	n.up = sync.OnceFunc(func() { go accept() })
+	if late {
+		return n, n.fill()
+	}
+	n.up()
 	return n, nil
 }
 
+// fill has the kernel drop what asks for a connection, by a queue of those not accepted that is full. Who asked
+// does so again by itself, so that the connection comes up once the queue is taken up.
+func (n *standIn) fill() error {
+	raw, err := n.listener.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		return err
+	}
+	if failed := raw.Control(func(fd uintptr) { err = unix.Listen(int(fd), 1) }); err != nil || failed != nil {
+		return errors.Join(err, failed)
+	}
+	for range 2 { // one more than it was told: the kernel takes that many
+		c, err := net.Dial("tcp", n.listener.Addr().String())
+		if err != nil {
+			return err
+		}
+		n.open[c] = true // to be closed with the others
+	}
+	for end := time.Now().Add(generous); ; time.Sleep(time.Millisecond) {
+		var info *unix.TCPInfo
+		if failed := raw.Control(func(fd uintptr) { info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) }); err != nil || failed != nil {
+			return errors.Join(err, failed)
+		}
+		if info.Unacked == 2 { // of a listener: those that wait to be accepted
+			return nil
+		}
+		if time.Now().After(end) {
+			return errors.New("the queue did not fill")
+		}
+	}
+}
+
 func (n *standIn) close() {
 	n.listener.Close()
 	n.mu.Lock()
--- a/internal/conform/virtual.go
+++ b/internal/conform/virtual.go
@@ -26,6 +26,8 @@
 	send
 	refuse
 	fail
+	cancel
+	withdraw
 	timer
 	watch
 )
@@ -43,10 +45,12 @@
 
 // action is what it does about that.
 type action struct {
-	kind   kind
-	id     int
-	server int
-	d      time.Duration
+	kind    kind
+	id      int
+	attempt int
+	server  int
+	d       time.Duration
+	unsent  time.Duration // how long an attempt may still be written; 0 where it is at once
 }
 
 // virtual is a subject on a virtual clock.
@@ -62,6 +66,8 @@
 	server int
 	at     time.Duration
 	until  time.Duration // then it times out
+	by     time.Duration // and it is not written later than that
+	late   bool          // it waits for its connection
 	over   bool
 	ran    bool // it may have
 }
@@ -86,6 +92,7 @@
 	timers  []time.Duration
 	told    map[int]balance.State
 	zones   map[int]int
+	late    map[int]bool   // servers, whose connections do not come up yet
 	tally   map[string]int // what happened in this step
 	did     map[string][]int
 	to      map[int]bool
@@ -108,6 +115,9 @@
 func (p *player) servers(all []Server) (list []balance.Server) {
 	for _, s := range all {
 		e := balance.Server{ID: balance.ServerID(p.number(s.ID)), Zone: s.Zone, Weight: s.Weight, State: state(s.State)}
+		if s.Late {
+			p.late[int(e.ID)] = true
+		}
 		if s.Started != 0 {
 			e.Started = epoch + s.Started.D()
 		}
@@ -147,7 +157,7 @@
 func playVirtual(t *Tables, r Row, s virtual, seed uint64) (faults []string, err error) {
 	set := t.settings(r)
 	p := &player{row: r, s: s, now: epoch, set: set, classes: places(set, "classes"), tenants: places(set, "orgs"),
-		asked: make(map[int]*asked), told: make(map[int]balance.State), zones: make(map[int]int)}
+		asked: make(map[int]*asked), told: make(map[int]balance.State), zones: make(map[int]int), late: make(map[int]bool)}
 	known, listed := p.servers(r.Known), p.servers(r.Servers)
 	if len(known) == 0 {
 		known = listed
@@ -200,6 +210,9 @@
 	if err := p.until(max(p.now, epoch+s.At.D())); err != nil {
 		return err
 	}
+	for _, id := range s.Up {
+		p.up(p.number(id))
+	}
 	if s.List != "" {
 		k := map[string]balance.ListKind{"full": balance.ListFull, "delta": balance.ListDelta, "failed": balance.ListFailed}[s.List]
 		servers := p.servers(s.Servers)
@@ -259,7 +272,7 @@
 func (p *player) ends(id, n int, e balance.Ending) error {
 	q := p.asked[id]
 	a := &q.tries[n]
-	a.over, a.ran = true, e != balance.TurnedAway && e != balance.NoConnection
+	a.over, a.ran = true, e != balance.TurnedAway && e != balance.NoConnection && e != balance.NotSent
 	if e == balance.Served && q.answered == "" {
 		p.answer(id, "served")
 	}
@@ -305,11 +318,23 @@
 				continue
 			}
 			p.mayGo(a, q)
-			q.tries = append(q.tries, try{server: a.server, at: p.now, until: min(p.now+max(0, a.d), q.at+q.step.Left.D())})
-			p.tally["sent"]++
-			p.tally[p.names[a.server-1]]++
-			p.did["sent"] = append(p.did["sent"], a.id)
-			p.to[a.server] = true
+			q.tries = append(q.tries, try{server: a.server, at: p.now, until: min(p.now+max(0, a.d), q.at+q.step.Left.D()),
+				by: p.now + a.unsent, late: p.late[a.server]})
+			if !p.late[a.server] {
+				p.written(a.id, a.server)
+			}
+		case cancel:
+			if caps, _ := p.set["caps"].(map[string]any); caps["may_cancel"] != true {
+				p.fault("request %d is called off, which the settings do not allow", a.id)
+			}
+		case withdraw:
+			if q == nil || a.attempt < 0 || a.attempt >= len(q.tries) {
+				p.fault("attempt %d of request %d is withdrawn, which there is not", a.attempt, a.id)
+			} else if t := q.tries[a.attempt]; t.late && !t.over {
+				if err := p.ends(a.id, a.attempt, balance.NotSent); err != nil {
+					p.fault("%v", err)
+				}
+			}
 		case refuse, fail:
 			if q == nil || q.answered != "" {
 				p.fault("request %d is answered, which is not open", a.id)
@@ -372,8 +397,33 @@
 			p.fault("request %d goes out again, though it may have run", a.id)
 		case t.ran && p.semantics(q) == "zone" && p.zones[t.server] != p.zones[a.server]:
 			p.fault("request %d goes to another zone, where its repeat is not dropped", a.id)
-		case t.ran && p.semantics(q) != "free" && p.now >= t.at+p.window(q):
-			p.fault("request %d goes out again after the time in which its repeats are dropped", a.id)
+		case t.ran && p.semantics(q) != "free" && (p.now >= t.at+p.window(q) || p.now+a.unsent > t.at+p.window(q)):
+			p.fault("request %d may go out again after the time in which its repeats are dropped", a.id)
+		}
+	}
+}
+
+// written takes that an attempt has gone out.
+func (p *player) written(id, server int) {
+	p.tally["sent"]++
+	p.tally[p.names[server-1]]++
+	p.did["sent"] = append(p.did["sent"], id)
+	p.to[server] = true
+}
+
+// up lets the connections to a server come up: what still waits for one is written.
+func (p *player) up(server int) {
+	delete(p.late, server)
+	for _, id := range slices.Sorted(maps.Keys(p.asked)) {
+		q := p.asked[id]
+		for i := range q.tries {
+			if t := &q.tries[i]; t.server == server && t.late && !t.over {
+				if p.told[server] != balance.Ready || q.answered != "" {
+					p.fault("request %d goes to %s late, and has its answer or is none of its servers any more", id, p.names[server-1])
+				}
+				t.late = false
+				p.written(id, server)
+			}
 		}
 	}
 }
@@ -381,14 +431,18 @@
 // until lets time pass: timers come due, and attempts time out.
 func (p *player) until(end time.Duration) error {
 	for {
-		next, id, n := end+1, 0, -1
+		next, id, n, how := end+1, 0, -1, balance.TimedOut
 		for _, t := range p.timers {
 			next = min(next, t)
 		}
 		for _, k := range slices.Sorted(maps.Keys(p.asked)) {
 			for i, t := range p.asked[k].tries {
-				if !t.over && t.until < next {
-					next, id, n = t.until, k, i
+				last, as := t.until, balance.TimedOut
+				if t.late {
+					last, as = min(last, t.by), balance.NoConnection
+				}
+				if !t.over && last < next {
+					next, id, n, how = last, k, i, as
 				}
 			}
 		}
@@ -398,7 +452,7 @@
 		}
 		p.now = max(p.now, next)
 		if n >= 0 {
-			if err := p.ends(id, n, balance.TimedOut); err != nil {
+			if err := p.ends(id, n, how); err != nil {
 				return err
 			}
 			continue
--- /dev/null
+++ b/internal/sidecar/late_test.go
@@ -0,0 +1,173 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"arrowgw/internal/balance"
+)
+
+// late has connections to an address come up in the very moment in which whoever waits for one gives up, or when free
+// is closed. dialled hears of each as it is asked for.
+func (u *upstream) late(address string) (dialled chan struct{}, free chan struct{}) {
+	dialled, free = make(chan struct{}, 100), make(chan struct{})
+	dial := u.dial
+	u.dial = func(ctx context.Context, network, to string) (net.Conn, error) {
+		c, err := dial(context.Background(), network, to)
+		if to == address {
+			dialled <- struct{}{}
+			select {
+			case <-ctx.Done():
+			case <-free:
+			}
+		}
+		return c, err
+	}
+	return dialled, free
+}
+
+// A connection that comes up when its attempt may not be written any more does not carry it.
+func TestLateConnections(t *testing.T) {
+	for name, c := range map[string]struct {
+		until, by time.Duration
+		happens   func(x *exchange)
+		ending    balance.Ending
+	}{
+		"time-out":          {until: 20 * time.Millisecond, ending: balance.NoConnection},
+		"bound":             {until: generous, by: 20 * time.Millisecond, ending: balance.NoConnection},
+		"bound behind both": {until: 20 * time.Millisecond, by: generous, ending: balance.NoConnection},
+		"withdrawn":         {until: generous, happens: (*exchange).withdraw, ending: balance.NotSent},
+		"then cancelled":    {until: generous, happens: func(x *exchange) { x.withdraw(); x.cancel() }, ending: balance.NotSent},
+		"cancelled":         {until: generous, happens: (*exchange).cancel, ending: balance.Cancelled},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStub(t, echo)
+			u := testUpstream(t)
+			u.dialTimeout = 2 * generous
+			dialled, _ := u.late(s.address)
+			done, now := make(chan result, 1), u.clock.now()
+			if c.by > 0 {
+				c.by += now
+			}
+			x := u.send(s.address, testMessage("1"), now+c.until, c.by, func(r result) { done <- r })
+			wait(t, "its call for a connection", dialled)
+			if c.happens != nil {
+				c.happens(x)
+			}
+			if got := wait(t, "its end", done); got.ending != c.ending {
+				t.Errorf("ending %v, want %v", got.ending, c.ending)
+			}
+			u.dial = (&net.Dialer{}).DialContext
+			attempt(t, u, s.address, "2", generous)
+			if r := wait(t, "the next request", s.seen); r.Header.Get("X-Request-ID") != "2" {
+				t.Errorf("request %s went out", r.Header.Get("X-Request-ID"))
+			}
+		})
+	}
+}
+
+// What is being written, or was, is not withdrawn.
+func TestWithdrawnTooLate(t *testing.T) {
+	answer := make(chan struct{})
+	s := newStub(t, func(c net.Conn, r received) bool { <-answer; return echo(c, r) })
+	u := testUpstream(t)
+	done := make(chan result, 1)
+	x := u.send(s.address, testMessage("1"), u.clock.now()+generous, 0, func(r result) { done <- r })
+	wait(t, "the request", s.seen)
+	x.withdraw()
+	close(answer)
+	if got := wait(t, "its end", done); got.ending != balance.Served {
+		t.Errorf("ending %v, want %v", got.ending, balance.Served)
+	}
+}
+
+// slow is the rest of a body that comes only when a moment is over.
+type slow struct{ until time.Time }
+
+func (s slow) Read(b []byte) (int, error) {
+	time.Sleep(time.Until(s.until))
+	return copy(b, "end"), io.EOF
+}
+
+// A request whose bound passes while it is written is cut short: its server never has its last byte.
+func TestCutShortAtItsBound(t *testing.T) {
+	for _, name := range []string{"held", "long"} {
+		t.Run(name, func(t *testing.T) {
+			least := func(_, _ string, c syscall.RawConn) error { // the least buffer that the kernel gives
+				var failed error
+				err := c.Control(func(fd uintptr) { failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 1) })
+				return errors.Join(err, failed)
+			}
+			l, err := (&net.ListenConfig{Control: least}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			u := testUpstream(t)
+			dial := u.dial
+			u.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+				c, err := dial(ctx, network, address)
+				if err == nil {
+					err = c.(*net.TCPConn).SetWriteBuffer(1)
+				}
+				return c, err
+			}
+			m, by := testMessage("1"), u.clock.now()+50*time.Millisecond
+			m.body, m.length = long(bodyHeld), bodyHeld
+			if name == "long" {
+				body := &paced{body: slow{u.clock.at(by + time.Millisecond)}, deadline: func(time.Time) error { return nil }}
+				m.rest, m.length = newUpload(body), bodyHeld+3
+				m.rest.whole = func() { t.Error("the last byte went out") }
+			}
+			accepted := make(chan net.Conn, 1)
+			go func() {
+				if c, err := l.Accept(); err == nil {
+					accepted <- c
+				}
+			}()
+			done := make(chan result, 1)
+			u.send(l.Addr().String(), m, u.clock.now()+2*generous, by, func(r result) { done <- r })
+			server := wait(t, "the connection", accepted)
+			defer server.Close()
+			if name == "long" { // it reads, and the client is slow; else the client is quick, and nobody reads
+				go func() { _, _ = io.Copy(io.Discard, server) }()
+			}
+			if got := wait(t, "its end", done); got.ending != balance.NoConnection {
+				t.Errorf("ending %v, want %v", got.ending, balance.NoConnection)
+			}
+			if name == "held" {
+				if n, _ := io.Copy(io.Discard, server); n >= bodyHeld {
+					t.Errorf("%d bytes went out, all of it", n)
+				}
+			}
+		})
+	}
+}
+
+// A request that waits for its connection when its server is told to drain goes to another, and the connection that
+// comes up then carries nothing.
+func TestDrainMeetsALateConnection(t *testing.T) {
+	late, other := newStub(t, echo), newStub(t, echo)
+	l := idleLoop(t, late.address)
+	l.upstream.dialTimeout = 2 * generous
+	dialled, _ := l.upstream.late(late.address)
+	reply := make(chan answer, 1)
+	l.ask(balance.Request{Class: 1}, testMessage("1"), l.now+generous, reply)
+	l.next(t)
+	wait(t, "its call for a connection", dialled)
+	l.take(listing{servers: []balance.Server{{ID: serverID("s-0"), State: balance.Draining, Weight: 1},
+		{ID: serverID("s-1"), State: balance.Ready, Weight: 1}},
+		address: map[balance.ServerID]string{serverID("s-0"): late.address, serverID("s-1"): other.address}}, balance.ListDelta)
+	l.next(t) // its attempt ends
+	wait(t, "the request at the other server", other.seen)
+	l.next(t)
+	if a := wait(t, "its answer", reply); a.status != http.StatusOK || len(late.seen) > 0 {
+		t.Errorf("status %d, %d requests at the server that drains", a.status, len(late.seen))
+	}
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -363,9 +363,9 @@
 	l.outcome(balance.Outcome{ID: id, Attempt: number, Ending: res.ending, Load: res.load, Spent: r.message.spent()})
 }
 
-// Send starts an attempt, given up after timeout or at the client's deadline. Where the request is
-// over or out of attempts or time, or the server is not listed, nothing is sent.
-func (l *loop) Send(id balance.RequestID, to balance.ServerID, timeout time.Duration) {
+// Send starts an attempt, given up after timeout or at the client's deadline, and written within unsent if at all.
+// Where the request is over or out of attempts or time, or the server is not listed, nothing is sent.
+func (l *loop) Send(id balance.RequestID, to balance.ServerID, timeout, unsent time.Duration) {
 	r := l.requests[id]
 	if r == nil {
 		return // over, with all attempts ended: the module has forgotten it too
@@ -373,7 +373,8 @@
 	number, left := len(r.attempts), r.deadline-l.now
 	r.out++
 	address := l.address[to]
-	if spent := r.message.spent(); r.over || number >= l.most || left <= 0 || timeout < 0 || address == "" || spent {
+	never := r.over || number >= l.most || left <= 0 || timeout < 0 || unsent < 0 || address == ""
+	if spent := r.message.spent(); never || spent {
 		r.attempts = append(r.attempts, nil)
 		l.notSent = append(l.notSent, balance.Outcome{ID: id, Attempt: number, Ending: balance.NotSent, Spent: spent})
 		return
@@ -381,7 +382,10 @@
 	if timeout == 0 || timeout > left {
 		timeout = left
 	}
-	r.attempts = append(r.attempts, l.upstream.send(address, r.message, l.now+timeout, func(res result) {
+	if unsent > 0 {
+		unsent += l.now
+	}
+	r.attempts = append(r.attempts, l.upstream.send(address, r.message, l.now+timeout, unsent, func(res result) {
 		l.post(func(time.Duration) {
 			if res.stream != nil {
 				l.began(id, number, res)
@@ -419,6 +423,13 @@
 	}
 }
 
+// Withdraw calls off an attempt of which nothing has been written; another goes on.
+func (l *loop) Withdraw(id balance.RequestID, attempt int) {
+	if r := l.requests[id]; r != nil && attempt >= 0 && attempt < len(r.attempts) && r.attempts[attempt] != nil {
+		r.attempts[attempt].withdraw()
+	}
+}
+
 // Wake sees to a call of Balancer.Wake after d. Timers due at one moment share that call.
 func (l *loop) Wake(d time.Duration) {
 	due := l.now + max(d, 0)
--- a/internal/sidecar/loop_test.go
+++ b/internal/sidecar/loop_test.go
@@ -54,7 +54,7 @@
 	l := idleLoop(t, s.address)
 	r, reply := l.hold(7)
 	to := serverID("s-0")
-	l.Send(7, to, 0)
+	l.Send(7, to, 0, 0)
 	l.next(t)
 	if a := wait(t, "the answer", reply); a.status != http.StatusOK || string(a.body) != "first" {
 		t.Fatalf("answer %+v", a)
@@ -65,7 +65,7 @@
 	l.requests[7] = r // as if another attempt were out
 	l.Refuse(7, time.Second)
 	l.Fail(7)
-	l.Send(7, to, 0)
+	l.Send(7, to, 0, 0)
 	if len(reply) != 0 || len(l.notSent) != 1 || l.notSent[0] != (balance.Outcome{ID: 7, Attempt: 1, Ending: balance.NotSent}) {
 		t.Errorf("%d more answers, not sent %+v, want none and attempt 1", len(reply), l.notSent)
 	}
@@ -81,7 +81,7 @@
 	s := newStub(t, silent)
 	l := idleLoop(t, s.address)
 	r, reply := l.hold(7)
-	l.Send(7, serverID("s-0"), 0)
+	l.Send(7, serverID("s-0"), 0, 0)
 	wait(t, "the request", s.seen)
 	l.Fail(7)
 	if a := wait(t, "the answer", reply); a.status != http.StatusGatewayTimeout {
@@ -105,14 +105,14 @@
 	l.hold(7)
 	to := serverID("s-0")
 	for range 3 {
-		l.Send(7, to, 0)
+		l.Send(7, to, 0, 0)
 	}
-	l.Send(7, to, 0)
+	l.Send(7, to, 0, 0)
 	l.hold(8)
-	l.Send(8, serverID("unheard of"), 0)
-	l.Send(8, to, -time.Second)
+	l.Send(8, serverID("unheard of"), 0, 0)
+	l.Send(8, to, -time.Second, 0)
 	l.now += 2 * generous
-	l.Send(8, to, 0)
+	l.Send(8, to, 0, 0)
 	want := []balance.Outcome{
 		{ID: 7, Attempt: 3, Ending: balance.NotSent}, {ID: 8, Attempt: 0, Ending: balance.NotSent},
 		{ID: 8, Attempt: 1, Ending: balance.NotSent}, {ID: 8, Attempt: 2, Ending: balance.NotSent},
--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -122,10 +122,17 @@
 }
 
 // steady writes a long body to a server, which may read it slowly but not stand still.
-type steady struct{ *conn }
+type steady struct {
+	*conn
+	last time.Time // nothing is written behind it; zero: no such bound
+}
 
 func (s steady) Write(b []byte) (int, error) {
-	_ = s.conn.SetWriteDeadline(time.Now().Add(stillTime)) // fails only on a closed connection
+	until := time.Now().Add(stillTime)
+	if !s.last.IsZero() && s.last.Before(until) {
+		until = s.last
+	}
+	_ = s.conn.SetWriteDeadline(until) // fails only on a closed connection
 	return s.conn.Write(b)
 }
 
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -66,6 +66,7 @@
 	probePath   string
 	written     atomic.Uint64            // attempts whose last byte was written
 	yield       func(upstreams int) bool // has clients make room for one more connection than so many
+	dial        func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu      sync.Mutex
 	most    int                // connections at most
@@ -103,6 +104,7 @@
 		most:      cfg.upstreamConns(1),
 		probePath: "/alive",
 		yield:     func(int) bool { return true },
+		dial:      (&net.Dialer{KeepAlive: -1}).DialContext, // no use against a silent machine; the time-outs are
 		idle:      make(map[string][]*conn),
 	}
 	if cfg.Policy.Reports != 0 {
@@ -113,8 +115,12 @@
 
 // exchange is one attempt or probe under way.
 type exchange struct {
+	by time.Duration // its request's last byte goes out by then or never; 0: no such bound
+
 	mu        sync.Mutex
 	cancelled bool
+	withdrawn bool   // before any of it was written
+	writes    bool   // its request is being written, or was
 	stop      func() // ends what it is at: dialling, or its connection
 }
 
@@ -128,19 +134,55 @@
 	}
 }
 
-// begin enters what cancel has to end from now on. It returns false if the exchange is given up
-// already, and then enters nothing: a second cancel must not close a connection that has gone back
-// to the pool and may serve another exchange by then.
-func (x *exchange) begin(stop func()) bool {
+// withdraw calls the exchange off if nothing of its request has been written, and from then on nothing will be.
+func (x *exchange) withdraw() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.cancelled {
+	if x.writes || x.cancelled {
+		return
+	}
+	x.withdrawn = true
+	if x.stop != nil {
+		x.stop()
+	}
+}
+
+// begin enters what cancel has to end from now on, and whether that is writing and what comes after it. It returns
+// false if the exchange is given up already, and then enters nothing: a second cancel must not close a connection that
+// has gone back to the pool and may serve another exchange by then.
+func (x *exchange) begin(writes bool, stop func()) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.cancelled || x.withdrawn {
 		return false
 	}
-	x.stop = stop
+	x.writes, x.stop = writes, stop
 	return true
 }
 
+// bound is the earlier of a moment and the one by which the request has to have gone out.
+func (x *exchange) bound(t time.Duration) time.Duration {
+	if x.by == 0 {
+		return t
+	}
+	return min(t, x.by)
+}
+
+// neverRan is the ending where the request's last byte did not go out.
+func (u *upstream) neverRan(x *exchange, m *message) balance.Ending {
+	x.mu.Lock()
+	withdrawn, cancelled := x.withdrawn, x.cancelled
+	x.mu.Unlock()
+	switch {
+	case withdrawn:
+		return balance.NotSent
+	case cancelled || m != nil && m.rest != nil && m.rest.stopped.Load():
+		return balance.Cancelled
+	}
+	u.count(&u.failed.unsent)
+	return balance.NoConnection
+}
+
 func (x *exchange) givenUp() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -148,9 +190,10 @@
 }
 
 // send starts an attempt that is given up at until; the time of one whose body still comes begins with its last
-// byte. Its end goes to done, once, and before that the beginning of an answer that streams.
-func (u *upstream) send(address string, m *message, until time.Duration, done func(result)) *exchange {
-	x := new(exchange)
+// byte. What has not gone out at by never does; 0 is no such bound. Its end goes to done, once, and before that the
+// beginning of an answer that streams.
+func (u *upstream) send(address string, m *message, until, by time.Duration, done func(result)) *exchange {
+	x := &exchange{by: by}
 	go func() {
 		header := maps.Clone(m.header)
 		req := &http.Request{Method: m.method, URL: m.url, Host: m.host, Header: header}
@@ -200,24 +243,17 @@
 func (u *upstream) exchange(
 	x *exchange, address string, req *http.Request, m *message, until time.Duration, begin func(*http.Response, *stream),
 ) (*http.Response, []byte, balance.Ending) {
-	unsent := func() balance.Ending {
-		if x.givenUp() || m != nil && m.rest != nil && m.rest.stopped.Load() {
-			return balance.Cancelled
-		}
-		u.count(&u.failed.unsent)
-		return balance.NoConnection
-	}
-	c, err := u.connect(x, address, until)
+	c, err := u.connect(x, address, x.bound(until))
 	if err != nil {
-		return nil, nil, unsent()
+		return nil, nil, u.neverRan(x, m)
 	}
 	stop := func() { c.Conn.Close() }
 	if m != nil && m.rest != nil {
 		stop = func() { c.Conn.Close(); m.rest.interrupt() }
 	}
-	if !x.begin(stop) { // given up in the meantime: nothing may go out any more
+	if !x.begin(true, stop) { // given up in the meantime: nothing may go out any more
 		u.keepIdle(address, c)
-		return nil, nil, balance.Cancelled
+		return nil, nil, u.neverRan(x, m)
 	}
 	if m != nil {
 		left := until - u.clock.now()
@@ -226,9 +262,9 @@
 		}
 		req.Header.Set("X-Timeout", strconv.FormatInt(max(1, left.Milliseconds()), 10)+"m")
 	}
-	if until, err = u.write(c, req, m, until); err != nil {
+	if until, err = u.write(x, c, req, m, until); err != nil {
 		u.discard(c)
-		return nil, nil, unsent()
+		return nil, nil, u.neverRan(x, m)
 	}
 	_ = c.SetDeadline(u.clock.at(until)) // fails only on a closed connection, as the read then does
 	res, err := c.head(req)
@@ -241,7 +277,7 @@
 		body, err = c.body(res)
 	}
 	switch {
-	case err == nil && !res.Close && c.r.Buffered() == 0 && x.begin(nil):
+	case err == nil && !res.Close && c.r.Buffered() == 0 && x.begin(true, nil):
 		u.keepIdle(address, c)
 	default: // broken, to be closed, with bytes left over behind the answer, or given up
 		u.discard(c)
@@ -267,10 +303,14 @@
 }
 
 // write sends a request's head and body, and returns until when its answer may take: a client's time begins with
-// its last byte.
-func (u *upstream) write(c *conn, req *http.Request, m *message, until time.Duration) (time.Duration, error) {
+// its last byte. Nothing goes out behind the exchange's bound, so that a request which passes it is cut short.
+func (u *upstream) write(x *exchange, c *conn, req *http.Request, m *message, until time.Duration) (time.Duration, error) {
 	if m != nil && m.rest != nil {
-		out := bufio.NewWriterSize(steady{c}, pieceSize)
+		last := time.Time{}
+		if x.by > 0 {
+			last = u.clock.at(x.by)
+		}
+		out := bufio.NewWriterSize(steady{c, last}, pieceSize)
 		if err := req.Write(out); err != nil {
 			return 0, err
 		}
@@ -286,7 +326,7 @@
 	if err := req.Write(&out); err != nil {
 		return 0, err
 	}
-	_ = c.SetDeadline(u.clock.at(until)) // fails only on a closed connection, as the write then does
+	_ = c.SetDeadline(u.clock.at(x.bound(until))) // fails only on a closed connection, as the write then does
 	if _, err := c.Write(out.Bytes()); err != nil {
 		return 0, err
 	}
@@ -342,12 +382,10 @@
 	limit := min(u.dialTimeout, until-u.clock.now())
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	if !x.begin(cancel) {
+	if !x.begin(false, cancel) {
 		cancel()
 	}
-	var d net.Dialer
-	d.KeepAlive = -1 // no use against a silent machine; the time-outs are
-	raw, err := d.DialContext(ctx, "tcp", address)
+	raw, err := u.dial(ctx, "tcp", address)
 	if err != nil {
 		u.mu.Lock()
 		u.open--
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -27,7 +27,7 @@
 func attempt(t *testing.T, u *upstream, address, id string, limit time.Duration) result {
 	t.Helper()
 	done := make(chan result, 2)
-	u.send(address, testMessage(id), u.clock.now()+limit, func(r result) { done <- r })
+	u.send(address, testMessage(id), u.clock.now()+limit, 0, func(r result) { done <- r })
 	return wait(t, "the end of an attempt", done)
 }
 
@@ -169,7 +169,7 @@
 		t.Errorf("ending %v, %d open, want served over the one connection", got.ending, u.open)
 	}
 	done := make(chan result, 1)
-	x := u.send(mute.address, testMessage("3"), u.clock.now()+generous, func(r result) { done <- r })
+	x := u.send(mute.address, testMessage("3"), u.clock.now()+generous, 0, func(r result) { done <- r })
 	wait(t, "the request", mute.seen)
 	if got := attempt(t, u, a.address, "4", generous); got.ending != balance.NoConnection {
 		t.Errorf("ending %v, want %v", got.ending, balance.NoConnection)
@@ -232,7 +232,7 @@
 	s := newStub(t, silent)
 	u := testUpstream(t)
 	done := make(chan result, 2)
-	x := u.send(s.address, testMessage("1"), u.clock.now()+generous, func(r result) { done <- r })
+	x := u.send(s.address, testMessage("1"), u.clock.now()+generous, 0, func(r result) { done <- r })
 	wait(t, "the request", s.seen)
 	x.cancel()
 	x.cancel()
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -15,6 +15,7 @@
 	id      balance.RequestID
 	to      balance.ServerID
 	timeout time.Duration
+	unsent  time.Duration
 }
 
 // fakeHost records the actions of a Balancer.
@@ -23,6 +24,7 @@
 	refused   map[balance.RequestID]time.Duration
 	failed    map[balance.RequestID]bool
 	cancelled []balance.RequestID
+	withdrawn []balance.RequestID
 	wakes     []time.Duration
 	probes    []balance.ServerID
 	closes    []balance.ServerID
@@ -39,9 +41,14 @@
 	h.trace = append(h.trace, fmt.Sprintf(format, args...))
 }
 
-func (h *fakeHost) Send(id balance.RequestID, to balance.ServerID, timeout time.Duration) {
-	h.sends = append(h.sends, sent{id, to, timeout})
-	h.note("send %d %d %v", id, to, timeout)
+func (h *fakeHost) Send(id balance.RequestID, to balance.ServerID, timeout, unsent time.Duration) {
+	h.sends = append(h.sends, sent{id, to, timeout, unsent})
+	h.note("send %d %d %v %v", id, to, timeout, unsent)
+}
+
+func (h *fakeHost) Withdraw(id balance.RequestID, attempt int) {
+	h.withdrawn = append(h.withdrawn, id)
+	h.note("withdraw %d %d", id, attempt)
 }
 
 func (h *fakeHost) Refuse(id balance.RequestID, pause time.Duration) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -468,8 +468,14 @@
 	}
 }
 
-// send is the one place that sends, to a server that pick found: mayGo lets the request go there.
+// send is the one place that sends, to a server that pick found: mayGo lets the request go there. A keyed
+// repeat has to be written by its window's end, however late its connection comes up. No margin is taken off
+// for the wire: the first attempt went out later than sent, from which this counts.
 func (b *Balancer) send(now time.Duration, r *request, s *server) {
+	unsent := time.Duration(0)
+	if first := r.ran(); first != nil && r.class.Effect == balance.Keyed {
+		unsent = first.sent + r.class.Window - now
+	}
 	s.coldAt = now + b.coldGap(now, s)
 	r.attempts = append(r.attempts, attempt{to: s, sent: now})
 	b.hold(r, s, 1)
@@ -481,7 +487,7 @@
 		b.count.Crossed++
 	}
 	b.paced(r, &r.attempts[len(r.attempts)-1], r.coming)
-	b.host.Send(r.id, s.ID, r.useful-now)
+	b.host.Send(r.id, s.ID, r.useful-now, unsent)
 }
 
 // coldGap spaces sends to a cold server: each balancer keeps an even part of what it may be sent.
@@ -914,16 +920,16 @@
 	b.settle(r)
 }
 
-// settle closes a request that has its answer: out of the queue, attempts called off.
+// settle closes a request that needs no more attempts: out of the queue, the one that is out called off.
 func (b *Balancer) settle(r *request) {
 	r.over = true
 	r.home.queue = slices.DeleteFunc(r.home.queue, func(o *request) bool { return o == r })
-	for i := range r.attempts {
-		if r.attempts[i].state == inFlight && b.cfg.MayCancel {
-			b.host.Cancel(r.id, i)
-		}
-	}
 	if r.out == 0 {
 		b.forget(r)
+		return
+	}
+	b.host.Withdraw(r.id, len(r.attempts)-1)
+	if b.cfg.MayCancel {
+		b.host.Cancel(r.id, len(r.attempts)-1)
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1355,3 +1355,48 @@
 		}
 	}
 }
+
+// What still waits for its connection is withdrawn once it may not be written any more, allowed to cancel or not, and
+// whoever still wants an answer then gets another server.
+func TestWithdrawn(t *testing.T) {
+	list := func(kind balance.ListKind, s balance.State, ids ...balance.ServerID) func(*Balancer) {
+		entries := ready(ids...)
+		for i := range entries {
+			entries[i].State = s
+		}
+		return func(b *Balancer) { b.List(ms, kind, entries) }
+	}
+	set := func(r balance.Rules) func(*Balancer) { return func(b *Balancer) { b.Rules(ms, r) } }
+	for name, c := range map[string]struct {
+		happens         func(*Balancer)
+		withdrawn, more bool
+	}{
+		"drains":          {list(balance.ListDelta, balance.Draining, 1), true, true},
+		"gone":            {list(balance.ListDelta, balance.Gone, 1), true, true},
+		"in no full list": {list(balance.ListFull, balance.Ready, 2), true, true},
+		"out by hand":     {func(b *Balancer) { b.TakeOut(ms, 1) }, true, true},
+		"out by the set":  {set(balance.Rules{Servers: map[balance.ServerID]float64{1: 0}}), true, true},
+		"another drains":  {list(balance.ListDelta, balance.Draining, 2), false, false},
+		"restarted": {func(b *Balancer) {
+			b.List(ms, balance.ListDelta, []balance.Server{{ID: 1, State: balance.Ready, Started: ms}})
+		}, false, false},
+		"its client leaves":  {func(b *Balancer) { b.ClientGone(ms, 1) }, true, false},
+		"its time is over":   {func(b *Balancer) { b.Wake(2 * time.Second) }, true, false},
+		"its answer streams": {func(b *Balancer) { b.StreamBegun(ms, 1, 0) }, false, false},
+	} {
+		cfg := testConfig()
+		cfg.MayCancel = false
+		b, h := start(t, cfg, ready(1))
+		ask(b, 0, 1, unsafeClass)
+		b.List(0, balance.ListDelta, ready(2))
+		if c.happens(b); (len(h.withdrawn) > 0) != c.withdrawn || len(h.cancelled) > 0 {
+			t.Errorf("%s: withdrawn %v, cancelled %v, want withdrawn: %v", name, h.withdrawn, h.cancelled, c.withdrawn)
+		}
+		if c.withdrawn {
+			end(b, 2*ms, 1, 0, balance.NotSent)
+		}
+		if h.sentTo(2) == 1 != c.more || b.SlotsFree(0) != 6-len(h.sends)+1 && c.withdrawn {
+			t.Errorf("%s: sent %v, %d slots free; want another server: %v", name, h.sends, b.SlotsFree(0), c.more)
+		}
+	}
+}
--- a/policy/random_test.go
+++ b/policy/random_test.go
@@ -52,6 +52,8 @@
 	sent time.Duration
 	end  balance.Ending
 	out  bool
+	late bool // it still waits for its connection
+	back bool // and was withdrawn
 }
 
 func (a *asked) mayHaveRun() *tried {
@@ -67,7 +69,7 @@
 	w.trace = append(w.trace, fmt.Sprintf(format, args...))
 }
 
-func (w *world) Send(id balance.RequestID, to balance.ServerID, timeout time.Duration) {
+func (w *world) Send(id balance.RequestID, to balance.ServerID, timeout, unsent time.Duration) {
 	w.note("send %d %d %v", id, to, timeout)
 	a, s := w.held[id], w.listed[to]
 	switch {
@@ -87,8 +89,8 @@
 		switch {
 		case class.Effect == balance.Unsafe:
 			w.t.Fatalf("rule 2: unsafe request %d sent again though it may have run", id)
-		case class.Effect == balance.Keyed && w.now-first.sent >= class.Window:
-			w.t.Fatalf("rule 2: keyed request %d sent again %v after the first send", id, w.now-first.sent)
+		case class.Effect == balance.Keyed && w.now+cmp.Or(unsent, timeout) > first.sent+class.Window:
+			w.t.Fatalf("rule 2: keyed request %d may be sent again %v after the first send", id, w.now+cmp.Or(unsent, timeout)-first.sent)
 		case class.Effect == balance.Keyed && class.Scope == balance.ScopeZone && s.Zone != first.to.Zone,
 			class.Effect == balance.Keyed && class.Scope == balance.ScopeCell && s.Cell != first.to.Cell:
 			w.t.Fatalf("rule 2: keyed request %d sent outside its group", id)
@@ -118,7 +120,27 @@
 			w.t.Fatalf("rule 6: %d further attempts in %v, in which %d requests were taken", n, b.Span, taken)
 		}
 	}
-	a.tries = append(a.tries, tried{to: s, sent: w.now, out: true})
+	a.tries = append(a.tries, tried{to: s, sent: w.now, out: true, late: id%2 == 0})
+}
+
+func (w *world) Withdraw(id balance.RequestID, attempt int) {
+	w.note("withdraw %d %d", id, attempt)
+	if tr := &w.held[id].tries[attempt]; tr.out && tr.late {
+		tr.back = true
+	}
+}
+
+// waits checks that nothing waits for a connection that may not be used when it comes up.
+func (w *world) waits() {
+	for id, a := range w.held {
+		for _, tr := range a.tries {
+			s, listed := w.listed[tr.to.ID]
+			leaves := !listed || s.State != balance.Ready || excluded(w.set, s)
+			if tr.out && tr.late && !tr.back && (a.answered || leaves) {
+				w.t.Fatalf("request %d, answered %v, still waits for its connection to server %d, %+v", id, a.answered, tr.to.ID, s)
+			}
+		}
+	}
 }
 
 // out counts the attempts that are out.
@@ -306,6 +328,7 @@
 		w.step(pick)
 		w.drains()
 		w.account()
+		w.waits()
 	}
 	for range 600 { // everything left is answered in time
 		w.now += 5 * ms
@@ -386,7 +409,11 @@
 		id := w.order[pick(len(w.order))]
 		for i := range w.held[id].tries {
 			if w.held[id].tries[i].out {
-				w.end(id, i, []balance.Ending{balance.Served, balance.Errored, balance.TurnedAway, balance.NoConnection, balance.Broken, balance.Cancelled, balance.NotSent}[pick(7)])
+				e := []balance.Ending{balance.Served, balance.Errored, balance.TurnedAway, balance.NoConnection, balance.Broken, balance.Cancelled, balance.NotSent}[pick(7)]
+				if w.held[id].tries[i].back {
+					e = balance.NotSent
+				}
+				w.end(id, i, e)
 				return
 			}
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -205,7 +205,8 @@
 }
 
 // weigh works out the weights of the servers that take part. The set's multiples keep their sum: the same for
-// all changes nothing. What is excluded counts into full, as what has left does: others' portions stay.
+// all changes nothing. What is excluded counts into full, as what has left does: others' portions stay. What
+// waits for its connection to a server that takes no part any more is withdrawn, and may go elsewhere.
 func (b *Balancer) weigh(now time.Duration) {
 	listed, set := 0.0, 0.0
 	b.weight = 0
@@ -224,6 +225,11 @@
 			b.weight += s.told
 		}
 	}
+	for _, r := range b.open {
+		if i := len(r.attempts) - 1; r.out > 0 && !r.attempts[i].to.stands() {
+			b.host.Withdraw(r.id, i)
+		}
+	}
 	b.full = max(b.full, listed)
 	for _, s := range b.ready() {
 		s.Weight *= b.weight / set
