See a client leave though bytes of its connection are still to be read

Cause: net/http hears of a client's leaving as it reads, and it reads one byte behind a request at most and nothing of a body that waits to be sent on. A close behind a further byte, behind pipelined requests, or behind the rest of a long body was seen only when the request had gone to a server; and one whose client had left before it was read went out at once.

TestClientLeavesWhileItWaits was seen to fail without the looks in between (one byte more, requests behind, a long body, half of one; with and without leave to cancel), and without the withdrawal (nothing more, no leave to cancel); TestClientLeftBeforeItWasRead without the first look.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // reusePort is SO_REUSEPORT on Linux, which package syscall does not name.
@@ -269,6 +271,26 @@
 	return true
 }
 
+// left tells whether the client of ctx's connection has closed it, or its sending side. net/http hears of that as it
+// reads, and reads no further than one byte behind a request, nor into a body that waits to be sent on: so the kernel
+// is asked, which knows of the end whatever is still to be read before it.
+func (l *clients) left(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*clientConn).Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true
+	}
+	p := []unix.PollFd{{Events: unix.POLLRDHUP}}
+	err = raw.Control(func(fd uintptr) {
+		p[0].Fd = int32(fd)
+		_, _ = unix.Poll(p, 0) // what it can't tell, reading will
+	})
+	return err != nil || p[0].Revents != 0
+}
+
 // crowded tells whether so many open requests are more than there is room for, and whether this process leaves.
 func (l *clients) crowded(open int64) (full, leaving bool) {
 	l.mu.Lock()
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -21,6 +21,7 @@
 	headTime    = 2500 * time.Millisecond // a client may take this long over a head; one that connects is owed an end in 3 s
 	writeTime   = 2 * time.Second         // and this long to take its answer
 	clientIdle  = 2250 * time.Millisecond // a connection may stand idle for so long; it is safe to close after 2 s
+	leftEvery   = 100 * time.Millisecond  // how often it is looked whether a client that waits is still there
 	headerLimit = 32 << 10
 	longestWait = time.Hour // figures above this mean the same to everyone
 )
@@ -135,20 +136,32 @@
 		m.rest.whole = sync.OnceFunc(func() { f.uploads.Add(-1) })
 		defer m.rest.whole()
 	}
-	id := f.loop.ask(q, m, arrived+left, reply)
-	select {
-	case a := <-reply:
-		f.reply(w, r, q.Class, a, m.rest)
-	case err := <-broken:
-		f.loop.gone(id)
-		m.rest.stop()
-		f.rejectBody(w, err)
-	case <-r.Context().Done(): // the client has closed its connection
-		f.loop.gone(id)
+	if f.clients.left(r.Context()) { // while the request waited to be read
+		panic(http.ErrAbortHandler) // net/http's way to close the connection with no answer
+	}
+	id, look := f.loop.ask(q, m, arrived+left, reply), time.NewTicker(leftEvery)
+	defer look.Stop()
+	for ctx := r.Context(); ; {
+		select {
+		case a := <-reply:
+			f.reply(w, r, q.Class, a, m.rest)
+			return
+		case err := <-broken:
+			f.loop.gone(id)
+			m.rest.stop()
+			f.rejectBody(w, err)
+			return
+		case <-look.C:
+			if !f.clients.left(ctx) {
+				continue
+			}
+		case <-ctx.Done():
+		}
+		f.loop.gone(id) // the client has closed its connection
 		if m.rest != nil {
 			m.rest.stop()
 		}
-		panic(http.ErrAbortHandler) // net/http's way to close it with no answer
+		panic(http.ErrAbortHandler)
 	}
 }
 
--- a/internal/sidecar/front_test.go
+++ b/internal/sidecar/front_test.go
@@ -43,29 +43,10 @@
 // What rules bar is refused with a time to come back, and no attempt is made.
 func TestBarred(t *testing.T) {
 	s := newStub(t, echo)
-	cfg := testConfig(t, listed(1, "ready", s.address), nil)
-	c := newClock()
-	l, err := newLoop(cfg, c, newUpstream(cfg, c))
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	go l.run(ctx, cfg.Known)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	k := newClients(cfg, listener, l.upstream.connections)
-	k.share(8, 16)
-	f := newFront(cfg, c, l, k)
-	f.ready.Store(true)
+	f, side, serve := assembled(t, s.address, nil)
 	var serves atomic.Bool
 	f.serves = serves.Load
-	server := f.server()
-	go server.Serve(k)
-	defer server.Close()
-	side := &running{url: "http://" + listener.Addr().String()}
+	serve()
 	for path, pause := range map[string]bool{"/up": false, "/look": true} {
 		if res, _ := do(t, side.request(t, "GET", path, "")); res.StatusCode != http.StatusServiceUnavailable || (res.Header.Get("Retry-After") != "") != pause {
 			t.Errorf("GET %s: %s, headers %v", path, res.Status, res.Header)
--- a/internal/sidecar/late_test.go
+++ b/internal/sidecar/late_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -171,3 +173,106 @@
 		t.Errorf("status %d, %d requests at the server that drains", a.status, len(late.seen))
 	}
 }
+
+// assembled is the application's side before one server, with a listener that nobody serves yet.
+func assembled(t *testing.T, address string, edit func(file, settings map[string]any)) (*front, *running, func()) {
+	t.Helper()
+	cfg := testConfig(t, listed(1, "ready", address), edit)
+	c := newClock()
+	l, err := newLoop(cfg, c, newUpstream(cfg, c))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	k := newClients(cfg, listener, l.upstream.connections)
+	k.share(8, 16)
+	f := newFront(cfg, c, l, k)
+	f.ready.Store(true)
+	server := f.server()
+	t.Cleanup(func() { server.Close() })
+	return f, &running{url: "http://" + listener.Addr().String()}, func() {
+		go l.run(ctx, cfg.Known)
+		go server.Serve(k)
+	}
+}
+
+// A client that leaves while its request waits for a connection is sent nowhere, be cancelling allowed or not, and
+// whatever it has sent that is still to be read: a close behind that shows to no reader.
+func TestClientLeavesWhileItWaits(t *testing.T) {
+	body := string(long(bodyHeld + 4<<10))
+	short := head("1", "Content-Length: 0")
+	for name, sends := range map[string][2]string{ // at once, and when its attempt waits
+		"nothing more":    {short, ""},
+		"one byte more":   {short, "G"},
+		"requests behind": {short, strings.Repeat(head("2", "Content-Length: 0"), 40)},
+		"a long body":     {head("1", fmt.Sprintf("Content-Length: %d", len(body))) + body, ""},
+		"half of one":     {head("1", fmt.Sprintf("Content-Length: %d", len(body)+1<<10)) + body, ""},
+	} {
+		for _, mayCancel := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, cancel %v", name, mayCancel), func(t *testing.T) {
+				s := newStub(t, echo)
+				f, side, serve := assembled(t, s.address, func(_, settings map[string]any) {
+					settings["caps"].(map[string]any)["may_cancel"] = mayCancel
+					entry := settings["classes"].([]any)[1].(map[string]any) // no time-out may end it before the test does
+					entry["aim_ms"], entry["hard_limit_ms"] = 10*generous.Milliseconds(), 10*generous.Milliseconds()
+				})
+				f.loop.upstream.dialTimeout = 2 * generous
+				dialled, free := f.loop.upstream.late(s.address)
+				serve()
+				c := side.dial(t)
+				if _, err := io.WriteString(c, strings.Replace(sends[0], "20000m", "200000m", 1)); err != nil {
+					t.Fatal(err)
+				}
+				wait(t, "its call for a connection", dialled)
+				if _, err := io.WriteString(c, sends[1]); err != nil {
+					t.Fatal(err)
+				}
+				c.Close()
+				f.until(t, "the request to be let go", func() bool { return f.held.Load() == 0 })
+				close(free)
+				f.until(t, "its attempt to end", func() bool { return len(f.loop.requests) == 0 })
+				if len(s.seen) > 0 {
+					t.Errorf("request %s was sent on", wait(t, "it", s.seen).Header.Get("X-Request-ID"))
+				}
+			})
+		}
+	}
+}
+
+// until waits for something that the loop's goroutine tells.
+func (f *front) until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end, there := time.Now().Add(generous), false; !there; time.Sleep(time.Millisecond) {
+		if err := f.loop.do(context.Background(), func(time.Duration) { there = holds() }); err != nil {
+			t.Fatal(err)
+		}
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
+
+// A client that had left before its request was read is sent nowhere.
+func TestClientLeftBeforeItWasRead(t *testing.T) {
+	s := newStub(t, echo)
+	f, side, serve := assembled(t, s.address, nil)
+	c := side.dial(t)
+	if _, err := io.WriteString(c, head("1", "Content-Length: 0")); err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	serve()
+	f.until(t, "its connection to come and go", func() bool {
+		f.clients.mu.Lock()
+		defer f.clients.mu.Unlock()
+		return f.clients.peak > 0 && len(f.clients.conns) == 0
+	})
+	if f.loop.lastID.Load() > 0 {
+		t.Error("the module had the request")
+	}
+}
