Tell zones apart that the settings do not name

Cause: parseListing gave every server of a zone that the settings don't name the number -1, so that all such zones were one. A keyed request of scope zone that may have run in one could go again in another, where its repeat is not dropped.

Change: each unnamed zone has a number of its own below 0.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -82,9 +82,10 @@
 		if e.InstanceID == "" {
 			return listing{}, fmt.Errorf("instance %d has no instanceId", i)
 		}
-		s := balance.Server{ID: serverID(e.InstanceID), Zone: -1, Cell: e.Cell, Weight: e.Weight}
-		if zone, ok := zones[e.Zone]; ok {
-			s.Zone = zone
+		s := balance.Server{ID: serverID(e.InstanceID), Cell: e.Cell, Weight: e.Weight}
+		var known bool
+		if s.Zone, known = zones[e.Zone]; !known { // below 0, and each its own: a repeat may be bound to a zone
+			s.Zone = -1 - int(serverID(e.Zone)>>2)
 		}
 		if e.StartedAtMs > math.MaxInt64/float64(time.Millisecond)/2 { // no time of this clock
 			return listing{}, fmt.Errorf("instance %s: startedAtMs is %v", e.InstanceID, e.StartedAtMs)
