Reckon with an aim no longer than its class's deadline

Cause: a class's first pace is an eighth of its aim, and a wait is late two paces before the request's time is up. With an aim of four deadlines or more every wait was late as it began: nothing waited for a slot, nothing went again.

Measured: TestAimBeyondTheDeadline, without it: "1 attempts, 1 refused, want the second one at once".

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -91,6 +91,7 @@
 	b.parts, b.rng = make([]compartment, len(cfg.Compartments())), rand.New(rand.NewPCG(seed, 0))
 	b.pace, b.every = cfg.Classes[0].Aim/8, turnEvery.Seconds()
 	for _, c := range cfg.Classes {
+		c.Aim = min(c.Aim, c.Deadline) // nobody waits for longer
 		b.classes = append(b.classes, class{Class: c, pace: c.Aim / 8})
 		b.aim += c.Aim.Seconds() / float64(len(cfg.Classes))
 		b.worth += c.Worth / float64(len(cfg.Classes))
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1403,3 +1403,16 @@
 		}
 	}
 }
+
+// Guards against a class whose aim is beyond its deadline: a wait was late as soon as it began, so that nothing of it
+// waited for a slot or went again.
+func TestAimBeyondTheDeadline(t *testing.T) {
+	cfg := testConfig()
+	cfg.Classes[safeClass].Aim = 8 * cfg.Classes[safeClass].Deadline
+	b, h := start(t, cfg, ready(1, 2))
+	ask(b, 0, 1, safeClass)
+	end(b, 10*ms, 1, 0, balance.Errored)
+	if len(h.sends) != 2 {
+		t.Fatalf("%d attempts, %d refused, want the second one at once", len(h.sends), len(h.refused))
+	}
+}
