Let connections to servers rest 10 ms before they carry the next request

Connections were used again at once, so one that came with the next request out was passed on as that one's answer; a 503 with X-Not-Processed among them would have had work that runs once sent again.

Now a connection is used again once it has been idle for 10 ms: of several, the one used last among those that have been, so that the others can still end; if none has, the request waits for the one that will have been first, which costs no handshake. What comes until then is found before the write. One given back unused keeps its place: its server counts on.

Turned down: a new connection in place of the wait (a handshake, and no sooner); the longest idle one first (all stay open); answers held back for a while (all pay). An answer later than 10 ms can't be told from the next request's own.

The open row could not hold as it was: it sent the second answer at any time, however late. It now sends it as the next request comes or 3 ms on, three times in the row, and that request waits in the queue so that it goes out at once.

--- a/internal/conform/rows.go
+++ b/internal/conform/rows.go
@@ -166,7 +166,7 @@
 		servers(s.Servers)
 		s.Class, s.Tenant, s.As = cmp.Or(s.Class, "look"), cmp.Or(s.Tenant, "a"), cmp.Or(s.As, "served")
 		s.Left = cmp.Or(s.Left, conf.Duration(20*time.Second))
-		word(s.As, "served", "error", "full", "timeout", "noconn", "reset", "spoilt", "cut", "twice", "halved", "unsaid", "unsaid429", "over", "unproved", "elsewhere", "chunked", "chunked-cut", "closing", "unframed", "stalled", "stuck")
+		word(s.As, "served", "error", "full", "timeout", "noconn", "reset", "spoilt", "cut", "twice", "trailed", "halved", "unsaid", "unsaid429", "over", "unproved", "elsewhere", "chunked", "chunked-cut", "closing", "unframed", "stalled", "stuck")
 		word(s.List, "", "full", "delta", "failed")
 		word(s.Signal, "", "TERM", "HUP")
 		word(s.Disc, "", "silent", "moved", "down", "up", "stale")
--- a/internal/conform/standin.go
+++ b/internal/conform/standin.go
@@ -54,6 +54,9 @@
 	})
 }
 
+// trail is how long behind the first a second answer comes.
+const trail = 3 * time.Millisecond
+
 // standIn is a queue server: it takes what comes and answers as the row says, when it says so.
 type standIn struct {
 	id       string
@@ -146,7 +149,18 @@
 			}
 		}
 		n.story.end(id, how)
-		if !n.answer(c, id, how) || <-more != nil {
+		goes, answered := n.answer(c, id, how), time.Now()
+		if how == "trailed" {
+			select { // as the next request comes, where that is sooner
+			case err := <-more:
+				more <- err
+			case <-time.After(trail):
+			}
+			if time.Since(answered) < 2*trail { // one that comes later is none that the page tells of
+				_, _ = io.WriteString(c, made("stray")) // it fails where the sidecar has gone
+			}
+		}
+		if !goes || <-more != nil {
 			return
 		}
 	}
@@ -174,6 +188,7 @@
 		"stalled":     "HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n" + strings.Repeat("half", 50000),
 		"stuck":       "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhalf",
 		"served":      made(id),
+		"trailed":     made(id),
 		"twice":       made(id) + made("stray"),
 		"unsaid429":   "HTTP/1.1 429 Busy\r\nContent-Length: 0\r\n\r\n",
 		"reset":       "",
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -28,6 +29,8 @@
 	stillTime   = 5 * time.Second // a server may stand still for so long in a long body
 	interimMost = 8               // 1xx answers that are read over before the one that counts
 	idleMargin  = time.Second
+	// A second answer may come some milliseconds behind the first. It must find no request out on its connection.
+	quietTime = 10 * time.Millisecond
 )
 
 // message is a request as it goes on to an upstream, but for its time-out.
@@ -66,14 +69,17 @@
 	probePath   string
 	written     atomic.Uint64            // attempts whose last byte was written
 	yield       func(upstreams int) bool // has clients make room for one more connection than so many
+	quietTime   time.Duration            // how long a connection is idle at least before it is used again
+	after       func(time.Duration) <-chan time.Time
 
 	mu      sync.Mutex
 	most    int                // connections at most
-	idle    map[string][]*conn // by address, the most recently used last
+	idle    map[string][]*conn // by address, in the order of idleSince
 	open    int                // idle, in use or being opened
 	sweeper *time.Timer        // set while there are idle ones
 	dialled int
 	stale   int // idle ones found closed by their server, or with bytes left over
+	quiet   int // exchanges that waited as all idle ones had been used just now
 	failed  failures
 }
 
@@ -103,8 +109,10 @@
 		most:      cfg.upstreamConns(1),
 		probePath: "/alive",
 		yield:     func(int) bool { return true },
+		after:     time.After,
 		idle:      make(map[string][]*conn),
 	}
+	u.quietTime = min(quietTime, u.keep)
 	if cfg.Policy.Reports != 0 {
 		u.probePath = "/metrics/load"
 	}
@@ -216,7 +224,7 @@
 		stop = func() { c.Conn.Close(); m.rest.interrupt() }
 	}
 	if !x.begin(stop) { // given up in the meantime: nothing may go out any more
-		u.keepIdle(address, c)
+		u.keepIdle(address, c, c.kept)
 		return nil, nil, balance.Cancelled
 	}
 	if m != nil {
@@ -242,7 +250,7 @@
 	}
 	switch {
 	case err == nil && !res.Close && c.r.Buffered() == 0 && x.begin(nil):
-		u.keepIdle(address, c)
+		u.keepIdle(address, c, false)
 	default: // broken, to be closed, with bytes left over behind the answer, or given up
 		u.discard(c)
 	}
@@ -333,7 +341,7 @@
 		if c == nil {
 			break
 		}
-		if c.usable() {
+		if !u.quieten(x, c) || c.usable() {
 			return c, nil
 		}
 		u.count(&u.stale)
@@ -360,19 +368,40 @@
 	return c, nil
 }
 
-// take returns the most recently used idle connection, or nil once it has counted a new one that
-// is to be opened. At the limit an idle connection to another server makes room.
+// quieten waits until a connection has been idle for quietTime. It returns false if the exchange is given up.
+func (u *upstream) quieten(x *exchange, c *conn) bool {
+	left := c.idleSince + u.quietTime - u.clock.now()
+	if left <= 0 {
+		return true
+	}
+	u.count(&u.quiet)
+	off := make(chan struct{})
+	if !x.begin(sync.OnceFunc(func() { close(off) })) {
+		return false
+	}
+	select {
+	case <-u.after(left):
+		return true
+	case <-off:
+		return false
+	}
+}
+
+// take returns the idle connection that was used last of those that have been idle for quietTime, else the one that
+// will have been first; or nil once it has counted a new one that is to be opened. At the limit an idle connection to
+// another server makes room.
 func (u *upstream) take(address string) (*conn, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	fresh := u.clock.now() - u.keep
+	now := u.clock.now()
+	if old := u.idleBefore(address, now-u.quietTime); old > 0 && u.idle[address][old-1].idleSince <= now-u.keep {
+		u.drop(address, old) // even the last used of them is too old
+	}
 	if list := u.idle[address]; len(list) > 0 {
-		c := list[len(list)-1]
-		if c.idleSince > fresh {
-			u.idle[address] = list[:len(list)-1]
-			return c, nil
-		}
-		u.drop(address, len(list)) // even the last used is too old
+		i := max(0, u.idleBefore(address, now-u.quietTime)-1)
+		c := list[i]
+		u.idle[address] = slices.Delete(list, i, i+1)
+		return c, nil
 	}
 	if (u.open >= u.most || !u.yield(u.open)) && !u.dropOldest() {
 		return nil, errors.New("no descriptor is left for a connection")
@@ -382,6 +411,17 @@
 	return nil, nil
 }
 
+// idleBefore counts the connections to an address that have been idle since then or longer. The caller holds the lock.
+func (u *upstream) idleBefore(address string, then time.Duration) int {
+	n := 0
+	for _, c := range u.idle[address] {
+		if c.idleSince <= then {
+			n++
+		}
+	}
+	return n
+}
+
 // connections tells how many there are, in use, idle or being opened.
 func (u *upstream) connections() int {
 	u.mu.Lock()
@@ -427,13 +467,15 @@
 	}
 }
 
-// keepIdle puts a connection back.
-func (u *upstream) keepIdle(address string, c *conn) {
+// keepIdle puts a connection back. Where it was not used, its server has counted it as idle all the while.
+func (u *upstream) keepIdle(address string, c *conn, unused bool) {
 	_ = c.SetDeadline(time.Time{}) // a closed one is found out before it is used
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	c.idleSince, c.kept = u.clock.now(), true
-	u.idle[address] = append(u.idle[address], c)
+	if !unused {
+		c.idleSince, c.kept = u.clock.now(), true
+	}
+	u.idle[address] = slices.Insert(u.idle[address], u.idleBefore(address, c.idleSince), c)
 	if u.sweeper == nil {
 		u.sweeper = time.AfterFunc(u.keep, u.sweep)
 	}
@@ -496,7 +538,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return map[string]int{
-		"open": u.open, "dialled": u.dialled, "stale": u.stale, "unsent": u.failed.unsent, "reset": u.failed.reset,
+		"open": u.open, "dialled": u.dialled, "stale": u.stale, "quiet": u.quiet, "unsent": u.failed.unsent, "reset": u.failed.reset,
 		"resetKept": u.failed.resetKept, "unreadable": u.failed.unreadable, "timedOut": u.failed.timedOut,
 	}
 }
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -1,10 +1,12 @@
 package sidecar
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -127,6 +129,89 @@
 	}
 }
 
+// A second answer that comes some milliseconds late, when the next request is waiting for that connection, is found
+// and passed on to nobody: a 503 among them would have what runs once sent again.
+func TestSecondAnswerIsNobodys(t *testing.T) {
+	const more = "HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
+	first := make(chan net.Conn, 1)
+	s := newStub(t, func(c net.Conn, r received) bool {
+		if r.conn == 0 && r.Header.Get("X-Request-ID") == "1" {
+			first <- c
+		} else if r.conn == 0 { // with no pause the request is here before the second answer
+			_, _ = c.Write([]byte(more)) // fails only where the sidecar has gone, which it has not
+		}
+		return echo(c, r)
+	})
+	u := testUpstream(t)
+	waits, quiet := make(chan time.Duration, 1), make(chan time.Time)
+	u.after = func(d time.Duration) <-chan time.Time { waits <- d; return quiet }
+	u.quietTime = u.keep // however long the test is held up, it has not passed
+	attempt(t, u, s.address, "1", generous)
+	kept, done := u.idle[s.address][0], make(chan result, 2)
+	u.send(s.address, testMessage("2"), u.clock.now()+generous, func(r result) { done <- r })
+	select {
+	case <-waits:
+		if _, err := wait(t, "the first connection", first).Write([]byte(more)); err != nil {
+			t.Fatal(err)
+		}
+		for end := time.Now().Add(generous); kept.usable(); time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("the second answer has not come")
+			}
+		}
+		close(quiet)
+	case r := <-done:
+		done <- r
+	case <-time.After(generous):
+		t.Fatal("the second request neither waits nor ends")
+	}
+	if r := wait(t, "its end", done); r.ending != balance.Served || string(r.body) != "done 2" {
+		t.Fatalf("ending %v, body %q, want its own answer", r.ending, r.body)
+	}
+	if u.dialled != 2 || u.stale != 1 || u.open != 1 {
+		t.Errorf("dialled %d, stale %d, open %d, want 2, 1, 1", u.dialled, u.stale, u.open)
+	}
+}
+
+// Of several idle connections the one that was used last is taken, of those that have been idle for long enough, so
+// that the others can end; else the one that will have been first. One that was given back unused has been idle all
+// the while: its server counts on.
+func TestWhichConnectionIsTaken(t *testing.T) {
+	u := testUpstream(t)
+	now := u.clock.now()
+	for name, c := range map[string]struct {
+		ages []time.Duration
+		want int // by its place in ages; -1: a new one
+	}{
+		"all quiet":    {[]time.Duration{3 * time.Second, 2 * time.Second, time.Second}, 2},
+		"last too new": {[]time.Duration{3 * time.Second, 2 * time.Second, 0}, 1},
+		"all too new":  {[]time.Duration{2 * time.Millisecond, 0}, 0},
+		"old and new":  {[]time.Duration{u.keep, 0}, 1},
+		"too old":      {[]time.Duration{u.keep}, -1},
+	} {
+		u.idle, u.open = map[string][]*conn{}, len(c.ages)
+		u.quietTime = time.Second / 2 // the test may be held up
+		var all []*conn
+		for _, age := range c.ages {
+			a, b := net.Pipe()
+			defer b.Close()
+			all = append(all, &conn{Conn: a, idleSince: now - age, kept: true})
+		}
+		u.idle["a"] = slices.Clone(all)
+		got, err := u.take("a")
+		if at := slices.Index(all, got); err != nil || at != c.want {
+			t.Errorf("%s: took the one at %d (%v), want %d", name, at, err, c.want)
+		}
+		if got != nil {
+			since := got.idleSince
+			u.keepIdle("a", got, true)
+			if list := u.idle["a"]; got.idleSince != since || !slices.IsSortedFunc(list, func(a, b *conn) int { return cmp.Compare(a.idleSince, b.idleSince) }) {
+				t.Errorf("%s: given back unused, it is not where it was", name)
+			}
+		}
+	}
+}
+
 // Nor is one used, or kept open, that has been idle for nearly as long as its server allows.
 func TestOldConnectionsAreRetired(t *testing.T) {
 	s := newStub(t, echo)
