Read "never ran" only from one plain promise, and no answer as whole at its limit

Every read of TurnedAway and NoConnection was held against the protocol's table. Two could be read as more than they prove. A 503 with X-Not-Processed said twice, in two ways, went by the first. And an answer with no length whose head nearly fills the 512 KiB that are read ended, for the reader, where those did, so that what was left off passed for a whole answer.

The others hold and now have a row each in TestEndings: a 503 cut short, in its head, with no last chunk, with two lengths, reset with no length; one that is whole with no length, or with more behind it; a 200 with no length and a reset; chunks with no end.

Without the change two rows fail: "503, two promises" (ending TurnedAway, want Errored), "left off at limit" (Errored, want Broken).

--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -175,7 +175,7 @@
 			return
 		}
 		out := result{ending: balance.Errored, load: u.load(res.Header.Get("X-Server-Load"))}
-		switch never := res.Header.Get("X-Not-Processed") == "1"; {
+		switch never := slices.Equal(res.Header["X-Not-Processed"], []string{"1"}); { // said in two ways it proves nothing
 		case res.StatusCode == http.StatusOK:
 			out.ending, out.header, out.body = balance.Served, res.Header, body
 		case never && (res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusGatewayTimeout):
@@ -248,6 +248,9 @@
 	default:
 		body, err = c.body(res)
 	}
+	if err == nil && c.limit.N <= 0 {
+		err = errors.New("the answer is too long") // else one with no length would pass for whole where it was left off
+	}
 	switch {
 	case err == nil && !res.Close && c.r.Buffered() == 0 && x.begin(nil):
 		u.keepIdle(address, c, false)
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -36,6 +36,7 @@
 // Every kind of answer has its ending; a connection is kept only behind a whole and clean one.
 func TestEndings(t *testing.T) {
 	long := strings.Repeat("x", bodyHeld+1)
+	atLimit := "HTTP/1.0 500 No\r\nX-A: " + strings.Repeat("x", answerLimit-29) + "\r\n\r\n" // but for two bytes of its body
 	for name, c := range map[string]struct {
 		answer string
 		ending balance.Ending
@@ -52,6 +53,18 @@
 		"over already":        {"HTTP/1.1 504 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", balance.TurnedAway, true},
 		"503 with no promise": {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", balance.Errored, true},
 		"500 with a promise":  {"HTTP/1.1 500 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n", balance.Errored, true},
+		"503, no length":      {"HTTP/1.0 503 No\r\nX-Not-Processed: 1\r\n\r\nfull", balance.TurnedAway, false},
+		"503 with more":       {"HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 2\r\n\r\nfull", balance.TurnedAway, false},
+		"503 cut short":       {"HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 20\r\n\r\nfull", balance.Broken, false},
+		"503, head cut short": {"HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Len", balance.Broken, false},
+		"503, no last chunk":  {"HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n", balance.Broken, false},
+		"503, two lengths":    {"HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 4\r\nContent-Length: 2\r\n\r\nfull", balance.Broken, false},
+		"503, two promises":   {"HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nX-Not-Processed: 0\r\nContent-Length: 0\r\n\r\n", balance.Errored, true},
+		"200 with a promise":  {"HTTP/1.1 200 OK\r\nX-Not-Processed: 1\r\nContent-Length: 2\r\n\r\nhi", balance.Served, true},
+		"503, reset":          {"HTTP/1.0 503 No\r\nX-Not-Processed: 1\r\n\r\nfull", balance.Broken, false},
+		"200, reset":          {"HTTP/1.0 200 OK\r\n\r\nhi", balance.Broken, false},
+		"chunked, no end":     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n", balance.Broken, false},
+		"left off at limit":   {atLimit + "hihi", balance.Broken, false},
 		"no HTTP":             {"SMTP ready\r\n\r\n", balance.Broken, false},
 		"cut short":           {"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhi", balance.Broken, false},
 		"error too long":      {fmt.Sprintf("HTTP/1.1 500 No\r\nContent-Length: %d\r\n\r\n%s", len(long), long), balance.Broken, false},
@@ -64,6 +77,9 @@
 					return ok(conn, "again")
 				}
 				_, _ = conn.Write([]byte(c.answer)) // fails where the sidecar has had enough of it
+				if strings.HasSuffix(name, ", reset") {
+					_ = conn.(*net.TCPConn).SetLinger(0) // it only makes the end a reset
+				}
 				return c.kept || name == "bytes left over" || name == "to be closed" || name == "headers without end"
 			})
 			u := testUpstream(t)
