--- a/policy/policy.go
+++ b/policy/policy.go
@@ -91,6 +91,7 @@
 	b.parts, b.rng = make([]compartment, len(cfg.Compartments())), rand.New(rand.NewPCG(seed, 0))
 	b.pace, b.every = cfg.Classes[0].Aim/8, turnEvery.Seconds()
 	for _, c := range cfg.Classes {
+		c.Aim = min(c.Aim, c.Deadline) // nobody waits for longer
 		b.classes = append(b.classes, class{Class: c, pace: c.Aim / 8})
 		b.aim += c.Aim.Seconds() / float64(len(cfg.Classes))
 		b.worth += c.Worth / float64(len(cfg.Classes))
@@ -360,7 +361,7 @@
 	if b.fleet > sharersMost {
 		at = wholeMany
 	}
-	if float64(b.out) >= max(1, b.whole()*ease(b.crowd/at)) {
+	if float64(b.out) >= max(1, b.whole(ease(b.crowd/at))) {
 		b.count.Held++
 		return false
 	}
@@ -372,17 +373,16 @@
 	return false
 }
 
-// whole is the wall over all attempts while no server is crowded: what our own traffic holds at the aim, by
-// Little's law. The slots are sized for the busiest balancer: those of eighty together are far more than
-// their servers bear. It shrinks by the servers that fail: what they lose is not to fall on the others.
-func (b *Balancer) whole() float64 {
-	well := 0
-	for _, s := range b.arc {
-		if s.fails < restAfter {
-			well++
-		}
+// whole is the concurrency limit over all attempts: the slots, or while answers tell of crowding the share
+// this leaves of what our own traffic holds at the aim, by Little's law: slots are sized for the busiest, and
+// eighty times these are more than servers bear. Less by what fails: it is not to fall on the others.
+func (b *Balancer) whole(eased float64) float64 {
+	limit := float64(b.slots)
+	if eased < 1 {
+		limit = eased * min(limit, wholeFree+b.rate*b.aim)
 	}
-	return min(float64(b.slots), wholeFree+b.rate*b.aim) * float64(well) / max(1, float64(len(b.arc)))
+	well := slices.DeleteFunc(slices.Clone(b.arc), func(s *server) bool { return s.fails >= restAfter })
+	return limit * float64(len(well)) / max(1, float64(len(b.arc)))
 }
 
 // further gives a request whose attempts have all failed another one, or ends it.
@@ -392,6 +392,10 @@
 		!r.mayRepeat(now, nil) || b.spent(now):
 		b.finish(r)
 	case !b.dispatch(now, r):
+		if b.feed(now); len(r.home.queue) >= r.home.places { // its slot may serve one that waits
+			b.finish(r)
+			return
+		}
 		r.home.queue = slices.Insert(r.home.queue, 0, r) // it has waited already: to the front
 	}
 }
