Give up a silent watch in time, open it at once, and spread the watches of a fleet

The watch was given up at wait + 2 s, the moment its news count as told. The module paused 125 to 375 ms (up to 100 more until its next look). And all six watches had begun together and ended together: discovery works off a call in 229 ms there, one after the other, and refuses what would wait over 1 s.

Now each watch draws its wait between 10 and 20 s, its answer may be 0.75 s late, and one that got none is opened anew at once, on a new connection: it is no failure, and the module's pauses for those stay. Ruled out: the module (it sends nothing from the news on), the loop's queue, the old connection (each call after a silence has a new one, up within 2 ms).

TestFleetOpensSilentWatchesInTurn and the rows of TestNewsAreHeardBeforeTheyCount fail without this: last news 1.37 s (6 sidecars), 2.7 s and 7.0 s (300) behind their bound; with waits of 20 s and all the rest 0.12, 1.45 and 4.45 s.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -20,16 +20,24 @@
 )
 
 const (
-	watchWait  = 20 * time.Second // how long discovery may hold a watch
+	watchLeast = 10 * time.Second // how long discovery may hold a watch, at least
+	watchMost  = 20 * time.Second // and at most: each draws its own, or watches that fall silent together would all be opened anew together
 	firstWait  = time.Millisecond // and the first after a start or a failure: the module waits for word
-	answerTime = 2 * time.Second  // and how long its answer may take besides
-	listTime   = 6 * time.Second  // how long it may take over the whole list
+
+	// Limits of calls. What a silent one misses counts as told 2 s after its wait, or 6 s after it fell silent, or 4 s after a SIGHUP: by
+	// then the next one has to be answered, and in turn after other sidecars' (docs/list.md).
+	answerTime = 750 * time.Millisecond // for the answer of a watch, behind its wait
+	listTime   = 6 * time.Second        // and up to this where the ones before got none: lists may be long
+
 	firstRetry = 200 * time.Millisecond
 	lastRetry  = 500 * time.Millisecond // with jitter and a call within 1 s: what was pushed meanwhile counts once discovery is back
 	staleRetry = 2 * time.Second        // and between whole lists, or to wait for changes, where its word is older than what is held
 	listLimit  = 8 << 20                // bytes of one answer; far above any real list
 )
 
+// errSilent says that a call got no answer within its limit.
+var errSilent = errors.New("discovery gave no answer")
+
 // unknown is no version: the whole list is needed.
 const unknown = int64(-1)
 
@@ -120,8 +128,10 @@
 	taking   sync.Mutex // held while news go on to the loop, so that they do so in order
 	versions *versions  // of the list that the loop holds; changed only with taking held
 	now      func() time.Duration
+	draw     func() float64 // from 0 to 1: a watch's part between the shortest and the longest
 	pause    func(context.Context, time.Duration)
 	keep     func(v *versions, durable bool)
+	dial     func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu      sync.Mutex
 	address string
@@ -140,11 +150,14 @@
 func newDiscovery(cfg *Config, heard func(listing), failed func()) *discovery {
 	d := &discovery{address: cfg.Discovery, zones: cfg.Zones, heard: heard, failed: failed, now: newClock().now, pause: pause}
 	d.versions, d.keep = recall(cfg, keptList{}, time.Time{}, d.now()), func(*versions, bool) {}
+	d.draw, d.dial = rand.Float64, new(net.Dialer).DialContext
 	if cfg.Policy.AskList {
 		d.asked = make(chan struct{}, 1)
 	}
 	// Calls to discovery change nothing there, so the standard client may repeat one on a new connection.
-	d.client.Transport = &http.Transport{MaxIdleConns: 1, DisableCompression: true}
+	d.client.Transport = &http.Transport{MaxIdleConns: 1, DisableCompression: true, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		return d.dial(ctx, network, address)
+	}}
 	return d
 }
 
@@ -233,20 +246,23 @@
 // the whole list first where there is none. A call that fails takes nothing away from what is held, and
 // discovery is one for all sidecars: when many start or fail at once, whole lists keep it from the others. After an
 // answer older than what is held it asks for whole lists, now and then, until it knows whether that was stale or
-// discovery has begun anew. It tells whether any call went well.
+// discovery has begun anew. A watch that has fallen silent is opened anew at once: that is no failure of discovery, and
+// the time until its news count as told is short. It tells whether any call went well.
 func (d *discovery) follow(ctx context.Context, address string) (heard bool, err error) {
-	for {
-		wait := firstWait
-		if heard {
-			wait = watchWait
-		}
+	for wait := firstWait; ; {
 		query, limit := d.query(wait)
+		watch := query != "" && wait != firstWait
 		l, err := d.call(ctx, address, query, limit)
-		if err != nil {
+		switch silent := errors.Is(err, errSilent); {
+		case silent && watch:
+			slog.Warn("discovery is silent", "query", query)
+			wait = firstWait
+			continue
+		case err != nil:
 			return heard, err
 		}
 		l.whole = l.whole || query == ""
-		heard = true
+		heard, wait = true, watchLeast+time.Duration(d.draw()*float64(watchMost-watchLeast))
 		if again := d.take(l); again > 0 {
 			if d.pause(ctx, again); ctx.Err() != nil {
 				return heard, ctx.Err()
@@ -339,9 +355,14 @@
 	return l, err
 }
 
-func (d *discovery) get(ctx context.Context, address, query string, limit time.Duration) (listing, error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
+func (d *discovery) get(ctx context.Context, address, query string, limit time.Duration) (l listing, err error) {
+	ctx, cancel := context.WithTimeoutCause(ctx, limit, errSilent)
 	defer cancel()
+	defer func() {
+		if err != nil && context.Cause(ctx) == errSilent {
+			err = fmt.Errorf("%w within %v: %w", errSilent, limit, err)
+		}
+	}()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/discovery/hosts"+query, nil)
 	if err != nil {
 		return listing{}, err
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -75,6 +75,7 @@
 	d := newDiscovery(cfg, func(l listing) { heard <- l }, func() { failed <- struct{}{} })
 	var clock atomic.Int64
 	d.now, d.pause = func() time.Duration { return time.Duration(clock.Load()) }, func(_ context.Context, by time.Duration) { clock.Add(int64(by)) }
+	d.draw = func() float64 { return 1 }
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { d.run(ctx); close(ended) }()
--- /dev/null
+++ b/internal/sidecar/watch_test.go
@@ -0,0 +1,299 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// follower is a sidecar's discovery with its loop and module, for a synctest bubble: dial is its network.
+func follower(t *testing.T, cfg *Config, dial func(ctx context.Context, network, address string) (net.Conn, error), heard func(listing)) (d *discovery, stop func()) {
+	t.Helper()
+	c := newClock()
+	l, err := newLoop(cfg, c, newUpstream(cfg, c))
+	if err != nil {
+		t.Fatal(err)
+	}
+	d = newDiscovery(cfg, func(news listing) { heard(news); l.list(news) }, l.listFailed)
+	d.now, d.dial, d.draw, l.watch = c.now, dial, rand.New(rand.NewPCG(cfg.Seed, 0)).Float64, d.ask
+	ctx, cancel := context.WithCancel(context.Background())
+	go l.run(ctx, cfg.Known)
+	go d.run(ctx)
+	return d, cancel
+}
+
+// quiet keeps what a test's sidecars log to itself.
+func quiet(t *testing.T) {
+	before := slog.Default()
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	t.Cleanup(func() { slog.SetDefault(before) })
+}
+
+// query is what a call asked for: changes since a version, for so long, or (-1) the whole list.
+func query(r *http.Request) (since int64, wait time.Duration) {
+	since, err := strconv.ParseInt(r.URL.Query().Get("index"), 10, 64)
+	if err != nil {
+		since = unknown
+	}
+	ms, _ := strconv.Atoi(r.URL.Query().Get("wait")) // none: no wait
+	return since, time.Duration(ms) * time.Millisecond
+}
+
+// Whatever one call for the list meets, the next one brings the news before they count as told and the grace of a drain is over:
+// on virtual time, and over the module's own pauses.
+func TestNewsAreHeardBeforeTheyCount(t *testing.T) {
+	quiet(t)
+	const (
+		waited = 2 * time.Second // behind a watch's wait its news count
+		silent = 6 * time.Second // and so long after a call without one fell silent
+		moved  = 4 * time.Second // and so long after a SIGHUP
+	)
+	for _, row := range []struct {
+		name, how string
+		grace     time.Duration
+		calls     string        // what they meet, one after the other; "!": from then (a watch: from its wait's end) news count
+		by        time.Duration // after so long
+	}{
+		{"a watch falls silent", "ask", 250, "none hold!", waited},
+		{"and the next call is refused", "ask", 250, "none hold! busy", waited},
+		{"and the next call waits in vain for its turn", "ask", 1000, "none hold! full", waited},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			for seed := range 20 {
+				synctest.Test(t, func(t *testing.T) {
+					cfg := testConfig(t, listed(1, "ready", "127.0.0.1:80"), func(file, settings map[string]any) {
+						file["seed"], settings["discovery"] = strconv.Itoa(seed+1), row.how
+						rules := settings["rules"].(map[string]any)
+						rules["stop_sending_within_ms"], rules["ask_within_ms"] = float64(row.grace), 10000.0
+					})
+					var (
+						mu       sync.Mutex
+						d        *discovery
+						from, at time.Time
+						n        int
+					)
+					calls := strings.Fields(row.calls)
+					meets := func(wait time.Duration, only ...string) string { // the next call; of these kinds only
+						mu.Lock()
+						defer mu.Unlock()
+						if n >= len(calls) && len(only) == 0 {
+							n++
+							return map[bool]string{true: "news", false: "hold"}[n == len(calls)+1]
+						} else if n >= len(calls) || len(only) > 0 && !slices.Contains(only, strings.TrimSuffix(calls[n], "!")) {
+							return ""
+						}
+						n++
+						what, counts := strings.CutSuffix(calls[n-1], "!")
+						what, move, _ := strings.Cut(what, "+")
+						if counts {
+							from = time.Now().Add(wait)
+						}
+						to := map[string][]string{"move": {strconv.Itoa(n) + ":80"}, "twice": {"x:80", "y:80"}, "back": {"x:80", cfg.Discovery}}[move]
+						if len(to) > 0 {
+							go func() {
+								time.Sleep(50 * time.Millisecond) // into the pause after a failure
+								mu.Lock()
+								defer mu.Unlock()
+								from = time.Now()
+								for _, address := range to {
+									d.move(address)
+								}
+							}()
+						}
+						return what
+					}
+					answer := func(c net.Conn) {
+						defer c.Close()
+						for in := bufio.NewReader(c); ; {
+							r, err := http.ReadRequest(in)
+							if err != nil {
+								return
+							}
+							since, wait := query(r)
+							switch meets(wait) {
+							case "none":
+								ok(c, `{"generation":1,"reset":false,"instances":[]}`)
+							case "news":
+								ok(c, strings.Replace(listed(2, "draining", "127.0.0.1:80"), "true", strconv.FormatBool(since == unknown), 1))
+							case "hold":
+								_, _ = io.Copy(io.Discard, in) // until the other side gives up
+							case "full":
+								time.Sleep(time.Second)
+								fallthrough
+							case "busy":
+								fmt.Fprint(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+							case "cut":
+								return
+							}
+						}
+					}
+					dial := func(ctx context.Context, _, _ string) (net.Conn, error) {
+						switch meets(0, "refuse", "hang", "hang+move") {
+						case "refuse":
+							return nil, io.ErrUnexpectedEOF
+						case "hang":
+							<-ctx.Done()
+							return nil, ctx.Err()
+						}
+						near, far := net.Pipe()
+						go answer(far)
+						return near, nil
+					}
+					mu.Lock()
+					var stop func()
+					d, stop = follower(t, cfg, dial, func(l listing) {
+						mu.Lock()
+						defer mu.Unlock()
+						if l.version == 2 && at.IsZero() {
+							at = time.Now()
+						}
+					})
+					mu.Unlock()
+					defer stop()
+					time.Sleep(2 * time.Minute)
+					mu.Lock()
+					defer mu.Unlock()
+					if late := at.Sub(from) - row.by - row.grace*time.Millisecond; from.IsZero() || at.IsZero() || late > 0 {
+						t.Errorf("seed %d: heard %v after the bound, at %v, after %d calls", seed, late, at, n)
+					}
+				})
+			}
+		})
+	}
+}
+
+// All watches of a fleet begin together, as a change of the list ends them, and fall silent together. Discovery bears so many new ones
+// in turn, no more: each sidecar hears before the news count for it, and asks once.
+func TestFleetOpensSilentWatchesInTurn(t *testing.T) {
+	quiet(t)
+	const timeout, grace, again = time.Second, 250 * time.Millisecond, 200 * time.Millisecond
+	for _, fleet := range []struct {
+		n    int
+		each time.Duration // discovery's work for a call
+	}{{6, 229 * time.Millisecond}, {300, 9 * time.Millisecond}, {300, 19 * time.Millisecond}} {
+		t.Run(fmt.Sprint(fleet), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var (
+					mu            sync.Mutex
+					free          time.Time // discovery has worked off what it took
+					calls, failed int       // since the silence
+					version       = int64(1)
+					changed       = make(chan struct{})
+					silenced      = make(chan struct{})
+					stops         []func()
+					told          = make([]time.Time, fleet.n)
+					heard         = make([]time.Time, fleet.n)
+				)
+				locked := func(f func()) { mu.Lock(); defer mu.Unlock(); f() }
+				change := func() { version++; close(changed); changed = make(chan struct{}) }
+				serve := func(i int, c net.Conn) {
+					defer c.Close()
+					in, last := bufio.NewReader(c), time.Time{}
+					for {
+						r, err := http.ReadRequest(in)
+						if err != nil {
+							return
+						}
+						since, wait := query(r)
+						begun, late := time.Now(), false
+						if begun.Sub(last) > again { // no watch that goes on
+							locked(func() {
+								at := begun
+								if free.After(at) {
+									at = free
+								}
+								calls++
+								if late = at.Add(fleet.each).Sub(begun) > timeout; late {
+									failed++
+								} else {
+									free = at.Add(fleet.each)
+								}
+							})
+							if late {
+								fmt.Fprint(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+								continue
+							}
+							time.Sleep(time.Until(free))
+						}
+						var news, silence chan struct{}
+						locked(func() { news, silence, late = changed, silenced, version > since })
+						ends := time.After(wait - time.Since(begun))
+						if late {
+							ends = time.After(0)
+						}
+						select {
+						case <-news:
+						case <-ends:
+						case <-silence:
+							locked(func() { told[i] = later(time.Now().Add(6*time.Second), begun.Add(wait+2*time.Second)) })
+							_, _ = io.Copy(io.Discard, in)
+							return
+						}
+						var text string
+						locked(func() { text = listed(int(version), "draining", "127.0.0.1:80") })
+						ok(c, strings.Replace(text, "true", "false", 1))
+						last = time.Now()
+					}
+				}
+				for i := range fleet.n {
+					cfg := testConfig(t, listed(1, "ready", "127.0.0.1:80"), func(file, settings map[string]any) {
+						file["seed"], settings["discovery"] = strconv.Itoa(i+1), "ask"
+						settings["balancers"], settings["me"] = fleet.n, i
+						settings["rules"].(map[string]any)["ask_within_ms"] = 10000.0
+					})
+					dial := func(context.Context, string, string) (net.Conn, error) {
+						near, far := net.Pipe()
+						go serve(i, far)
+						return near, nil
+					}
+					_, stop := follower(t, cfg, dial, func(l listing) {
+						locked(func() {
+							if l.version == 3 && heard[i].IsZero() {
+								heard[i] = time.Now()
+							}
+						})
+					})
+					stops = append(stops, stop)
+				}
+				time.Sleep(8 * time.Second)
+				locked(change)
+				time.Sleep(time.Second)
+				locked(func() { close(silenced); silenced = make(chan struct{}); calls, failed = 0, 0; change() })
+				time.Sleep(time.Minute)
+				for _, stop := range stops {
+					stop()
+				}
+				time.Sleep(time.Minute) // what discovery still holds ends
+				silent, worst := 0, -time.Hour
+				for i := range fleet.n {
+					if !told[i].IsZero() {
+						silent++
+						worst = max(worst, heard[i].Sub(told[i]))
+					}
+				}
+				if silent < fleet.n*9/10 || worst > grace || failed > 0 {
+					t.Errorf("%d watches were silent, of %d; the last news %v behind their bound; %d calls, %d in vain", silent, fleet.n, worst, calls, failed)
+				}
+			})
+		})
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
