Give up a first call for the list after 2.5 s, so that the next is answered in time

The call after a start, a failure or a move had 6 s, and what it misses once it is silent counts as told 6 s after, or 4 s after a SIGHUP.

Eight rows of TestNewsAreHeardBeforeTheyCount. Six fail without this: silent after a start, and a new address that is silent, moved to while a watch is open, in the pause after a failure, twice, twice at once, and back at once: news 1.4 to 1.95 s too late.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -26,8 +26,9 @@
 
 	// Limits of calls. What a silent one misses counts as told 2 s after its wait, or 6 s after it fell silent, or 4 s after a SIGHUP: by
 	// then the next one has to be answered, and in turn after other sidecars' (docs/list.md).
-	answerTime = 750 * time.Millisecond // for the answer of a watch, behind its wait
-	listTime   = 6 * time.Second        // and up to this where the ones before got none: lists may be long
+	answerTime = 750 * time.Millisecond  // for the answer of a watch, behind its wait
+	firstTime  = 2500 * time.Millisecond // for that of another call,
+	listTime   = 6 * time.Second         // and up to this where the ones before got none: lists may be long
 
 	firstRetry = 200 * time.Millisecond
 	lastRetry  = 500 * time.Millisecond // with jitter and a call within 1 s: what was pushed meanwhile counts once discovery is back
@@ -132,6 +133,7 @@
 	pause    func(context.Context, time.Duration)
 	keep     func(v *versions, durable bool)
 	dial     func(ctx context.Context, network, address string) (net.Conn, error)
+	unheard  int // calls other than watches that got no answer in time, one after the other
 
 	mu      sync.Mutex
 	address string
@@ -258,9 +260,13 @@
 			slog.Warn("discovery is silent", "query", query)
 			wait = firstWait
 			continue
+		case silent:
+			d.unheard = min(d.unheard+1, 8)
+			return heard, err
 		case err != nil:
 			return heard, err
 		}
+		d.unheard = 0
 		l.whole = l.whole || query == ""
 		heard, wait = true, watchLeast+time.Duration(d.draw()*float64(watchMost-watchLeast))
 		if again := d.take(l); again > 0 {
@@ -309,17 +315,18 @@
 	d.taking.Lock()
 	defer d.taking.Unlock()
 	since, older := d.versions.doubted(d.now())
+	first := min(firstTime<<d.unheard, listTime)
 	switch {
 	case d.versions.watched():
 		since = d.versions.top
 	case older:
 		wait = staleRetry
 	default:
-		return "", listTime
+		return "", first
 	}
 	limit = wait + answerTime
 	if wait == firstWait {
-		limit = wait + listTime
+		limit = wait + first
 	}
 	return fmt.Sprintf("?index=%d&wait=%d", since, wait.Milliseconds()), limit
 }
--- a/internal/sidecar/watch_test.go
+++ b/internal/sidecar/watch_test.go
@@ -69,6 +69,14 @@
 		{"a watch falls silent", "ask", 250, "none hold!", waited},
 		{"and the next call is refused", "ask", 250, "none hold! busy", waited},
 		{"and the next call waits in vain for its turn", "ask", 1000, "none hold! full", waited},
+		{"a first call falls silent", "ask", 250, "hold!", silent},
+		{"and the next waits in vain", "ask", 250, "hold! full", silent},
+		{"moved while a watch is open", "ask", 250, "none hold+move!", moved},
+		{"and the new address is silent", "ask", 250, "none hold+move! hold", moved},
+		{"moved in the pause after a failure", "ask", 250, "busy+move! hold", moved},
+		{"moved twice", "ask", 250, "none hold+move hold+move! hold", moved},
+		{"moved twice at once", "ask", 250, "none hold+twice! hold", moved},
+		{"moved and back at once", "ask", 250, "none hold+back! hold", moved},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			for seed := range 20 {
