Give the connection to discovery a limit of its own

A connection that never came up cost the whole limit of its call. It now has 400 ms, doubled after each that did not come up, for networks that take longer; a lost first packet would be sent again only after 1 s.

Rows of TestNewsAreHeardBeforeTheyCount with a connection that hangs, four of which fail without this (1.05 to 1.2 s too late).

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -26,9 +26,10 @@
 
 	// Limits of calls. What a silent one misses counts as told 2 s after its wait, or 6 s after it fell silent, or 4 s after a SIGHUP: by
 	// then the next one has to be answered, and in turn after other sidecars' (docs/list.md).
-	answerTime = 750 * time.Millisecond  // for the answer of a watch, behind its wait
-	firstTime  = 2500 * time.Millisecond // for that of another call,
-	listTime   = 6 * time.Second         // and up to this where the ones before got none: lists may be long
+	answerTime  = 750 * time.Millisecond  // for the answer of a watch, behind its wait
+	firstTime   = 2500 * time.Millisecond // for that of another call,
+	listTime    = 6 * time.Second         // and up to this where the ones before got none: lists may be long
+	connectTime = 400 * time.Millisecond  // for the connection: a lost packet or a machine that is off costs no more. It doubles likewise
 
 	firstRetry = 200 * time.Millisecond
 	lastRetry  = 500 * time.Millisecond // with jitter and a call within 1 s: what was pushed meanwhile counts once discovery is back
@@ -139,6 +140,7 @@
 	address string
 	leave   context.CancelFunc // ends what is under way at that address
 	calls   calls
+	hung    int // connections that did not come up in time, one after the other
 }
 
 // calls count what discovery was asked, for the log: all sidecars share its one capacity.
@@ -157,12 +159,28 @@
 		d.asked = make(chan struct{}, 1)
 	}
 	// Calls to discovery change nothing there, so the standard client may repeat one on a new connection.
-	d.client.Transport = &http.Transport{MaxIdleConns: 1, DisableCompression: true, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-		return d.dial(ctx, network, address)
-	}}
+	d.client.Transport = &http.Transport{MaxIdleConns: 1, DisableCompression: true, DialContext: d.connect}
 	return d
 }
 
+// connect opens a connection to discovery, with a limit of its own.
+func (d *discovery) connect(ctx context.Context, network, address string) (net.Conn, error) {
+	d.mu.Lock()
+	limit := min(connectTime<<d.hung, listTime)
+	d.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	conn, err := d.dial(ctx, network, address)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err == nil {
+		d.hung = 0
+	} else if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		d.hung = min(d.hung+1, 8)
+	}
+	return conn, err
+}
+
 // ask takes that the module wants to be subscribed to the list.
 func (d *discovery) ask() {
 	select {
--- a/internal/sidecar/watch_test.go
+++ b/internal/sidecar/watch_test.go
@@ -67,12 +67,17 @@
 		by        time.Duration // after so long
 	}{
 		{"a watch falls silent", "ask", 250, "none hold!", waited},
+		{"and the next connection does not come up", "ask", 250, "none hold! hang", waited},
 		{"and the next call is refused", "ask", 250, "none hold! busy", waited},
 		{"and the next call waits in vain for its turn", "ask", 1000, "none hold! full", waited},
 		{"a first call falls silent", "ask", 250, "hold!", silent},
 		{"and the next waits in vain", "ask", 250, "hold! full", silent},
+		{"two connections hang, and a call falls silent", "ask", 250, "hang hang hold!", silent},
 		{"moved while a watch is open", "ask", 250, "none hold+move!", moved},
 		{"and the new address is silent", "ask", 250, "none hold+move! hold", moved},
+		{"and its connection hangs, and it is busy", "ask", 250, "none hold+move! hang full", moved},
+		{"moved while a connection hangs", "ask", 250, "hang+move! hold", moved},
+		{"moved while a first call is silent", "ask", 250, "hold+move! hang busy", moved},
 		{"moved in the pause after a failure", "ask", 250, "busy+move! hold", moved},
 		{"moved twice", "ask", 250, "none hold+move hold+move! hold", moved},
 		{"moved twice at once", "ask", 250, "none hold+twice! hold", moved},
