Go by the settings' drain grace where lists are pushed and discovery is away

What is pushed counts at once, with or without a watch, and is to be kept within rules.stop_sending_within_ms, which the sidecar did not read: its pauses of up to 750 ms fit 1 s only. Now they last at most half of that time, and a connection has a third of it, where those are less than before. Where lists are asked for, nothing changes.

--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -45,6 +45,7 @@
 	ConnIdle    time.Duration // an upstream closes connections that stood idle so long
 	DialTimeout time.Duration
 	Longest     time.Duration // the longest deadline of any class
+	DrainGrace  time.Duration // nothing is sent to a server so long after it is told to drain; 0: not known
 
 	Known listing // the servers as last known
 
@@ -204,6 +205,7 @@
 	c.MostOpen = int(s.Number("caps.max_open"))
 	c.ConnIdle = s.Duration("caps.conn_idle_ms")
 	c.DialTimeout = s.Duration("caps.dial_timeout_ms")
+	c.DrainGrace = s.Duration("rules.stop_sending_within_ms")
 	for _, k := range c.Policy.Classes {
 		c.Longest = max(c.Longest, k.Deadline)
 	}
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -136,6 +136,8 @@
 	dial     func(ctx context.Context, network, address string) (net.Conn, error)
 	unheard  int // calls other than watches that got no answer in time, one after the other
 
+	connectTime, firstRetry, lastRetry time.Duration
+
 	mu      sync.Mutex
 	address string
 	leave   context.CancelFunc // ends what is under way at that address
@@ -155,8 +157,11 @@
 	d := &discovery{address: cfg.Discovery, zones: cfg.Zones, heard: heard, failed: failed, now: newClock().now, pause: pause}
 	d.versions, d.keep = recall(cfg, keptList{}, time.Time{}, d.now()), func(*versions, bool) {}
 	d.draw, d.dial = rand.Float64, new(net.Dialer).DialContext
+	d.connectTime, d.firstRetry, d.lastRetry = connectTime, firstRetry, lastRetry
 	if cfg.Policy.AskList {
 		d.asked = make(chan struct{}, 1)
+	} else if grace := cfg.DrainGrace; grace > 0 { // what is pushed counts at once, with or without a watch
+		d.connectTime, d.firstRetry, d.lastRetry = min(connectTime, grace/3), min(firstRetry, grace/6), min(lastRetry, grace/3)
 	}
 	// Calls to discovery change nothing there, so the standard client may repeat one on a new connection.
 	d.client.Transport = &http.Transport{MaxIdleConns: 1, DisableCompression: true, DialContext: d.connect}
@@ -166,7 +171,7 @@
 // connect opens a connection to discovery, with a limit of its own.
 func (d *discovery) connect(ctx context.Context, network, address string) (net.Conn, error) {
 	d.mu.Lock()
-	limit := min(connectTime<<d.hung, listTime)
+	limit := min(d.connectTime<<d.hung, listTime)
 	d.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
@@ -227,7 +232,7 @@
 // it comes back by itself after a pause; where they are asked for, the module says when, but for the first
 // time after a move: then the module holds itself for subscribed.
 func (d *discovery) runAt(ctx context.Context, address string, moved bool) {
-	pause := firstRetry
+	pause := d.firstRetry
 	for ctx.Err() == nil {
 		if d.asked != nil && !moved {
 			select {
@@ -247,10 +252,10 @@
 			continue
 		}
 		if heard {
-			pause = firstRetry
+			pause = d.firstRetry
 		}
 		d.pause(ctx, pause)
-		pause = min(2*pause, lastRetry)
+		pause = min(2*pause, d.lastRetry)
 	}
 }
 
