Let a call's failure settle what the module asked for while it was out

The module asks again when no word has come for a while, and a call may last longer than that. The second asking was kept, and used up as soon as the call failed: the pause that the module takes after a failure was passed over, at each failure from then on, by a whole fleet at a discovery with too much to do.

TestFailureSettlesWhatWasAsked, which fails without this ("called unasked").

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -247,6 +247,10 @@
 			return
 		}
 		slog.Warn("discovery failed", "error", err)
+		select {
+		case <-d.asked: // meanwhile: what the module makes of this failure goes before it
+		default:
+		}
 		d.failed()
 		if d.asked != nil {
 			continue
--- a/internal/sidecar/watch_test.go
+++ b/internal/sidecar/watch_test.go
@@ -317,3 +317,38 @@
 	}
 	return b
 }
+
+// What the module asked for while a call was out is settled by that call's end: behind a failure the next call comes no sooner than the
+// module asks again.
+func TestFailureSettlesWhatWasAsked(t *testing.T) {
+	quiet(t)
+	synctest.Test(t, func(t *testing.T) {
+		cfg := testConfig(t, listed(0, "ready"), func(_, settings map[string]any) { settings["discovery"] = "ask" })
+		calls, end := make(chan struct{}, 10), make(chan struct{})
+		d := newDiscovery(cfg, func(listing) {}, func() {})
+		d.dial = func(context.Context, string, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go func() {
+				defer far.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(far)); err == nil {
+					calls <- struct{}{}
+					<-end
+					fmt.Fprint(far, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+				}
+			}()
+			return near, nil
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go d.run(ctx)
+		for range 2 {
+			d.ask()
+			<-calls
+			d.ask() // it takes long
+			end <- struct{}{}
+			if synctest.Wait(); len(calls) > 0 {
+				t.Fatal("called unasked")
+			}
+		}
+	})
+}
