Have the stand-in of a fleet's discovery give each call its own turn

It slept until all calls that had come were worked off, and read that time without its lock: the race detector found it.

--- a/internal/sidecar/watch_test.go
+++ b/internal/sidecar/watch_test.go
@@ -227,7 +227,7 @@
 							return
 						}
 						since, wait := query(r)
-						begun, late := time.Now(), false
+						begun, turn, late := time.Now(), time.Time{}, false
 						if begun.Sub(last) > again { // no watch that goes on
 							locked(func() {
 								at := begun
@@ -238,14 +238,15 @@
 								if late = at.Add(fleet.each).Sub(begun) > timeout; late {
 									failed++
 								} else {
-									free = at.Add(fleet.each)
+									turn = at.Add(fleet.each)
+									free = turn
 								}
 							})
 							if late {
 								fmt.Fprint(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
 								continue
 							}
-							time.Sleep(time.Until(free))
+							time.Sleep(time.Until(turn))
 						}
 						var news, silence chan struct{}
 						locked(func() { news, silence, late = changed, silenced, version > since })
