--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -20,16 +20,26 @@
 )
 
 const (
-	watchWait  = 20 * time.Second // how long discovery may hold a watch
+	watchLeast = 10 * time.Second // how long discovery may hold a watch, at least
+	watchMost  = 20 * time.Second // and at most: each draws its own, or watches that fall silent together would all be opened anew together
 	firstWait  = time.Millisecond // and the first after a start or a failure: the module waits for word
-	answerTime = 2 * time.Second  // and how long its answer may take besides
-	listTime   = 6 * time.Second  // how long it may take over the whole list
+
+	// Limits of calls. What a silent one misses counts as told 2 s after its wait, or 6 s after it fell silent, or 4 s after a SIGHUP: by
+	// then the next one has to be answered, and in turn after other sidecars' (docs/list.md).
+	answerTime  = 750 * time.Millisecond  // for the answer of a watch, behind its wait
+	firstTime   = 2500 * time.Millisecond // for that of another call,
+	listTime    = 6 * time.Second         // and up to this where the ones before got none: lists may be long
+	connectTime = 400 * time.Millisecond  // for the connection: a lost packet or a machine that is off costs no more. It doubles likewise
+
 	firstRetry = 200 * time.Millisecond
 	lastRetry  = 500 * time.Millisecond // with jitter and a call within 1 s: what was pushed meanwhile counts once discovery is back
 	staleRetry = 2 * time.Second        // and between whole lists, or to wait for changes, where its word is older than what is held
 	listLimit  = 8 << 20                // bytes of one answer; far above any real list
 )
 
+// errSilent says that a call got no answer within its limit.
+var errSilent = errors.New("discovery gave no answer")
+
 // unknown is no version: the whole list is needed.
 const unknown = int64(-1)
 
@@ -82,9 +92,10 @@
 		if e.InstanceID == "" {
 			return listing{}, fmt.Errorf("instance %d has no instanceId", i)
 		}
-		s := balance.Server{ID: serverID(e.InstanceID), Zone: -1, Cell: e.Cell, Weight: e.Weight}
-		if zone, ok := zones[e.Zone]; ok {
-			s.Zone = zone
+		s := balance.Server{ID: serverID(e.InstanceID), Cell: e.Cell, Weight: e.Weight}
+		var known bool
+		if s.Zone, known = zones[e.Zone]; !known { // below 0, and each its own: a repeat may be bound to a zone
+			s.Zone = -1 - int(serverID(e.Zone)>>2)
 		}
 		if e.StartedAtMs > math.MaxInt64/float64(time.Millisecond)/2 { // no time of this clock
 			return listing{}, fmt.Errorf("instance %s: startedAtMs is %v", e.InstanceID, e.StartedAtMs)
@@ -120,13 +131,19 @@
 	taking   sync.Mutex // held while news go on to the loop, so that they do so in order
 	versions *versions  // of the list that the loop holds; changed only with taking held
 	now      func() time.Duration
+	draw     func() float64 // from 0 to 1: a watch's part between the shortest and the longest
 	pause    func(context.Context, time.Duration)
 	keep     func(v *versions, durable bool)
+	dial     func(ctx context.Context, network, address string) (net.Conn, error)
+	unheard  int // calls other than watches that got no answer in time, one after the other
+
+	connectTime, firstRetry, lastRetry time.Duration
 
 	mu      sync.Mutex
 	address string
 	leave   context.CancelFunc // ends what is under way at that address
 	calls   calls
+	hung    int // connections that did not come up in time, one after the other
 }
 
 // calls count what discovery was asked, for the log: all sidecars share its one capacity.
@@ -140,14 +157,36 @@
 func newDiscovery(cfg *Config, heard func(listing), failed func()) *discovery {
 	d := &discovery{address: cfg.Discovery, zones: cfg.Zones, heard: heard, failed: failed, now: newClock().now, pause: pause}
 	d.versions, d.keep = recall(cfg, keptList{}, time.Time{}, d.now()), func(*versions, bool) {}
+	d.draw, d.dial = rand.Float64, new(net.Dialer).DialContext
+	d.connectTime, d.firstRetry, d.lastRetry = connectTime, firstRetry, lastRetry
 	if cfg.Policy.AskList {
 		d.asked = make(chan struct{}, 1)
+	} else if grace := cfg.DrainGrace; grace > 0 { // what is pushed counts at once, with or without a watch
+		d.connectTime, d.firstRetry, d.lastRetry = min(connectTime, grace/3), min(firstRetry, grace/6), min(lastRetry, grace/3)
 	}
 	// Calls to discovery change nothing there, so the standard client may repeat one on a new connection.
-	d.client.Transport = &http.Transport{MaxIdleConns: 1, DisableCompression: true}
+	d.client.Transport = &http.Transport{MaxIdleConns: 1, DisableCompression: true, DialContext: d.connect}
 	return d
 }
 
+// connect opens a connection to discovery, with a limit of its own.
+func (d *discovery) connect(ctx context.Context, network, address string) (net.Conn, error) {
+	d.mu.Lock()
+	limit := min(d.connectTime<<d.hung, listTime)
+	d.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	conn, err := d.dial(ctx, network, address)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err == nil {
+		d.hung = 0
+	} else if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		d.hung = min(d.hung+1, 8)
+	}
+	return conn, err
+}
+
 // ask takes that the module wants to be subscribed to the list.
 func (d *discovery) ask() {
 	select {
@@ -194,7 +233,7 @@
 // it comes back by itself after a pause; where they are asked for, the module says when, but for the first
 // time after a move: then the module holds itself for subscribed.
 func (d *discovery) runAt(ctx context.Context, address string, moved bool) {
-	pause := firstRetry
+	pause := d.firstRetry
 	for ctx.Err() == nil {
 		if d.asked != nil && !moved {
 			select {
@@ -209,15 +248,19 @@
 			return
 		}
 		slog.Warn("discovery failed", "error", err)
+		select {
+		case <-d.asked: // meanwhile: what the module makes of this failure goes before it
+		default:
+		}
 		d.failed()
 		if d.asked != nil {
 			continue
 		}
 		if heard {
-			pause = firstRetry
+			pause = d.firstRetry
 		}
 		d.pause(ctx, pause)
-		pause = min(2*pause, lastRetry)
+		pause = min(2*pause, d.lastRetry)
 	}
 }
 
@@ -233,20 +276,27 @@
 // the whole list first where there is none. A call that fails takes nothing away from what is held, and
 // discovery is one for all sidecars: when many start or fail at once, whole lists keep it from the others. After an
 // answer older than what is held it asks for whole lists, now and then, until it knows whether that was stale or
-// discovery has begun anew. It tells whether any call went well.
+// discovery has begun anew. A watch that has fallen silent is opened anew at once: that is no failure of discovery, and
+// the time until its news count as told is short. It tells whether any call went well.
 func (d *discovery) follow(ctx context.Context, address string) (heard bool, err error) {
-	for {
-		wait := firstWait
-		if heard {
-			wait = watchWait
-		}
+	for wait := firstWait; ; {
 		query, limit := d.query(wait)
+		watch := query != "" && wait != firstWait
 		l, err := d.call(ctx, address, query, limit)
-		if err != nil {
+		switch silent := errors.Is(err, errSilent); {
+		case silent && watch:
+			slog.Warn("discovery is silent", "query", query)
+			wait = firstWait
+			continue
+		case silent:
+			d.unheard = min(d.unheard+1, 8)
+			return heard, err
+		case err != nil:
 			return heard, err
 		}
+		d.unheard = 0
 		l.whole = l.whole || query == ""
-		heard = true
+		heard, wait = true, watchLeast+time.Duration(d.draw()*float64(watchMost-watchLeast))
 		if again := d.take(l); again > 0 {
 			if d.pause(ctx, again); ctx.Err() != nil {
 				return heard, ctx.Err()
@@ -293,17 +343,18 @@
 	d.taking.Lock()
 	defer d.taking.Unlock()
 	since, older := d.versions.doubted(d.now())
+	first := min(firstTime<<d.unheard, listTime)
 	switch {
 	case d.versions.watched():
 		since = d.versions.top
 	case older:
 		wait = staleRetry
 	default:
-		return "", listTime
+		return "", first
 	}
 	limit = wait + answerTime
 	if wait == firstWait {
-		limit = wait + listTime
+		limit = wait + first
 	}
 	return fmt.Sprintf("?index=%d&wait=%d", since, wait.Milliseconds()), limit
 }
@@ -339,9 +390,14 @@
 	return l, err
 }
 
-func (d *discovery) get(ctx context.Context, address, query string, limit time.Duration) (listing, error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
+func (d *discovery) get(ctx context.Context, address, query string, limit time.Duration) (l listing, err error) {
+	ctx, cancel := context.WithTimeoutCause(ctx, limit, errSilent)
 	defer cancel()
+	defer func() {
+		if err != nil && context.Cause(ctx) == errSilent {
+			err = fmt.Errorf("%w within %v: %w", errSilent, limit, err)
+		}
+	}()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/discovery/hosts"+query, nil)
 	if err != nil {
 		return listing{}, err
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -28,6 +29,8 @@
 	stillTime   = 5 * time.Second // a server may stand still for so long in a long body
 	interimMost = 8               // 1xx answers that are read over before the one that counts
 	idleMargin  = time.Second
+	// A second answer may come some milliseconds behind the first. It must find no request out on its connection.
+	quietTime = 10 * time.Millisecond
 )
 
 // message is a request as it goes on to an upstream, but for its time-out.
@@ -66,14 +69,18 @@
 	probePath   string
 	written     atomic.Uint64            // attempts whose last byte was written
 	yield       func(upstreams int) bool // has clients make room for one more connection than so many
+	quietTime   time.Duration            // how long a connection is idle at least before it is used again
+	after       func(time.Duration) <-chan time.Time
+	dial        func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu      sync.Mutex
 	most    int                // connections at most
-	idle    map[string][]*conn // by address, the most recently used last
+	idle    map[string][]*conn // by address, in the order of idleSince
 	open    int                // idle, in use or being opened
 	sweeper *time.Timer        // set while there are idle ones
 	dialled int
 	stale   int // idle ones found closed by their server, or with bytes left over
+	quiet   int // exchanges that waited as all idle ones had been used just now
 	failed  failures
 }
 
@@ -103,8 +110,11 @@
 		most:      cfg.upstreamConns(1),
 		probePath: "/alive",
 		yield:     func(int) bool { return true },
+		after:     time.After,
+		dial:      (&net.Dialer{KeepAlive: -1}).DialContext, // no use against a silent machine; the time-outs are
 		idle:      make(map[string][]*conn),
 	}
+	u.quietTime = min(quietTime, u.keep)
 	if cfg.Policy.Reports != 0 {
 		u.probePath = "/metrics/load"
 	}
@@ -113,8 +123,12 @@
 
 // exchange is one attempt or probe under way.
 type exchange struct {
+	by time.Duration // its request's last byte goes out by then or never; 0: no such bound
+
 	mu        sync.Mutex
 	cancelled bool
+	withdrawn bool   // before any of it was written
+	writes    bool   // its request is being written, or was
 	stop      func() // ends what it is at: dialling, or its connection
 }
 
@@ -128,19 +142,55 @@
 	}
 }
 
-// begin enters what cancel has to end from now on. It returns false if the exchange is given up
-// already, and then enters nothing: a second cancel must not close a connection that has gone back
-// to the pool and may serve another exchange by then.
-func (x *exchange) begin(stop func()) bool {
+// withdraw calls the exchange off if nothing of its request has been written, and from then on nothing will be.
+func (x *exchange) withdraw() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.writes || x.cancelled {
+		return
+	}
+	x.withdrawn = true
+	if x.stop != nil {
+		x.stop()
+	}
+}
+
+// begin enters what cancel has to end from now on, and whether that is writing and what comes after it. It returns
+// false if the exchange is given up already, and then enters nothing: a second cancel must not close a connection that
+// has gone back to the pool and may serve another exchange by then.
+func (x *exchange) begin(writes bool, stop func()) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.cancelled {
+	if x.cancelled || x.withdrawn {
 		return false
 	}
-	x.stop = stop
+	x.writes, x.stop = writes, stop
 	return true
 }
 
+// bound is the earlier of a moment and the one by which the request has to have gone out.
+func (x *exchange) bound(t time.Duration) time.Duration {
+	if x.by == 0 {
+		return t
+	}
+	return min(t, x.by)
+}
+
+// neverRan is the ending where the request's last byte did not go out.
+func (u *upstream) neverRan(x *exchange, m *message) balance.Ending {
+	x.mu.Lock()
+	withdrawn, cancelled := x.withdrawn, x.cancelled
+	x.mu.Unlock()
+	switch {
+	case withdrawn:
+		return balance.NotSent
+	case cancelled || m != nil && m.rest != nil && m.rest.stopped.Load():
+		return balance.Cancelled
+	}
+	u.count(&u.failed.unsent)
+	return balance.NoConnection
+}
+
 func (x *exchange) givenUp() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -148,9 +198,10 @@
 }
 
 // send starts an attempt that is given up at until; the time of one whose body still comes begins with its last
-// byte. Its end goes to done, once, and before that the beginning of an answer that streams.
-func (u *upstream) send(address string, m *message, until time.Duration, done func(result)) *exchange {
-	x := new(exchange)
+// byte. What has not gone out at by never does; 0 is no such bound. Its end goes to done, once, and before that the
+// beginning of an answer that streams.
+func (u *upstream) send(address string, m *message, until, by time.Duration, done func(result)) *exchange {
+	x := &exchange{by: by}
 	go func() {
 		header := maps.Clone(m.header)
 		req := &http.Request{Method: m.method, URL: m.url, Host: m.host, Header: header}
@@ -167,7 +218,7 @@
 			return
 		}
 		out := result{ending: balance.Errored, load: u.load(res.Header.Get("X-Server-Load"))}
-		switch never := res.Header.Get("X-Not-Processed") == "1"; {
+		switch never := slices.Equal(res.Header["X-Not-Processed"], []string{"1"}); { // said in two ways it proves nothing
 		case res.StatusCode == http.StatusOK:
 			out.ending, out.header, out.body = balance.Served, res.Header, body
 		case never && (res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusGatewayTimeout):
@@ -200,24 +251,17 @@
 func (u *upstream) exchange(
 	x *exchange, address string, req *http.Request, m *message, until time.Duration, begin func(*http.Response, *stream),
 ) (*http.Response, []byte, balance.Ending) {
-	unsent := func() balance.Ending {
-		if x.givenUp() || m != nil && m.rest != nil && m.rest.stopped.Load() {
-			return balance.Cancelled
-		}
-		u.count(&u.failed.unsent)
-		return balance.NoConnection
-	}
-	c, err := u.connect(x, address, until)
+	c, err := u.connect(x, address, x.bound(until))
 	if err != nil {
-		return nil, nil, unsent()
+		return nil, nil, u.neverRan(x, m)
 	}
 	stop := func() { c.Conn.Close() }
 	if m != nil && m.rest != nil {
 		stop = func() { c.Conn.Close(); m.rest.interrupt() }
 	}
-	if !x.begin(stop) { // given up in the meantime: nothing may go out any more
-		u.keepIdle(address, c)
-		return nil, nil, balance.Cancelled
+	if !x.begin(true, stop) { // given up in the meantime: nothing may go out any more
+		u.keepIdle(address, c, c.kept)
+		return nil, nil, u.neverRan(x, m)
 	}
 	if m != nil {
 		left := until - u.clock.now()
@@ -226,9 +270,9 @@
 		}
 		req.Header.Set("X-Timeout", strconv.FormatInt(max(1, left.Milliseconds()), 10)+"m")
 	}
-	if until, err = u.write(c, req, m, until); err != nil {
+	if until, err = u.write(x, c, req, m, until); err != nil {
 		u.discard(c)
-		return nil, nil, unsent()
+		return nil, nil, u.neverRan(x, m)
 	}
 	_ = c.SetDeadline(u.clock.at(until)) // fails only on a closed connection, as the read then does
 	res, err := c.head(req)
@@ -240,9 +284,12 @@
 	default:
 		body, err = c.body(res)
 	}
+	if err == nil && c.limit.N <= 0 {
+		err = errors.New("the answer is too long") // else one with no length would pass for whole where it was left off
+	}
 	switch {
-	case err == nil && !res.Close && c.r.Buffered() == 0 && x.begin(nil):
-		u.keepIdle(address, c)
+	case err == nil && !res.Close && c.r.Buffered() == 0 && x.begin(true, nil):
+		u.keepIdle(address, c, false)
 	default: // broken, to be closed, with bytes left over behind the answer, or given up
 		u.discard(c)
 	}
@@ -267,10 +314,14 @@
 }
 
 // write sends a request's head and body, and returns until when its answer may take: a client's time begins with
-// its last byte.
-func (u *upstream) write(c *conn, req *http.Request, m *message, until time.Duration) (time.Duration, error) {
+// its last byte. Nothing goes out behind the exchange's bound, so that a request which passes it is cut short.
+func (u *upstream) write(x *exchange, c *conn, req *http.Request, m *message, until time.Duration) (time.Duration, error) {
 	if m != nil && m.rest != nil {
-		out := bufio.NewWriterSize(steady{c}, pieceSize)
+		last := time.Time{}
+		if x.by > 0 {
+			last = u.clock.at(x.by)
+		}
+		out := bufio.NewWriterSize(steady{c, last}, pieceSize)
 		if err := req.Write(out); err != nil {
 			return 0, err
 		}
@@ -286,7 +337,7 @@
 	if err := req.Write(&out); err != nil {
 		return 0, err
 	}
-	_ = c.SetDeadline(u.clock.at(until)) // fails only on a closed connection, as the write then does
+	_ = c.SetDeadline(u.clock.at(x.bound(until))) // fails only on a closed connection, as the write then does
 	if _, err := c.Write(out.Bytes()); err != nil {
 		return 0, err
 	}
@@ -333,7 +384,7 @@
 		if c == nil {
 			break
 		}
-		if c.usable() {
+		if !u.quieten(x, c) || c.usable() {
 			return c, nil
 		}
 		u.count(&u.stale)
@@ -342,12 +393,10 @@
 	limit := min(u.dialTimeout, until-u.clock.now())
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	if !x.begin(cancel) {
+	if !x.begin(false, cancel) {
 		cancel()
 	}
-	var d net.Dialer
-	d.KeepAlive = -1 // no use against a silent machine; the time-outs are
-	raw, err := d.DialContext(ctx, "tcp", address)
+	raw, err := u.dial(ctx, "tcp", address)
 	if err != nil {
 		u.mu.Lock()
 		u.open--
@@ -360,19 +409,40 @@
 	return c, nil
 }
 
-// take returns the most recently used idle connection, or nil once it has counted a new one that
-// is to be opened. At the limit an idle connection to another server makes room.
+// quieten waits until a connection has been idle for quietTime. It returns false if the exchange is given up.
+func (u *upstream) quieten(x *exchange, c *conn) bool {
+	left := c.idleSince + u.quietTime - u.clock.now()
+	if left <= 0 {
+		return true
+	}
+	u.count(&u.quiet)
+	off := make(chan struct{})
+	if !x.begin(false, sync.OnceFunc(func() { close(off) })) {
+		return false
+	}
+	select {
+	case <-u.after(left):
+		return true
+	case <-off:
+		return false
+	}
+}
+
+// take returns the idle connection that was used last of those that have been idle for quietTime, else the one that
+// will have been first; or nil once it has counted a new one that is to be opened. At the limit an idle connection to
+// another server makes room.
 func (u *upstream) take(address string) (*conn, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	fresh := u.clock.now() - u.keep
+	now := u.clock.now()
+	if old := u.idleBefore(address, now-u.quietTime); old > 0 && u.idle[address][old-1].idleSince <= now-u.keep {
+		u.drop(address, old) // even the last used of them is too old
+	}
 	if list := u.idle[address]; len(list) > 0 {
-		c := list[len(list)-1]
-		if c.idleSince > fresh {
-			u.idle[address] = list[:len(list)-1]
-			return c, nil
-		}
-		u.drop(address, len(list)) // even the last used is too old
+		i := max(0, u.idleBefore(address, now-u.quietTime)-1)
+		c := list[i]
+		u.idle[address] = slices.Delete(list, i, i+1)
+		return c, nil
 	}
 	if (u.open >= u.most || !u.yield(u.open)) && !u.dropOldest() {
 		return nil, errors.New("no descriptor is left for a connection")
@@ -382,6 +452,17 @@
 	return nil, nil
 }
 
+// idleBefore counts the connections to an address that have been idle since then or longer. The caller holds the lock.
+func (u *upstream) idleBefore(address string, then time.Duration) int {
+	n := 0
+	for _, c := range u.idle[address] {
+		if c.idleSince <= then {
+			n++
+		}
+	}
+	return n
+}
+
 // connections tells how many there are, in use, idle or being opened.
 func (u *upstream) connections() int {
 	u.mu.Lock()
@@ -427,13 +508,15 @@
 	}
 }
 
-// keepIdle puts a connection back.
-func (u *upstream) keepIdle(address string, c *conn) {
+// keepIdle puts a connection back. Where it was not used, its server has counted it as idle all the while.
+func (u *upstream) keepIdle(address string, c *conn, unused bool) {
 	_ = c.SetDeadline(time.Time{}) // a closed one is found out before it is used
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	c.idleSince, c.kept = u.clock.now(), true
-	u.idle[address] = append(u.idle[address], c)
+	if !unused {
+		c.idleSince, c.kept = u.clock.now(), true
+	}
+	u.idle[address] = slices.Insert(u.idle[address], u.idleBefore(address, c.idleSince), c)
 	if u.sweeper == nil {
 		u.sweeper = time.AfterFunc(u.keep, u.sweep)
 	}
@@ -496,7 +579,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return map[string]int{
-		"open": u.open, "dialled": u.dialled, "stale": u.stale, "unsent": u.failed.unsent, "reset": u.failed.reset,
+		"open": u.open, "dialled": u.dialled, "stale": u.stale, "quiet": u.quiet, "unsent": u.failed.unsent, "reset": u.failed.reset,
 		"resetKept": u.failed.resetKept, "unreadable": u.failed.unreadable, "timedOut": u.failed.timedOut,
 	}
 }
