Begin with an arc that many balancers may share, where no quotas tell of traffic

Cause: with no quotas the first estimate of our own traffic was a request a second for each listed server, whatever the number of balancers.

Change: the first estimate is what leaves sharersMost balancers to a server, as the quotas' bound does. Ten balancers and fewer, and all deployments with quotas, decide as before.

TestFirstArcWithoutQuotas fails without it.

--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -100,3 +100,19 @@
 		t.Errorf("%d were out; now %d, %d of %d slots in use", held, b.out, b.parts[0].used, b.parts[0].slots)
 	}
 }
+
+// Guards against the whole list in the arc of each of many balancers where no quotas tell of their traffic: each
+// server's turn came so seldom that its connection was too old by then, and every attempt opened one (one-hall, calm+mass).
+func TestFirstArcWithoutQuotas(t *testing.T) {
+	var ids []balance.ServerID
+	for id := range balance.ServerID(200) {
+		ids = append(ids, id+1)
+	}
+	for balancers, want := range map[int]int{1: 200, 4: 200, 10: 200, 20: 100, 300: 7, 2000: fewest} {
+		cfg := testConfig()
+		cfg.Balancers, cfg.Tenants, cfg.Slots = balancers, nil, 0
+		if b, _ := start(t, cfg, ready(ids...)); len(b.arc) != want {
+			t.Errorf("%d balancers of 200 servers: %d in the first arc, want %d", balancers, len(b.arc), want)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -775,8 +775,8 @@
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return s.State == balance.Gone })
 	if b.first == 0 { // with no quotas, the first list is all there is to go by
 		b.first = float64(len(b.servers))
-		if b.wall(); b.quota == 0 {
-			b.rate = b.first / b.every
+		if b.wall(); b.quota == 0 { // a turn each second for all, but of as many balancers as may share a server
+			b.rate = b.first * min(1, sharersMost/b.fleet) / b.every
 		}
 	}
 	b.weigh(now)
