Hear news within 6 s of discovery's return, whatever failed before

Change: the module's pause after failed calls is doubled twice, to 0.5 to 1.5 s. A connection's limit is doubled twice. A silent call is made anew at once, its limit 2.5 s twice, then 4 s, or 6 s where an answer had begun; a SIGHUP begins these counts anew.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -24,12 +24,15 @@
 	watchMost  = 20 * time.Second // and at most: each draws its own, or watches that fall silent together would all be opened anew together
 	firstWait  = time.Millisecond // and the first after a start or a failure: the module waits for word
 
-	// Limits of calls. What a silent one misses counts as told 2 s after its wait, or 6 s after it fell silent, or 4 s after a SIGHUP: by
-	// then the next one has to be answered, and in turn after other sidecars' (docs/list.md).
+	// Limits of calls. What a silent one misses counts as told 2 s after its wait, or 6 s after it fell silent, 4 s after a SIGHUP, and 6 s
+	// after discovery could be reached, whatever failed before: by then the next one has to be answered, and in turn after other sidecars'
+	// (docs/list.md).
 	answerTime  = 750 * time.Millisecond  // for the answer of a watch, behind its wait
 	firstTime   = 2500 * time.Millisecond // for that of another call,
-	listTime    = 6 * time.Second         // and up to this where the ones before got none: lists may be long
-	connectTime = 400 * time.Millisecond  // for the connection: a lost packet or a machine that is off costs no more. It doubles likewise
+	againTime   = 4 * time.Second         // where two before were silent: discovery may have a long queue
+	listTime    = 6 * time.Second         // where two before were, and the last had begun to answer: lists may be long
+	connectTime = 400 * time.Millisecond  // for the connection: a lost packet or a machine that is off costs no more,
+	hungMost    = 2                       // doubled so often at most, after each that did not come up
 
 	firstRetry = 200 * time.Millisecond
 	lastRetry  = 500 * time.Millisecond // with jitter and a call within 1 s: what was pushed meanwhile counts once discovery is back
@@ -37,8 +40,11 @@
 	listLimit  = 8 << 20                // bytes of one answer; far above any real list
 )
 
-// errSilent says that a call got no answer within its limit.
-var errSilent = errors.New("discovery gave no answer")
+// errSilent says that a call got no answer within its limit, errCut that it got the beginning of one.
+var (
+	errSilent = errors.New("discovery gave no answer")
+	errCut    = errors.New("the answer had begun")
+)
 
 // unknown is no version: the whole list is needed.
 const unknown = int64(-1)
@@ -135,7 +141,8 @@
 	pause    func(context.Context, time.Duration)
 	keep     func(v *versions, durable bool)
 	dial     func(ctx context.Context, network, address string) (net.Conn, error)
-	unheard  int // calls other than watches that got no answer in time, one after the other
+	silent   int  // calls other than watches that got no answer in time, one after the other
+	begun    bool // the last of them had begun to answer
 
 	connectTime, firstRetry, lastRetry time.Duration
 
@@ -172,7 +179,7 @@
 // connect opens a connection to discovery, with a limit of its own.
 func (d *discovery) connect(ctx context.Context, network, address string) (net.Conn, error) {
 	d.mu.Lock()
-	limit := min(d.connectTime<<d.hung, listTime)
+	limit := d.connectTime << d.hung
 	d.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
@@ -182,7 +189,7 @@
 	if err == nil {
 		d.hung = 0
 	} else if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		d.hung = min(d.hung+1, 8)
+		d.hung = min(d.hung+1, hungMost)
 	}
 	return conn, err
 }
@@ -203,7 +210,7 @@
 		return
 	}
 	slog.Info("discovery moved", "from", d.address, "to", address)
-	d.address = address
+	d.address, d.hung = address, 0
 	if d.leave != nil {
 		d.leave()
 	}
@@ -223,6 +230,7 @@
 		here, address := d.stay(ctx)
 		d.taking.Lock()
 		d.versions.move(address, d.now()) // whether versions are the same elsewhere is not told
+		d.silent = 0
 		d.taking.Unlock()
 		d.runAt(here, address, moved)
 		d.client.CloseIdleConnections()
@@ -276,25 +284,25 @@
 // the whole list first where there is none. A call that fails takes nothing away from what is held, and
 // discovery is one for all sidecars: when many start or fail at once, whole lists keep it from the others. After an
 // answer older than what is held it asks for whole lists, now and then, until it knows whether that was stale or
-// discovery has begun anew. A watch that has fallen silent is opened anew at once: that is no failure of discovery, and
-// the time until its news count as told is short. It tells whether any call went well.
+// discovery has begun anew. A call that has fallen silent is made anew at once: it took its time, and the time until
+// its news count as told is short. It tells whether any call went well.
 func (d *discovery) follow(ctx context.Context, address string) (heard bool, err error) {
 	for wait := firstWait; ; {
 		query, limit := d.query(wait)
 		watch := query != "" && wait != firstWait
 		l, err := d.call(ctx, address, query, limit)
-		switch silent := errors.Is(err, errSilent); {
-		case silent && watch:
-			slog.Warn("discovery is silent", "query", query)
+		switch {
+		case errors.Is(err, errSilent):
+			slog.Warn("discovery is silent", "query", query, "limit", limit)
+			if !watch {
+				d.silent, d.begun = d.silent+1, errors.Is(err, errCut)
+			}
 			wait = firstWait
 			continue
-		case silent:
-			d.unheard = min(d.unheard+1, 8)
-			return heard, err
 		case err != nil:
 			return heard, err
 		}
-		d.unheard = 0
+		d.silent = 0
 		l.whole = l.whole || query == ""
 		heard, wait = true, watchLeast+time.Duration(d.draw()*float64(watchMost-watchLeast))
 		if again := d.take(l); again > 0 {
@@ -343,7 +351,13 @@
 	d.taking.Lock()
 	defer d.taking.Unlock()
 	since, older := d.versions.doubted(d.now())
-	first := min(firstTime<<d.unheard, listTime)
+	first := firstTime
+	if d.silent > 1 {
+		first = againTime
+		if d.begun {
+			first = listTime
+		}
+	}
 	switch {
 	case d.versions.watched():
 		since = d.versions.top
@@ -410,7 +424,7 @@
 	body, err := io.ReadAll(io.LimitReader(res.Body, listLimit+1))
 	switch {
 	case err != nil:
-		return listing{}, err
+		return listing{}, fmt.Errorf("%w: %w", errCut, err)
 	case res.StatusCode != http.StatusOK:
 		return listing{}, fmt.Errorf("answered %s", res.Status)
 	case len(body) > listLimit:
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -73,8 +73,8 @@
 	restEach   = 100 * time.Millisecond // at first it is tested this often, by all who share it together
 	believed   = 30 * time.Second       // a verdict from before a restart counts for so long
 	firstAsk   = 2 * time.Second        // many balancers that start at once first ask for the list over this
-	firstPause = 250 * time.Millisecond // before the list is asked for again after a failed call,
-	lastPause  = 4 * time.Second        // doubled after each up to this
+	firstPause = 250 * time.Millisecond // before the list is asked for again after a failed call, doubled twice
+	lastPause  = 4 * time.Second        // any other pause is doubled up to this
 )
 
 // unsettled are the endings after which an attempt may still run.
@@ -753,8 +753,8 @@
 func (b *Balancer) List(now time.Duration, kind balance.ListKind, entries []balance.Server) {
 	switch {
 	case kind == balance.ListFailed:
-		b.askAt = now + b.backoff(firstPause, b.askFails)
-		b.askFails++
+		b.askAt = now + b.backoff(firstPause, b.askFails) // news count 6 s behind a return, refused calls or not
+		b.askFails = min(b.askFails+1, 2)
 		return
 	case b.cfg.AskList && kind != balance.ListCached:
 		b.askAt, b.askFails = 0, 0
