Ask the kernel whether the client has left before each attempt is written

Word of a leaving came by net/http's reader or a look every 100 ms, and then through the loop's queue: behind a busy loop, or as a connection came up, an attempt was written after it, and one that failed was followed by another.

Change: the exchange asks (POLLRDHUP) with its connection in hand, before the first byte, and behind a long body's last piece; what it finds goes to the loop ahead of the attempt's end, so that the module makes no further one. What is found is withdrawn, or, in a long body, cut short of its last byte.

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -140,7 +140,8 @@
 		m.rest.whole = sync.OnceFunc(func() { f.uploads.Add(-1) })
 		defer m.rest.whole()
 	}
-	if f.clients.left(r.Context()) { // while the request waited to be read
+	m.gone = func() bool { return f.clients.left(r.Context()) }
+	if m.gone() { // while the request waited to be read
 		panic(http.ErrAbortHandler) // net/http's way to close the connection with no answer
 	}
 	id, look := f.loop.ask(q, m, arrived+left, reply), time.NewTicker(leftEvery)
--- a/internal/sidecar/late_test.go
+++ b/internal/sidecar/late_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -276,3 +278,127 @@
 		t.Error("the module had the request")
 	}
 }
+
+// occupy keeps the loop's goroutine from what is posted behind this until free is called.
+func (l *loop) occupy() (free func()) {
+	held := make(chan struct{})
+	l.post(func(time.Duration) { <-held })
+	return sync.OnceFunc(func() { close(held) })
+}
+
+// A client whose leaving is still behind other events as an attempt is about to be written is sent nowhere: the kernel
+// is asked before each. The loop stands still from the attempt's beginning on, so that nobody else can tell.
+func TestClientLeavesUnheard(t *testing.T) {
+	leaves := map[string]func(c *net.TCPConn) error{
+		"closes":  (*net.TCPConn).Close,
+		"resets":  func(c *net.TCPConn) error { return errors.Join(c.SetLinger(0), c.Close()) },
+		"no more": (*net.TCPConn).CloseWrite,
+	}
+	for _, at := range []string{"first", "further", "connecting"} {
+		for how, leave := range leaves {
+			t.Run(at+" "+how, func(t *testing.T) {
+				held, turnAway := make(chan struct{}), at == "further"
+				answer := func(c net.Conn, r received) bool {
+					if !turnAway {
+						return echo(c, r)
+					}
+					turnAway = false
+					<-held
+					_, err := io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n")
+					return err == nil
+				}
+				one, other := newStub(t, answer), newStub(t, answer)
+				f, side, serve := assembled(t, one.address, func(file, settings map[string]any) {
+					if at != "connecting" {
+						file["known"] = json.RawMessage(listed(1, "ready", one.address, other.address))
+					}
+					settings["caps"].(map[string]any)["may_cancel"] = false
+				})
+				l, posted := f.loop, func(n int) func() bool { return func() bool { return len(f.loop.events) >= n } }
+				dialled, free := make(chan struct{}, 1), make(chan struct{})
+				if at == "connecting" {
+					l.upstream.dialTimeout = 2 * generous
+					dialled, free = l.upstream.late(one.address)
+				}
+				serve()
+				c := side.dial(t).(*net.TCPConn)
+				begin, idle := l.occupy(), 1
+				defer begin()
+				eventually(t, "the loop to stand still", func() bool { return len(l.events) == 0 })
+				send := func() {
+					if _, err := io.WriteString(c, head("1", "Content-Length: 0")); err != nil {
+						t.Fatal(err)
+					}
+				}
+				switch at {
+				case "first":
+					send()
+					eventually(t, "the request to be posted", posted(1))
+				case "further":
+					begin()
+					send()
+					select {
+					case <-one.seen:
+					case <-other.seen:
+					case <-time.After(generous):
+						t.Fatal("no first attempt")
+					}
+					begin, idle = l.occupy(), 2
+					eventually(t, "the loop to stand still", func() bool { return len(l.events) == 0 })
+					close(held)
+					eventually(t, "the first attempt's end to be posted", posted(1))
+				case "connecting":
+					begin()
+					send()
+					wait(t, "its call for a connection", dialled)
+				}
+				end := l.occupy()
+				defer end()
+				if err := leave(c); err != nil {
+					t.Fatal(err)
+				}
+				begin()
+				close(free)
+				eventually(t, "its connection to be put back", func() bool {
+					l.upstream.mu.Lock()
+					defer l.upstream.mu.Unlock()
+					return len(l.upstream.idle[one.address])+len(l.upstream.idle[other.address]) == idle
+				})
+				end()
+				f.until(t, "its attempt to end", func() bool { return len(l.requests) == 0 })
+				if n := len(one.seen) + len(other.seen); n > 0 {
+					t.Errorf("%d attempts behind the client's leaving", n)
+				}
+			})
+		}
+	}
+}
+
+// A client that has left as the last byte of its long body is about to go out is sent nowhere: its server never has that.
+func TestClientLeavesAtItsLastByte(t *testing.T) {
+	s, u, asked := newStub(t, echo), testUpstream(t), 0
+	m := testMessage("1")
+	m.rest = newUpload(&paced{body: strings.NewReader("end"), deadline: func(time.Time) error { return nil }})
+	m.rest.whole = func() { t.Error("the last byte went out") }
+	m.length = int64(len(m.body)) + 3
+	m.gone = func() bool { asked++; return asked > 1 }
+	done := make(chan result, 1)
+	u.send(s.address, m, u.clock.now()+generous, 0, func(r result) { done <- r })
+	if got := wait(t, "its end", done); got.ending != balance.Cancelled {
+		t.Errorf("ending %v, want %v", got.ending, balance.Cancelled)
+	}
+	wait(t, "its connection to close", s.closed)
+	if len(s.seen) > 0 {
+		t.Error("its server had it whole")
+	}
+}
+
+// eventually waits for something to hold.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(generous); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -286,6 +286,15 @@
 			l.post(func(now time.Duration) { l.uploaded(now, q.ID) })
 		}
 	}
+	if gone := m.gone; gone != nil {
+		m.gone = func() bool {
+			if !gone() {
+				return false
+			}
+			l.gone(q.ID) // ahead of the end of the attempt that finds it out, or the module would make another
+			return true
+		}
+	}
 	l.post(func(now time.Duration) {
 		q.Left = deadline - now
 		l.requests[q.ID] = &request{message: m, deadline: deadline, reply: reply}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -43,8 +43,12 @@
 	rest   *upload       // what follows the held part; nil: nothing does
 	length int64         // of both together; -1: not told
 	left   time.Duration // how long the client waits once its last byte has gone out, where rest follows
+	gone   func() bool   // whether its client has left by now; nil: it has none
 }
 
+// over tells whether nobody waits for the answer any more.
+func (m *message) over() bool { return m != nil && m.gone != nil && m.gone() }
+
 // spent tells whether the message can't be sent again, as part of its body is gone.
 func (m *message) spent() bool { return m.rest != nil && m.rest.taken.Load() }
 
@@ -259,6 +263,9 @@
 	if m != nil && m.rest != nil {
 		stop = func() { c.Conn.Close(); m.rest.interrupt() }
 	}
+	if m.over() { // asked here, as word of it may be behind others, and it has to go nowhere from now on
+		x.withdraw()
+	}
 	if !x.begin(true, stop) { // given up in the meantime: nothing may go out any more
 		u.keepIdle(address, c, c.kept)
 		return nil, nil, u.neverRan(x, m)
@@ -325,6 +332,10 @@
 		if err := req.Write(out); err != nil {
 			return 0, err
 		}
+		if m.over() { // its last byte has not gone out
+			m.rest.interrupt()
+			return 0, errStopped
+		}
 		if err := out.Flush(); err != nil {
 			return 0, err
 		}
