Try to accept again soon where no descriptor is left, and force a crowd on a real limit

Need: idle clients may fill the descriptors while discovery is down; accept with none left must neither spin nor starve. net/http waits twice as long after each such error, up to a second, and ends the service at ENOBUFS and ENOMEM.

Change: the listener itself sheds an idle connection and tries again each 5 ms. TestAcceptWithNoneLeft holds it on virtual time. TestCrowdWhileDiscoveryIsDown runs a sidecar in a process of its own with a limit of 96 descriptors, 192 idle clients that come again and a discovery that is down: it is served, heard and kept, with no call that lacks a descriptor.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -37,6 +38,8 @@
 const silentTime = 250 * time.Millisecond
 
 const (
+	scarceTime = 5 * time.Millisecond // the pause where there is no descriptor or memory left to accept with
+
 	restTime = 250 * time.Millisecond // what comes behind a last answer is read for so long,
 	restMost = 256 << 10              // or so many bytes of it
 )
@@ -57,6 +60,7 @@
 	peak    int    // the most at once, since the last count
 	shed    [3]int // closed to make room: silent, idle, with half a request
 	barred  int    // closed at once, as there was none
+	scarce  int    // not accepted, as there was no descriptor or memory
 }
 
 // clientConn is a connection of the application, or of whoever else connects. net/http drops
@@ -164,9 +168,21 @@
 	return errors.Join(err, failed)
 }
 
+// scarce are the errors of accept that pass once something is closed. net/http would end the service at some, and at the
+// others wait twice as long each time, up to a second.
+var scarce = []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM}
+
 // accept returns the next connection, and once this process leaves those that had come before.
 func (l *clients) accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
+	for err != nil && slices.ContainsFunc(scarce, func(e syscall.Errno) bool { return errors.Is(err, e) }) {
+		l.mu.Lock()
+		l.scarce++
+		l.shedOne()
+		l.mu.Unlock()
+		time.Sleep(scarceTime)
+		c, err = l.Listener.Accept()
+	}
 	if err == nil {
 		return c, nil
 	}
@@ -351,6 +367,12 @@
 	return true
 }
 
+// came tells how long ago the last bytes came on ctx's connection: a request that was sent behind another lies in its
+// server's buffer while that one is answered, and its client's time runs.
+func (l *clients) came(ctx context.Context) time.Duration {
+	return time.Since(time.Unix(0, ctx.Value(connKey{}).(*clientConn).spoke.Load()))
+}
+
 // left tells whether the client of ctx's connection has closed it, or its sending side. net/http hears of that as it
 // reads, and reads no further than one byte behind a request, nor into a body that waits to be sent on: so the kernel
 // is asked, which knows of the end whatever is still to be read before it.
@@ -383,7 +405,7 @@
 func (l *clients) counters() map[string]int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	counts := map[string]int{"peak": l.peak, "silent": l.shed[0], "idled": l.shed[1], "half": l.shed[2], "barred": l.barred}
+	counts := map[string]int{"peak": l.peak, "silent": l.shed[0], "idled": l.shed[1], "half": l.shed[2], "barred": l.barred, "scarce": l.scarce}
 	for c := range l.conns {
 		counts[c.state.String()]++
 	}
--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -1,14 +1,25 @@
 package sidecar
 
 import (
+	"bufio"
 	"context"
+	"encoding/json"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -150,3 +161,197 @@
 	}
 	t.Logf("%d read, %d ended", read, ended)
 }
+
+// without is a listener that has no descriptor to accept with until some moment.
+type without struct {
+	net.Listener
+	failure error
+	until   time.Time
+	calls   int
+}
+
+func (l *without) Accept() (net.Conn, error) {
+	l.calls++
+	if time.Now().Before(l.until) {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", l.failure)}
+	}
+	return nil, net.ErrClosed // whatever comes next
+}
+
+// Where no descriptor is left to accept with, idle connections make room, and it is tried again soon, but not without a pause.
+func TestAcceptWithNoneLeft(t *testing.T) {
+	for _, failure := range scarce {
+		synctest.Test(t, func(t *testing.T) {
+			none := &without{failure: failure, until: time.Now().Add(3 * time.Second)}
+			l := newClients(testConfig(t, listed(1, "ready"), nil), none, noUpstreams)
+			near, far := net.Pipe()
+			defer far.Close()
+			if !l.enter(&clientConn{Conn: near}) {
+				t.Fatal("no room")
+			}
+			time.Sleep(time.Second) // it is silent
+			_, err := l.accept()
+			if late := time.Since(none.until); !errors.Is(err, net.ErrClosed) || late < 0 || late > 10*time.Millisecond || none.calls > 1000 {
+				t.Errorf("%v: error %v %v behind the last failure, %d calls", failure, err, late, none.calls)
+			}
+			if len(l.conns) > 0 {
+				t.Error("the silent connection made no room")
+			}
+		})
+	}
+}
+
+// TestMain is also a sidecar, in a process of its own with as many descriptors as its configuration says.
+func TestMain(m *testing.M) {
+	path := os.Getenv("SIDECAR_TEST_CONFIG")
+	if path == "" {
+		os.Exit(m.Run())
+	}
+	cfg, err := ReadConfig(path)
+	if err == nil {
+		err = syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: uint64(cfg.Sockets), Max: uint64(cfg.Sockets)})
+	}
+	if err == nil {
+		err = Run(context.Background(), cfg, nil)
+	}
+	fmt.Fprintln(os.Stderr, err)
+	os.Exit(1)
+}
+
+// While a crowd of idle clients takes all descriptors that there are, and discovery is down, requests are served, the
+// console answers, discovery's first word behind the outage is heard and kept on disk, and no call of the system lacks a descriptor.
+func TestCrowdWhileDiscoveryIsDown(t *testing.T) {
+	const sockets = 96
+	s := newStub(t, echo)
+	later := newStub(t, echo)
+	var up atomic.Bool
+	d := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case !up.Load():
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case strings.Contains(r.URL.RawQuery, "index=2"):
+			<-r.Context().Done()
+		default:
+			_, _ = io.WriteString(w, strings.ReplaceAll(listed(2, "ready", later.address), "s-0", "s-later"))
+		}
+	}))
+	defer d.Close()
+	var settings any
+	if err := json.Unmarshal([]byte(testSettings), &settings); err != nil {
+		t.Fatal(err)
+	}
+	raw, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "console": "127.0.0.1:0", "discovery": d.Listener.Addr().String(),
+		"seed": "8c1f30d27a5be964", "limits": map[string]any{"memory_mb": 192, "sockets": sockets},
+		"known": json.RawMessage(listed(1, "ready", s.address)), "settings": settings})
+	if err != nil {
+		t.Fatal(err)
+	}
+	state := t.TempDir()
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	child := exec.Command(os.Args[0])
+	child.Env = append(os.Environ(), "SIDECAR_TEST_CONFIG="+path, "TMPDIR="+state)
+	log, err := child.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := child.Start(); err != nil {
+		t.Fatal(err)
+	}
+	listens, scarcity := make(chan string, 10), make(chan string, 1000)
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		for in := bufio.NewScanner(log); in.Scan(); {
+			if m := regexp.MustCompile(`listen=(\S+)`).FindStringSubmatch(in.Text()); m != nil {
+				listens <- m[1]
+			}
+			if strings.Contains(in.Text(), "too many open files") {
+				scarcity <- in.Text()
+			}
+		}
+	}()
+	defer func() {
+		_ = child.Process.Kill() // fails only if it has ended
+		<-read
+		_ = child.Wait()
+	}()
+	side := &running{url: "http://" + wait(t, "its listener", listens), door: wait(t, "its console", listens)}
+
+	held := func() int {
+		all, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", child.Process.Pid))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(all)
+	}
+	crowd := make(chan struct{}, 1)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	for i := range 2 * sockets {
+		go func() { // comes again whenever it is closed
+			for ; ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
+				c, err := net.Dial("tcp", strings.TrimPrefix(side.url, "http://"))
+				if err != nil {
+					continue
+				}
+				off := context.AfterFunc(ctx, func() { c.Close() })
+				if i%2 == 0 {
+					_, _ = io.WriteString(c, "GET /up HTTP/1.1\r\nHost: service.internal\r\n\r\n")
+				}
+				_, _ = io.Copy(io.Discard, c)
+				off()
+				c.Close()
+				select {
+				case crowd <- struct{}{}:
+				default:
+				}
+			}
+		}()
+	}
+	wait(t, "one of the crowd to be closed", crowd)
+	served := func(id string, at *stub) {
+		t.Helper()
+		for end := time.Now().Add(generous); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			res, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(side.request(t, "POST", "/entry", "1", "X-Request-ID", id))
+			if err != nil { // a new connection may be shut unread
+				continue
+			}
+			res.Body.Close()
+			if res.StatusCode == http.StatusOK && len(at.seen) > 0 {
+				wait(t, "it", at.seen)
+				return
+			}
+		}
+		t.Fatalf("request %s was not served", id)
+	}
+	most := 0
+	for i := range 20 {
+		served(fmt.Sprint(i), s)
+		most = max(most, held())
+	}
+	if got := side.call(t, "show-stat\n"); !strings.Contains(got, "app.members=1\n") {
+		t.Errorf("figures %q, want one member", got)
+	}
+	up.Store(true)
+	served("later", later)
+	eventually(t, "it to be kept", func() bool {
+		found := false
+		_ = filepath.WalkDir(state, func(path string, e os.DirEntry, err error) error {
+			if text, err := os.ReadFile(path); err == nil && strings.Contains(string(text), "s-later") {
+				found = true
+			}
+			return nil
+		})
+		return found
+	})
+	if len(scarcity) > 0 {
+		t.Errorf("%d lines such as %q", len(scarcity), <-scarcity)
+	}
+	t.Logf("%d descriptors of %d at most", most, sockets)
+	if most > sockets {
+		t.Errorf("%d descriptors of %d", most, sockets)
+	}
+}
