Tell servers no more time than clients have left, and refuse what is said twice

Need: an attempt tells its upstream at most what is left to the client. A long body may all have come while it waited for a slot or its connection, and told the whole of X-Timeout behind that; a request sent behind another on its connection had its time from the other's answer on. And a request with two ids, classes, tenants, times or keys, or a body on a class that has none, is no proper one, yet was sent on.

Change: what waiting has cost is taken off a long body's time; a request's time counts from when its last bytes were read; such requests get 400.

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -111,6 +111,9 @@
 		return
 	}
 	arrived := f.clock.now() // the client's time began with the last byte; that of a longer body's is still to come
+	if m.rest == nil {
+		arrived -= max(0, f.clients.came(r.Context()))
+	}
 	left = f.stop.Load().left(arrived, left)
 	m.left = left
 	if !f.clients.took(r.Context()) {
@@ -256,6 +259,11 @@
 // is for the client.
 func (f *front) read(r *http.Request) (q balance.Request, left time.Duration, err error) {
 	h := r.Header
+	for _, name := range []string{"X-Request-Id", "X-Priority-Class", "X-Tenant-Id", "X-Timeout", "Idempotency-Key"} {
+		if len(h[name]) > 1 { // who reads it next may take the other one
+			return q, 0, errors.New(name + " is there twice")
+		}
+	}
 	if h.Get("X-Request-ID") == "" {
 		return q, 0, errors.New("X-Request-ID is missing")
 	}
@@ -274,6 +282,9 @@
 	if r.Method != method {
 		return q, 0, errors.New("the method is not that of the class")
 	}
+	if method == http.MethodGet && r.ContentLength != 0 {
+		return q, 0, errors.New("a request of the class has no body")
+	}
 	if f.cfg.Policy.Classes[q.Class].Effect == balance.Keyed && h.Get("Idempotency-Key") == "" {
 		return q, 0, errors.New("Idempotency-Key is missing")
 	}
--- a/internal/sidecar/front_test.go
+++ b/internal/sidecar/front_test.go
@@ -66,6 +66,11 @@
 func TestBadInput(t *testing.T) {
 	s := newStub(t, echo)
 	side := start(t, nil, s.address)
+	twice := func(name string) *http.Request {
+		req := side.request(t, "POST", "/reading", "1", "Idempotency-Key", "k1")
+		req.Header.Add(name, req.Header.Get(name))
+		return req
+	}
 	for name, c := range map[string]struct {
 		status int
 		req    *http.Request
@@ -82,6 +87,12 @@
 		"time below 0":      {400, side.request(t, "GET", "/look", "", "X-Timeout", "-5m")},
 		"time is up":        {503, side.request(t, "GET", "/look", "", "X-Timeout", "0m")},
 		"bad cost":          {400, side.request(t, "GET", "/look", "", "X-Cost", "cheap")},
+		"safe with a body":  {400, side.request(t, "GET", "/look", "1")},
+		"two ids":           {400, twice("X-Request-Id")},
+		"two classes named": {400, twice("X-Priority-Class")},
+		"two tenants":       {400, twice("X-Tenant-Id")},
+		"two times":         {400, twice("X-Timeout")},
+		"two keys":          {400, twice("Idempotency-Key")},
 		"keyed without key": {400, side.request(t, "POST", "/reading", "1")},
 		"safe by POST":      {400, side.request(t, "POST", "/look", "")},
 		"unsafe by GET":     {400, side.request(t, "GET", "/entry", "")},
@@ -121,6 +132,57 @@
 	}
 }
 
+// Whoever sends without end, or in pieces, is answered with an error or closed, and nothing of it is sent on whole.
+func TestFloods(t *testing.T) {
+	s := newStub(t, echo)
+	side := start(t, nil, s.address)
+	chunk := "10000\r\n" + string(long(0x10000)) + "\r\n"
+	for name, c := range map[string]struct {
+		begin, more string
+		times       int
+	}{
+		"a line without end":      {"GET /", strings.Repeat("x", 4096), 256},
+		"headers without end":     {"GET /look HTTP/1.1\r\nHost: service.internal\r\n", strings.Repeat("X-A: b\r\n", 512), 256},
+		"blank lines without end": {"", strings.Repeat("\r\n", 2048), 256},
+		"60 MB announced":         {head("1", "Content-Length: 60000000"), string(long(60000)), 1000},
+		"60 MB in chunks":         {head("1", "Transfer-Encoding: chunked"), chunk, 960},
+		"60 MB for nobody":        {"POST /nothing HTTP/1.1\r\nHost: service.internal\r\nContent-Length: 60000000\r\n\r\n", string(long(60000)), 1000},
+		"a chunk without end":     {head("1", "Transfer-Encoding: chunked") + "fffffffffffffff\r\n", string(long(1 << 16)), 960},
+		"a chunk of no size":      {head("1", "Transfer-Encoding: chunked") + "g\r\n", "x", 1},
+		"a bad one in pieces":     {"", strings.Replace(head("1", "Content-Length: 0"), "X-Timeout", "X-Time", 1), 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			conn := side.dial(t)
+			go func() { // a write fails once it is closed
+				if _, err := io.WriteString(conn, c.begin); err != nil {
+					return
+				}
+				for i := 0; c.times == 0 && i < len(c.more); i++ {
+					if _, err := io.WriteString(conn, c.more[i:i+1]); err != nil {
+						return
+					}
+				}
+				for range c.times {
+					if _, err := io.WriteString(conn, c.more); err != nil {
+						return
+					}
+				}
+			}()
+			answers, err := io.ReadAll(conn)
+			if late, ok := err.(net.Error); ok && late.Timeout() {
+				t.Fatal("neither an answer nor a close")
+			}
+			if text := string(answers); text != "" && !strings.HasPrefix(text, "HTTP/1.1 4") && !strings.HasPrefix(text, "HTTP/1.1 5") {
+				t.Errorf("answered %.80q", text)
+			}
+			if len(s.seen) > 0 {
+				t.Error("the upstream had a whole request")
+			}
+		})
+	}
+}
+
 func TestDuration(t *testing.T) {
 	for text, want := range map[string]time.Duration{
 		"480m": 480 * time.Millisecond, "250u": 250 * time.Microsecond, "0.5m": 500 * time.Microsecond, "0u": 0,
@@ -504,6 +566,32 @@
 	t.Fatal("it is not read")
 }
 
+// The time of a request that was sent behind another counts from when it came, not from when that one was answered.
+func TestTimeOfWhatIsSentBehind(t *testing.T) {
+	held := make(chan struct{})
+	s := newStub(t, func(c net.Conn, r received) bool {
+		if r.Header.Get("X-Request-ID") == "1" {
+			<-held
+		}
+		return echo(c, r)
+	})
+	side := start(t, nil, s.address)
+	c := side.dial(t)
+	both := head("1", "Content-Length: 0") + head("2", "Content-Length: 0")
+	if _, err := io.WriteString(c, strings.ReplaceAll(both, "20000m", "5000m")); err != nil { // less than the aim
+		t.Fatal(err)
+	}
+	wait(t, "the first", s.seen)
+	waitRead(t, c)
+	const waited = 30 * time.Millisecond
+	time.Sleep(waited)
+	close(held)
+	told, _ := duration(wait(t, "the second", s.seen).Header.Get("X-Timeout"))
+	if most := 5*time.Second - waited; told > most {
+		t.Errorf("its attempt tells %v, want %v at most", told, most)
+	}
+}
+
 // A request that comes late behind a stop's signal has no longer than there is until the end.
 func TestTimeLeftAtAStop(t *testing.T) {
 	for name, c := range map[string]struct {
--- a/internal/sidecar/late_test.go
+++ b/internal/sidecar/late_test.go
@@ -374,6 +374,45 @@
 	}
 }
 
+// What an attempt tells its server is what is left once its connection has come up, for a long body too, all of which may have come long before.
+func TestToldTime(t *testing.T) {
+	for name, m := range map[string]*message{"held": testMessage("1"), "long": testMessage("1")} {
+		t.Run(name, func(t *testing.T) {
+			s, u := newStub(t, echo), testUpstream(t)
+			dialled, free := u.late(s.address)
+			if m.left = 4 * time.Second; name == "long" {
+				m.rest = newUpload(&paced{body: strings.NewReader("end"), deadline: func(time.Time) error { return nil }})
+				m.rest.whole, m.length = func() {}, int64(len(m.body))+3
+			}
+			u.send(s.address, m, u.clock.now()+m.left, 0, func(result) {})
+			wait(t, "its call for a connection", dialled)
+			begun := u.clock.now()
+			time.Sleep(30 * time.Millisecond)
+			most := m.left - (u.clock.now() - begun)
+			close(free)
+			if told, _ := duration(wait(t, "the request", s.seen).Header.Get("X-Timeout")); told > most {
+				t.Errorf("it tells %v, want %v at most", told, most)
+			}
+		})
+	}
+}
+
+// A further attempt of a long body tells no more than what was left as it was sent.
+func TestToldTimeOfAFurtherAttempt(t *testing.T) {
+	s := newStub(t, echo)
+	l := idleLoop(t, s.address)
+	r, _ := l.hold(7)
+	r.message.left = generous
+	r.message.rest = newUpload(&paced{body: strings.NewReader("end"), deadline: func(time.Time) error { return nil }})
+	r.message.rest.whole, r.message.length = func() {}, int64(len(r.message.body))+3
+	l.now += generous / 2 // as if others had failed
+	l.Send(7, serverID("s-0"), 0, 0)
+	if told, _ := duration(wait(t, "the request", s.seen).Header.Get("X-Timeout")); told > generous/2 {
+		t.Errorf("it tells %v, want %v at most", told, generous/2)
+	}
+	l.next(t)
+}
+
 // A client that has left as the last byte of its long body is about to go out is sent nowhere: its server never has that.
 func TestClientLeavesAtItsLastByte(t *testing.T) {
 	s, u, asked := newStub(t, echo), testUpstream(t), 0
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -394,6 +394,9 @@
 	if unsent > 0 {
 		unsent += l.now
 	}
+	if r.message.rest != nil { // its last byte may have come long ago, and lie unread
+		r.message.left = min(r.message.left, left)
+	}
 	r.attempts = append(r.attempts, l.upstream.send(address, r.message, l.now+timeout, unsent, func(res result) {
 		l.post(func(time.Duration) {
 			if res.stream != nil {
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -42,7 +42,7 @@
 	body   []byte        // the whole of it, or what is held
 	rest   *upload       // what follows the held part; nil: nothing does
 	length int64         // of both together; -1: not told
-	left   time.Duration // how long the client waits once its last byte has gone out, where rest follows
+	left   time.Duration // how long the client waits once its last byte has gone out, where rest follows: less what it has waited for that to begin
 	gone   func() bool   // whether its client has left by now; nil: it has none
 }
 
@@ -255,7 +255,11 @@
 func (u *upstream) exchange(
 	x *exchange, address string, req *http.Request, m *message, until time.Duration, begin func(*http.Response, *stream),
 ) (*http.Response, []byte, balance.Ending) {
+	asked := u.clock.now()
 	c, err := u.connect(x, address, x.bound(until))
+	if m != nil && m.rest != nil {
+		m.left -= u.clock.now() - asked
+	}
 	if err != nil {
 		return nil, nil, u.neverRan(x, m)
 	}
