--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -286,6 +286,15 @@
 			l.post(func(now time.Duration) { l.uploaded(now, q.ID) })
 		}
 	}
+	if gone := m.gone; gone != nil {
+		m.gone = func() bool {
+			if !gone() {
+				return false
+			}
+			l.gone(q.ID) // ahead of the end of the attempt that finds it out, or the module would make another
+			return true
+		}
+	}
 	l.post(func(now time.Duration) {
 		q.Left = deadline - now
 		l.requests[q.ID] = &request{message: m, deadline: deadline, reply: reply}
@@ -385,6 +394,9 @@
 	if unsent > 0 {
 		unsent += l.now
 	}
+	if r.message.rest != nil { // its last byte may have come long ago, and lie unread
+		r.message.left = min(r.message.left, left)
+	}
 	r.attempts = append(r.attempts, l.upstream.send(address, r.message, l.now+timeout, unsent, func(res result) {
 		l.post(func(time.Duration) {
 			if res.stream != nil {
