Dial another connection beside one that is late, three in all

Change: TCP sends a lost first packet again after a second, which is past the time-out, while another dial mostly comes up at once. An eighth of the time-out behind a dial that is still out another is begun, three in all, only where there is room that nobody has to make. The first to end decides, the rest is called off, and what comes up all the same is the pool's. An attempt that is given up, withdrawn or past its bound is written nothing, as before: it has one end and one begin.

Weighed and not done: dials of their own that outlive their attempts (what comes up a second late is closed by its server about 0.5 s after, and a handshake each), a connection that becomes idle meanwhile (at 2 requests a second to a server there is none), one opened before the idle limit (servers close sooner, by chance), a softer word for a late dial (the module's; few are left).

Run: the tests of connections with -race, passed.

--- a/internal/sidecar/late_test.go
+++ b/internal/sidecar/late_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -276,3 +277,74 @@
 		t.Error("the module had the request")
 	}
 }
+
+// A connection that is late has others dialled beside it, dialsMost in all and only where there is room. The first to
+// come up carries the request, once; what comes up all the same is the pool's.
+func TestAnotherIsDialledBesideALateOne(t *testing.T) {
+	refused := errors.New("refused")
+	for name, c := range map[string]struct {
+		late    int  // so many dials, the first ones, end only as they are called off,
+		comesUp bool // with a connection or without
+		fails   error
+		edit    func(u *upstream)
+		ending  balance.Ending
+		dials   int
+		open    int // connections that are left
+	}{
+		"none late":         {ending: balance.Served, dials: 1, open: 1},
+		"one":               {late: 1, ending: balance.Served, dials: 2, open: 1},
+		"one, up after all": {late: 1, comesUp: true, ending: balance.Served, dials: 2, open: 2},
+		"two":               {late: 2, ending: balance.Served, dials: 3, open: 1},
+		"all":               {late: dialsMost + 1, ending: balance.NoConnection, dials: dialsMost},
+		"one, at the limit": {late: 1, edit: func(u *upstream) { u.most = 1 }, ending: balance.NoConnection, dials: 1},
+		"one, with no room": {late: 1, edit: func(u *upstream) { u.room = func(n int) bool { return n < 1 } },
+			ending: balance.NoConnection, dials: 1},
+		"one, then refused": {late: 1, fails: refused, ending: balance.NoConnection, dials: 2},
+		"refused":           {fails: refused, ending: balance.NoConnection, dials: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStub(t, echo)
+			u := testUpstream(t)
+			if c.ending != balance.Served {
+				u.dialTimeout = 20 * time.Millisecond
+			}
+			if c.edit != nil {
+				c.edit(u)
+			}
+			var dials atomic.Int32
+			dialled, over := make(chan int, 2*dialsMost), make(chan time.Time)
+			close(over)
+			u.lateAfter = func(time.Duration) <-chan time.Time { // over for each late one, once that has begun
+				if <-dialled <= c.late {
+					return over
+				}
+				return nil
+			}
+			u.dial = func(ctx context.Context, network, to string) (net.Conn, error) {
+				n := int(dials.Add(1))
+				dialled <- n
+				if n > c.late && c.fails != nil {
+					return nil, c.fails
+				}
+				if n <= c.late {
+					<-ctx.Done()
+					if !c.comesUp {
+						return nil, ctx.Err()
+					}
+				}
+				return (&net.Dialer{}).DialContext(context.WithoutCancel(ctx), network, to)
+			}
+			if got := attempt(t, u, s.address, "1", generous); got.ending != c.ending {
+				t.Errorf("ending %v, want %v", got.ending, c.ending)
+			}
+			for end := time.Now().Add(generous); u.connections() != c.open && time.Now().Before(end); {
+				time.Sleep(time.Millisecond) // those called off end by themselves
+			}
+			idle := u.idleBefore(s.address, u.clock.now())
+			if n := int(dials.Load()); n != c.dials || u.connections() != c.open || idle != c.open || len(s.seen) > 1 {
+				t.Errorf("%d dials, %d open, %d idle, %d requests, want %d, %d, all, one at most", n, u.connections(), idle,
+					len(s.seen), c.dials, c.open)
+			}
+		})
+	}
+}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -31,6 +31,10 @@
 	idleMargin  = time.Second
 	// A second answer may come some milliseconds behind the first. It must find no request out on its connection.
 	quietTime = 10 * time.Millisecond
+	// A connection whose first packet is lost comes up after a second (RFC 6298, 2.1: the initial retransmission
+	// time-out), which is more than a dial's time-out may be. Another, dialled early in that, mostly comes up at once.
+	dialsMost = 3 // for one connection, the first included
+	lateShare = 8 // and each a dial's time-out by this behind the one before
 )
 
 // message is a request as it goes on to an upstream, but for its time-out.
@@ -67,10 +71,12 @@
 	reports     []string
 	columns     wire.Columns
 	probePath   string
-	written     atomic.Uint64            // attempts whose last byte was written
-	yield       func(upstreams int) bool // has clients make room for one more connection than so many
-	quietTime   time.Duration            // how long a connection is idle at least before it is used again
-	after       func(time.Duration) <-chan time.Time
+	written     atomic.Uint64                        // attempts whose last byte was written
+	yield       func(upstreams int) bool             // has clients make room for one more connection than so many
+	room        func(upstreams int) bool             // tells whether there is room for it as it is
+	quietTime   time.Duration                        // how long a connection is idle at least before it is used again
+	after       func(time.Duration) <-chan time.Time // for that
+	lateAfter   func(time.Duration) <-chan time.Time // and for when another connection is dialled beside one
 	dial        func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu      sync.Mutex
@@ -79,6 +85,7 @@
 	open    int                // idle, in use or being opened
 	sweeper *time.Timer        // set while there are idle ones
 	dialled int
+	beside  int // of these, dialled as one before was late
 	stale   int // idle ones found closed by their server, or with bytes left over
 	quiet   int // exchanges that waited as all idle ones had been used just now
 	failed  failures
@@ -98,8 +105,8 @@
 	net.Conn
 	r         *bufio.Reader
 	limit     io.LimitedReader // what may still be read for this answer
-	idleSince time.Duration
-	kept      bool // it has carried an exchange before
+	idleSince time.Duration    // or opened, until its first exchange
+	kept      bool             // it has carried an exchange before
 }
 
 func newUpstream(cfg *Config, c clock) *upstream {
@@ -110,7 +117,9 @@
 		most:      cfg.upstreamConns(1),
 		probePath: "/alive",
 		yield:     func(int) bool { return true },
+		room:      func(int) bool { return true },
 		after:     time.After,
+		lateAfter: time.After,
 		dial:      (&net.Dialer{KeepAlive: -1}).DialContext, // no use against a silent machine; the time-outs are
 		idle:      make(map[string][]*conn),
 	}
@@ -396,6 +405,50 @@
 	if !x.begin(false, cancel) {
 		cancel()
 	}
+	return u.openConn(ctx, address)
+}
+
+// openConn opens a connection that has been counted as open already. While it is late others are dialled beside it, as
+// long as there is room without anyone's making it; the first to end decides. The rest is called off, and what comes
+// up all the same is the pool's.
+func (u *upstream) openConn(ctx context.Context, address string) (*conn, error) {
+	type ended struct {
+		c   *conn
+		err error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var decided atomic.Bool
+	first := make(chan ended, 1)
+	dial := func() {
+		c, err := u.dialOnce(ctx, address)
+		switch {
+		case decided.CompareAndSwap(false, true):
+			first <- ended{c, err}
+		case err == nil:
+			u.keepIdle(address, c, true)
+		}
+	}
+	for n := 1; ; n++ {
+		go dial()
+		var over <-chan time.Time
+		if n < dialsMost {
+			over = u.lateAfter(u.dialTimeout / lateShare)
+		}
+		select {
+		case e := <-first:
+			return e.c, e.err
+		case <-over:
+		}
+		if !u.another() {
+			e := <-first
+			return e.c, e.err
+		}
+	}
+}
+
+// dialOnce opens a connection that has been counted as open.
+func (u *upstream) dialOnce(ctx context.Context, address string) (*conn, error) {
 	raw, err := u.dial(ctx, "tcp", address)
 	if err != nil {
 		u.mu.Lock()
@@ -403,12 +456,25 @@
 		u.mu.Unlock()
 		return nil, err
 	}
-	c := &conn{Conn: raw}
+	c := &conn{Conn: raw, idleSince: u.clock.now()}
 	c.limit.R = raw
 	c.r = bufio.NewReader(&c.limit)
 	return c, nil
 }
 
+// another counts one more connection that is to be opened beside one that is late, if there is room.
+func (u *upstream) another() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.open >= u.most || !u.room(u.open) {
+		return false
+	}
+	u.open++
+	u.dialled++
+	u.beside++
+	return true
+}
+
 // quieten waits until a connection has been idle for quietTime. It returns false if the exchange is given up.
 func (u *upstream) quieten(x *exchange, c *conn) bool {
 	left := c.idleSince + u.quietTime - u.clock.now()
@@ -579,7 +645,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return map[string]int{
-		"open": u.open, "dialled": u.dialled, "stale": u.stale, "quiet": u.quiet, "unsent": u.failed.unsent, "reset": u.failed.reset,
+		"open": u.open, "dialled": u.dialled, "beside": u.beside, "stale": u.stale, "quiet": u.quiet, "unsent": u.failed.unsent, "reset": u.failed.reset,
 		"resetKept": u.failed.resetKept, "unreadable": u.failed.unreadable, "timedOut": u.failed.timedOut,
 	}
 }
