--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -164,7 +164,7 @@
 }
 
 // scene reads a scenario that a test has as text.
-func scene(t *testing.T, text string) *Scenario {
+func scene(t testing.TB, text string) *Scenario {
 	t.Helper()
 	s, err := ReadScenario("test.toml", []byte("about = 'a test'\n"+text))
 	if err != nil {
@@ -259,7 +259,7 @@
 	})
 )
 
-func realProgram(t *testing.T) string {
+func realProgram(t testing.TB) string {
 	t.Helper()
 	path, err := program()
 	if err != nil {
