Open a spare connection where none to a server has rested, so that later requests don't wait

Cause: a connection rests 10 ms before it is used again, and a request that finds none rested waits for one. A wait holds its connection and dials none, so the pool stays as small as it is.

Change: a request that finds none rested waits as before, and one spare connection to that server is opened beside it, for the requests after it. So the pool grows to what the rate needs within 10 ms, once and not for each wait; the one used last among the rested is taken as before, so what is not needed ends by idling. A spare needs no rest, as nothing was asked on it. One at a time to each server, so that dials which come up late or never don't pile up; never past the limit on connections, and no idle connection, to a server or of a client, is closed for it. A request given up opens none, and a connection that its server has closed is found before the wait too. One given back unused, which may be a spare now, keeps the time since which its server counts.

Turned down: the waiting request takes whichever is first, the dial or the rest (a handshake takes 2 to 4 ms of the server by the settings' drawing, the rest 5 ms in the mean: little gain, and a race); opening before the need, by rate (decides what waits tell by themselves); a pause only where there was cause (the first second answer would be somebody's); turns by rested connections (the module would have to be told of each).

What the pause keeps off stays off. TestSecondAnswerIsNobodys now has both ways out, over the spare and with no room for one, with the same figures. TestConnectionsAreReused counts one connection for five requests in a row; they came within the 10 ms, for which the pool now grows by design, so its connections rest no time, and the count stays.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -116,6 +116,13 @@
 	return true
 }
 
+// spare tells whether there is room for one more connection to an upstream, beside so many.
+func (l *clients) spare(upstreams int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)+upstreams < l.all
+}
+
 // leave stops listening, for a second process that listens here too. Connections that have come but were not
 // accepted yet would be reset with the listener: Accept returns them first. The last look for one and the end of
 // listening are two system calls in a row, as nothing else keeps the kernel from choosing this listener meanwhile.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -56,7 +56,7 @@
 		return err
 	}
 	k := newClients(cfg, listener, up.connections)
-	up.yield = k.yield
+	up.yield, up.room = k.yield, k.spare
 	f := newFront(cfg, c, l, k)
 	l.clients = f.counters
 	work, err := newDuties(cfg, peers, state)
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -69,6 +69,7 @@
 	probePath   string
 	written     atomic.Uint64            // attempts whose last byte was written
 	yield       func(upstreams int) bool // has clients make room for one more connection than so many
+	room        func(upstreams int) bool // tells whether there is room for it as it is
 	quietTime   time.Duration            // how long a connection is idle at least before it is used again
 	after       func(time.Duration) <-chan time.Time
 	dial        func(ctx context.Context, network, address string) (net.Conn, error)
@@ -76,6 +77,7 @@
 	mu      sync.Mutex
 	most    int                // connections at most
 	idle    map[string][]*conn // by address, in the order of idleSince
+	spares  map[string]bool    // addresses to which a spare one is being opened
 	open    int                // idle, in use or being opened
 	sweeper *time.Timer        // set while there are idle ones
 	dialled int
@@ -98,8 +100,8 @@
 	net.Conn
 	r         *bufio.Reader
 	limit     io.LimitedReader // what may still be read for this answer
-	idleSince time.Duration
-	kept      bool // it has carried an exchange before
+	idleSince time.Duration    // or opened, until its first exchange
+	kept      bool             // it has carried an exchange before
 }
 
 func newUpstream(cfg *Config, c clock) *upstream {
@@ -110,9 +112,11 @@
 		most:      cfg.upstreamConns(1),
 		probePath: "/alive",
 		yield:     func(int) bool { return true },
+		room:      func(int) bool { return true },
 		after:     time.After,
 		dial:      (&net.Dialer{KeepAlive: -1}).DialContext, // no use against a silent machine; the time-outs are
 		idle:      make(map[string][]*conn),
+		spares:    make(map[string]bool),
 	}
 	u.quietTime = min(quietTime, u.keep)
 	if cfg.Policy.Reports != 0 {
@@ -260,7 +264,7 @@
 		stop = func() { c.Conn.Close(); m.rest.interrupt() }
 	}
 	if !x.begin(true, stop) { // given up in the meantime: nothing may go out any more
-		u.keepIdle(address, c, c.kept)
+		u.keepIdle(address, c, true)
 		return nil, nil, u.neverRan(x, m)
 	}
 	if m != nil {
@@ -384,7 +388,7 @@
 		if c == nil {
 			break
 		}
-		if !u.quieten(x, c) || c.usable() {
+		if c.usable() && (!u.quieten(x, address, c) || c.usable()) {
 			return c, nil
 		}
 		u.count(&u.stale)
@@ -396,6 +400,11 @@
 	if !x.begin(false, cancel) {
 		cancel()
 	}
+	return u.openConn(ctx, address)
+}
+
+// openConn opens a connection that has been counted as open already.
+func (u *upstream) openConn(ctx context.Context, address string) (*conn, error) {
 	raw, err := u.dial(ctx, "tcp", address)
 	if err != nil {
 		u.mu.Lock()
@@ -403,43 +412,79 @@
 		u.mu.Unlock()
 		return nil, err
 	}
-	c := &conn{Conn: raw}
+	c := &conn{Conn: raw, idleSince: u.clock.now()}
 	c.limit.R = raw
 	c.r = bufio.NewReader(&c.limit)
 	return c, nil
 }
 
-// quieten waits until a connection has been idle for quietTime. It returns false if the exchange is given up.
-func (u *upstream) quieten(x *exchange, c *conn) bool {
-	left := c.idleSince + u.quietTime - u.clock.now()
-	if left <= 0 {
+// openSpare opens a connection for requests to come, as all idle ones to an address have been used just now. So as many
+// are kept as its requests need within quietTime, each opened once and not for each wait, and those that are not needed
+// end by being idle. It is one at a time, and nothing has to make room for it.
+func (u *upstream) openSpare(address string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.spares[address] || u.open >= u.most || !u.room(u.open) {
+		return
+	}
+	u.spares[address] = true
+	u.open++
+	u.dialled++
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), u.dialTimeout)
+		defer cancel()
+		c, err := u.openConn(ctx, address)
+		if err == nil {
+			u.keepIdle(address, c, true)
+		}
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		delete(u.spares, address)
+	}()
+}
+
+// quieten waits until a connection has rested. It returns false if the exchange is given up.
+func (u *upstream) quieten(x *exchange, address string, c *conn) bool {
+	now := u.clock.now()
+	if u.rested(c, now) {
 		return true
 	}
-	u.count(&u.quiet)
 	off := make(chan struct{})
 	if !x.begin(false, sync.OnceFunc(func() { close(off) })) {
 		return false
 	}
+	u.count(&u.quiet)
+	u.openSpare(address)
 	select {
-	case <-u.after(left):
+	case <-u.after(c.idleSince + u.quietTime - now):
 		return true
 	case <-off:
 		return false
 	}
 }
 
-// take returns the idle connection that was used last of those that have been idle for quietTime, else the one that
-// will have been first; or nil once it has counted a new one that is to be opened. At the limit an idle connection to
-// another server makes room.
+// rested tells whether nothing can come on a connection any more, as it has been idle for quietTime, or nothing was
+// ever asked on it.
+func (u *upstream) rested(c *conn, now time.Duration) bool {
+	return !c.kept || c.idleSince <= now-u.quietTime
+}
+
+// take returns the idle connection that was used last of those that have rested, else the one that will have been
+// first; or nil once it has counted a new one that is to be opened. At the limit an idle connection to another server
+// makes room.
 func (u *upstream) take(address string) (*conn, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	now := u.clock.now()
-	if old := u.idleBefore(address, now-u.quietTime); old > 0 && u.idle[address][old-1].idleSince <= now-u.keep {
-		u.drop(address, old) // even the last used of them is too old
+	now, list := u.clock.now(), u.idle[address]
+	i := len(list) - 1
+	for i > 0 && !u.rested(list[i], now) {
+		i--
+	}
+	if i >= 0 && list[i].idleSince <= now-u.keep { // it is too old, and so are those before it
+		u.drop(address, i+1)
+		list, i = u.idle[address], 0
 	}
-	if list := u.idle[address]; len(list) > 0 {
-		i := max(0, u.idleBefore(address, now-u.quietTime)-1)
+	if len(list) > 0 {
 		c := list[i]
 		u.idle[address] = slices.Delete(list, i, i+1)
 		return c, nil
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -145,47 +147,191 @@
 	}
 }
 
+// unrested has a request wait until quiet is closed wherever no connection has rested; waits hears of it.
+func (u *upstream) unrested() (waits chan time.Duration, quiet chan time.Time) {
+	waits, quiet = make(chan time.Duration, 10), make(chan time.Time)
+	u.after = func(d time.Duration) <-chan time.Time { waits <- d; return quiet }
+	u.quietTime = u.keep // however long the test is held up, it has not passed
+	return waits, quiet
+}
+
+// untilIdle waits until so many connections to an address are idle.
+func (u *upstream) untilIdle(t *testing.T, address string, n int) {
+	t.Helper()
+	for end, there := time.Now().Add(generous), -1; there != n; time.Sleep(time.Millisecond) {
+		u.mu.Lock()
+		there = len(u.idle[address])
+		u.mu.Unlock()
+		if time.Now().After(end) {
+			t.Fatalf("%d connections are idle, want %d", there, n)
+		}
+	}
+}
+
 // A second answer that comes some milliseconds late, when the next request is waiting for that connection, is found
-// and passed on to nobody: a 503 among them would have what runs once sent again.
+// and passed on to nobody: a 503 among them would have what runs once sent again. That request goes over the spare
+// connection that was opened meanwhile, or over a new one.
 func TestSecondAnswerIsNobodys(t *testing.T) {
 	const more = "HTTP/1.1 503 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
-	first := make(chan net.Conn, 1)
-	s := newStub(t, func(c net.Conn, r received) bool {
-		if r.conn == 0 && r.Header.Get("X-Request-ID") == "1" {
-			first <- c
-		} else if r.conn == 0 { // with no pause the request is here before the second answer
-			_, _ = c.Write([]byte(more)) // fails only where the sidecar has gone, which it has not
+	for _, spare := range []bool{true, false} {
+		first := make(chan net.Conn, 1)
+		s := newStub(t, func(c net.Conn, r received) bool {
+			if r.conn == 0 && r.Header.Get("X-Request-ID") == "1" {
+				first <- c
+			} else if r.conn == 0 { // with no pause the request is here before the second answer
+				_, _ = c.Write([]byte(more)) // fails only where the sidecar has gone, which it has not
+			}
+			return echo(c, r)
+		})
+		u := testUpstream(t)
+		u.room = func(int) bool { return spare }
+		waits, quiet := u.unrested()
+		attempt(t, u, s.address, "1", generous)
+		kept, done := u.idle[s.address][0], make(chan result, 2)
+		u.send(s.address, testMessage("2"), u.clock.now()+generous, 0, func(r result) { done <- r })
+		select {
+		case <-waits:
+			if spare {
+				u.untilIdle(t, s.address, 1)
+			}
+			if _, err := wait(t, "the first connection", first).Write([]byte(more)); err != nil {
+				t.Fatal(err)
+			}
+			for end := time.Now().Add(generous); kept.usable(); time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatal("the second answer has not come")
+				}
+			}
+			close(quiet)
+		case r := <-done:
+			done <- r
+		case <-time.After(generous):
+			t.Fatal("the second request neither waits nor ends")
 		}
-		return echo(c, r)
-	})
-	u := testUpstream(t)
-	waits, quiet := make(chan time.Duration, 1), make(chan time.Time)
-	u.after = func(d time.Duration) <-chan time.Time { waits <- d; return quiet }
-	u.quietTime = u.keep // however long the test is held up, it has not passed
-	attempt(t, u, s.address, "1", generous)
-	kept, done := u.idle[s.address][0], make(chan result, 2)
-	u.send(s.address, testMessage("2"), u.clock.now()+generous, 0, func(r result) { done <- r })
-	select {
-	case <-waits:
-		if _, err := wait(t, "the first connection", first).Write([]byte(more)); err != nil {
-			t.Fatal(err)
+		if r := wait(t, "its end", done); r.ending != balance.Served || string(r.body) != "done 2" {
+			t.Fatalf("spare %v: ending %v, body %q, want its own answer", spare, r.ending, r.body)
 		}
-		for end := time.Now().Add(generous); kept.usable(); time.Sleep(time.Millisecond) {
-			if time.Now().After(end) {
-				t.Fatal("the second answer has not come")
-			}
+		if u.dialled != 2 || u.stale != 1 || u.open != 1 {
+			t.Errorf("spare %v: dialled %d, stale %d, open %d, want 2, 1, 1", spare, u.dialled, u.stale, u.open)
 		}
-		close(quiet)
-	case r := <-done:
-		done <- r
-	case <-time.After(generous):
-		t.Fatal("the second request neither waits nor ends")
 	}
-	if r := wait(t, "its end", done); r.ending != balance.Served || string(r.body) != "done 2" {
-		t.Fatalf("ending %v, body %q, want its own answer", r.ending, r.body)
+}
+
+// Where no connection to a server has rested, a spare one is opened beside the request that waits, for those after it:
+// one at a time, and only where there is room. Whatever becomes of it, that request goes on over its own.
+func TestSpareConnection(t *testing.T) {
+	for name, c := range map[string]struct {
+		edit    func(u *upstream)
+		happens string // to the spare one or the request while both are awaited
+		dialled int
+		open    int
+	}{
+		"opened":             {happens: "opened", dialled: 2, open: 2},
+		"fails":              {happens: "fails", dialled: 2, open: 1},
+		"late":               {dialled: 2, open: 2},
+		"request given up":   {happens: "cancelled", dialled: 2, open: 2},
+		"request called off": {happens: "withdrawn", dialled: 2, open: 2},
+		"at the limit":       {edit: func(u *upstream) { u.most = 1 }, dialled: 1, open: 1},
+		"no room":            {edit: func(u *upstream) { u.room = func(int) bool { return false } }, dialled: 1, open: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStub(t, echo)
+			u := testUpstream(t)
+			waits, quiet := u.unrested()
+			attempt(t, u, s.address, "1", generous)
+			wait(t, "1", s.seen)
+			first := u.idle[s.address][0]
+			dialled, up := make(chan struct{}, 10), make(chan error, 10)
+			dial := u.dial
+			u.dial = func(ctx context.Context, network, to string) (net.Conn, error) {
+				dialled <- struct{}{}
+				if err := <-up; err != nil {
+					return nil, err
+				}
+				return dial(context.Background(), network, to)
+			}
+			if c.edit != nil {
+				c.edit(u)
+			}
+			done := make(chan result, 2)
+			x := u.send(s.address, testMessage("2"), u.clock.now()+generous, 0, func(r result) { done <- r })
+			wait(t, "the request to wait", waits)
+			want := balance.Served
+			if c.dialled > 1 {
+				wait(t, "the call for a spare connection", dialled)
+			}
+			switch c.happens {
+			case "opened": // the next request goes over it, before the one that waits
+				up <- nil
+				u.untilIdle(t, s.address, 1)
+				if got := attempt(t, u, s.address, "3", generous); got.ending != balance.Served || wait(t, "3", s.seen).conn != 1 {
+					t.Errorf("the next request: ending %v, want it served over the spare connection", got.ending)
+				}
+			case "fails":
+				up <- errors.New("planted")
+			case "cancelled":
+				x.cancel()
+				want = balance.Cancelled
+			case "withdrawn":
+				x.withdraw()
+				want = balance.NotSent
+			}
+			if want == balance.Served {
+				close(quiet)
+			}
+			if got := wait(t, "its end", done); got.ending != want {
+				t.Errorf("ending %v, want %v", got.ending, want)
+			}
+			up <- nil // or it has come up, or nobody asks
+			u.untilIdle(t, s.address, c.open)
+			u.mu.Lock()
+			defer u.mu.Unlock()
+			if u.dialled != c.dialled || u.open != c.open || len(dialled) > 0 || !slices.Contains(u.idle[s.address], first) {
+				t.Errorf("dialled %d and %d more, open %d, want %d and %d with the first kept", u.dialled, len(dialled), u.open, c.dialled, c.open)
+			}
+			if want == balance.Served && wait(t, "2", s.seen).conn != 0 || len(s.seen) > 0 {
+				t.Error("the request that waited was not sent over its own connection, or one given up was sent")
+			}
+		})
+	}
+}
+
+// Two requests that wait at once have one spare connection between them; the next wait has another.
+func TestOneSpareAtATime(t *testing.T) {
+	s := newStub(t, echo)
+	u := testUpstream(t)
+	waits, quiet := u.unrested()
+	attempt(t, u, s.address, "1", generous)
+	u.mu.Lock()
+	u.open++
+	u.mu.Unlock()
+	c, err := u.openConn(t.Context(), s.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	u.keepIdle(s.address, c, false)
+	dialled, free := u.late(s.address)
+	done := make(chan result, 3)
+	for _, id := range []string{"2", "3"} {
+		u.send(s.address, testMessage(id), u.clock.now()+generous, 0, func(r result) { done <- r })
+		wait(t, "the request to wait", waits)
 	}
-	if u.dialled != 2 || u.stale != 1 || u.open != 1 {
-		t.Errorf("dialled %d, stale %d, open %d, want 2, 1, 1", u.dialled, u.stale, u.open)
+	wait(t, "the call for a spare connection", dialled)
+	if u.mu.Lock(); u.dialled != 2 || len(dialled) > 0 {
+		t.Errorf("%d connections dialled, want the first and one spare", u.dialled)
+	}
+	u.mu.Unlock()
+	close(free)
+	u.untilIdle(t, s.address, 1)
+	attempt(t, u, s.address, "4", generous)
+	u.send(s.address, testMessage("5"), u.clock.now()+generous, 0, func(r result) { done <- r })
+	wait(t, "the request to wait", waits)
+	wait(t, "the call for a second spare connection", dialled)
+	close(quiet)
+	for range 3 {
+		if r := wait(t, "an end", done); r.ending != balance.Served {
+			t.Errorf("ending %v, want %v", r.ending, balance.Served)
+		}
 	}
 }
 
@@ -196,22 +342,26 @@
 	u := testUpstream(t)
 	now := u.clock.now()
 	for name, c := range map[string]struct {
-		ages []time.Duration
-		want int // by its place in ages; -1: a new one
+		ages  []time.Duration
+		spare []int // places of those that have carried nothing
+		want  int   // by its place in ages; -1: a new one
 	}{
-		"all quiet":    {[]time.Duration{3 * time.Second, 2 * time.Second, time.Second}, 2},
-		"last too new": {[]time.Duration{3 * time.Second, 2 * time.Second, 0}, 1},
-		"all too new":  {[]time.Duration{2 * time.Millisecond, 0}, 0},
-		"old and new":  {[]time.Duration{u.keep, 0}, 1},
-		"too old":      {[]time.Duration{u.keep}, -1},
+		"all quiet":       {[]time.Duration{3 * time.Second, 2 * time.Second, time.Second}, nil, 2},
+		"last too new":    {[]time.Duration{3 * time.Second, 2 * time.Second, 0}, nil, 1},
+		"all too new":     {[]time.Duration{2 * time.Millisecond, 0}, nil, 0},
+		"old and new":     {[]time.Duration{u.keep, 0}, nil, 1},
+		"too old":         {[]time.Duration{u.keep}, nil, -1},
+		"a new spare":     {[]time.Duration{2 * time.Millisecond, time.Millisecond, 0}, []int{1}, 1},
+		"a spare in need": {[]time.Duration{3 * time.Second, 2 * time.Second, 0}, []int{0}, 1}, // as it is there for that alone
+		"a spare too old": {[]time.Duration{u.keep, 0}, []int{0}, 1},
 	} {
 		u.idle, u.open = map[string][]*conn{}, len(c.ages)
 		u.quietTime = time.Second / 2 // the test may be held up
 		var all []*conn
-		for _, age := range c.ages {
+		for i, age := range c.ages {
 			a, b := net.Pipe()
 			defer b.Close()
-			all = append(all, &conn{Conn: a, idleSince: now - age, kept: true})
+			all = append(all, &conn{Conn: a, idleSince: now - age, kept: !slices.Contains(c.spare, i)})
 		}
 		u.idle["a"] = slices.Clone(all)
 		got, err := u.take("a")
@@ -251,6 +401,7 @@
 func TestConnectionsAreReused(t *testing.T) {
 	s := newStub(t, echo)
 	u := testUpstream(t)
+	u.quietTime = 0 // each has rested when the next request comes
 	for i := range 5 {
 		attempt(t, u, s.address, fmt.Sprint(i), generous)
 	}
