--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -31,6 +31,10 @@
 	idleMargin  = time.Second
 	// A second answer may come some milliseconds behind the first. It must find no request out on its connection.
 	quietTime = 10 * time.Millisecond
+	// A connection whose first packet is lost comes up after a second (RFC 6298, 2.1: the initial retransmission
+	// time-out), which is more than a dial's time-out may be. Another, dialled early in that, mostly comes up at once.
+	dialsMost = 3 // for one connection, the first included
+	lateShare = 8 // and each a dial's time-out by this behind the one before
 )
 
 // message is a request as it goes on to an upstream, but for its time-out.
@@ -71,18 +75,22 @@
 	reports     []string
 	columns     wire.Columns
 	probePath   string
-	written     atomic.Uint64            // attempts whose last byte was written
-	yield       func(upstreams int) bool // has clients make room for one more connection than so many
-	quietTime   time.Duration            // how long a connection is idle at least before it is used again
-	after       func(time.Duration) <-chan time.Time
+	written     atomic.Uint64                        // attempts whose last byte was written
+	yield       func(upstreams int) bool             // has clients make room for one more connection than so many
+	room        func(upstreams int) bool             // tells whether there is room for it as it is
+	quietTime   time.Duration                        // how long a connection is idle at least before it is used again
+	after       func(time.Duration) <-chan time.Time // for that
+	lateAfter   func(time.Duration) <-chan time.Time // and for when another connection is dialled beside one
 	dial        func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu      sync.Mutex
 	most    int                // connections at most
 	idle    map[string][]*conn // by address, in the order of idleSince
+	spares  map[string]bool    // addresses to which a spare one is being opened
 	open    int                // idle, in use or being opened
 	sweeper *time.Timer        // set while there are idle ones
 	dialled int
+	beside  int // of these, dialled as one before was late
 	stale   int // idle ones found closed by their server, or with bytes left over
 	quiet   int // exchanges that waited as all idle ones had been used just now
 	failed  failures
@@ -102,8 +110,8 @@
 	net.Conn
 	r         *bufio.Reader
 	limit     io.LimitedReader // what may still be read for this answer
-	idleSince time.Duration
-	kept      bool // it has carried an exchange before
+	idleSince time.Duration    // or opened, until its first exchange
+	kept      bool             // it has carried an exchange before
 }
 
 func newUpstream(cfg *Config, c clock) *upstream {
@@ -114,9 +122,12 @@
 		most:      cfg.upstreamConns(1),
 		probePath: "/alive",
 		yield:     func(int) bool { return true },
+		room:      func(int) bool { return true },
 		after:     time.After,
+		lateAfter: time.After,
 		dial:      (&net.Dialer{KeepAlive: -1}).DialContext, // no use against a silent machine; the time-outs are
 		idle:      make(map[string][]*conn),
+		spares:    make(map[string]bool),
 	}
 	u.quietTime = min(quietTime, u.keep)
 	if cfg.Policy.Reports != 0 {
@@ -271,7 +282,7 @@
 		x.withdraw()
 	}
 	if !x.begin(true, stop) { // given up in the meantime: nothing may go out any more
-		u.keepIdle(address, c, c.kept)
+		u.keepIdle(address, c, true)
 		return nil, nil, u.neverRan(x, m)
 	}
 	if m != nil {
@@ -399,7 +410,7 @@
 		if c == nil {
 			break
 		}
-		if !u.quieten(x, c) || c.usable() {
+		if c.usable() && (!u.quieten(x, address, c) || c.usable()) {
 			return c, nil
 		}
 		u.count(&u.stale)
@@ -411,6 +422,50 @@
 	if !x.begin(false, cancel) {
 		cancel()
 	}
+	return u.openConn(ctx, address)
+}
+
+// openConn opens a connection that has been counted as open already. While it is late others are dialled beside it, as
+// long as there is room without anyone's making it; the first to end decides. The rest is called off, and what comes
+// up all the same is the pool's.
+func (u *upstream) openConn(ctx context.Context, address string) (*conn, error) {
+	type ended struct {
+		c   *conn
+		err error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var decided atomic.Bool
+	first := make(chan ended, 1)
+	dial := func() {
+		c, err := u.dialOnce(ctx, address)
+		switch {
+		case decided.CompareAndSwap(false, true):
+			first <- ended{c, err}
+		case err == nil:
+			u.keepIdle(address, c, true)
+		}
+	}
+	for n := 1; ; n++ {
+		go dial()
+		var over <-chan time.Time
+		if n < dialsMost {
+			over = u.lateAfter(u.dialTimeout / lateShare)
+		}
+		select {
+		case e := <-first:
+			return e.c, e.err
+		case <-over:
+		}
+		if !u.oneBeside() {
+			e := <-first
+			return e.c, e.err
+		}
+	}
+}
+
+// dialOnce opens a connection that has been counted as open.
+func (u *upstream) dialOnce(ctx context.Context, address string) (*conn, error) {
 	raw, err := u.dial(ctx, "tcp", address)
 	if err != nil {
 		u.mu.Lock()
@@ -418,43 +473,99 @@
 		u.mu.Unlock()
 		return nil, err
 	}
-	c := &conn{Conn: raw}
+	c := &conn{Conn: raw, idleSince: u.clock.now()}
 	c.limit.R = raw
 	c.r = bufio.NewReader(&c.limit)
 	return c, nil
 }
 
-// quieten waits until a connection has been idle for quietTime. It returns false if the exchange is given up.
-func (u *upstream) quieten(x *exchange, c *conn) bool {
-	left := c.idleSince + u.quietTime - u.clock.now()
-	if left <= 0 {
+// another counts one more connection that is to be opened, if there is room that nobody has to make. The caller holds
+// the lock.
+func (u *upstream) another() bool {
+	if u.open >= u.most || !u.room(u.open) {
+		return false
+	}
+	u.open++
+	u.dialled++
+	return true
+}
+
+// oneBeside counts one that is to be opened beside a late one, if there is room.
+func (u *upstream) oneBeside() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.another() {
+		return false
+	}
+	u.beside++
+	return true
+}
+
+// openSpare opens a connection for requests to come, as all idle ones to an address have been used just now. So as many
+// are kept as its requests need within quietTime, each opened once and not for each wait, and those that are not needed
+// end by being idle. It is one at a time, with no other dialled where it is late, and nothing has to make room for it.
+func (u *upstream) openSpare(address string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.spares[address] || !u.another() {
+		return
+	}
+	u.spares[address] = true
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), u.dialTimeout)
+		defer cancel()
+		c, err := u.dialOnce(ctx, address)
+		if err == nil {
+			u.keepIdle(address, c, true)
+		}
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		delete(u.spares, address)
+	}()
+}
+
+// quieten waits until a connection has rested. It returns false if the exchange is given up.
+func (u *upstream) quieten(x *exchange, address string, c *conn) bool {
+	now := u.clock.now()
+	if u.rested(c, now) {
 		return true
 	}
-	u.count(&u.quiet)
 	off := make(chan struct{})
 	if !x.begin(false, sync.OnceFunc(func() { close(off) })) {
 		return false
 	}
+	u.count(&u.quiet)
+	u.openSpare(address)
 	select {
-	case <-u.after(left):
+	case <-u.after(c.idleSince + u.quietTime - now):
 		return true
 	case <-off:
 		return false
 	}
 }
 
-// take returns the idle connection that was used last of those that have been idle for quietTime, else the one that
-// will have been first; or nil once it has counted a new one that is to be opened. At the limit an idle connection to
-// another server makes room.
+// rested tells whether nothing can come on a connection any more, as it has been idle for quietTime, or nothing was
+// ever asked on it.
+func (u *upstream) rested(c *conn, now time.Duration) bool {
+	return !c.kept || c.idleSince <= now-u.quietTime
+}
+
+// take returns the idle connection that was used last of those that have rested, else the one that will have been
+// first; or nil once it has counted a new one that is to be opened. At the limit an idle connection to another server
+// makes room.
 func (u *upstream) take(address string) (*conn, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	now := u.clock.now()
-	if old := u.idleBefore(address, now-u.quietTime); old > 0 && u.idle[address][old-1].idleSince <= now-u.keep {
-		u.drop(address, old) // even the last used of them is too old
+	now, list := u.clock.now(), u.idle[address]
+	i := len(list) - 1
+	for i > 0 && !u.rested(list[i], now) {
+		i--
+	}
+	if i >= 0 && list[i].idleSince <= now-u.keep { // it is too old, and so are those before it
+		u.drop(address, i+1)
+		list, i = u.idle[address], 0
 	}
-	if list := u.idle[address]; len(list) > 0 {
-		i := max(0, u.idleBefore(address, now-u.quietTime)-1)
+	if len(list) > 0 {
 		c := list[i]
 		u.idle[address] = slices.Delete(list, i, i+1)
 		return c, nil
@@ -594,7 +705,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return map[string]int{
-		"open": u.open, "dialled": u.dialled, "stale": u.stale, "quiet": u.quiet, "unsent": u.failed.unsent, "reset": u.failed.reset,
+		"open": u.open, "dialled": u.dialled, "beside": u.beside, "stale": u.stale, "quiet": u.quiet, "unsent": u.failed.unsent, "reset": u.failed.reset,
 		"resetKept": u.failed.resetKept, "unreadable": u.failed.unreadable, "timedOut": u.failed.timedOut,
 	}
 }
