--- a/internal/sidecar/late_test.go
+++ b/internal/sidecar/late_test.go
@@ -337,12 +337,15 @@
 			if got := attempt(t, u, s.address, "1", generous); got.ending != c.ending {
 				t.Errorf("ending %v, want %v", got.ending, c.ending)
 			}
-			for end := time.Now().Add(generous); u.connections() != c.open && time.Now().Before(end); {
-				time.Sleep(time.Millisecond) // those called off end by themselves
+			open, idle := -1, -1 // those called off end by themselves
+			for end := time.Now().Add(generous); (open != c.open || idle != c.open) && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+				u.mu.Lock()
+				open, idle = u.open, len(u.idle[s.address])
+				u.mu.Unlock()
 			}
-			idle := u.idleBefore(s.address, u.clock.now())
-			if n := int(dials.Load()); n != c.dials || u.connections() != c.open || idle != c.open || len(s.seen) > 1 {
-				t.Errorf("%d dials, %d open, %d idle, %d requests, want %d, %d, all, one at most", n, u.connections(), idle,
+			if n := int(dials.Load()); n != c.dials || open != c.open || idle != c.open || len(s.seen) > 1 {
+				t.Errorf("%d dials, %d open, %d idle, %d requests, want %d, %d, all, one at most", n, open, idle,
 					len(s.seen), c.dials, c.open)
 			}
 		})
