--- a/policy/policy.go
+++ b/policy/policy.go
@@ -201,8 +201,8 @@
 	switch {
 	case b.inquire(now, r):
 	case now > r.lateIn(): // late, or as good as: it takes nothing from others
-		r.useful = r.deadline
-		if ease(b.crowd) < 1 || !b.dispatch(now, r) {
+		r.useful = r.deadline // and where nothing was heard lately one shows whether there still is a crowd
+		if ease(b.crowd) < 1 && now-b.crowdAt < admitOver || !b.dispatch(now, r) {
 			b.count.Late++
 			b.finish(r)
 		}
@@ -494,9 +494,10 @@
 	b.host.Send(r.id, s.ID, r.useful-now, unsent)
 }
 
-// coldGap spaces sends to a cold server: each balancer keeps an even part of what it may be sent.
+// coldGap spaces sends to a cold server: each balancer keeps an even part of what it may be sent. Quotas
+// tell what servers can do; without them it is guessed from what they bear, all balancers' traffic.
 func (b *Balancer) coldGap(now time.Duration, s *server) time.Duration {
-	rate := cmp.Or(b.quota/b.fleet, float64(max(b.out, 1))/b.pace.Seconds())
+	rate := cmp.Or(b.quota/b.fleet, b.rate)
 	rate = b.part(rate, s) * b.weight / max(b.reach, s.Weight) * b.warmth(now, s)
 	gap := time.Duration(float64(time.Second) / max(rate*coldPart*max(b.cfg.ColdMultiple, 1), 0.01))
 	return time.Duration(b.share) * gap
@@ -766,11 +767,8 @@
 			s.State = balance.Gone // until the list names it
 		}
 	}
-	var started []*server
 	for _, e := range entries {
-		if s := b.enter(now, e); s != nil {
-			started = append(started, s)
-		}
+		b.enter(now, e)
 	}
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return s.State == balance.Gone })
 	if b.first == 0 { // with no quotas, the first list is all there is to go by
@@ -780,19 +778,11 @@
 		}
 	}
 	b.weigh(now)
-	for _, s := range started { // only now are the weights known that a cold one's part is taken of
-		b.spreadFirst(now, s)
-	}
 	b.feed(now)
 }
 
-// spreadFirst puts off the first send to a server that is cold from now on: all are told at about one time.
-func (b *Balancer) spreadFirst(now time.Duration, s *server) {
-	s.coldAt = now + time.Duration(b.rng.Float64()*float64(b.coldGap(now, s)))
-}
-
-// enter takes over one line of the list. It returns the server if this line tells of its start.
-func (b *Balancer) enter(now time.Duration, e balance.Server) (started *server) {
+// enter takes over one line of the list.
+func (b *Balancer) enter(now time.Duration, e balance.Server) {
 	if !(e.Weight > 1e-9 && e.Weight < 1e9) {
 		e.Weight = 1 // no weights, even turns
 	}
@@ -803,13 +793,11 @@
 	s := b.servers[i]
 	if e.Started > 0 && e.Started > s.Started { // cold, and nothing known of it holds any more
 		*s = server{Server: e, out: s.out, warmAt: max(s.warmAt, e.Started+b.cfg.ColdTime), strain: 1}
-		started = s
 	}
 	s.Server, s.told, s.away, s.warmAt = e, e.Weight, b.away[e.ID], max(s.warmAt, b.back[e.ID])
 	if !s.stands() {
 		b.close(now, s)
 	}
-	return started
 }
 
 // TakeOut keeps everything new from a server until BringBack, whatever the list says of it meanwhile and
@@ -833,7 +821,6 @@
 	if s := b.server(id); s != nil {
 		*s = server{Server: s.Server, told: s.told, out: s.out, warmAt: max(s.warmAt, b.back[id]), strain: 1}
 		b.weigh(now)
-		b.spreadFirst(now, s)
 		b.feed(now)
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -235,6 +235,11 @@
 		s.Weight *= b.weight / set
 	}
 	b.cut()
+	for _, s := range b.ready() { // all are told of a start at about one time, and begin anew at one: spread
+		if s.coldAt == 0 && now < s.warmAt {
+			s.coldAt = now + time.Duration(b.rng.Float64()*float64(b.coldGap(now, s)))
+		}
+	}
 }
 
 // part is a server's part of a total by its weight in the fullest list there was.
