Take tries that come with the usual time left for first tries

Clients there do not mark their tries and give each but the last one the same part of their time; a last try raised the class's longest time left to nearly all of it, and each first try of the others then counted as begun long ago. The usual time left now is what most tries come with, by majority vote; one that has less counts as late as before, and a last one as begun when its time tells. TestFirstTriesMayHaveAPartOfTheTime was seen to fail without it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -67,6 +67,7 @@
 	mildShared  = 1.5                   // and in this cost none, where arcs and turns go by all traffic
 	failStrain  = 8.0                   // a failure counts as an answer that took so many times the usual
 	coldPart    = 0.5                   // this much of a cold server's budget is used, the rest left to chance
+	leftVotes   = 32                    // so many tries more than others' at most hold a class's usual time left
 
 	restAfter  = 2                      // so many failures are no chance: the server rests
 	failsMost  = 8                      // and more count no more: three answers clear it
@@ -159,10 +160,9 @@
 	r.deadline = now + min(q.Left, time.Hour)
 	r.useful, r.wanted = r.deadline, min(r.deadline, now+r.class.Aim)
 	if stretch := r.class.AimStretch; r.class.LateShare == 0 && (stretch == 0 || q.Work > 0) {
-		begun := now // the first try; a later one has less time left, or waits less for good
-		r.class.longest = max(q.Left, r.class.longest-(r.class.longest-q.Left)/64)
-		if (q.Repeat || !b.cfg.MarksRepeat) && q.Left < r.class.longest-2*busyTick {
-			begun = min(now, r.deadline-r.class.Deadline)
+		begun := now // the first try
+		if first := r.class.usual(q.Left, !q.Repeat); !first && (q.Repeat || !b.cfg.MarksRepeat) {
+			begun = min(now, r.deadline-r.class.Deadline) // a later one has what is left of all its client's time
 		}
 		r.useful = min(r.deadline, begun+r.class.Aim+time.Duration(stretch*float64(q.Work)))
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -73,6 +73,35 @@
 	}
 }
 
+// Guards against first tries that are taken for late ones and refused at once: clients that do not mark their tries may
+// give each but the last a part of their time.
+func TestFirstTriesMayHaveAPartOfTheTime(t *testing.T) {
+	b, h := start(t, testConfig(), ready(1, 2))
+	try := func(id balance.RequestID, left time.Duration) bool {
+		now := time.Duration(id) * 20 * ms
+		b.crowd, b.crowdAt = 0.2, now // answers are slow: what is late is refused
+		b.Request(now, balance.Request{ID: id, Class: safeClass, Left: left})
+		end(b, now+5*ms, id, 0, balance.Served)
+		_, refused := h.refused[id]
+		return !refused
+	}
+	for id := range balance.RequestID(400) {
+		left := 1200 * ms
+		if id%5 == 4 {
+			left = 2990*ms - time.Duration(id%7)*100*ms // a last try has all that is left
+		}
+		if !try(id, left) {
+			t.Fatalf("try %d with %v left was refused", id, left)
+		}
+	}
+	if last := h.sends[len(h.sends)-2]; last.timeout != time.Second {
+		t.Errorf("time-out %v, want all of a first try's aim", last.timeout)
+	}
+	if try(400, 700*ms) {
+		t.Error("a try with less left than a first one has was served, though it is late")
+	}
+}
+
 func TestUnmarkedTriesAreFirstTriesWhereClientsMark(t *testing.T) {
 	cfg := testConfig()
 	cfg.MarksRepeat = true
--- a/policy/state.go
+++ b/policy/state.go
@@ -110,8 +110,23 @@
 
 type class struct {
 	balance.Class
-	pace    time.Duration // usual time of an answer
-	longest time.Duration // the time left that first tries come with: the most seen, followed down
+	pace  time.Duration // usual time of an answer
+	left  time.Duration // the time left that most tries come with
+	votes int           // for it, less those against
+}
+
+// usual says whether a try comes with the time left that most come with, by majority vote. Clients may give
+// each try but the last the same part of their time: such a one is no later try for having less than others.
+func (c *class) usual(left time.Duration, vote bool) bool {
+	near := func() bool { return (left - c.left).Abs() <= 2*busyTick }
+	if vote && near() {
+		c.votes = min(c.votes+1, leftVotes)
+	} else if vote {
+		if c.votes--; c.votes < 0 {
+			c.left, c.votes = left, leftVotes/4
+		}
+	}
+	return near()
 }
 
 // Balancer makes the decisions of one sidecar.
