--- a/policy/state.go
+++ b/policy/state.go
@@ -110,8 +110,23 @@
 
 type class struct {
 	balance.Class
-	pace    time.Duration // usual time of an answer
-	longest time.Duration // the time left that first tries come with: the most seen, followed down
+	pace  time.Duration // usual time of an answer
+	left  time.Duration // the time left that most tries come with
+	votes int           // for it, less those against
+}
+
+// usual says whether a try comes with the time left that most come with, by majority vote. Clients may give
+// each try but the last the same part of their time: such a one is no later try for having less than others.
+func (c *class) usual(left time.Duration, vote bool) bool {
+	near := func() bool { return (left - c.left).Abs() <= 2*busyTick }
+	if vote && near() {
+		c.votes = min(c.votes+1, leftVotes)
+	} else if vote {
+		if c.votes--; c.votes < 0 {
+			c.left, c.votes = left, leftVotes/4
+		}
+	}
+	return near()
 }
 
 // Balancer makes the decisions of one sidecar.
@@ -235,6 +250,11 @@
 		s.Weight *= b.weight / set
 	}
 	b.cut()
+	for _, s := range b.ready() { // all are told of a start at about one time, and begin anew at one: spread
+		if s.coldAt == 0 && now < s.warmAt {
+			s.coldAt = now + time.Duration(b.rng.Float64()*float64(b.coldGap(now, s)))
+		}
+	}
 }
 
 // part is a server's part of a total by its weight in the fullest list there was.
