Join a sidecar's control parts in one constructor, and count their bytes at the socket

Need: tests at 1,900 sidecars want the control parts without the path of requests, by the same wiring, and the bytes of control by kind and way. Change: sidecar.control wires state, versions, discovery, membership, duties and rule sets; it knows of the path of requests only what the interface requests says. Package meter counts packets, exchanges, duties, rule sets and discovery; show-stat has them where there is a fleet file with member.listen. member.Group.Brief and Sees tell without listing all. Result: tests of sidecar, member and meter pass as before; nothing else was to change.

--- a/internal/member/list.go
+++ b/internal/member/list.go
@@ -26,7 +26,7 @@
 	}
 	c := memberlist.DefaultLANConfig()
 	c.Name, c.Label, c.Logger = g.cfg.Name, g.cfg.Cluster, quiet
-	c.Transport = newTransport(inner, g.cfg.Routes, g.refused, g.listening)
+	c.Transport = newTransport(inner, g.cfg.Routes, g.refused, g.listening, g.cfg.Meter, g.cfg.Kinds)
 	c.Delegate, c.Events, c.Alive, c.Ping, c.Conflict = g, g, g, g, g
 	c.ProbeInterval, c.ProbeTimeout = g.cfg.Probe, g.cfg.Probe*2/5
 	c.SuspicionMult, c.SuspicionMaxTimeoutMult = g.suspicion(), 3
@@ -47,7 +47,7 @@
 	if g.cfg.Network != nil {
 		return g.cfg.Network(g.cfg)
 	}
-	return listen(g.cfg.Listen)
+	return listen(g.cfg.Listen, g.cfg.Meter)
 }
 
 // carry sets by what streams of other kinds are opened; nil: by nothing.
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -32,6 +32,8 @@
 	"time"
 
 	"github.com/hashicorp/memberlist"
+
+	"arrowgw/internal/meter"
 )
 
 // Phase is what a process says of itself.
@@ -117,6 +119,9 @@
 	Index   int           // this process's number in the fleet, told along with its traffic
 	Tells   bool          // Tell is called
 
+	Meter *meter.Meter        // counts bytes; nil: nobody does
+	Kinds map[byte]meter.Kind // what streams of other parts count as; one that is not in it is Other
+
 	Log     *slog.Logger
 	Network func(Config) (memberlist.NodeAwareTransport, error) // nil: sockets at Listen
 }
@@ -386,10 +391,7 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	g.look(now)
-	v := View{
-		Number: g.number, Digest: g.digest, Standing: g.stands, Views: len(g.views), Agreed: g.agreed,
-		Since: now.Sub(g.since), Starved: now.Before(g.starved),
-	}
+	v := g.head(now)
 	for _, name := range slices.Sorted(maps.Keys(g.table)) {
 		e := g.table[name]
 		m := MemberInfo{
@@ -416,6 +418,43 @@
 	return v
 }
 
+// Brief is View without the members one by one: it costs no more than counting them.
+func (g *Group) Brief() View {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	g.look(now)
+	v := g.head(now)
+	for _, e := range g.table {
+		switch e.state {
+		case Silent:
+			v.Silent++
+		case Present:
+			v.Present++
+			if g.suspects(e, now) {
+				v.Suspected++
+			}
+		}
+	}
+	return v
+}
+
+// Sees says whether a member is present as far as this process knows.
+func (g *Group) Sees(name string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e := g.table[name]
+	return e != nil && e.state == Present
+}
+
+// head is a view without its members. mu is held.
+func (g *Group) head(now time.Time) View {
+	return View{
+		Number: g.number, Digest: g.digest, Standing: g.stands, Views: len(g.views), Agreed: g.agreed,
+		Since: now.Sub(g.since), Starved: now.Before(g.starved),
+	}
+}
+
 func (g *Group) suspects(e *entry, now time.Time) bool {
 	return e.state == Present && !e.suspected.IsZero() && now.Sub(e.suspected) < suspectedFor
 }
--- a/internal/member/sockets.go
+++ b/internal/member/sockets.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/hashicorp/memberlist"
+
+	"arrowgw/internal/meter"
 )
 
 const (
@@ -26,10 +28,11 @@
 	done    chan struct{}
 	once    sync.Once
 	work    sync.WaitGroup
+	meter   *meter.Meter
 }
 
 // listen takes both ports, or neither.
-func listen(at netip.AddrPort) (*sockets, error) {
+func listen(at netip.AddrPort, m *meter.Meter) (*sockets, error) {
 	tcp, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(at))
 	if err != nil {
 		return nil, err
@@ -43,6 +46,7 @@
 	_ = udp.SetReadBuffer(packetRoom) // less room means more loss under load, no more
 	s := &sockets{
 		udp: udp, tcp: tcp, packets: make(chan *memberlist.Packet), streams: make(chan net.Conn), done: make(chan struct{}),
+		meter: m,
 	}
 	s.work.Go(s.receive)
 	s.work.Go(s.accept)
@@ -63,6 +67,7 @@
 		if n == 0 {
 			continue
 		}
+		s.meter.Received(meter.Packets, n, 1)
 		select {
 		case s.packets <- &memberlist.Packet{Buf: append([]byte(nil), room[:n]...), From: from, Timestamp: came}:
 		case <-s.done:
@@ -109,7 +114,9 @@
 	if err != nil {
 		return time.Time{}, err
 	}
-	_, err = s.udp.WriteToUDPAddrPort(b, to)
+	if _, err = s.udp.WriteToUDPAddrPort(b, to); err == nil {
+		s.meter.Sent(meter.Packets, len(b), 1)
+	}
 	return time.Now(), err
 }
 
--- a/internal/member/transport.go
+++ b/internal/member/transport.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/hashicorp/memberlist"
+
+	"arrowgw/internal/meter"
 )
 
 const (
@@ -27,12 +29,17 @@
 	kinds   func(kind byte) *listener // of streams that are not the library's; nil: nobody wants them
 	done    chan struct{}
 	once    sync.Once
+	meter   *meter.Meter
+	counts  map[byte]meter.Kind
 }
 
-func newTransport(inner memberlist.NodeAwareTransport, routes map[string]string, refused func(string, bool), kinds func(byte) *listener) *transport {
+func newTransport(
+	inner memberlist.NodeAwareTransport, routes map[string]string, refused func(string, bool), kinds func(byte) *listener, m *meter.Meter, counts map[byte]meter.Kind,
+) *transport {
 	t := &transport{
 		NodeAwareTransport: inner, routes: routes, refused: refused, kinds: kinds,
 		streams: make(chan net.Conn), places: make(chan struct{}, streamsMost), done: make(chan struct{}),
+		meter: m, counts: counts,
 	}
 	go t.admit()
 	return t
@@ -69,10 +76,13 @@
 	}
 	if l := t.kinds(s.start[0]); l != nil {
 		s.last.Do(s.ended) // it may last: it has no place here any more
-		l.hand(c)
+		k := kindOf(t.counts, s.start[0])
+		t.meter.Received(k, 1, 0)
+		l.hand(t.meter.Conn(c, k, false))
 		return
 	}
-	s.unread = true
+	t.meter.Received(meter.Exchanges, 1, 0)
+	s.Conn, s.unread = t.meter.Conn(c, meter.Exchanges, false), true
 	select {
 	case t.streams <- s:
 	case <-t.done:
@@ -80,6 +90,14 @@
 	}
 }
 
+// kindOf is what streams of a kind of another part count as.
+func kindOf(counts map[byte]meter.Kind, kind byte) meter.Kind {
+	if k, ok := counts[kind]; ok {
+		return k
+	}
+	return meter.Other
+}
+
 // StreamCh implements memberlist.Transport.
 func (t *transport) StreamCh() <-chan net.Conn { return t.streams }
 
@@ -110,7 +128,7 @@
 		}
 		return nil, err
 	}
-	s := &stream{Conn: c, told: func(refused bool) { t.refused(a.Name, refused) }}
+	s := &stream{Conn: t.meter.Conn(c, meter.Exchanges, true), told: func(refused bool) { t.refused(a.Name, refused) }}
 	s.left.Store(streamBytes)
 	return s, nil
 }
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"arrowgw/internal/balance"
+	"arrowgw/internal/rules"
 	"arrowgw/policy"
 )
 
@@ -129,6 +130,19 @@
 	return told, err
 }
 
+// fleet tells the module who is there.
+func (l *loop) fleet(ctx context.Context, f balance.Fleet) error {
+	return l.do(ctx, func(now time.Duration) { l.b.Fleet(now, f) })
+}
+
+// rules puts a rule set in force.
+func (l *loop) rules(ctx context.Context, set *rules.Set) error {
+	return l.do(ctx, func(now time.Duration) { l.b.Rules(now, set.Rules) })
+}
+
+// share takes how many processes this sidecar has.
+func (l *loop) share(n int) { l.post(func(time.Duration) { l.b.Share(n) }) }
+
 // calls takes over what was called for at the other process.
 func (l *loop) calls(ctx context.Context, handed map[string]handed) {
 	_ = l.do(ctx, func(now time.Duration) { // fails only as all ends
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -16,7 +16,9 @@
 	"time"
 
 	"arrowgw/internal/balance"
+	"arrowgw/internal/duty"
 	"arrowgw/internal/member"
+	"arrowgw/internal/meter"
 	"arrowgw/internal/rules"
 )
 
@@ -32,7 +34,7 @@
 type peers struct {
 	group *member.Group
 	cfg   *Config
-	loop  *loop
+	path  requests
 	state *handover
 
 	barred   func() bool // by rules: it serves nothing, and is given no duties
@@ -40,8 +42,8 @@
 }
 
 // newPeers reads what the configuration and the state say of the fleet.
-func newPeers(cfg *Config, l *loop, state *handover) (*peers, error) {
-	p := &peers{cfg: cfg, loop: l, state: state, barred: func() bool { return false }}
+func newPeers(cfg *Config, path requests, state *handover, counts *meter.Meter) (*peers, error) {
+	p := &peers{cfg: cfg, path: path, state: state, barred: func() bool { return false }}
 	if !cfg.hasPeers() {
 		return p, nil
 	}
@@ -54,6 +56,7 @@
 		Name: cfg.Name, Start: uint64(time.Now().UnixMilli()), Version: revision(), Digest: cfg.digest(),
 		Listen: listen, Cluster: m.Cluster, Seeds: m.Seeds, Routes: cfg.Fleet.Routes, Probe: m.Probe.D(),
 		Expect: cfg.Policy.Balancers, Forget: m.Forget.D(), Index: cfg.Policy.Index, Tells: cfg.Fleet.Spread.Share,
+		Meter: counts, Kinds: map[byte]meter.Kind{duty.CallStream: meter.Duties, duty.RaftStream: meter.Duties, rules.Stream: meter.Rules},
 	}
 	for zone, i := range cfg.Zones {
 		if i == cfg.Policy.Zone {
@@ -143,14 +146,14 @@
 			p.group.Say(member.Draining)
 		}
 		if p.cfg.Fleet.Spread.Share {
-			l, err := p.loop.learned(ctx)
+			l, err := p.path.learned(ctx)
 			if err != nil {
 				return // it ends
 			}
 			p.group.Tell(l.Rate)
 		}
 		if f, ok := p.fleet(v, told); ok {
-			if p.loop.do(ctx, func(now time.Duration) { p.loop.b.Fleet(now, f) }) != nil {
+			if p.path.fleet(ctx, f) != nil {
 				return
 			}
 			told = f
--- a/internal/sidecar/rules.go
+++ b/internal/sidecar/rules.go
@@ -9,7 +9,6 @@
 	"io/fs"
 	"log/slog"
 	"os"
-	"time"
 
 	"arrowgw/internal/duty"
 	"arrowgw/internal/member"
@@ -26,7 +25,7 @@
 }
 
 // newRuleSets reads what is kept of rules. Nothing is in force before begin.
-func newRuleSets(cfg *Config, p *peers, work *duties, l *loop, state *handover) (*ruleSets, error) {
+func newRuleSets(cfg *Config, p *peers, work *duties, path requests, state *handover) (*ruleSets, error) {
 	s := &ruleSets{peers: p}
 	if work.group == nil || cfg.Fleet.Rules.File == "" {
 		return s, nil
@@ -43,9 +42,7 @@
 		Voters:  &voters{group: work.group, fence: duty.Fence{Keep: keep}},
 		Members: p.forRules,
 		Read:    func(text []byte) (*rules.Set, error) { return rules.Read(text, against) },
-		Force: func(ctx context.Context, set *rules.Set) error {
-			return l.do(ctx, func(now time.Duration) { l.b.Rules(now, set.Rules) })
-		},
+		Force:   path.rules,
 	})
 	p.barred = func() bool { return !s.node.Serves() }
 	return s, nil
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -39,34 +39,21 @@
 // serve wires the parts and starts them. There is a console where door is not nil.
 func serve(ctx context.Context, cfg *Config, listener, door net.Listener, reload <-chan os.Signal) error {
 	c := newClock()
-	state := openHandover(cfg.Shared, cfg.Name, cfg.State)
-	versions := state.versions(cfg, c.now())
-	cfg.Known = versions.list()
 	up := newUpstream(cfg, c)
 	l, err := newLoop(cfg, c, up)
 	if err != nil {
 		return err
 	}
-	d := newDiscovery(cfg, l.list, l.listFailed)
-	l.watch, l.asked = d.ask, d.counters
-	d.versions, d.now, d.keep = versions, c.now, state.keepList
-	l.handover = state
-	peers, err := newPeers(cfg, l, state)
+	control, err := newControl(cfg, c, l)
 	if err != nil {
 		return err
 	}
+	peers, work, sets := control.peers, control.work, control.sets
+	l.watch, l.asked, l.handover = control.discovery.ask, control.discovery.counters, control.state
 	k := newClients(cfg, listener, up.connections)
 	up.yield = k.yield
 	f := newFront(cfg, c, l, k)
 	l.clients = f.counters
-	work, err := newDuties(cfg, peers, state)
-	if err != nil {
-		return err
-	}
-	sets, err := newRuleSets(cfg, peers, work, l, state)
-	if err != nil {
-		return err
-	}
 	f.serves = sets.serves
 	slog.Info("serving", "name", cfg.Name, "listen", listener.Addr(), "servers", len(cfg.Known.servers))
 
@@ -79,39 +66,22 @@
 		case <-time.After(saveWait):
 		}
 	}()
-	share := func(n int) {
+	go l.run(running, cfg.Known)
+	err = control.begin(running, kept, func(n int) {
 		limitMemory(cfg.MemoryMB, n)
 		up.share(cfg.upstreamConns(n))
 		k.share(cfg.clientConns(n), cfg.allConns(n))
-		l.post(func(time.Duration) { l.b.Share(n) })
-	}
-	go l.run(running, cfg.Known)
-	n := l.handover.count()
-	share(n)
-	var beside []byte
-	go l.handover.watch(running, n, share, func(handed map[string]handed) {
-		l.calls(running, handed)
-		k, list, raw, news := state.beside(beside, cfg.Zones)
-		if beside = raw; news {
-			d.beside(k, list)
-		}
+		l.share(n)
 	})
-	go func() {
-		defer close(kept)
-		state.keep(running, l.learned)
-	}()
-	go d.run(running)
-	if err := sets.begin(running); err != nil {
+	if err != nil {
 		return err
 	}
 	f.ready.Store(true)
-	peers.run(running)
-	work.run(running)
-	sets.run(running)
+	control.run(running)
 	if door != nil {
 		c := &console{
-			ready: f.up, rules: sets.show, server: l.server, confirm: state.confirm, members: peers.show, duties: work.show, move: work.move,
-			stat: func(w io.Writer) { f.stat(w); peers.stat(w); work.stat(w); sets.stat(w); fmt.Fprintln(w, "EOF") },
+			ready: f.up, rules: sets.show, server: l.server, confirm: control.state.confirm, members: peers.show, duties: work.show, move: work.move,
+			stat: func(w io.Writer) { f.stat(w); control.stat(w); fmt.Fprintln(w, "EOF") },
 		}
 		go c.serve(running, door)
 		slog.Info("console", "listen", door.Addr())
@@ -127,7 +97,7 @@
 		case err := <-stopped:
 			return err
 		case <-reload:
-			d.reconfigure(cfg.path)
+			control.discovery.reconfigure(cfg.path)
 			sets.read()
 		case <-asked:
 			asked, failed = nil, nil // a signal to read the configuration again still counts, for what is held
