Play hollow sidecars: control alone, many in one process, beside whole ones

Need: a fleet of 1,900 does not fit on a machine as whole processes; their control does. Change: sidecar.Hollow runs the control of a sidecar by its own configuration, state folder and address. A scenario's fleet.hollow has the lab hold so many in processes of its own program, a thousand each; kill, stop and push (new: a rule set) reach them; bytes by kind, processor time, memory, and times until all know are figures. More than half of the memory, 300 processes or 400 with a mesh are refused with key and line.

--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -34,6 +34,9 @@
 var errBroken = errors.New("an invariant did not hold")
 
 func main() {
+	if lab.Hold() {
+		return
+	}
 	root := &cobra.Command{
 		Use: "fleetlab", Short: "Play fleets of sidecars on loopback, break parts of them, and judge", SilenceUsage: true, SilenceErrors: true,
 		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
@@ -73,17 +76,20 @@
 
 // sizes are the flags that change a scenario's size.
 type sizes struct {
-	sidecars, servers int
-	program           string
+	sidecars, servers, hollow int
+	program                   string
 }
 
 func (s *sizes) flags(c *cobra.Command) {
 	c.Flags().IntVar(&s.sidecars, "sidecars", 0, "sidecars, in place of the scenario's number")
 	c.Flags().IntVar(&s.servers, "servers", 0, "queue servers, in place of the scenario's number")
+	c.Flags().IntVar(&s.hollow, "hollow", 0, "hollow sidecars, in place of the scenario's number")
 	c.Flags().StringVar(&s.program, "program", "", "path of the sidecar to play; the tree's own is built if not given")
 }
 
-func (s *sizes) apply(scene *lab.Scenario) error { return scene.Resize(s.sidecars, s.servers) }
+func (s *sizes) apply(scene *lab.Scenario) error {
+	return scene.Resize(s.sidecars, s.servers, s.hollow)
+}
 
 func try() *cobra.Command {
 	var s sizes
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -37,6 +37,11 @@
 		if !sleep(ctx, a.At.D()-f.run.clock.now()) {
 			return
 		}
+		if err := f.run.hollow.resting(true); err != nil {
+			f.mu.Lock()
+			f.errs = append(f.errs, err)
+			f.mu.Unlock()
+		}
 		f.mu.Lock()
 		f.marks = append(f.marks, Mark{At: a.At.D(), Text: a.text()})
 		mark := len(f.marks) - 1
@@ -114,6 +119,21 @@
 
 func (f *faults) sidecar(ctx context.Context, a Action, i int) error {
 	p := f.run.processes
+	h := f.run.hollow
+	if a.Do == "push" {
+		return h.push(ctx, i, int(a.Size))
+	}
+	if h.holder(i) != nil {
+		from := time.Now()
+		err := h.end(i, a.Do == "stop")
+		if err == nil && a.For == 0 {
+			err = h.lost(ctx, i, from)
+		}
+		if err == nil && mended(ctx, a) {
+			err = h.again(i)
+		}
+		return err
+	}
 	again := func() error {
 		f.run.roster.restarted(i)
 		_, err := p.start(i)
@@ -260,7 +280,7 @@
 			r.crawl(0)
 		}
 	case "move":
-		if err := r.move(); err != nil {
+		if err := f.run.hollow.lists(ctx, r.move); err != nil {
 			return err
 		}
 		for i := range f.run.scene.Fleet.Sidecars {
--- /dev/null
+++ b/internal/lab/hollow.go
@@ -0,0 +1,705 @@
+package lab
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/rpc"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"arrowgw/internal/meter"
+)
+
+// Hollow sidecars are control alone (sidecar.Hollow), many to a holder: a process of the lab's own program. They stand in one fleet
+// with whole ones, and are numbered after these. Without fleet.mesh all reach each other directly, at their own addresses.
+const (
+	hollowMost   = 10_000
+	heldMost     = 1000 // by one holder: each has some descriptors
+	processMost  = 300  // of the machine, whole sidecars and holders together, where there are hollow ones
+	settleTime   = 90 * time.Second
+	settlePoll   = 250 * time.Millisecond
+	lookPoll     = 25 * time.Millisecond
+	lookTime     = 60 * time.Second // a kill that is not known to all by then, or a push not in force, is told as that
+	hollowRate   = 142              // requests a second that a hollow one says it has: the planned calls by the planned sidecars
+	hollowBytes  = 1 << 20          // of memory that one takes, about,
+	memberBytes  = 1 << 10          // and for each member of the fleet,
+	listedBytes  = 1 << 10          // and for each server in the list
+	wholeBytes   = 17 << 20         // and a whole one
+	holderPrefix = "holder"
+)
+
+// bounds sees that hollow sidecars fit on this machine.
+func (s *Scenario) bounds() error {
+	memory, err := memoryOf()
+	if err != nil {
+		return err
+	}
+	return s.fits(memory)
+}
+
+// fits is bounds for a machine with so many bytes of memory.
+func (s *Scenario) fits(memory int64) error {
+	n := s.Fleet.Hollow
+	if n == 0 {
+		return nil
+	}
+	where := s.from
+	if line := s.lines["fleet.hollow"]; line > 0 {
+		where = fmt.Sprintf("%s:%d", s.from, line)
+	}
+	need := int64(n)*int64(hollowBytes+memberBytes*s.all()+listedBytes*s.Fleet.Servers) + int64(s.Fleet.Sidecars)*wholeBytes
+	switch processes := s.Fleet.Sidecars + (n+heldMost-1)/heldMost; {
+	case need > memory/2:
+		return fmt.Errorf("%s: key \"fleet.hollow\" is %d: about %d MiB are needed, and %d, half of this machine's memory, are allowed", where, n, need>>20, memory>>21)
+	case processes > processMost:
+		return fmt.Errorf("%s: key \"fleet.hollow\" is %d: %d processes beside it, %d are allowed", where, n, processes, processMost)
+	case s.Fleet.Mesh && s.all() > 400:
+		return fmt.Errorf("%s: key \"fleet.hollow\" is %d: with fleet.mesh 400 sidecars of both kinds are allowed", where, n)
+	}
+	return nil
+}
+
+// memoryOf is the machine's memory in bytes.
+func memoryOf() (int64, error) {
+	var info syscall.Sysinfo_t
+	if err := syscall.Sysinfo(&info); err != nil {
+		return 0, err
+	}
+	return int64(info.Totalram) * int64(info.Unit), nil
+}
+
+// held is a holder as the lab has it.
+type held struct {
+	cmd      *exec.Cmd
+	client   *rpc.Client
+	from, to int           // numbers of its hollow sidecars
+	base     float64       // MiB before the first
+	ended    chan struct{} // closed at its end
+}
+
+// hollows are all hollow sidecars of a run.
+type hollows struct {
+	run     *run
+	holders []*held
+	late    []string // what holders say of times that are not to be believed
+
+	mu      sync.Mutex
+	version uint64 // of rules, as pushed last
+	down    map[int]bool
+	figures map[string][]float64 // seconds and so on, one for each time that it was measured
+	rest    [2]*reading          // the fleet's use at the start and at the first fault, or the end
+}
+
+// startHollow starts the holders and all hollow sidecars, and waits until they agree, for settleTime at most.
+func (r *run) startHollow(ctx context.Context) (err error) {
+	h := &hollows{run: r, down: make(map[int]bool), figures: make(map[string][]float64)}
+	r.hollow = h
+	s := r.scene
+	if s.Fleet.Hollow == 0 {
+		return nil
+	}
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	for from := s.Fleet.Sidecars; from < s.all(); from += heldMost {
+		one, err := h.begin(program, from, min(from+heldMost, s.all()))
+		if err != nil {
+			return err
+		}
+		h.holders = append(h.holders, one)
+	}
+	began := time.Now()
+	err = h.each(func(one *held) error {
+		var specs []HollowSpec
+		for i := one.from; i < one.to; i++ {
+			config, err := r.processes.configure(i, 0)
+			if err != nil {
+				return err
+			}
+			specs = append(specs, HollowSpec{i, config, r.processes.stateDir(i), hollowRate})
+		}
+		return one.client.Call("Hold.Start", specs, &struct{}{})
+	})
+	if err != nil {
+		return err
+	}
+	started := time.Now()
+	for i := s.Fleet.Sidecars; i < s.all(); i++ {
+		r.history.runs(i, r.clock.now(), true)
+	}
+	h.count("hollow_started_s", started.Sub(began).Seconds())
+	seen := false
+	for time.Since(started) < settleTime && ctx.Err() == nil {
+		l, err := h.look(Question{Members: true})
+		if err != nil {
+			return err
+		}
+		if !seen && l.Least == s.all() {
+			seen = true
+			h.count("hollow_see_all_s", time.Since(started).Seconds())
+		}
+		if seen && l.Least == l.Most && l.Agreed == l.Running && len(l.Views) == 1 {
+			h.count("hollow_agree_s", time.Since(started).Seconds())
+			return h.lateness(time.Since(began), "start")
+		}
+		sleep(ctx, settlePoll)
+	}
+	if !strings.Contains(s.Fleet.File, "[member]") {
+		return ctx.Err()
+	}
+	h.late = append(h.late, fmt.Sprintf("hollow sidecars were not of one mind %v after the last had started", settleTime))
+	return errors.Join(ctx.Err(), h.lateness(time.Since(began), "start"))
+}
+
+// begin starts a holder.
+func (h *hollows) begin(program string, from, to int) (*held, error) {
+	p := h.run.processes
+	log, err := os.Create(filepath.Join(p.logs, fmt.Sprintf("%s-%d.log", holderPrefix, from)))
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close()
+	one := &held{from: from, to: to, ended: make(chan struct{})}
+	one.cmd = exec.Command(program)
+	one.cmd.Dir, one.cmd.Stderr = p.dir, log
+	one.cmd.Env = append(os.Environ(), holdEnv+"=1")
+	one.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	in, err := one.cmd.StdinPipe()
+	if err != nil {
+		return nil, err
+	}
+	out, err := one.cmd.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	started := make(chan error)
+	p.starter <- func() { started <- one.cmd.Start() }
+	if err := <-started; err != nil {
+		return nil, fmt.Errorf("a holder of hollow sidecars: %w", err)
+	}
+	if err := p.record.add(one.cmd.Process.Pid); err != nil {
+		return nil, errors.Join(err, one.cmd.Process.Kill())
+	}
+	one.client = rpc.NewClient(struct {
+		io.Reader
+		io.WriteCloser
+	}{out, in})
+	var l Looked
+	if err := one.client.Call("Hold.Look", Question{}, &l); err != nil {
+		return nil, errors.Join(fmt.Errorf("a holder of hollow sidecars: %w", err), one.cmd.Process.Kill())
+	}
+	one.base, _, _ = usage(one.cmd.Process.Pid)
+	return one, nil
+}
+
+// close ends all holders.
+func (h *hollows) close() {
+	if h == nil {
+		return
+	}
+	for _, one := range h.holders {
+		select {
+		case <-one.ended:
+			continue
+		default:
+		}
+		close(one.ended)
+		one.client.Close()
+		_ = one.cmd.Process.Kill() // it may have ended by itself
+		_ = one.cmd.Wait()         // killed
+	}
+}
+
+// each does something at all holders at once.
+func (h *hollows) each(do func(one *held) error) error {
+	errs := make(chan error, len(h.holders))
+	for _, one := range h.holders {
+		go func() { errs <- do(one) }()
+	}
+	var bad []error
+	for range h.holders {
+		bad = append(bad, <-errs)
+	}
+	return errors.Join(bad...)
+}
+
+// look looks at all hollow sidecars.
+func (h *hollows) look(q Question) (all Looked, err error) {
+	var mu sync.Mutex
+	all.Views = make(map[uint64]int)
+	first := true
+	err = h.each(func(one *held) error {
+		var l Looked
+		if err := one.client.Call("Hold.Look", q, &l); err != nil {
+			return err
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		if l.Running > 0 {
+			if first || l.Least < all.Least {
+				all.Least = l.Least
+			}
+			first = false
+		}
+		all.Running, all.See, all.InForce, all.Agreed = all.Running+l.Running, all.See+l.See, all.InForce+l.InForce, all.Agreed+l.Agreed
+		all.Whole, all.Failed, all.Most = all.Whole+l.Whole, all.Failed+l.Failed, max(all.Most, l.Most)
+		all.Refused = cmp.Or(l.Refused, all.Refused)
+		for view, n := range l.Views {
+			all.Views[view] += n
+		}
+		return nil
+	})
+	return all, err
+}
+
+// lateness takes what holders say of their own timers since the last time; what names the part of the run.
+func (h *hollows) lateness(length time.Duration, what string) error {
+	return h.each(func(one *held) error {
+		var why string
+		if err := one.client.Call("Hold.Lateness", length, &why); err != nil {
+			return err
+		}
+		if why != "" {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			h.late = append(h.late, fmt.Sprintf("%s, of hollow sidecars: %s", what, why))
+		}
+		return nil
+	})
+}
+
+func (h *hollows) count(figure string, value float64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.figures[figure] = append(h.figures[figure], value)
+}
+
+// holder is who holds a sidecar; nil: it is whole.
+func (h *hollows) holder(sidecar int) *held {
+	for _, one := range h.holders {
+		if sidecar >= one.from && sidecar < one.to {
+			return one
+		}
+	}
+	return nil
+}
+
+// end ends one, with a word or without.
+func (h *hollows) end(sidecar int, word bool) error {
+	err := h.holder(sidecar).client.Call("Hold.End", End{sidecar, word}, &struct{}{})
+	h.run.history.runs(sidecar, h.run.clock.now(), false)
+	return err
+}
+
+// again starts one that has ended.
+func (h *hollows) again(sidecar int) error {
+	p := h.run.processes
+	config, err := p.configure(sidecar, 0)
+	if err != nil {
+		return err
+	}
+	spec := []HollowSpec{{sidecar, config, p.stateDir(sidecar), hollowRate}}
+	if err := h.holder(sidecar).client.Call("Hold.Start", spec, &struct{}{}); err != nil {
+		return err
+	}
+	h.run.history.runs(sidecar, h.run.clock.now(), true)
+	return nil
+}
+
+// lost measures how long after a moment the first and the last of the hollow ones no longer see a member.
+func (h *hollows) lost(ctx context.Context, sidecar int, from time.Time) error {
+	first := false
+	for time.Since(from) < lookTime {
+		l, err := h.look(Question{Name: sidecarName(sidecar)})
+		if err != nil {
+			return err
+		}
+		if !first && l.See < l.Running {
+			first = true
+			h.count("kill_first_s", time.Since(from).Seconds())
+		}
+		if l.See == 0 {
+			h.count("kill_all_s", time.Since(from).Seconds())
+			return nil
+		}
+		if !sleep(ctx, lookPoll) {
+			return nil
+		}
+	}
+	h.count("kill_unknown", 1)
+	return nil
+}
+
+// push has a sidecar push the next rule set, of size bytes at least, and measures until it is in force at the last.
+func (h *hollows) push(ctx context.Context, sidecar int, size int) error {
+	h.mu.Lock()
+	h.version++
+	version := h.version
+	h.mu.Unlock()
+	p := h.run.processes
+	text := fmt.Sprintf("form = 1\nversion = %d\nattempts = %d\n", version, 2+version%3)
+	if pad := size - len(text) - 3; pad > 0 {
+		text += "# " + strings.Repeat("x", pad) + "\n"
+	}
+	if err := os.WriteFile(p.rulesFile(sidecar), []byte(text), 0o644); err != nil {
+		return err
+	}
+	before, err := h.read(false)
+	if err != nil {
+		return err
+	}
+	from := time.Now()
+	if one := h.holder(sidecar); one != nil {
+		err = one.client.Call("Hold.ReadRules", sidecar, &struct{}{})
+	} else if q := p.of(sidecar); q != nil {
+		err = q.cmd.Process.Signal(syscall.SIGHUP)
+	}
+	if err != nil {
+		return err
+	}
+	for time.Since(from) < lookTime {
+		l, err := h.look(Question{Version: version})
+		if err != nil {
+			return err
+		}
+		if l.InForce == l.Running && h.wholeInForce(version) {
+			took := time.Since(from)
+			h.count("push_s", took.Seconds())
+			after, err := h.read(false)
+			if err != nil {
+				return err
+			}
+			h.pushUse(before, after)
+			return nil
+		}
+		if !sleep(ctx, lookPoll) {
+			h.count("push_unknown", 1)
+			return nil
+		}
+	}
+	l, err := h.look(Question{Version: version})
+	h.count("push_unknown", 1)
+	h.count("push_missed", float64(l.Running-l.InForce))
+	h.run.history.note(&h.run.history.ends, "version %d is in force at %d of %d hollow sidecars %v after its push; refused: %s",
+		version, l.InForce, l.Running, lookTime, cmp.Or(l.Refused, "no word"))
+	return err
+}
+
+// wholeInForce says whether all whole sidecars have a version in force.
+func (h *hollows) wholeInForce(version uint64) bool {
+	for i := range h.run.scene.Fleet.Sidecars {
+		if q := h.run.processes.of(i); q != nil {
+			stat, err := statOf(q.console)
+			if err != nil || stat["app.rules_version"] < float64(version) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// lists measures until all hollow ones have had a whole list that they had not before; move has them go on with discovery's new address.
+func (h *hollows) lists(ctx context.Context, move func() error) error {
+	if len(h.holders) == 0 {
+		return move()
+	}
+	before, err := h.look(Question{})
+	if err != nil {
+		return err
+	}
+	use, err := h.read(false)
+	if err != nil {
+		return err
+	}
+	from := time.Now()
+	if err := move(); err != nil {
+		return err
+	}
+	err = h.each(func(one *held) error {
+		to := make(map[int]string)
+		for i := one.from; i < one.to; i++ {
+			to[i] = h.run.roster.address(i)
+		}
+		return one.client.Call("Hold.Move", to, &struct{}{})
+	})
+	if err != nil {
+		return err
+	}
+	for time.Since(from) < lookTime {
+		l, err := h.look(Question{})
+		if err != nil {
+			return err
+		}
+		if l.Whole-before.Whole >= l.Running {
+			h.count("lists_s", time.Since(from).Seconds())
+			h.count("lists_failed", float64(l.Failed-before.Failed))
+			after, err := h.read(false)
+			if err != nil {
+				return err
+			}
+			in, out := after.kind(use, meter.Discovery, false)
+			h.count("lists_in_bytes", in)
+			h.count("lists_out_bytes", out)
+			return nil
+		}
+		if !sleep(ctx, lookPoll) {
+			break
+		}
+	}
+	h.count("lists_unknown", 1)
+	return nil
+}
+
+// reading is what the fleet has used at a moment.
+type reading struct {
+	at      time.Time
+	traffic map[int]meter.Traffic // by sidecar
+	cpu     map[int]time.Duration // by whole sidecar
+	held    time.Duration         // of all holders
+	holds   int                   // the whole sidecar that has the duty rules; -1: none of them
+	rss     float64               // MiB of all holders, less what they had before the first hollow sidecar
+	heap    float64               // MiB, where it was asked for
+	hollow  int                   // how many run
+	threads float64               // goroutines of holders
+}
+
+// read reads it. collect has holders collect garbage first.
+func (h *hollows) read(collect bool) (*reading, error) {
+	r := &reading{at: time.Now(), traffic: make(map[int]meter.Traffic), cpu: make(map[int]time.Duration), holds: -1}
+	var mu sync.Mutex
+	err := h.each(func(one *held) error {
+		var had Held
+		if err := one.client.Call("Hold.Report", collect, &had); err != nil {
+			return err
+		}
+		rss, _, _ := usage(one.cmd.Process.Pid)
+		mu.Lock()
+		defer mu.Unlock()
+		for i, t := range had.Traffic {
+			r.traffic[i] = t
+		}
+		r.hollow += len(had.Traffic)
+		r.held += had.CPU
+		r.rss += rss - one.base
+		r.heap += float64(had.Heap) / (1 << 20)
+		r.threads += float64(had.Goroutines)
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	for i := range h.run.scene.Fleet.Sidecars {
+		q := h.run.processes.of(i)
+		if q == nil {
+			continue
+		}
+		stat, err := statOf(q.console)
+		if err != nil {
+			continue // it has just ended, or is stopped
+		}
+		r.traffic[i], r.cpu[i] = trafficOf(stat), cpuOfProcess(q.cmd.Process.Pid)
+		if stat["app.duty_token.rules"] > 0 {
+			r.holds = i
+		}
+	}
+	return r, nil
+}
+
+// kind is what went through sockets for something since before, in the mean of the whole or the hollow sidecars.
+func (r *reading) kind(before *reading, k meter.Kind, whole bool) (in, out float64) {
+	n := 0.0
+	for i, t := range r.traffic {
+		old, ok := before.traffic[i]
+		if _, isWhole := r.cpu[i]; !ok || isWhole != whole {
+			continue
+		}
+		since := t.Minus(old)
+		in, out, n = in+float64(since.In[k].Bytes), out+float64(since.Out[k].Bytes), n+1
+	}
+	return in / max(1, n), out / max(1, n)
+}
+
+// pushUse counts what a push has cost: the holder of the duty, and the others in the mean.
+func (h *hollows) pushUse(before, after *reading) {
+	in, out := after.kind(before, meter.Rules, false)
+	h.count("push_each_in", in)
+	h.count("push_each_out", out)
+	i := after.holds
+	if old, ok := before.traffic[i]; ok && before.holds == i {
+		since := after.traffic[i].Minus(old)
+		h.count("push_holder_in", float64(since.In[meter.Rules].Bytes))
+		h.count("push_holder_out", float64(since.Out[meter.Rules].Bytes))
+		h.count("push_holder_conns", float64(since.Out[meter.Rules].Units))
+		h.count("push_holder_cpu_s", (after.cpu[i] - before.cpu[i]).Seconds())
+	}
+}
+
+// resting reads the fleet's use for the first time, or for the last before something happens to it.
+func (h *hollows) resting(end bool) error {
+	h.mu.Lock()
+	had := h.rest
+	h.mu.Unlock()
+	if len(h.holders) == 0 || end == (had[0] == nil) || had[1] != nil {
+		return nil
+	}
+	r, err := h.read(end)
+	if err == nil && end {
+		err = h.lateness(time.Since(had[0].at), "at rest")
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if end {
+		h.rest[1] = r
+	} else {
+		h.rest[0] = r
+	}
+	return err
+}
+
+// tell adds the figures of hollow sidecars: what was measured in the median and at most, and what each kind has used at rest.
+func (h *hollows) tell(f map[string]float64) {
+	for name, all := range h.figures {
+		s := spreadOf(all)
+		f[name] = s.median
+		if len(all) > 1 {
+			f[name+"_least"], f[name+"_most"], f[name+"_n"] = slices.Min(all), slices.Max(all), float64(len(all))
+		}
+	}
+	a, b := h.rest[0], h.rest[1]
+	if a == nil || b == nil {
+		return
+	}
+	seconds := b.at.Sub(a.at).Seconds()
+	f["rest_s"] = seconds
+	for who, whole := range map[string]bool{"hollow": false, "whole": true} {
+		var sums []float64
+		var total meter.Traffic
+		for i, t := range b.traffic {
+			old, ok := a.traffic[i]
+			if _, isWhole := b.cpu[i]; !ok || isWhole != whole {
+				continue
+			}
+			since, sum := t.Minus(old), int64(0)
+			total = total.Plus(since)
+			for k := range since.In {
+				sum += since.In[k].Bytes + since.Out[k].Bytes
+			}
+			sums = append(sums, float64(sum)/seconds)
+		}
+		if len(sums) == 0 {
+			continue
+		}
+		slices.Sort(sums)
+		per := 1 / seconds / float64(len(sums))
+		for k, name := range meter.Names {
+			f["rest_"+who+"_in_"+name], f["rest_"+who+"_out_"+name] = float64(total.In[k].Bytes)*per, float64(total.Out[k].Bytes)*per
+		}
+		f["rest_"+who+"_packets_in"], f["rest_"+who+"_packets_out"] = float64(total.In[meter.Packets].Units)*per, float64(total.Out[meter.Packets].Units)*per
+		f["rest_"+who+"_bytes_p50"], f["rest_"+who+"_bytes_p99"] = sums[len(sums)/2], sums[int(math.Ceil(0.99*float64(len(sums))))-1]
+		f["rest_"+who+"_bytes_most"] = sums[len(sums)-1]
+	}
+	f["rest_hollow_cores"] = (b.held - a.held).Seconds() / seconds / float64(max(1, b.hollow))
+	whole := 0.0
+	for i, cpu := range b.cpu {
+		used := (cpu - a.cpu[i]).Seconds() / seconds
+		whole += used / float64(len(b.cpu))
+		if i == b.holds {
+			f["rest_holder_cores"] = used
+		}
+	}
+	f["rest_whole_cores"] = whole
+	f["hollow_rss_mib"], f["hollow_heap_mib"] = b.rss/float64(max(1, b.hollow)), b.heap/float64(max(1, b.hollow))
+	f["hollow_goroutines"], f["hollow"] = b.threads/float64(max(1, b.hollow)), float64(b.hollow)
+}
+
+// statOf asks a console for its figures.
+func statOf(console string) (map[string]float64, error) {
+	c, err := net.DialTimeout("tcp", console, viewTime)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(viewTime)) // fails only on a closed one
+	if _, err := io.WriteString(c, "show-stat\n"); err != nil {
+		return nil, err
+	}
+	all := make(map[string]float64)
+	for lines := bufio.NewScanner(c); lines.Scan(); {
+		if lines.Text() == "EOF" {
+			return all, nil
+		}
+		name, value, _ := strings.Cut(lines.Text(), "=")
+		if all[name], err = strconv.ParseFloat(value, 64); err != nil {
+			return nil, fmt.Errorf("the figure %s of %s: %w", name, console, err)
+		}
+	}
+	return nil, fmt.Errorf("the answer of %s breaks off", console)
+}
+
+// trafficOf is what a whole sidecar's figures say of the bytes of its control.
+func trafficOf(stat map[string]float64) (t meter.Traffic) {
+	for k, name := range meter.Names {
+		t.In[k] = meter.Count{Bytes: int64(stat["app.control_bytes_in."+name]), Units: int64(stat["app.control_units_in."+name])}
+		t.Out[k] = meter.Count{Bytes: int64(stat["app.control_bytes_out."+name]), Units: int64(stat["app.control_units_out."+name])}
+	}
+	return t
+}
+
+// cpuOfProcess is the processor time of a process that runs; 0: it has just ended.
+func cpuOfProcess(pid int) time.Duration {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(raw)[strings.LastIndex(string(raw), ") ")+1:])
+	const userField, ticks = 11, 100 // the 14th of all, and the kernel's own in a second
+	if len(fields) < userField+2 {
+		return 0
+	}
+	user, errUser := strconv.ParseInt(fields[userField], 10, 64)
+	system, errSystem := strconv.ParseInt(fields[userField+1], 10, 64)
+	if errUser != nil || errSystem != nil {
+		return 0
+	}
+	return time.Duration(user+system) * time.Second / ticks
+}
+
+// printHollow writes the figures of hollow sidecars for people.
+func (r *Result) printHollow(w io.Writer) {
+	if r.Hollow == 0 {
+		return
+	}
+	f := r.Figures
+	fmt.Fprintf(w, "  hollow     %d: %.2f MiB (%.2f in use) and %.0f goroutines each; started in %.1f s, all see all %.1f s and agree %.1f s after that\n",
+		r.Hollow, f["hollow_rss_mib"], f["hollow_heap_mib"], f["hollow_goroutines"], f["hollow_started_s"], f["hollow_see_all_s"], f["hollow_agree_s"])
+	for _, who := range []string{"hollow", "whole"} {
+		fmt.Fprintf(w, "  at rest    %s: %.2f%% of a core, %.0f bytes a second in the median, %.0f for 99 in 100, over %.0f s; in/out:",
+			who, 100*f["rest_"+who+"_cores"], f["rest_"+who+"_bytes_p50"], f["rest_"+who+"_bytes_p99"], f["rest_s"])
+		for _, name := range meter.Names {
+			if in, out := f["rest_"+who+"_in_"+name], f["rest_"+who+"_out_"+name]; in+out > 0 {
+				fmt.Fprintf(w, " %s %.0f/%.0f", name, in, out)
+			}
+		}
+		fmt.Fprintln(w)
+	}
+	for _, name := range []string{"kill_first_s", "kill_all_s", "kill_unknown", "push_s", "push_unknown", "push_missed", "push_holder_cpu_s",
+		"push_holder_out", "push_holder_in", "push_holder_conns", "push_each_in", "push_each_out", "lists_s", "lists_unknown", "lists_failed", "lists_in_bytes"} {
+		if v, ok := f[name]; ok {
+			fmt.Fprintf(w, "  %-17s %.4g (%.4g to %.4g in %.0f)\n", name, v, f[name+"_least"], f[name+"_most"], f[name+"_n"])
+		}
+	}
+}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -100,6 +100,14 @@
 	l.gaps = append(l.gaps, gap{due, done})
 }
 
+// reset forgets what was measured so far.
+func (l *lateness) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hist.Reset()
+	l.gaps, l.over = nil, 0
+}
+
 // judge says whether a run of that length was late, and why.
 func (l *lateness) judge(length time.Duration) string {
 	l.mu.Lock()
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -27,6 +27,9 @@
 
 // TestMain lets the test program stand in for a sidecar that does wrong, and for a lab that is killed.
 func TestMain(m *testing.M) {
+	if Hold() {
+		return
+	}
 	switch {
 	case os.Getenv("EDGE_CONFIG") != "":
 		badSidecar()
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -119,7 +119,9 @@
 		"console": p.net.at(sidecar, consolePort+turn%consoles),
 		"seed":    strconv.FormatUint(rand.New(rand.NewPCG(p.seed, 5+uint64(sidecar)<<16+uint64(turn)<<40)).Uint64(), 16),
 		"limits":  map[string]any{"cores": 1, "memory_mb": s.Fleet.MemoryMB, "sockets": s.Fleet.Sockets},
-		"known":   p.roster.listing(sidecar, firstVersion, true, world.NewRoster(s.Fleet.Servers, firstVersion).Whole()),
+	}
+	if sidecar < s.Fleet.Sidecars { // a hollow one asks for it: as many files of long lists would cost more than they tell
+		file["known"] = p.roster.listing(sidecar, firstVersion, true, world.NewRoster(s.Fleet.Servers, firstVersion).Whole())
 	}
 	file["settings"] = p.settings(sidecar)
 	routes := p.routes(sidecar)
@@ -128,7 +130,10 @@
 		for name, address := range routes {
 			text += fmt.Sprintf("%q = %q\n", name, address)
 		}
-		text = strings.NewReplacer("{name}", sidecarName(sidecar), "{host}", p.net.host(sidecar), "{peer}", p.net.at(sidecar, peerPort)).Replace(text)
+		text = strings.NewReplacer(
+			"{name}", sidecarName(sidecar), "{host}", p.net.host(sidecar), "{peer}", p.net.at(sidecar, peerPort), "{rules}", p.rulesFile(sidecar),
+			"{seed0}", p.joinBy(0), "{seed1}", p.joinBy(1), "{seed2}", p.joinBy(2),
+		).Replace(text)
 		fleet := filepath.Join(folder, fmt.Sprintf("%d.toml", sidecar))
 		if err := os.WriteFile(fleet, []byte(text), 0o644); err != nil {
 			return "", err
@@ -143,6 +148,16 @@
 	return path, os.WriteFile(path, raw, 0o644)
 }
 
+// rulesFile is where a sidecar has its rule set to push.
+func (p *processes) rulesFile(sidecar int) string {
+	return filepath.Join(p.dir, "config", fmt.Sprintf("%d.rules", sidecar))
+}
+
+// joinBy is a sidecar as others can join by it without a route.
+func (p *processes) joinBy(sidecar int) string {
+	return sidecarName(sidecar) + "/" + p.net.at(sidecar, peerPort)
+}
+
 // settings are the platform's settings object.
 func (p *processes) settings(sidecar int) map[string]any {
 	s := p.scene
@@ -166,7 +181,7 @@
 		})
 	}
 	return map[string]any{
-		"balancers": cmp.Or(s.Fleet.Told, s.Fleet.Sidecars), "me": sidecar, "zone": s.zoneOf(sidecar), "zones": zones, "period_ms": 2,
+		"balancers": cmp.Or(s.Fleet.Told, s.all()), "me": sidecar, "zone": s.zoneOf(sidecar), "zones": zones, "period_ms": 2,
 		"discovery": "ask", "weights": "nominal", "worth_by": "work",
 		"caps": map[string]any{
 			"conn_idle_ms": ms(serverIdle), "dial_timeout_ms": 75, "may_cancel": true, "most_tries": 6, "max_open": 26451,
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -31,6 +31,7 @@
 	Seed     uint64             `json:"seed"`
 	Sidecars int                `json:"sidecars"`
 	Servers  int                `json:"servers"`
+	Hollow   int                `json:"hollow,omitempty"`
 	Label    string             `json:"label,omitempty"` // what an experiment calls its program
 	Commit   string             `json:"commit"`          // of the tree that the lab ran in
 	Program  string             `json:"program"`         // digest of the sidecar
@@ -57,7 +58,10 @@
 	res := &Result{
 		Schema: resultSchema, Scenario: s.Name, About: s.About, Seed: o.Seed, Sidecars: s.Fleet.Sidecars, Servers: s.Fleet.Servers,
 		Commit: commit(), Program: digest(o.Program), Began: time.Now().Add(-length).UTC(), Seconds: s.For.D().Seconds(),
-		Late: r.late.judge(length),
+		Late: r.late.judge(length), Hollow: s.Fleet.Hollow,
+	}
+	for _, why := range r.hollow.late {
+		res.Late = strings.TrimPrefix(res.Late+"; "+why, "; ")
 	}
 	for _, a := range plan {
 		res.Plan = append(res.Plan, fmt.Sprintf("%v %s", a.At, a.text()))
@@ -138,6 +142,7 @@
 	}
 	r.restarts(f)
 	r.detection(f)
+	r.hollow.tell(f)
 	r.unheld(f)
 	if back, ok := r.recovery(); ok {
 		f["recovery_s"] = back
@@ -378,6 +383,7 @@
 	}
 	fmt.Fprintf(w, "  lab        late by %.1f ms in 99 of 100 cases, %.0f ms at most; cpu %.2f ms a request; memory %.0f MiB, and %.0f of all sidecars\n",
 		f["lab_late_ms"], f["lab_late_most_ms"], f["lab_cpu_ms"], f["lab_rss_mib"], f["rss_all_mib"])
+	r.printHollow(w)
 	if r.Late != "" {
 		fmt.Fprintf(w, "  LATE       %s: where times count, this run is not believed\n", r.Late)
 	}
--- a/internal/lab/roster.go
+++ b/internal/lab/roster.go
@@ -56,7 +56,7 @@
 		desk: world.NewDesk(s.List.Call.D(), s.List.Line.D(), s.List.Wait.D()),
 	}
 	r.list.Reserve(s.spares())
-	for range s.Fleet.Sidecars {
+	for range s.all() {
 		r.knows = append(r.knows, make([]bool, s.Fleet.Servers+s.spares()))
 	}
 	return r, r.open()
@@ -68,7 +68,7 @@
 	if err != nil {
 		return err
 	}
-	all, err := r.net.open(port, r.scene.Fleet.Sidecars, "discovery")
+	all, err := r.net.open(port, r.scene.all(), "discovery")
 	if err != nil {
 		return err
 	}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -49,6 +49,7 @@
 	clients   *clients
 	mesh      *mesh
 	faults    *faults
+	hollow    *hollows
 	fits      []fit // once it is over
 }
 
@@ -121,7 +122,7 @@
 		r.processes.close(soon)
 	}()
 	if s.Fleet.Mesh {
-		if r.mesh, err = newMesh(s.Fleet.Sidecars, r.net, o.Seed); err != nil {
+		if r.mesh, err = newMesh(s.all(), r.net, o.Seed); err != nil {
 			return nil, err
 		}
 		defer r.mesh.close()
@@ -149,8 +150,8 @@
 
 // needed is how many descriptors the lab may need for a scenario; wide: one listener hears all sidecars.
 func needed(s *Scenario, wide bool) int {
-	n, listeners := s.Fleet.Sidecars, s.Fleet.Servers+s.spares()+4
-	need := 200 + int(90*s.busiest()) + n*2*min(s.Fleet.Servers, 12) // requests under way, for a second and at two ends; connections kept
+	n, listeners := s.all(), s.Fleet.Servers+s.spares()+4
+	need := 200 + int(90*s.busiest()) + s.Fleet.Sidecars*2*min(s.Fleet.Servers, 12) + 2*s.Fleet.Hollow // requests under way, for a second and at two ends; connections kept
 	if s.Fleet.Mesh {
 		listeners += 2 * n
 		need += 8 * n // streams
@@ -193,6 +194,10 @@
 	if err := r.startAll(ctx); err != nil {
 		return nil, err
 	}
+	defer func() { r.hollow.close() }()
+	if err := r.startHollow(ctx); err != nil {
+		return nil, err
+	}
 	began := time.Now()
 	r.clock.begin(100 * time.Millisecond)
 	ctx, cancel := context.WithCancel(ctx)
@@ -207,18 +212,30 @@
 	if strings.Contains(s.Fleet.File, "[duty]") {
 		watchers.Go(func() { r.watchDuties(stop) })
 	}
+	if err := r.hollow.resting(false); err != nil {
+		return nil, err
+	}
 	r.faults = &faults{run: r, rng: rand.New(rand.NewPCG(o.Seed, 7))}
 	players.Go(func() { r.faults.play(ctx, plan) })
 	before := cpuOf(syscall.RUSAGE_SELF)
 	r.clients.play(arrivals, ctx.Done())
 	failed := ctx.Err()
 	sleep(ctx, s.For.D()-r.clock.now())
+	if err := r.hollow.resting(true); err != nil {
+		return nil, err
+	}
 	cancel() // what is not mended by now is for good
 	players.Wait()
 	close(stop)
 	watchers.Wait()
 	lab := cpuOf(syscall.RUSAGE_SELF) - before
+	if r.scene.Fleet.Hollow > 0 {
+		if err := r.hollow.lateness(time.Since(began), "whole run"); err != nil {
+			return nil, err
+		}
+	}
 	r.processes.sample()
+	r.hollow.close()
 	soon, cancelSoon := context.WithTimeout(context.Background(), exitTime)
 	r.processes.close(soon)
 	cancelSoon()
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -16,8 +16,10 @@
 
 // Scenario is a scenario file: a fleet, its load, a timetable of faults, and what must hold.
 type Scenario struct {
-	Name     string        `toml:"-"` // that of its file
-	Patience time.Duration `toml:"-"` // every class's aim and deadline, where no verdict may hang on them; 0: the operators'
+	Name     string         `toml:"-"` // that of its file
+	from     string         // the file
+	lines    map[string]int // where its keys stand
+	Patience time.Duration  `toml:"-"` // every class's aim and deadline, where no verdict may hang on them; 0: the operators'
 
 	About string        `toml:"about" need:"yes" help:"what the scenario is for, in a line"`
 	For   conf.Duration `toml:"for" default:"20s" min:"1s" max:"1h" help:"how long clients make requests"`
@@ -31,7 +33,8 @@
 
 type fleetSpec struct {
 	Sidecars int     `toml:"sidecars" default:"4" min:"1" max:"400" help:"real sidecar processes, each with clients of its own"`
-	Servers  int     `toml:"servers" default:"8" min:"1" max:"400" help:"queue servers, spread evenly over the zones"`
+	Hollow   int     `toml:"hollow" default:"0" min:"0" max:"10000" help:"hollow sidecars besides: control alone, many in a process, with no clients; numbered after the others"`
+	Servers  int     `toml:"servers" default:"8" min:"1" max:"4000" help:"queue servers, spread evenly over the zones"`
 	Zones    int     `toml:"zones" default:"2" min:"1" max:"8" help:"zones, named a, b and so on"`
 	MemoryMB int     `toml:"memory_mb" default:"64" unit:"MiB" min:"16" max:"4096" help:"a sidecar's limit"`
 	Sockets  int     `toml:"sockets" default:"384" min:"64" max:"4096" help:"descriptors that a sidecar may hold"`
@@ -89,7 +92,7 @@
 // Fault is one line of the timetable.
 type Fault struct {
 	At     conf.Duration `toml:"at" need:"yes" min:"0s" max:"1h" help:"when, after the first request"`
-	Do     string        `toml:"do" need:"yes" oneof:"kill stop pause starve upgrade full crash slow err silence replace refuse drain out away move stale crawl burst cut delay drop duplicate reorder limit" help:"what; docs/lab.md words them"`
+	Do     string        `toml:"do" need:"yes" oneof:"kill stop pause starve upgrade full push crash slow err silence replace refuse drain out away move stale crawl burst cut delay drop duplicate reorder limit" help:"what; docs/lab.md words them"`
 	Target string        `toml:"target" help:"whom: all, 3, 0-2, 25%, or zone a; of sidecars, servers or links, as the fault has it"`
 	Peer   string        `toml:"peer" help:"links only: the other end, in the same form; empty: all others"`
 	Way    string        `toml:"way" default:"both" oneof:"both out in" help:"links only: both ways, or from or to the target"`
@@ -104,7 +107,7 @@
 	on   string
 	size bool
 }{
-	"kill": {"sidecar", false}, "stop": {"sidecar", false}, "pause": {"sidecar", false}, "starve": {"sidecar", true}, "upgrade": {"sidecar", false}, "full": {"sidecar", true},
+	"kill": {"sidecar", false}, "stop": {"sidecar", false}, "pause": {"sidecar", false}, "starve": {"sidecar", true}, "upgrade": {"sidecar", false}, "full": {"sidecar", true}, "push": {"sidecar", false},
 	"crash": {"server", false}, "replace": {"server", false}, "slow": {"server", true}, "err": {"server", true}, "silence": {"server", false}, "refuse": {"server", false},
 	"drain": {"server", false}, "out": {"server", false},
 	"away": {"discovery", false}, "move": {"discovery", false}, "stale": {"discovery", false}, "crawl": {"discovery", false},
@@ -121,6 +124,11 @@
 	if err := conf.Parse(name, raw, s); err != nil {
 		return nil, err
 	}
+	var err error
+	if s.lines, err = conf.Lines(raw); err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	s.from = name
 	if err := s.check(); err != nil {
 		return nil, fmt.Errorf("%s: %w", name, err)
 	}
@@ -161,13 +169,19 @@
 			fail("it has no peer")
 		}
 	}
-	return errors.Join(bad...)
+	return errors.Join(append(bad, s.bounds())...)
 }
 
 // targets lists whom a fault is done to, in order. A share is drawn at random; with no rng the first ones are taken.
 func (s *Scenario) targets(f Fault, text string, rng *rand.Rand) ([]int, error) {
 	n := s.Fleet.Sidecars
 	switch kinds[f.Do].on {
+	case "link":
+		n = s.all()
+	case "sidecar":
+		if slices.Contains(toHollow, f.Do) {
+			n = s.all()
+		}
 	case "server":
 		n = s.Fleet.Servers
 	case "discovery", "load":
@@ -224,6 +238,12 @@
 	return []int{i}, nil
 }
 
+// toHollow are the faults of sidecars that hollow ones take too.
+var toHollow = []string{"kill", "stop", "push"}
+
+// all is the number of sidecars of both kinds.
+func (s *Scenario) all() int { return s.Fleet.Sidecars + s.Fleet.Hollow }
+
 // zoneOf is the zone of a sidecar or a server by its number.
 func (s *Scenario) zoneOf(i int) int { return i % s.Fleet.Zones }
 
@@ -354,13 +374,17 @@
 }
 
 // Resize changes the number of sidecars and servers; 0 leaves one as it is.
-func (s *Scenario) Resize(sidecars, servers int) error {
+func (s *Scenario) Resize(sidecars, servers, hollow int) error {
 	for _, n := range []int{sidecars, servers} {
-		if n < 0 || n > 400 {
-			return fmt.Errorf("%d sidecars or servers: 1 to 400 are allowed", n)
+		if n < 0 || n > 4000 || n > 400 && n == sidecars {
+			return fmt.Errorf("%d sidecars or servers: 1 to 400 sidecars and 4000 servers are allowed", n)
 		}
 	}
+	if hollow < 0 || hollow > hollowMost {
+		return fmt.Errorf("%d hollow sidecars: 0 to %d are allowed", hollow, hollowMost)
+	}
 	s.Fleet.Sidecars, s.Fleet.Servers = cmp.Or(sidecars, s.Fleet.Sidecars), cmp.Or(servers, s.Fleet.Servers)
+	s.Fleet.Hollow = cmp.Or(hollow, s.Fleet.Hollow)
 	return s.check()
 }
 
--- a/internal/lab/spread_test.go
+++ b/internal/lab/spread_test.go
@@ -109,7 +109,7 @@
 		if rate := float64(len(s.arrivals(1))) / s.For.D().Seconds() / 300; rate < 7.8 || rate > 8.2 {
 			t.Errorf("%s: %v requests a second for each sidecar", name, rate)
 		}
-		if err := s.Resize(10, 6); err != nil {
+		if err := s.Resize(10, 6, 0); err != nil {
 			t.Fatal(err)
 		}
 		if !strings.Contains(name, "seven") {
--- a/internal/lab/views.go
+++ b/internal/lab/views.go
@@ -73,7 +73,7 @@
 			go func() {
 				defer func() { <-places }()
 				at := r.clock.now()
-				if v, err := askView(q.console, r.scene.Fleet.Sidecars); err == nil {
+				if v, err := askView(q.console, r.scene.all()); err == nil {
 					v.at, v.born, v.sidecar = at, time.Duration(q.born.Load()), i
 					r.history.mu.Lock()
 					defer r.history.mu.Unlock()
@@ -329,7 +329,7 @@
 		}
 		same := steady.quiet(from, v.at) && !h.cut(from, v.at)
 		ups := 0
-		for i := range s.Fleet.Sidecars {
+		for i := range s.all() {
 			up, down := steady.since(i, from, v.at+viewTime)
 			same = same && (up || down)
 			if up {
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -58,12 +58,14 @@
 
 // ReadConfig reads the file that EDGE_CONFIG names. What the environment says in EDGE_NAME,
 // EDGE_LISTEN, EDGE_DISCOVERY, EDGE_CONSOLE and EDGE_FLEET stands in for what the file leaves out.
-func ReadConfig(path string) (*Config, error) {
+func ReadConfig(path string) (*Config, error) { return readConfig(path, os.Getenv) }
+
+func readConfig(path string, env func(string) string) (*Config, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("EDGE_CONFIG: %w", err)
 	}
-	c, err := parseConfig(raw, os.Getenv)
+	c, err := parseConfig(raw, env)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -149,6 +149,7 @@
 // calls count what discovery was asked, for the log: all sidecars share its one capacity.
 type calls struct {
 	whole   int // calls for the whole list
+	heard   int // answers that were whole lists
 	watches int // and for changes
 	failed  int // of both
 	lines   int // entries that the answers held
@@ -385,6 +386,8 @@
 	}
 	if err != nil {
 		d.calls.failed++
+	} else if l.whole || query == "" {
+		d.calls.heard++
 	}
 	d.calls.lines += len(l.servers)
 	return l, err
