--- /dev/null
+++ b/internal/sidecar/size_test.go
@@ -0,0 +1,143 @@
+package sidecar
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"arrowgw/internal/balance"
+	"arrowgw/internal/world"
+	"arrowgw/policy"
+)
+
+// listSizes are servers of one service, of a small fleet, and of the whole one at the planned size and at twice that.
+var listSizes = []int{world.Planned.Sidecars / world.Planned.Services, 200, world.Planned.Sidecars, 2 * world.Planned.Sidecars}
+
+// wholeList is a list as discovery writes it.
+func wholeList(tb testing.TB, servers int) []byte {
+	type entry struct {
+		InstanceID  string  `json:"instanceId"`
+		HostPort    string  `json:"hostPort"`
+		Zone        string  `json:"zone"`
+		MachineType string  `json:"machineType"`
+		Cell        int     `json:"cell"`
+		Lifecycle   string  `json:"lifecycle"`
+		Weight      float64 `json:"weight"`
+		StartedAtMs int64   `json:"startedAtMs"`
+	}
+	all := make([]entry, servers)
+	for i := range all {
+		all[i] = entry{fmt.Sprintf("s-%08x", 0x5be2a07c+i), fmt.Sprintf("10.%d.%d.%d:8080", 1+i/16384, i/128%128, 1+i%128), fmt.Sprintf("z%d", i%world.Planned.Zones),
+			"m2", i / 34, "ready", 1, 1_790_000_000_000 + int64(i)}
+	}
+	raw, err := json.Marshal(map[string]any{"generation": 41, "reset": true, "instances": all})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return raw
+}
+
+// grown is by how much the heap grows by what make returns.
+func grown(make func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept := make()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(kept)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+// BenchmarkWholeList reads a whole list: its bytes, and what is kept of it for each server.
+func BenchmarkWholeList(b *testing.B) {
+	for _, n := range listSizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			raw := wholeList(b, n)
+			kept := grown(func() any {
+				l, err := parseListing(raw, nil)
+				if err != nil || len(l.servers) != n {
+					b.Fatal(len(l.servers), err)
+				}
+				return l
+			})
+			for b.Loop() {
+				if _, err := parseListing(raw, nil); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(raw)), "bytes")
+			b.ReportMetric(kept/float64(n), "kept-bytes/server")
+		})
+	}
+}
+
+// still is a host that does nothing but note where requests go.
+type still struct{ sent int }
+
+func (s *still) Send(balance.RequestID, balance.ServerID, time.Duration, time.Duration) { s.sent++ }
+func (*still) Refuse(balance.RequestID, time.Duration)                                  {}
+func (*still) Fail(balance.RequestID)                                                   {}
+func (*still) Cancel(balance.RequestID, int)                                            {}
+func (*still) Withdraw(balance.RequestID, int)                                          {}
+func (*still) Wake(time.Duration)                                                       {}
+func (*still) Close(balance.ServerID)                                                   {}
+func (*still) Probe(balance.ServerID)                                                   {}
+func (*still) WatchList()                                                               {}
+func (*still) Log(string)                                                               {}
+
+// BenchmarkModuleBySize has the module take a whole list, one change of it, and requests at the planned rate.
+func BenchmarkModuleBySize(b *testing.B) {
+	cfg := balance.Config{
+		Balancers: world.Planned.Sidecars, MaxAttempts: 3, MaxRetryAfter: time.Second, ColdFrom: 0.2, ColdTime: 10 * time.Second, ColdMultiple: 4,
+		Classes: []balance.Class{{Aim: time.Second, Deadline: 3 * time.Second, Worth: 1}},
+	}
+	for _, n := range listSizes {
+		l, err := parseListing(wholeList(b, n), nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		begin := func() (*policy.Balancer, *still) {
+			host := new(still)
+			m, err := policy.New(cfg, 1, host)
+			if err != nil {
+				b.Fatal(err)
+			}
+			m.Start(0)
+			m.List(0, balance.ListFull, l.servers)
+			return m, host
+		}
+		b.Run(fmt.Sprintf("%d/list", n), func(b *testing.B) {
+			kept := grown(func() any { m, _ := begin(); return m })
+			m, _ := begin()
+			for b.Loop() {
+				m.List(0, balance.ListFull, l.servers)
+			}
+			b.ReportMetric(kept/float64(n), "kept-bytes/server")
+		})
+		b.Run(fmt.Sprintf("%d/change", n), func(b *testing.B) {
+			m, _ := begin()
+			for i := 0; b.Loop(); i++ {
+				s := l.servers[i/2%n]
+				s.State = []balance.State{balance.Draining, balance.Ready}[i%2]
+				m.List(0, balance.ListDelta, []balance.Server{s})
+			}
+		})
+		b.Run(fmt.Sprintf("%d/request", n), func(b *testing.B) {
+			m, host := begin()
+			gap, now, id := time.Duration(float64(time.Second)*float64(world.Planned.Sidecars)/world.Planned.Calls), time.Duration(0), balance.RequestID(0)
+			for b.Loop() {
+				now += gap
+				id++
+				m.Request(now, balance.Request{ID: id, Left: 3 * time.Second})
+				m.Outcome(now+time.Millisecond, balance.Outcome{ID: id, Ending: balance.Served, Settled: true})
+				m.Wake(now + 2*time.Millisecond)
+			}
+			if host.sent == 0 {
+				b.Fatal("nothing was sent")
+			}
+		})
+	}
+}
--- a/internal/world/depth_test.go
+++ b/internal/world/depth_test.go
@@ -255,32 +255,35 @@
 			for _, attempts := range []int{1, 2, 3, 4, 6} {
 				spec := chainOf(0, attempts, share)
 				spec.Cause = cause
-				if attempts == 6 || attempts == 3 && share > 0.05 || share == 0.1 {
+				if attempts == 6 || attempts == 3 || share == 0.1 {
 					row(fmt.Sprintf("%s %.0f%%, %d attempts", cause, 100*share, attempts), spec, 3)
 				}
 			}
 		}
 	}
-	for _, cause := range []world.Cause{world.Errs, world.Turns} {
-		for _, effect := range []balance.Effect{balance.Safe, balance.Keyed, balance.Unsafe} {
-			for _, relay := range []world.Relay{world.RelayError, world.RelayTurned, world.RelayFinal} {
-				for _, budgeted := range []bool{false, true} {
-					spec := chainOf(0, 3, 0.3)
-					spec.Cause, spec.Relay, spec.Class.Effect = cause, relay, effect
-					if budgeted {
-						spec.Limit.Budget = balance.RetryBudget{Span: 10 * s, Free: 10, Share: 0.1}
-					}
-					row(fmt.Sprintf("%s 30%%, 3 attempts, effect %d, relay %s, budget %v", cause, effect, relay, budgeted), spec, 3)
+	for _, effect := range []balance.Effect{balance.Safe, balance.Keyed, balance.Unsafe} {
+		for _, cause := range []world.Cause{world.Errs, world.Turns} {
+			for _, budgeted := range []bool{false, true} {
+				spec := chainOf(0, 3, 0.3)
+				spec.Cause, spec.Class.Effect = cause, effect
+				if budgeted {
+					spec.Limit.Budget = balance.RetryBudget{Span: 10 * s, Free: 10, Share: 0.1}
 				}
+				row(fmt.Sprintf("%s 30%%, 3 attempts, effect %d, budget %v", cause, effect, budgeted), spec, 3)
 			}
 		}
 	}
-	for _, told := range []bool{true, false} {
+	for _, relay := range []world.Relay{world.RelayTurned, world.RelayFinal} {
 		spec := chainOf(0, 3, 0.3)
-		spec.Cause, spec.Told = world.Hangs, told
-		row(fmt.Sprintf("hangs 30%%, 3 attempts, time told on %v", told), spec, 3)
-		spec.Cause, spec.Work, spec.Class.Aim, spec.Class.Deadline = world.Errs, 60*ms, 400*ms, 500*ms
-		row(fmt.Sprintf("slow errors 30%%, 3 attempts, time told on %v", told), spec, 3)
+		spec.Cause, spec.Relay = world.Turns, relay
+		row(fmt.Sprintf("turns 30%%, 3 attempts, a refusal is told as %s", relay), spec, 3)
+	}
+	for _, told := range []bool{true, false} {
+		for _, cause := range []world.Cause{world.Errs, world.Hangs} {
+			spec := chainOf(0, 3, 0.3)
+			spec.Cause, spec.Told, spec.Work, spec.Class.Aim, spec.Class.Deadline = cause, told, 10*ms, 400*ms, 500*ms
+			row(fmt.Sprintf("%s 30%%, 3 attempts, 10 ms a server, 0.5 s, told on %v", cause, told), spec, 3)
+		}
 	}
 	for _, bad := range []int{1, 2} {
 		for _, cause := range []world.Cause{world.Errs, world.Turns, world.Hangs} {
@@ -289,4 +292,9 @@
 			row(fmt.Sprintf("%s at %d of 4 servers, 3 attempts", cause, bad), spec, 3)
 		}
 	}
+	for _, share := range []float64{0.01, 0.02, 0.05, 0.1} {
+		spec := chainOf(0, 3, share)
+		spec.Cause, spec.Rate = world.Hangs, world.Planned.Calls/float64(world.Planned.Sidecars)
+		row(fmt.Sprintf("hangs %.0f%%, 3 attempts, 142 calls a second", 100*share), spec, 3)
+	}
 }
