--- a/internal/world/depth_test.go
+++ b/internal/world/depth_test.go
@@ -138,12 +138,8 @@
 	} {
 		spec := chainOf(c.depth, c.attempts, c.share)
 		spec.Cause, spec.Class.Effect = c.cause, c.effect
-		bound := 0.0 // requests a second
+		bound := spec.Rate * float64(spec.Width) // requests a second, from level to level
 		for range c.depth {
-			bound = max(bound, 0)
-			if bound == 0 {
-				bound = spec.Rate * float64(spec.Width)
-			}
 			bound = bound*(1+budget.Share) + float64(spec.Width)*budget.Free/budget.Span.Seconds()
 		}
 		most := bound * spec.For.Seconds() // of what the chance of arrivals gave, below
@@ -190,9 +186,10 @@
 		{"flat", func(float64) float64 { return 0 }, false}, {"linear", func(v float64) float64 { return v }, false},
 		{"a power of the depth", math.Log, true}, {"to the power of the depth", func(v float64) float64 { return v }, true},
 	} {
-		var sx, sy, sxx, sxy, n, off float64
+		var sx, sy, sxx, sxy, n, off, mean float64
 		for i := range x {
 			u, v := f.x(float64(x[i])), y[i]
+			mean += v / float64(len(y))
 			if f.log {
 				v = math.Log(max(v, 1e-9))
 			}
@@ -210,14 +207,7 @@
 			}
 			off += (v - y[i]) * (v - y[i]) / n
 		}
-		off = math.Sqrt(off) / max(sy/n, 1e-9)
-		if f.log {
-			mean := 0.0
-			for _, v := range y {
-				mean += v / n
-			}
-			off = off * max(sy/n, 1e-9) / max(mean, 1e-9)
-		}
+		off = math.Sqrt(off) / max(mean, 1e-9)
 		if off < 0.9*best { // a simpler one first
 			best = off
 			name = fmt.Sprintf("%s, slope %.3g, off by %.1f%%", f.name, slope, 100*off)
@@ -285,6 +275,11 @@
 			row(fmt.Sprintf("%s 30%%, 3 attempts, 10 ms a server, 0.5 s, told on %v", cause, told), spec, 3)
 		}
 	}
+	for _, cause := range []world.Cause{world.Errs, world.Hangs} {
+		spec := chainOf(0, 3, 0.3)
+		spec.Cause, spec.Work, spec.Class.Aim, spec.Class.Deadline, spec.Limit.MarksRepeat = cause, 10*ms, 400*ms, 500*ms, true
+		row(fmt.Sprintf("%s 30%%, 3 attempts, 10 ms a server, 0.5 s, told on, marked", cause), spec, 3)
+	}
 	for _, bad := range []int{1, 2} {
 		for _, cause := range []world.Cause{world.Errs, world.Turns, world.Hangs} {
 			spec := chainOf(0, 3, 1)
@@ -293,8 +288,10 @@
 		}
 	}
 	for _, share := range []float64{0.01, 0.02, 0.05, 0.1} {
-		spec := chainOf(0, 3, share)
-		spec.Cause, spec.Rate = world.Hangs, world.Planned.Calls/float64(world.Planned.Sidecars)
-		row(fmt.Sprintf("hangs %.0f%%, 3 attempts, 142 calls a second", 100*share), spec, 3)
+		for _, marked := range []bool{false, true} { // clients' own later tries are, so that none is guessed from the time left
+			spec := chainOf(0, 3, share)
+			spec.Cause, spec.Rate, spec.Limit.MarksRepeat = world.Hangs, world.Planned.Calls/float64(world.Planned.Sidecars), marked
+			row(fmt.Sprintf("hangs %.0f%%, 3 attempts, 142 calls a second, marked %v", 100*share, marked), spec, 3)
+		}
 	}
 }
