--- a/internal/lab/hold.go
+++ b/internal/lab/hold.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"arrowgw/internal/member"
 	"arrowgw/internal/meter"
 	"arrowgw/internal/sidecar"
 )
@@ -159,36 +160,42 @@
 	Refused       string         // why a push was refused, as one of them has it
 }
 
-// Look looks at all.
-func (h *holder) Look(q Question, l *Looked) error {
-	l.Views = make(map[uint64]int)
+// Look looks at all, at once: each has locks of its own to wait for.
+func (h *holder) Look(q Question, all *Looked) error {
+	all.Views = make(map[uint64]int)
+	var mu sync.Mutex
+	var work sync.WaitGroup
 	for _, one := range h.running() {
-		l.Running++
-		if q.Name != "" && one.Sees(q.Name) {
-			l.See++
-		}
-		if q.Version > 0 {
-			s := one.Rules()
-			if s.InForce >= q.Version {
-				l.InForce++
+		work.Go(func() {
+			see, status, v := q.Name != "" && one.Sees(q.Name), one.Rules(), member.View{}
+			whole, failed := one.Lists()
+			if q.Members {
+				v = one.Members()
 			}
-			for _, r := range s.Refused {
-				l.Refused = fmt.Sprintf("%d by %s: %s", r.Version, r.Name, r.Why)
+			mu.Lock()
+			defer mu.Unlock()
+			if all.Running++; all.Running == 1 || v.Present < all.Least {
+				all.Least = v.Present
 			}
-		}
-		whole, failed := one.Lists()
-		l.Whole, l.Failed = l.Whole+whole, l.Failed+failed
-		if q.Members {
-			v := one.Members()
-			if l.Views[v.Digest]++; l.Running == 1 || v.Present < l.Least {
-				l.Least = v.Present
+			if see {
+				all.See++
+			}
+			if q.Version > 0 && status.InForce >= q.Version {
+				all.InForce++
+			}
+			for _, r := range status.Refused {
+				all.Refused = fmt.Sprintf("%d by %s: %s", r.Version, r.Name, r.Why)
+			}
+			all.Whole, all.Failed, all.Most = all.Whole+whole, all.Failed+failed, max(all.Most, v.Present)
+			if q.Members {
+				all.Views[v.Digest]++
 			}
-			l.Most = max(l.Most, v.Present)
 			if v.Agreed {
-				l.Agreed++
+				all.Agreed++
 			}
-		}
+		})
 	}
+	work.Wait()
 	return nil
 }
 
--- a/internal/lab/hollow.go
+++ b/internal/lab/hollow.go
@@ -29,10 +29,11 @@
 	hollowMost   = 10_000
 	heldMost     = 1000 // by one holder: each has some descriptors
 	processMost  = 300  // of the machine, whole sidecars and holders together, where there are hollow ones
-	settleTime   = 90 * time.Second
+	settleTime   = 30 * time.Second
+	callMost     = 20 * time.Second // a holder answers by then
 	settlePoll   = 250 * time.Millisecond
 	lookPoll     = 25 * time.Millisecond
-	lookTime     = 60 * time.Second // a kill that is not known to all by then, or a push not in force, is told as that
+	lookTime     = 20 * time.Second // a kill that is not known to all by then, or a push not in force, is told as that
 	hollowRate   = 142              // requests a second that a hollow one says it has: the planned calls by the planned sidecars
 	hollowBytes  = 1 << 20          // of memory that one takes, about,
 	memberBytes  = 1 << 10          // and for each member of the fleet,
@@ -93,19 +94,19 @@
 // hollows are all hollow sidecars of a run.
 type hollows struct {
 	run     *run
+	ctx     context.Context // of the run
 	holders []*held
 	late    []string // what holders say of times that are not to be believed
 
 	mu      sync.Mutex
-	version uint64 // of rules, as pushed last
-	down    map[int]bool
+	version uint64               // of rules, as pushed last
 	figures map[string][]float64 // seconds and so on, one for each time that it was measured
 	rest    [2]*reading          // the fleet's use at the start and at the first fault, or the end
 }
 
 // startHollow starts the holders and all hollow sidecars, and waits until they agree, for settleTime at most.
 func (r *run) startHollow(ctx context.Context) (err error) {
-	h := &hollows{run: r, down: make(map[int]bool), figures: make(map[string][]float64)}
+	h := &hollows{run: r, ctx: ctx, figures: make(map[string][]float64)}
 	r.hollow = h
 	s := r.scene
 	if s.Fleet.Hollow == 0 {
@@ -132,7 +133,7 @@
 			}
 			specs = append(specs, HollowSpec{i, config, r.processes.stateDir(i), hollowRate})
 		}
-		return one.client.Call("Hold.Start", specs, &struct{}{})
+		return h.call(one, "Hold.Start", specs, &struct{}{})
 	})
 	if err != nil {
 		return err
@@ -199,7 +200,7 @@
 		io.WriteCloser
 	}{out, in})
 	var l Looked
-	if err := one.client.Call("Hold.Look", Question{}, &l); err != nil {
+	if err := h.call(one, "Hold.Look", Question{}, &l); err != nil {
 		return nil, errors.Join(fmt.Errorf("a holder of hollow sidecars: %w", err), one.cmd.Process.Kill())
 	}
 	one.base, _, _ = usage(one.cmd.Process.Pid)
@@ -224,6 +225,19 @@
 	}
 }
 
+// call makes a call at a holder, until the run is ended or callMost is over: one that has too much to do answers late or never.
+func (h *hollows) call(one *held, method string, args, reply any) error {
+	c := one.client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-c.Done:
+		return c.Error
+	case <-h.ctx.Done():
+		return h.ctx.Err()
+	case <-time.After(callMost):
+		return fmt.Errorf("a holder of hollow sidecars has not answered %s for %v: they have more to do than this machine can", method, callMost)
+	}
+}
+
 // each does something at all holders at once.
 func (h *hollows) each(do func(one *held) error) error {
 	errs := make(chan error, len(h.holders))
@@ -244,7 +258,7 @@
 	first := true
 	err = h.each(func(one *held) error {
 		var l Looked
-		if err := one.client.Call("Hold.Look", q, &l); err != nil {
+		if err := h.call(one, "Hold.Look", q, &l); err != nil {
 			return err
 		}
 		mu.Lock()
@@ -270,7 +284,7 @@
 func (h *hollows) lateness(length time.Duration, what string) error {
 	return h.each(func(one *held) error {
 		var why string
-		if err := one.client.Call("Hold.Lateness", length, &why); err != nil {
+		if err := h.call(one, "Hold.Lateness", length, &why); err != nil {
 			return err
 		}
 		if why != "" {
@@ -300,7 +314,7 @@
 
 // end ends one, with a word or without.
 func (h *hollows) end(sidecar int, word bool) error {
-	err := h.holder(sidecar).client.Call("Hold.End", End{sidecar, word}, &struct{}{})
+	err := h.call(h.holder(sidecar), "Hold.End", End{sidecar, word}, &struct{}{})
 	h.run.history.runs(sidecar, h.run.clock.now(), false)
 	return err
 }
@@ -313,7 +327,7 @@
 		return err
 	}
 	spec := []HollowSpec{{sidecar, config, p.stateDir(sidecar), hollowRate}}
-	if err := h.holder(sidecar).client.Call("Hold.Start", spec, &struct{}{}); err != nil {
+	if err := h.call(h.holder(sidecar), "Hold.Start", spec, &struct{}{}); err != nil {
 		return err
 	}
 	h.run.history.runs(sidecar, h.run.clock.now(), true)
@@ -364,7 +378,7 @@
 	}
 	from := time.Now()
 	if one := h.holder(sidecar); one != nil {
-		err = one.client.Call("Hold.ReadRules", sidecar, &struct{}{})
+		err = h.call(one, "Hold.ReadRules", sidecar, &struct{}{})
 	} else if q := p.of(sidecar); q != nil {
 		err = q.cmd.Process.Signal(syscall.SIGHUP)
 	}
@@ -434,7 +448,7 @@
 		for i := one.from; i < one.to; i++ {
 			to[i] = h.run.roster.address(i)
 		}
-		return one.client.Call("Hold.Move", to, &struct{}{})
+		return h.call(one, "Hold.Move", to, &struct{}{})
 	})
 	if err != nil {
 		return err
@@ -483,7 +497,7 @@
 	var mu sync.Mutex
 	err := h.each(func(one *held) error {
 		var had Held
-		if err := one.client.Call("Hold.Report", collect, &had); err != nil {
+		if err := h.call(one, "Hold.Report", collect, &had); err != nil {
 			return err
 		}
 		rss, _, _ := usage(one.cmd.Process.Pid)
