Force that a sidecar is ready whatever discovery does, and with a damaged state

A state folder that hangs at the start stays open: its bound needs to be weighed against a floor that is not read.

--- a/internal/sidecar/handover_test.go
+++ b/internal/sidecar/handover_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"maps"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 )
@@ -239,3 +241,58 @@
 	t.Cleanup(func() { c.Close() })
 	return c
 }
+
+// A process that starts again is ready and serves by the list that it has, whatever discovery does, and with a state
+// that is damaged.
+func TestReadyWhateverIsAway(t *testing.T) {
+	answers := map[string]func(net.Conn, received) bool{
+		"discovery silent": silent,
+		"discovery busy": func(c net.Conn, _ received) bool {
+			_, err := io.WriteString(c, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+			return err == nil
+		},
+		"half an answer": func(c net.Conn, _ received) bool {
+			_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n{\"generation\":9,")
+			return err == nil
+		},
+		"discovery down, state damaged": nil,
+	}
+	for name, answer := range answers {
+		for _, how := range []string{"push", "ask"} {
+			t.Run(name+", "+how, func(t *testing.T) {
+				s, discovery := newStub(t, echo), "127.0.0.1:1"
+				if answer != nil {
+					discovery = newStub(t, answer).address
+				}
+				cfg := testConfig(t, listed(1, "ready", s.address), func(file, settings map[string]any) {
+					file["discovery"], settings["discovery"] = discovery, how
+				})
+				cfg.Shared = t.TempDir()
+				if answer == nil {
+					h := newHandover(cfg.Shared, cfg.Name)
+					if err := h.save("b", true, time.Now()); err != nil {
+						t.Fatal(err)
+					}
+					h.die()
+					damaged := 0
+					if err := filepath.WalkDir(cfg.Shared, func(path string, e os.DirEntry, err error) error {
+						if err != nil || e.IsDir() || strings.HasSuffix(path, ".lock") {
+							return err
+						}
+						damaged++
+						return os.WriteFile(path, []byte("not what was written"), 0o600)
+					}); err != nil || damaged == 0 {
+						t.Fatalf("%d files damaged, %v", damaged, err)
+					}
+				}
+				side := startWith(t, cfg)
+				if got := side.call(t, "ready\n"); !strings.HasPrefix(got, "200 ") {
+					t.Errorf("ready: %q", got)
+				}
+				if res, _ := do(t, side.request(t, "GET", "/look", "")); res.StatusCode != http.StatusOK {
+					t.Errorf("a request: %d", res.StatusCode)
+				}
+			})
+		}
+	}
+}
