Force that a connection its server has closed is found before it is waited for

Need: taking out the look before the wait failed no test. TestStaleConnectionIsNotUsed now has nothing rest by itself: passes three times, and fails without that look ('waited in vain for the end of an attempt').

--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -131,6 +131,7 @@
 		return answered && r.conn > 0
 	})
 	u := testUpstream(t)
+	u.unrested() // nobody waits for one that is closed to rest
 	attempt(t, u, s.address, "1", generous)
 	close(hangUp)
 	wait(t, "the server to close", gone)
