Reproduce lost requests on a real sidecar whose system calls fail, as failing tests

Measured on this program: accept failing behind a new connection loses its request with ENFILE, EMFILE, ENOBUFS and ENOMEM (reset, the process lives), and ends the process with ENETUNREACH, ENETDOWN, EPROTO, ENOPROTOOPT, EHOSTDOWN, ENONET, EHOSTUNREACH, EOPNOTSUPP, EPERM, EADDRNOTAVAIL and ENOSPC; ECONNABORTED, EINTR and ETIMEDOUT do no harm. accept failing at the end of listening loses what is queued; poll with EINTR forwards a request 0.15 s after its client left; read with EINTR behind a last answer resets its connection; bind failing ends the start; open failing keeps the old configuration for good. Requests 620 and 680 ms behind SIGTERM end unanswered; a stream that stands still has no end 0.5 s behind its time. A step of the wall clock by an hour refuses a request that waits.

--- a/cmd/caperarch/main_test.go
+++ b/cmd/caperarch/main_test.go
@@ -18,10 +18,12 @@
 	"time"
 
 	"arrowgw/internal/store"
+	"arrowgw/internal/sysfault"
 )
 
 // TestMain lets the test program stand in for caperarch itself.
 func TestMain(m *testing.M) {
+	sysfault.Launch()
 	if os.Getenv("CAPERARCH_ITSELF") != "" {
 		main()
 		return
