Take a system call's momentary failure neither for final nor for an answer

Change: accept is tried again until listening ends, and makes room only by connections that are idle or long silent; one with bytes unread is never closed, half a request is refused with an answer. The others try again, within bounds. The listener and the making of room are files of their own.

--- a/cmd/caperarch/main.go
+++ b/cmd/caperarch/main.go
@@ -108,7 +108,7 @@
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	signal.Ignore(syscall.SIGXFSZ) // a file that may not grow is an error of its write
-	cfg, err := sidecar.ReadConfig(os.Getenv("EDGE_CONFIG"))
+	cfg, err := sidecar.ReadConfigAtStart(ctx, os.Getenv("EDGE_CONFIG"))
 	if err != nil {
 		return err
 	}
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -16,30 +13,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// reusePort is SO_REUSEPORT on Linux, which package syscall does not name.
-const reusePort = 15
-
-// listen opens the listener for clients. A second process may listen beside this one: an upgrade starts it
-// before this one ends.
-func listen(ctx context.Context, address string) (net.Listener, error) {
-	shared := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		var failed error
-		if err := c.Control(func(fd uintptr) {
-			failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, reusePort, 1)
-		}); err != nil {
-			return err
-		}
-		return failed
-	}}
-	return shared.Listen(ctx, "tcp", address)
-}
-
-// silentTime is how long a connection may be silent, or idle, before it makes room ahead of others that are needed more.
-const silentTime = 250 * time.Millisecond
-
 const (
-	scarceTime = 5 * time.Millisecond // the pause where there is no descriptor or memory left to accept with
-
 	restTime = 250 * time.Millisecond // what comes behind a last answer is read for so long,
 	restMost = 256 << 10              // or so many bytes of it
 )
@@ -60,8 +34,13 @@
 	conns   map[*clientConn]struct{}
 	peak    int    // the most at once, since the last count
 	shed    [3]int // closed to make room: silent, idle, with half a request
-	barred  int    // closed at once, as there was none
+	barred  int    // refused at once, as there was none
 	scarce  int    // not accepted, as there was no descriptor or memory
+
+	failures      int       // of accept, for whatever reason
+	failureLogged time.Time // when the last of them was logged
+
+	refusing atomic.Int64 // connections that are being closed with a refusal
 }
 
 // clientConn is a connection of the application, or of whoever else connects. net/http drops
@@ -73,13 +52,15 @@
 // head, and so closes some, at a stop, whose request has been read and then goes out though nobody can be answered.
 type clientConn struct {
 	net.Conn
-	raw syscall.RawConn
+	raw     syscall.RawConn
+	clients *clients
 
 	mu      sync.Mutex // held by each look for bytes, so that none are read of one that was found idle and is ended
 	framing framing
 	failed  error
 	begun   bool // bytes of a request have come that has had no answer yet
 	ended   bool // nothing more is read
+	refused bool // it is closed with a refusal, as part of a request has come
 
 	spoke atomic.Int64 // when the last of its bytes came, in Unix nanoseconds; 0: none has
 
@@ -95,190 +76,6 @@
 	return k
 }
 
-// share takes the application's share of the descriptors as the room, and what it may hold together with upstreams.
-func (l *clients) share(room, all int) {
-	upstreams := l.upstreams()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.room, l.all = room, all
-	for len(l.conns) > l.allowed(upstreams) && l.shedOne() {
-	}
-}
-
-// allowed is how many connections may be held while others can make room: the application's share at least, and
-// what upstreams leave but for some that they may soon want. The caller holds the lock.
-func (l *clients) allowed(upstreams int) int { return max(l.room, l.all-upstreams-l.room/6) }
-
-// yield makes room for one more connection to an upstream, beside so many. It returns false if there is none.
-func (l *clients) yield(upstreams int) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for len(l.conns)+upstreams >= l.all {
-		if !l.shedOne() {
-			return false
-		}
-	}
-	return true
-}
-
-// spare tells whether there is room for one more connection to an upstream, beside so many.
-func (l *clients) spare(upstreams int) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.conns)+upstreams < l.all
-}
-
-// leave stops listening, for a second process that listens here too. Connections that have come but were not
-// accepted yet would be reset with the listener: Accept returns them first. The last look for one and the end of
-// listening are two system calls in a row, as nothing else keeps the kernel from choosing this listener meanwhile.
-func (l *clients) leave() error {
-	l.mu.Lock()
-	l.leaving = true
-	l.mu.Unlock()
-	raw, err := l.Listener.(*net.TCPListener).SyscallConn()
-	if err != nil {
-		return err
-	}
-	var fds []int
-	var failed error
-	err = raw.Control(func(listener uintptr) {
-		for {
-			fd, _, err := syscall.Accept4(int(listener), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
-			switch {
-			case err == nil:
-				fds = append(fds, fd)
-			case err != syscall.EINTR && err != syscall.ECONNABORTED:
-				if failed = syscall.Shutdown(int(listener), syscall.SHUT_RD); failed == syscall.ENOTCONN {
-					failed = nil // where a listener knows no shutdown the close behind it does
-				}
-				if err != syscall.EAGAIN {
-					failed = err
-				}
-				return
-			}
-		}
-	})
-	for _, fd := range fds {
-		f := os.NewFile(uintptr(fd), "client")
-		c, broken := net.FileConn(f)
-		f.Close() // the connection has a descriptor of its own
-		if broken != nil {
-			failed = broken
-			continue
-		}
-		l.mu.Lock()
-		l.queued = append(l.queued, c)
-		l.mu.Unlock()
-	}
-	if closed := l.Listener.Close(); !errors.Is(closed, net.ErrClosed) { // the server does so too, as Accept fails
-		failed = errors.Join(failed, closed)
-	}
-	return errors.Join(err, failed)
-}
-
-// scarce are the errors of accept that pass once something is closed. net/http would end the service at some, and at the
-// others wait twice as long each time, up to a second.
-var scarce = []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM}
-
-// accept returns the next connection, and once this process leaves those that had come before.
-func (l *clients) accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	for err != nil && slices.ContainsFunc(scarce, func(e syscall.Errno) bool { return errors.Is(err, e) }) {
-		l.mu.Lock()
-		l.scarce++
-		l.shedOne()
-		l.mu.Unlock()
-		time.Sleep(scarceTime)
-		c, err = l.Listener.Accept()
-	}
-	if err == nil {
-		return c, nil
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.leaving {
-		return nil, err
-	}
-	if len(l.queued) == 0 {
-		return nil, net.ErrClosed
-	}
-	c, l.queued = l.queued[0], l.queued[1:]
-	return c, nil
-}
-
-// Accept returns the next connection that there is room for.
-func (l *clients) Accept() (net.Conn, error) {
-	for {
-		c, err := l.accept()
-		if err != nil {
-			return nil, err
-		}
-		if raw, err := c.(syscall.Conn).SyscallConn(); err == nil { // fails only on a closed one
-			if k := (&clientConn{Conn: c, raw: raw}); l.enter(k) {
-				return k, nil
-			}
-		}
-		c.Close()
-	}
-}
-
-// enter counts a connection in, if need be at the cost of another. It returns false if there is no room.
-func (l *clients) enter(k *clientConn) bool {
-	upstreams := l.upstreams()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if len(l.conns) >= l.allowed(upstreams) && !l.shedOne() && len(l.conns) >= l.room+l.room/6 {
-		l.barred++
-		l.closed(closedNoRoom)
-		return false
-	}
-	k.since = time.Now()
-	l.conns[k] = struct{}{}
-	l.peak = max(l.peak, len(l.conns))
-	return true
-}
-
-// shedOne closes the connection that is needed least: one that has long been silent since it came, else one that
-// stands idle between requests, else one whose first request is under way; of each, the one that has been so, or
-// has sent nothing more, for longest. The application sends at once when it has connected, and if a close crosses a
-// request on an idle connection, that is sent again; a slow client's half request would be lost, but that is slow
-// and goes on, while a stranger's stands still. It returns false if all have requests open. The caller holds the lock.
-func (l *clients) shedOne() bool {
-	now := time.Now()
-	var first [3]*clientConn
-	var still [3]time.Duration
-	for c := range l.conns {
-		kind, waited, spoke := 2, now.Sub(c.since), c.spoke.Load()
-		begun, whole := c.at()
-		switch {
-		case c.known && c.state != http.StateIdle, whole:
-			continue
-		case begun:
-			waited = now.Sub(time.Unix(0, spoke))
-		case c.known && waited > silentTime:
-			kind = 1
-		case !c.known && waited > silentTime:
-			kind = 0
-		}
-		if first[kind] == nil || waited > still[kind] {
-			first[kind], still[kind] = c, waited
-		}
-	}
-	for kind, c := range first {
-		if c == nil {
-			continue
-		}
-		if !c.end(kind == 2) { // its request has come just now
-			return l.shedOne()
-		}
-		delete(l.conns, c)
-		l.shed[kind]++
-		l.closed([...]closeReason{closedRoomSilent, closedRoomIdle, closedRoomPartial}[kind])
-		return true
-	}
-	return false
-}
-
 // at tells whether bytes of a request have come that has had no answer, and whether they are a whole one.
 func (c *clientConn) at() (begun, whole bool) {
 	c.mu.Lock()
@@ -288,13 +85,19 @@
 
 // end closes a connection that no request is open on, or half of one if that is to go too. A request that comes in
 // this moment is either left unread, so that its client sends it again, or read before: then end returns false, and
-// it is served.
+// it is served. Half a request is refused, as its rest may have been sent by now.
 func (c *clientConn) end(half bool) bool {
 	c.mu.Lock()
 	c.ended = c.ended || !c.begun || half && !c.framing.between()
 	ended := c.ended
+	c.refused = c.refused || ended && c.begun
+	refused := c.refused
 	c.mu.Unlock()
-	if ended { // with no lock held: it waits for a look under way
+	switch { // with no lock held: it waits for a look under way
+	case !ended:
+	case refused: // its own goroutine, which waits for the rest, refuses and closes
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed one
+	default:
 		c.Conn.Close()
 	}
 	return ended
@@ -397,12 +200,20 @@
 	if err != nil {
 		return true
 	}
-	p := []unix.PollFd{{Events: unix.POLLRDHUP}}
-	err = raw.Control(func(fd uintptr) {
-		p[0].Fd = int32(fd)
-		_, _ = unix.Poll(p, 0) // what it can't tell, reading will
-	})
-	return err != nil || p[0].Revents != 0
+	left := false
+	err = raw.Control(func(fd uintptr) { left = hungUp(int(fd)) })
+	return err != nil || left
+}
+
+// hungUp tells whether the other side of a connection has ended its sending, or all of it. Where poll fails the state
+// of the connection is read instead: an error is no sign that the client is there.
+func hungUp(fd int) bool {
+	p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	if _, err := unix.Poll(p, 0); err == nil {
+		return p[0].Revents != 0
+	}
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	return err == nil && info.State != unix.BPF_TCP_ESTABLISHED
 }
 
 // crowded tells whether so many open requests are more than there is room for, and whether this process leaves.
@@ -449,10 +260,7 @@
 
 // look takes the bytes that have come. The caller holds the lock.
 func (c *clientConn) look(fd int, p []byte) (int, error) {
-	n, err := syscall.Read(fd, p)
-	for err == syscall.EINTR {
-		n, err = syscall.Read(fd, p)
-	}
+	n, err := retryInterrupted(func() (int, error) { return syscall.Read(fd, p) })
 	if err == syscall.EAGAIN {
 		return 0, err
 	}
@@ -478,20 +286,64 @@
 // crosses its end has to come again.
 func (c *clientConn) Close() error {
 	c.mu.Lock()
-	answered := c.begun && !c.ended
+	answered, refused := c.begun && !c.ended, c.refused
 	c.mu.Unlock()
-	if tcp, ok := c.Conn.(*net.TCPConn); ok && answered {
-		var rest [4 << 10]byte
-		n := 0
-		_ = c.raw.Read(func(fd uintptr) bool { // fails only on a closed one
-			n, _ = syscall.Read(int(fd), rest[:])
-			return true
-		})
-		if n > 0 && tcp.CloseWrite() == nil && tcp.SetReadDeadline(time.Now().Add(restTime)) == nil {
-			for left := restMost; left > 0 && n > 0; left -= n {
-				n, _ = tcp.Read(rest[:])
-			}
-		}
+	switch {
+	case refused:
+		c.closeRefused()
+		return nil
+	case answered && c.discard() > 0:
+		c.linger()
 	}
 	return c.Conn.Close()
 }
+
+// discard reads what has come, up to a buffer, and tells how much that was.
+func (c *clientConn) discard() (n int) {
+	if c.raw == nil {
+		return 0
+	}
+	var rest [4 << 10]byte
+	_ = c.raw.Control(func(fd uintptr) { // fails only on a closed one
+		n, _ = retryInterrupted(func() (int, error) { return syscall.Read(int(fd), rest[:]) })
+	})
+	return n
+}
+
+// linger ends the sending, and reads what still comes for a while.
+func (c *clientConn) linger() {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil || tcp.SetReadDeadline(time.Now().Add(restTime)) != nil {
+		return
+	}
+	var rest [4 << 10]byte
+	for left := restMost; left > 0; {
+		n, err := tcp.Read(rest[:])
+		if err != nil {
+			return
+		}
+		left -= n
+	}
+}
+
+// refusal is the answer to a request of which nobody knows whether it is on its way. Trying again is harmless.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// refusingMost is how many connections may be closed with a refusal at once: each has a descriptor for up to restTime.
+const refusingMost = 8
+
+// closeRefused closes a connection with a refusal, for what may have come on it or still comes.
+func (c *clientConn) closeRefused() {
+	defer c.Conn.Close()
+	if c.clients == nil {
+		return
+	}
+	defer c.clients.refusing.Add(-1)
+	if c.clients.refusing.Add(1) > refusingMost {
+		return
+	}
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(restTime)) // fails only on a closed one, as the next does
+	if _, err := io.WriteString(c.Conn, refusal); err == nil {
+		c.linger()
+	}
+}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -4,14 +4,18 @@
 
 import (
 	"cmp"
+	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io/fs"
 	"maps"
 	"net"
 	"os"
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"arrowgw/internal/balance"
@@ -20,6 +24,9 @@
 	"arrowgw/internal/wire"
 )
 
+// readConfigTime is how long a start tries to read its configuration where the system fails.
+const readConfigTime = 5 * time.Second
+
 // Config is what a sidecar is told at its start.
 type Config struct {
 	Name      string
@@ -60,6 +67,23 @@
 // EDGE_LISTEN, EDGE_DISCOVERY, EDGE_CONSOLE and EDGE_FLEET stands in for what the file leaves out.
 func ReadConfig(path string) (*Config, error) { return readConfig(path, os.Getenv) }
 
+// ReadConfigAtStart reads a configuration, and tries for a moment where the system fails. A file that is not there, or
+// may not be read, or can't be used, is an error at once.
+func ReadConfigAtStart(ctx context.Context, path string) (*Config, error) {
+	for end := time.Now().Add(readConfigTime); ; {
+		cfg, err := ReadConfig(path)
+		final := errors.Is(err, fs.ErrNotExist) || errors.Is(err, fs.ErrPermission) || errors.Is(err, syscall.EISDIR)
+		if err == nil || !isSystemError(err) || final || time.Now().After(end) {
+			return cfg, err
+		}
+		select {
+		case <-time.After(listenPause):
+		case <-ctx.Done():
+			return nil, err
+		}
+	}
+}
+
 func readConfig(path string, env func(string) string) (*Config, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
--- a/internal/sidecar/console.go
+++ b/internal/sidecar/console.go
@@ -45,6 +45,7 @@
 	stop := context.AfterFunc(ctx, func() { l.Close() })
 	defer stop()
 	defer c.callers.Wait()
+	var logged time.Time // when the last failure was
 	for {
 		conn, err := l.Accept()
 		switch {
@@ -54,9 +55,12 @@
 		case ctx.Err() != nil || errors.Is(err, net.ErrClosed):
 			return
 		default: // no descriptor is free, say: that passes
-			slog.Error("console failed", "error", err)
+			if now := time.Now(); now.Sub(logged) >= time.Second {
+				logged = now
+				slog.Error("console failed", "error", err)
+			}
 			select {
-			case <-time.After(replyTime):
+			case <-time.After(acceptPause):
 			case <-ctx.Done():
 			}
 		}
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -4,7 +4,10 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
+	"os"
+	"time"
 
 	"arrowgw/internal/balance"
 	"arrowgw/internal/meter"
@@ -87,6 +90,47 @@
 	k.sets.run(ctx)
 }
 
+const (
+	reloadTime  = 3 * time.Second // a configuration that can't be used is read again for so long: it may just be being written
+	reloadPause = 50 * time.Millisecond
+)
+
+// followReloads acts on each signal to read the configuration again, until ctx ends.
+func (k *control) followReloads(ctx context.Context, path string, signals <-chan os.Signal) {
+	for {
+		select {
+		case <-signals:
+			k.sets.read()
+			k.reconfigure(ctx, path)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// reconfigure reads the configuration again and goes to where it has discovery now. Nothing else in it may change under a
+// running sidecar. One that can't be used leaves everything as it is, and is tried again for a while, until ctx ends.
+func (k *control) reconfigure(ctx context.Context, path string) {
+	for end, told := time.Now().Add(reloadTime), false; ; told = true {
+		cfg, err := ReadConfig(path)
+		if err == nil {
+			k.discovery.move(cfg.Discovery)
+			return
+		}
+		if !told {
+			slog.Error("configuration kept", "error", err)
+		}
+		if time.Now().After(end) {
+			return
+		}
+		select {
+		case <-time.After(reloadPause):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // stat writes the figures of control.
 func (k *control) stat(w io.Writer) {
 	k.peers.stat(w)
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -28,6 +28,8 @@
 	backKept     = time.Minute            // a call back is kept so long: a second process must know who is cold
 	alonePoll    = 250 * time.Millisecond // how often a process looks for a second one
 	togetherPoll = 50 * time.Millisecond  // and, beside one, for calls made to that
+	enterTries   = 5                      // of the lock file: the system may fail for a moment
+	enterPause   = 5 * time.Millisecond
 	stateWait    = 300 * time.Millisecond // the other process writes for no longer than this
 
 	// The bytes of the lock file: one for each process, and one for whoever writes the state file.
@@ -148,6 +150,18 @@
 
 // enter takes the first byte of the lock file that no other process holds.
 func (h *handover) enter(path string) error {
+	var err error
+	for range enterTries {
+		if err = h.tryEnter(path); err == nil {
+			return nil
+		}
+		time.Sleep(enterPause)
+	}
+	return err
+}
+
+// tryEnter is one try of enter.
+func (h *handover) tryEnter(path string) error {
 	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
 	if err != nil {
 		return err
@@ -165,7 +179,7 @@
 // fcntl takes (setLock) a byte of a lock file, or gives it up. With getLock it returns EAGAIN if another has it.
 func fcntl(f *os.File, command int, at int64, kind int16) error {
 	lock := syscall.Flock_t{Type: kind, Whence: io.SeekStart, Start: at, Len: 1}
-	err := syscall.FcntlFlock(f.Fd(), command, &lock)
+	_, err := retryInterrupted(func() (int, error) { return 0, syscall.FcntlFlock(f.Fd(), command, &lock) })
 	if err == nil && command == getLock && lock.Type != syscall.F_UNLCK {
 		return syscall.EAGAIN
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -28,7 +28,7 @@
 	}
 	var door net.Listener
 	if cfg.Console != "" {
-		if door, err = net.Listen("tcp", cfg.Console); err != nil {
+		if door, err = retryListen(ctx, cfg.Console, new(net.ListenConfig).Listen); err != nil {
 			listener.Close()
 			return fmt.Errorf("console: %w", err)
 		}
@@ -78,6 +78,7 @@
 	}
 	f.ready.Store(true)
 	control.run(running)
+	go control.followReloads(running, cfg.path, reload) // also in a stop, for what is held
 	if door != nil {
 		c := &console{
 			ready: f.up, rules: sets.show, server: l.server, confirm: control.state.confirm, members: peers.show, duties: work.show, move: work.move,
@@ -96,11 +97,8 @@
 			return err
 		case err := <-stopped:
 			return err
-		case <-reload:
-			control.discovery.reconfigure(cfg.path)
-			sets.read()
 		case <-asked:
-			asked, failed = nil, nil // a signal to read the configuration again still counts, for what is held
+			asked, failed = nil, nil
 			replaced := l.handover.count() > 1
 			left := make(chan struct{})
 			go func() { // what this process holds for its clients does not wait for that
@@ -119,17 +117,6 @@
 	}
 }
 
-// reconfigure reads the configuration again and goes to where it has discovery now. Nothing else in
-// it may change under a running sidecar. One that can't be used leaves everything as it is.
-func (d *discovery) reconfigure(path string) {
-	cfg, err := ReadConfig(path)
-	if err != nil {
-		slog.Error("configuration kept", "error", err)
-		return
-	}
-	d.move(cfg.Discovery)
-}
-
 // stop is what a request has to know of a stop under way.
 type stop struct{ late, end time.Duration }
 
