Have no test's hold of a call keep the supervisor from other calls

Cause: a test held connect by a lock inside Decide; where discovery's connect came first, poll could not be decided, the test failed and its end waited for ever (600 s, once in five runs or so under load). Change: a call is held by a channel, beside the supervisor.

--- a/cmd/caperarch/faults_test.go
+++ b/cmd/caperarch/faults_test.go
@@ -314,24 +314,21 @@
 // pollIsInterrupted has the look for a client's leaving end with EINTR, for a client whose leaving shows there alone.
 func pollIsInterrupted(t *testing.T) {
 	server := newQueueServer(t, answerAtOnce)
-	var held sync.Mutex // while it is, connections to the server come up late
+	connect := make(chan struct{}) // until it is closed no connection of the sidecar's comes up
 	s := startFaulty(t, fmt.Sprintf(faultySettings, "127.0.0.1:1", server.listener.Addr(), 5000), false,
 		[]int{unix.SYS_POLL, unix.SYS_PPOLL, unix.SYS_CONNECT}, nil)
 	s.will(func(c sysfault.Call) sysfault.Effect {
 		if c.Number == unix.SYS_CONNECT {
-			held.Lock()
-			defer held.Unlock()
-			return sysfault.Effect{}
+			return sysfault.Effect{Until: connect}
 		}
 		return sysfault.Effect{Errno: unix.EINTR}
 	})
-	held.Lock()
 	c := s.connect()
 	c.send(request("q1", 4*time.Second) + strings.Repeat("G", readAhead)) // net/http does not look for an end behind that
 	s.saying(`msg="(request taken)" id=q1`)
 	c.conn.Close()
 	time.Sleep(150 * time.Millisecond) // the time that the rule allows, and more
-	held.Unlock()
+	close(connect)
 	s.saying(`msg="(attempt ended|request closed)" id=q1`)
 	select {
 	case id := <-server.arrived:
--- a/internal/sysfault/supervise.go
+++ b/internal/sysfault/supervise.go
@@ -36,6 +36,7 @@
 // serve decides calls until the program has ended.
 func (s *Supervisor) serve() {
 	defer func() {
+		close(s.ended)
 		s.late.Wait()
 		unix.Close(s.listener)
 		unix.Close(s.pidfd)
@@ -70,13 +71,18 @@
 	if s.options.Decide != nil {
 		effect = s.options.Decide(Call{Number: int(n.number), Arguments: n.arguments})
 	}
-	if effect.Delay <= 0 {
+	if effect.Delay <= 0 && effect.Until == nil {
 		s.respond(n, s.carryOut(n, effect))
 		return
 	}
-	s.late.Add(1)
-	time.AfterFunc(effect.Delay, func() {
-		defer s.late.Done()
+	s.late.Go(func() {
+		time.Sleep(effect.Delay)
+		if effect.Until != nil {
+			select {
+			case <-effect.Until:
+			case <-s.ended:
+			}
+		}
 		s.respond(n, s.carryOut(n, effect))
 	})
 }
--- a/internal/sysfault/sysfault.go
+++ b/internal/sysfault/sysfault.go
@@ -35,7 +35,8 @@
 
 // Effect is what becomes of a call. The zero value lets it go on as it is.
 type Effect struct {
-	Delay time.Duration // it is held up for so long first
+	Delay time.Duration   // it is held up for so long first
+	Until <-chan struct{} // and until this is closed; nil: no longer
 	Errno syscall.Errno // it fails with this, and does nothing
 	Most  int           // reads and writes of sockets only: they move so many bytes at most; 0: no limit
 }
@@ -43,7 +44,7 @@
 // Options say which calls are decided, and by whom.
 type Options struct {
 	Calls  []int             // numbers of the calls that are decided; all others go on at full speed
-	Decide func(Call) Effect // called from one goroutine; nil lets all calls go on
+	Decide func(Call) Effect // called from one goroutine, and must not wait; nil lets all calls go on
 	Clock  bool              // the wall clock is led: see Supervisor.StepClock
 }
 
@@ -58,7 +59,8 @@
 	options  Options
 	offset   atomic.Int64 // of the program's wall clock, in nanoseconds
 	late     sync.WaitGroup
-	done     chan struct{}
+	ended    chan struct{} // closed when nobody is left under the filter
+	done     chan struct{} // and when all its calls have been decided
 }
 
 // Start starts a command under supervision; its Path has to be an absolute path. The caller waits for the command as
@@ -91,7 +93,7 @@
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
-	s := &Supervisor{pid: cmd.Process.Pid, options: options, done: make(chan struct{})}
+	s := &Supervisor{pid: cmd.Process.Pid, options: options, ended: make(chan struct{}), done: make(chan struct{})}
 	if options.Clock {
 		err = hideVDSO(s.pid)
 	}
