Give every request its final answer in time, at a stop and in a stream that stands still

Cause: at a stop the process ended 0.6 s behind the longest deadline, which is also when the last requests' answers were due; one that came 0.6 to 0.7 s behind the signal was bounded by neither and lost (held=2 in the log of the test). A streamed answer that stood still was held open for 5 s, whatever its deadline.

Change: answers are due 0.5 s, the end 0.64 s behind the longest deadline, for requests that come from 0.5 s on and for long bodies too; the process looks once more for what came last. A streamed answer of up to 64 KiB has to end 0.3 s behind its client's deadline.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -129,6 +129,13 @@
 	return len(l.conns)
 }
 
+// waitClosed waits until all connections are closed, or until end.
+func (l *clients) waitClosed(end time.Time) {
+	for l.open() > 0 && time.Now().Before(end) {
+		time.Sleep(lookEvery)
+	}
+}
+
 // stateOf follows what the server makes of a connection.
 func (l *clients) stateOf(c net.Conn, s http.ConnState) {
 	k := c.(*clientConn)
--- a/internal/sidecar/front_test.go
+++ b/internal/sidecar/front_test.go
@@ -599,9 +599,9 @@
 		arrived, want time.Duration
 	}{
 		"no stop":  {nil, 10, 5},
-		"early":    {&stop{late: 7, end: 12}, 6, 5},
-		"late":     {&stop{late: 7, end: 12}, 9, 3},
-		"too late": {&stop{late: 7, end: 12}, 13, 0},
+		"early":    {&stop{late: 7, due: 12}, 6, 5},
+		"late":     {&stop{late: 7, due: 12}, 9, 3},
+		"too late": {&stop{late: 7, due: 12}, 13, 0},
 	} {
 		if got := c.stop.left(c.arrived, 5); got != c.want {
 			t.Errorf("%s: %d left of 5, want %d", name, got, c.want)
--- a/internal/sidecar/late_test.go
+++ b/internal/sidecar/late_test.go
@@ -60,7 +60,7 @@
 			if c.by > 0 {
 				c.by += now
 			}
-			x := u.send(s.address, testMessage("1"), now+c.until, c.by, func(r result) { done <- r })
+			x := u.send(s.address, testMessage("1"), now+c.until, c.by, now+c.until, func(r result) { done <- r })
 			wait(t, "its call for a connection", dialled)
 			if c.happens != nil {
 				c.happens(x)
@@ -83,7 +83,7 @@
 	s := newStub(t, func(c net.Conn, r received) bool { <-answer; return echo(c, r) })
 	u := testUpstream(t)
 	done := make(chan result, 1)
-	x := u.send(s.address, testMessage("1"), u.clock.now()+generous, 0, func(r result) { done <- r })
+	x := u.send(s.address, testMessage("1"), u.clock.now()+generous, 0, u.clock.now()+generous, func(r result) { done <- r })
 	wait(t, "the request", s.seen)
 	x.withdraw()
 	close(answer)
@@ -137,7 +137,7 @@
 				}
 			}()
 			done := make(chan result, 1)
-			u.send(l.Addr().String(), m, u.clock.now()+2*generous, by, func(r result) { done <- r })
+			u.send(l.Addr().String(), m, u.clock.now()+2*generous, by, u.clock.now()+2*generous, func(r result) { done <- r })
 			server := wait(t, "the connection", accepted)
 			defer server.Close()
 			if name == "long" { // it reads, and the client is slow; else the client is quick, and nobody reads
@@ -385,7 +385,7 @@
 				m.rest = newUpload(&paced{body: strings.NewReader("end"), deadline: func(time.Time) error { return nil }})
 				m.rest.whole, m.length = func() {}, int64(len(m.body))+3
 			}
-			u.send(s.address, m, u.clock.now()+m.left, 0, func(result) {})
+			u.send(s.address, m, u.clock.now()+m.left, 0, u.clock.now()+m.left, func(result) {})
 			wait(t, "its call for a connection", dialled)
 			begun := u.clock.now()
 			time.Sleep(30 * time.Millisecond)
@@ -497,7 +497,7 @@
 	m.length = int64(len(m.body)) + 3
 	m.gone = func() bool { asked++; return asked > 1 }
 	done := make(chan result, 1)
-	u.send(s.address, m, u.clock.now()+generous, 0, func(r result) { done <- r })
+	u.send(s.address, m, u.clock.now()+generous, 0, u.clock.now()+generous, func(r result) { done <- r })
 	if got := wait(t, "its end", done); got.ending != balance.Cancelled {
 		t.Errorf("ending %v, want %v", got.ending, balance.Cancelled)
 	}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -32,7 +32,8 @@
 	clients  func() map[string]int // counters of the application's side
 	asked    func() map[string]int // and of discovery's
 	trace    *trace
-	most     int // attempts for one request at most
+	bounded  func(now, left time.Duration) time.Duration // what a stop under way leaves of a request's time
+	most     int                                         // attempts for one request at most
 
 	members   atomic.Pointer[members] // the last word on the servers, for the console
 	membersAt time.Duration           // when it was published
@@ -79,6 +80,7 @@
 		asked:    func() map[string]int { return nil },
 		handover: new(handover),
 		trace:    newTrace(),
+		bounded:  func(_, left time.Duration) time.Duration { return left },
 		events:   make(chan func(time.Duration), eventQueue),
 		requests: make(map[balance.RequestID]*request),
 		address:  make(map[balance.ServerID]string),
@@ -338,8 +340,9 @@
 // uploaded takes that the last byte of a request's body has gone out: the client's time begins.
 func (l *loop) uploaded(now time.Duration, id balance.RequestID) {
 	if r := l.requests[id]; r != nil && !r.over {
-		r.deadline = now + r.message.left
-		l.b.BodyEnded(now, id, r.message.left)
+		left := l.bounded(now, r.message.left)
+		r.deadline = now + left
+		l.b.BodyEnded(now, id, left)
 	}
 }
 
@@ -416,7 +419,7 @@
 		r.message.left = min(r.message.left, left)
 	}
 	l.trace.attempt(r.message.id, number, r.ending, address, timeout)
-	r.attempts = append(r.attempts, l.upstream.send(address, r.message, l.now+timeout, unsent, func(res result) {
+	r.attempts = append(r.attempts, l.upstream.send(address, r.message, l.now+timeout, unsent, r.deadline, func(res result) {
 		l.post(func(time.Duration) {
 			if res.stream != nil {
 				l.began(id, number, res)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -13,10 +13,14 @@
 const (
 	lingerTime = 500 * time.Millisecond // new connections go on coming for so long after a stop is asked for
 	leaveWait  = time.Second            // the end waits no longer for duties to be passed on
-	exitMargin = 600 * time.Millisecond // more than the longest deadline that may pass until the end
-	lateFrom   = 700 * time.Millisecond // behind the signal; what comes later has to be answered before
-	killedFrom = 3 * time.Second        // and a little more have passed, or the longest deadline if that is shorter
 	lookEvery  = 5 * time.Millisecond   // how often it is seen whether all connections are closed
+
+	// The platform may kill a process once the longest deadline and 0.7 s have passed behind the signal. Final answers
+	// are due well before, as the process may be held up for 0.15 s; only then it ends by itself.
+	answerMargin = 500 * time.Millisecond // behind the longest deadline all answers are due,
+	exitMargin   = 640 * time.Millisecond // and the process ends
+	lastLook     = 40 * time.Millisecond  // it waits so much longer for what came in the last moment
+	killedFrom   = 3 * time.Second        // a longer deadline counts as this
 )
 
 // Run listens and serves until ctx ends and everything taken by then is answered. On each signal from
@@ -54,6 +58,7 @@
 	up.yield, up.room = k.yield, k.spare
 	f := newFront(cfg, c, l, k)
 	l.clients, k.closed = f.counters, l.trace.closed
+	l.bounded = func(now, left time.Duration) time.Duration { return f.stop.Load().left(now, left) }
 	f.serves = sets.serves
 	slog.Info("serving", "name", cfg.Name, "listen", listener.Addr(), "servers", len(cfg.Known.servers))
 
@@ -117,15 +122,17 @@
 	}
 }
 
-// stop is what a request has to know of a stop under way.
-type stop struct{ late, end time.Duration }
+// stop is what a request has to know of a stop under way: from late on requests are bounded, by the moment at which all
+// answers are due.
+type stop struct{ late, due time.Duration }
 
-// left bounds the time of a request that arrives late: no answer could reach its client behind the end.
+// left bounds the time of a request that arrives late: no answer could reach its client behind the end. One that has come
+// before has its deadline before the end anyway.
 func (s *stop) left(arrived, left time.Duration) time.Duration {
 	if s == nil || arrived < s.late {
 		return left
 	}
-	return max(0, min(left, s.end-arrived))
+	return max(0, min(left, s.due-arrived))
 }
 
 // drain ends the service without losing a request. Clients still connect for a while, and send on what they have: so
@@ -137,7 +144,8 @@
 // dropped, and it takes connections for idle that hold a request.
 func (f *front) drain(served <-chan error, longest time.Duration, replaced bool) error {
 	end := time.Now().Add(longest + exitMargin)
-	f.stop.Store(&stop{late: f.clock.now() + lateFrom, end: f.clock.now() + min(longest, killedFrom) + exitMargin})
+	now := f.clock.now()
+	f.stop.Store(&stop{late: now + answerMargin, due: now + min(longest, killedFrom) + answerMargin})
 	slog.Info("stopping", "held", f.held.Load(), "replaced", replaced)
 	f.ready.Store(false)
 	leave := func() {
@@ -160,10 +168,9 @@
 	case <-served: // what had come is accepted
 	case <-time.After(time.Until(end)):
 	}
-	for f.clients.open() > 0 && time.Now().Before(end) {
-		time.Sleep(lookEvery)
-	}
+	f.clients.waitClosed(end)
 	f.clients.endIdle(true)
+	f.clients.waitClosed(end.Add(lastLook))
 	slog.Info("stopped", "held", f.held.Load())
 	return nil
 }
--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -21,6 +21,10 @@
 	pieceSize = 16 << 10                // bytes of a piece of a long answer,
 	pieces    = 4                       // of which so many wait for the client
 	holdTime  = 10 * time.Millisecond   // an answer whose length is not told begins so long after its head
+
+	// A request is owed its final answer half a second behind its time at the latest. Of a long answer the first bytes
+	// are; the rest may take as long as its server goes on.
+	streamGrace = 300 * time.Millisecond
 )
 
 var (
@@ -148,9 +152,10 @@
 // stream is an answer that is passed on as it comes: from its server's connection by the attempt's goroutine, to the
 // client by its handler. Between them wait some pieces; whoever is faster waits for the other.
 type stream struct {
-	res *http.Response
-	c   *conn
-	x   *exchange
+	res   *http.Response
+	c     *conn
+	x     *exchange
+	endBy time.Time // an answer that is not long has come to its end by then
 
 	mu    sync.Mutex
 	begun bool
@@ -163,13 +168,22 @@
 	left   sync.Once
 }
 
-func newStream(res *http.Response, c *conn, x *exchange) *stream {
-	return &stream{res: res, c: c, x: x, due: res.ContentLength > bodyHeld, pieces: make(chan piece, pieces), gone: make(chan struct{})}
+func newStream(res *http.Response, c *conn, x *exchange, endBy time.Time) *stream {
+	return &stream{res: res, c: c, x: x, endBy: endBy, due: res.ContentLength > bodyHeld, pieces: make(chan piece, pieces), gone: make(chan struct{})}
 }
 
 // length is what the answer tells of its body's length, or -1.
 func (s *stream) length() int64 { return s.res.ContentLength }
 
+// waitForMore sets by when the next bytes have to come, behind so many of the answer.
+func (s *stream) waitForMore(read int64) {
+	by := time.Now().Add(stillTime)
+	if long := max(read, s.length()) > bodyHeld; !long && s.endBy.Before(by) {
+		by = s.endBy
+	}
+	_ = s.c.SetReadDeadline(by) // fails only on a closed connection, as the read then does
+}
+
 // run reads the answer from its connection. One that ends before it has begun is returned whole; else begin hears
 // that it has, and run returns when it has ended.
 func (s *stream) run(begin func(*http.Response, *stream)) ([]byte, error) {
@@ -182,16 +196,17 @@
 		defer s.mu.Unlock()
 		s.due = true
 		if !s.begun && len(s.held) > 0 {
-			_ = s.c.SetReadDeadline(time.Now().Add(stillTime)) // fails only on a closed connection
+			s.waitForMore(int64(len(s.held)))
 			start()
 		}
 	})
 	defer hold.Stop()
 	defer close(s.pieces)
-	for {
+	for read := int64(0); ; {
 		p := piece{buffer: piecePool.Get().(*[pieceSize]byte)}
 		n, err := s.res.Body.Read(p.buffer[:])
 		p.n = n
+		read += int64(n)
 		s.mu.Lock()
 		if !s.begun {
 			s.held = append(s.held, p.buffer[:n]...)
@@ -226,7 +241,7 @@
 		}
 		if begun { // however long it is: bounded is what is held of it
 			s.c.limit.N = math.MaxInt64
-			_ = s.c.SetReadDeadline(time.Now().Add(stillTime)) // fails only on a closed connection, as the read then does
+			s.waitForMore(read)
 		}
 	}
 }
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -140,7 +140,8 @@
 
 // exchange is one attempt or probe under way.
 type exchange struct {
-	by time.Duration // its request's last byte goes out by then or never; 0: no such bound
+	by       time.Duration // its request's last byte goes out by then or never; 0: no such bound
+	deadline time.Duration // its client's; 0: it has none
 
 	mu        sync.Mutex
 	cancelled bool
@@ -215,10 +216,10 @@
 }
 
 // send starts an attempt that is given up at until; the time of one whose body still comes begins with its last
-// byte. What has not gone out at by never does; 0 is no such bound. Its end goes to done, once, and before that the
-// beginning of an answer that streams.
-func (u *upstream) send(address string, m *message, until, by time.Duration, done func(result)) *exchange {
-	x := &exchange{by: by}
+// byte. What has not gone out at by never does; 0 is no such bound. An answer that streams has to end soon behind its
+// client's deadline, unless it is long. Its end goes to done, once, and before that the beginning of an answer that streams.
+func (u *upstream) send(address string, m *message, until, by, deadline time.Duration, done func(result)) *exchange {
+	x := &exchange{by: by, deadline: deadline}
 	go func() {
 		header := maps.Clone(m.header)
 		req := &http.Request{Method: m.method, URL: m.url, Host: m.host, Header: header}
@@ -304,7 +305,10 @@
 	switch {
 	case err != nil:
 	case begin != nil && res.StatusCode == http.StatusOK && (res.ContentLength < 0 || res.ContentLength > bodyHeld):
-		body, err = newStream(res, c, x).run(begin)
+		if m.rest != nil { // the client's time has begun with its last byte
+			x.deadline = until
+		}
+		body, err = newStream(res, c, x, u.clock.at(x.deadline+streamGrace)).run(begin)
 	default:
 		body, err = c.body(res)
 	}
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -31,7 +31,7 @@
 func attempt(t *testing.T, u *upstream, address, id string, limit time.Duration) result {
 	t.Helper()
 	done := make(chan result, 2)
-	u.send(address, testMessage(id), u.clock.now()+limit, 0, func(r result) { done <- r })
+	u.send(address, testMessage(id), u.clock.now()+limit, 0, u.clock.now()+limit, func(r result) { done <- r })
 	return wait(t, "the end of an attempt", done)
 }
 
@@ -189,7 +189,7 @@
 		waits, quiet := u.unrested()
 		attempt(t, u, s.address, "1", generous)
 		kept, done := u.idle[s.address][0], make(chan result, 2)
-		u.send(s.address, testMessage("2"), u.clock.now()+generous, 0, func(r result) { done <- r })
+		u.send(s.address, testMessage("2"), u.clock.now()+generous, 0, u.clock.now()+generous, func(r result) { done <- r })
 		select {
 		case <-waits:
 			if spare {
@@ -255,7 +255,7 @@
 				c.edit(u)
 			}
 			done := make(chan result, 2)
-			x := u.send(s.address, testMessage("2"), u.clock.now()+generous, 0, func(r result) { done <- r })
+			x := u.send(s.address, testMessage("2"), u.clock.now()+generous, 0, u.clock.now()+generous, func(r result) { done <- r })
 			wait(t, "the request to wait", waits)
 			want := balance.Served
 			if c.dialled > 1 {
@@ -314,7 +314,7 @@
 	dialled, free := u.late(s.address)
 	done := make(chan result, 3)
 	for _, id := range []string{"2", "3"} {
-		u.send(s.address, testMessage(id), u.clock.now()+generous, 0, func(r result) { done <- r })
+		u.send(s.address, testMessage(id), u.clock.now()+generous, 0, u.clock.now()+generous, func(r result) { done <- r })
 		wait(t, "the request to wait", waits)
 	}
 	wait(t, "the call for a spare connection", dialled)
@@ -325,7 +325,7 @@
 	close(free)
 	u.untilIdle(t, s.address, 1)
 	attempt(t, u, s.address, "4", generous)
-	u.send(s.address, testMessage("5"), u.clock.now()+generous, 0, func(r result) { done <- r })
+	u.send(s.address, testMessage("5"), u.clock.now()+generous, 0, u.clock.now()+generous, func(r result) { done <- r })
 	wait(t, "the request to wait", waits)
 	wait(t, "the call for a second spare connection", dialled)
 	close(quiet)
@@ -422,7 +422,7 @@
 		t.Errorf("ending %v, %d open, want served over the one connection", got.ending, u.open)
 	}
 	done := make(chan result, 1)
-	x := u.send(mute.address, testMessage("3"), u.clock.now()+generous, 0, func(r result) { done <- r })
+	x := u.send(mute.address, testMessage("3"), u.clock.now()+generous, 0, u.clock.now()+generous, func(r result) { done <- r })
 	wait(t, "the request", mute.seen)
 	if got := attempt(t, u, a.address, "4", generous); got.ending != balance.NoConnection {
 		t.Errorf("ending %v, want %v", got.ending, balance.NoConnection)
@@ -485,7 +485,7 @@
 	s := newStub(t, silent)
 	u := testUpstream(t)
 	done := make(chan result, 2)
-	x := u.send(s.address, testMessage("1"), u.clock.now()+generous, 0, func(r result) { done <- r })
+	x := u.send(s.address, testMessage("1"), u.clock.now()+generous, 0, u.clock.now()+generous, func(r result) { done <- r })
 	wait(t, "the request", s.seen)
 	x.cancel()
 	x.cancel()
--- a/internal/sysfault/sysfault.go
+++ b/internal/sysfault/sysfault.go
@@ -37,8 +37,8 @@
 type Effect struct {
 	Delay time.Duration   // it is held up for so long first
 	Until <-chan struct{} // and until this is closed; nil: no longer
-	Errno syscall.Errno // it fails with this, and does nothing
-	Most  int           // reads and writes of sockets only: they move so many bytes at most; 0: no limit
+	Errno syscall.Errno   // it fails with this, and does nothing
+	Most  int             // reads and writes of sockets only: they move so many bytes at most; 0: no limit
 }
 
 // Options say which calls are decided, and by whom.
