Measure all spans by the monotonic clock, and doubt starts that a stepped clock tells

Cause: how long a request has waited was measured by the wall clock, so that a step by an hour refused it; a process that began after a step read servers' starts an hour off: as still to come (cold for an hour) or as long ago (sent too much).

Change: the clients' connections keep time by the monotonic clock. The module takes a start that is still to come for one of now, and one of a server that a change brings as news, but that began 30 s or more before the list was heard without it, for one of 30 s before that. A call back by hand is no later than now.

Not covered: servers of the first whole list of a process whose clock is ahead.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -23,6 +23,7 @@
 // upstreams have no use for now, and are closed when that changes.
 type clients struct {
 	net.Listener
+	clock     clock
 	upstreams func() int // connections to upstreams now
 	closed    func(closeReason)
 
@@ -62,7 +63,7 @@
 	ended   bool // nothing more is read
 	refused bool // it is closed with a refusal, as part of a request has come
 
-	spoke atomic.Int64 // when the last of its bytes came, in Unix nanoseconds; 0: none has
+	spoke atomic.Int64 // when the last of its bytes came, by the clients' clock
 
 	since time.Time // when it was accepted, or went idle; what follows is guarded by clients.mu
 	known bool      // a whole request has come on it
@@ -71,7 +72,7 @@
 
 // newClients makes the application's listener, with room for all that one process may hold.
 func newClients(cfg *Config, l net.Listener, upstreams func() int) *clients {
-	k := &clients{Listener: l, upstreams: upstreams, closed: func(closeReason) {}, conns: make(map[*clientConn]struct{})}
+	k := &clients{Listener: l, clock: newClock(), upstreams: upstreams, closed: func(closeReason) {}, conns: make(map[*clientConn]struct{})}
 	k.share(cfg.clientConns(1), cfg.allConns(1))
 	return k
 }
@@ -192,7 +193,7 @@
 // came tells how long ago the last bytes came on ctx's connection: a request that was sent behind another lies in its
 // server's buffer while that one is answered, and its client's time runs.
 func (l *clients) came(ctx context.Context) time.Duration {
-	return time.Since(time.Unix(0, ctx.Value(connKey{}).(*clientConn).spoke.Load()))
+	return l.clock.now() - time.Duration(ctx.Value(connKey{}).(*clientConn).spoke.Load())
 }
 
 // left tells whether the client of ctx's connection has closed it, or its sending side. net/http hears of that as it
@@ -278,7 +279,7 @@
 		return 0, io.EOF
 	}
 	c.begun = true
-	c.spoke.Store(time.Now().UnixNano())
+	c.spoke.Store(int64(c.clients.clock.now()))
 	if good, bad := c.framing.follow(p[:n]); bad != nil {
 		if c.failed = bad; good == 0 {
 			return 0, bad
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -163,6 +163,7 @@
 	if l.b.Out(id) == out {
 		return
 	}
+	at = min(at, now) // another process of before a step of the wall clock may have a later one
 	if out {
 		l.b.TakeOut(now, id)
 	} else {
--- a/internal/sidecar/room.go
+++ b/internal/sidecar/room.go
@@ -53,7 +53,7 @@
 		l.closed(closedNoRoom)
 		return false
 	}
-	k.since = time.Now()
+	k.since, k.clients = time.Now(), l
 	l.conns[k] = struct{}{}
 	l.peak = max(l.peak, len(l.conns))
 	return true
@@ -69,7 +69,7 @@
 	var longest [closeReasons]time.Duration
 	now := time.Now()
 	for c := range l.conns {
-		kind, waited, ok := c.roomKind(now)
+		kind, waited, ok := c.roomKind(now, l.clock.now())
 		if ok && kind <= last && (first[kind] == nil || waited > longest[kind]) {
 			first[kind], longest[kind] = c, waited
 		}
@@ -92,14 +92,14 @@
 
 // roomKind tells as what a connection may make room, and for how long it has been that; ok: it may. The caller holds
 // the lock of the clients.
-func (c *clientConn) roomKind(now time.Time) (kind closeReason, waited time.Duration, ok bool) {
+func (c *clientConn) roomKind(now time.Time, clock time.Duration) (kind closeReason, waited time.Duration, ok bool) {
 	waited = now.Sub(c.since)
 	begun, whole := c.at()
 	switch {
 	case c.known && c.state != http.StateIdle, whole:
 		return 0, 0, false
 	case begun:
-		return closedRoomPartial, now.Sub(time.Unix(0, c.spoke.Load())), true
+		return closedRoomPartial, clock - time.Duration(c.spoke.Load()), true
 	case waited <= silentTime:
 		return closedRoomPartial, waited, !c.unread()
 	case c.known:
--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -247,3 +247,34 @@
 		}
 	}
 }
+
+// A server that has just started is cold for its time, also where this process's clock was an hour off when it began.
+func TestStartsByASteppedClock(t *testing.T) {
+	const now = 5 * time.Hour
+	for name, c := range map[string]struct {
+		kind    balance.ListKind
+		started time.Duration
+		warmAt  time.Duration // behind now, in cold times
+	}{
+		"the clock is right":             {balance.ListDelta, now, 1},
+		"set back":                       {balance.ListDelta, now + time.Hour, 1},
+		"set back, in a whole list":      {balance.ListFull, now + time.Hour, 1},
+		"set forward":                    {balance.ListDelta, now - time.Hour, 1},
+		"long ago, by a whole list":      {balance.ListFull, now - time.Hour, 0},
+		"long ago, as the list has told": {balance.ListDelta, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg := testConfig()
+			cfg.ColdTime = time.Minute
+			b, _ := start(t, cfg, nil)
+			b.List(now, balance.ListFull, ready(1))
+			entry := ready(2)[0]
+			entry.Started = c.started
+			b.List(now, c.kind, []balance.Server{entry})
+			left := b.server(2).warmAt - now
+			if cold := left > cfg.ColdTime/4; cold != (c.warmAt > 0) || left > cfg.ColdTime {
+				t.Errorf("it is cold for %v more", left)
+			}
+		})
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -72,6 +72,7 @@
 	restAfter  = 2                      // so many failures are no chance: the server rests
 	failsMost  = 8                      // and more count no more: three answers clear it
 	restEach   = 100 * time.Millisecond // at first it is tested this often, by all who share it together
+	listLag    = 30 * time.Second       // the list tells of a start no later than this
 	believed   = 30 * time.Second       // a verdict from before a restart counts for so long
 	firstAsk   = 2 * time.Second        // many balancers that start at once first ask for the list over this
 	firstPause = 250 * time.Millisecond // before the list is asked for again after a failed call, doubled twice
@@ -779,8 +780,9 @@
 		}
 	}
 	for _, e := range entries {
-		b.enter(now, e)
+		b.enter(now, e, b.startOf(now, kind, e))
 	}
+	b.heardAt = now
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return s.State == balance.Gone })
 	if b.first == 0 { // with no quotas, the first list is all there is to go by
 		b.first = float64(len(b.servers))
@@ -792,8 +794,19 @@
 	b.feed(now)
 }
 
+// startOf is when a server started at the earliest, for its slow start. Our clock may have been stepped
+// before this process began, by as much as an hour: a start that is still to come is taken for one of now, and
+// one of a server that is news, but began long before the list was heard without it, for one of just before.
+func (b *Balancer) startOf(now time.Duration, kind balance.ListKind, e balance.Server) time.Duration {
+	start := min(e.Started, now)
+	if _, known := b.find(e.ID); known || e.Started <= 0 || kind != balance.ListDelta || b.heardAt == 0 {
+		return start
+	}
+	return max(start, b.heardAt-listLag)
+}
+
 // enter takes over one line of the list.
-func (b *Balancer) enter(now time.Duration, e balance.Server) {
+func (b *Balancer) enter(now time.Duration, e balance.Server, start time.Duration) {
 	if !(e.Weight > 1e-9 && e.Weight < 1e9) {
 		e.Weight = 1 // no weights, even turns
 	}
@@ -803,7 +816,7 @@
 	}
 	s := b.servers[i]
 	if e.Started > 0 && e.Started > s.Started { // cold, and nothing known of it holds any more
-		*s = server{Server: e, out: s.out, warmAt: max(s.warmAt, e.Started+b.cfg.ColdTime), strain: 1}
+		*s = server{Server: e, out: s.out, warmAt: max(s.warmAt, start+b.cfg.ColdTime), strain: 1}
 	}
 	s.Server, s.told, s.away, s.warmAt = e, e.Weight, b.away[e.ID], max(s.warmAt, b.back[e.ID])
 	if !s.stands() {
--- a/policy/state.go
+++ b/policy/state.go
@@ -139,14 +139,15 @@
 	classes  []class
 	parts    []compartment
 	requests map[balance.RequestID]*request
-	open     []*request // in order of arrival; ended ones are swept out by Wake
-	servers  []*server  // in order of their ids
-	slots    int        // of all compartments
-	first    float64    // servers in the first list
-	mean     float64    // what the slots of all balancers hold while traffic is at the quotas
-	quota    float64    // of all tenants together
-	weight   float64    // of all ready servers
-	full     float64    // the most of it that the list ever had
+	open     []*request    // in order of arrival; ended ones are swept out by Wake
+	servers  []*server     // in order of their ids
+	slots    int           // of all compartments
+	first    float64       // servers in the first list
+	heardAt  time.Duration // when the list was heard last; 0: never
+	mean     float64       // what the slots of all balancers hold while traffic is at the quotas
+	quota    float64       // of all tenants together
+	weight   float64       // of all ready servers
+	full     float64       // the most of it that the list ever had
 	out      int
 	turn     float64       // due time of the latest turn
 	arc      []*server     // whom turns are taken among
