Add a soak of overlapping faults drawn from a seed, with an oracle of its own

Change: fleetlab soak draws 14 faults of 25 kinds on 10 to 20 real sidecars (system calls, wall clock, stops, kills, upgrades, servers that spoil, hang, reset, crash, drain; discovery that is away, stale, mute, slow, moved; clients that leave, strangers), and judges by the records of clients and servers that each accepted request has one complete, right, timely answer; any breach that a sidecar's guard finds fails it too.

--- a/cmd/fleetlab/main.go
+++ b/cmd/fleetlab/main.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"math/rand/v2"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -20,6 +21,7 @@
 	"arrowgw/internal/conf"
 	"arrowgw/internal/lab"
 	"arrowgw/internal/logging"
+	"arrowgw/internal/sysfault"
 	"arrowgw/scenarios"
 )
 
@@ -34,6 +36,7 @@
 var errBroken = errors.New("an invariant did not hold")
 
 func main() {
+	sysfault.Launch()
 	if lab.Hold() {
 		return
 	}
@@ -41,7 +44,7 @@
 		Use: "fleetlab", Short: "Play fleets of sidecars on loopback, break parts of them, and judge", SilenceUsage: true, SilenceErrors: true,
 		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
 	}
-	root.AddCommand(try(), list(), play(), compare(), experiment(), sweep())
+	root.AddCommand(try(), list(), play(), compare(), experiment(), sweep(), soak())
 	// Ctrl-C ends a run, and all of its processes with it.
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -271,3 +274,44 @@
 		},
 	}
 }
+
+func soak() *cobra.Command {
+	c := &cobra.Command{
+		Use: "soak", Args: cobra.NoArgs,
+		Short: "Play faults that overlap in time, drawn from seeds, on 10 to 40 sidecars, and stop at the first that breaks an invariant",
+	}
+	seed := c.Flags().Uint64("seed", 0, "the first seed; 0: one is drawn")
+	runs := c.Flags().Int("runs", 1, "how many seeds, one after the other")
+	sidecars := c.Flags().Int("sidecars", 0, "sidecars; 0: 10 to 20, drawn")
+	out := c.Flags().String("out", "", "folder for the results and the logs, one folder a seed")
+	program := c.Flags().String("program", "", "path of the sidecar to play; the tree's own is built if not given")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		first := *seed
+		if first == 0 {
+			first = rand.Uint64N(1 << 32)
+		}
+		for n := range uint64(max(0, *runs)) {
+			scene, err := lab.Soak(first+n, *sidecars)
+			if err != nil {
+				return err
+			}
+			o := lab.Options{Seed: first + n, Program: *program}
+			if *out != "" {
+				o.Out = filepath.Join(*out, fmt.Sprint(first+n))
+			}
+			res, err := lab.Play(c.Context(), scene, o)
+			if err != nil {
+				return fmt.Errorf("seed %d: %w", first+n, err)
+			}
+			fmt.Printf("seed %d: %d sidecars, %d servers, faults %s: held %v\n", first+n, res.Sidecars, res.Servers, strings.Join(scene.Kinds(), " "), res.Held())
+			if !res.Held() || res.Late != "" {
+				res.Print(os.Stdout)
+			}
+			if !res.Held() {
+				return errBroken
+			}
+		}
+		return nil
+	}
+	return c
+}
--- /dev/null
+++ b/internal/lab/callfaults.go
@@ -0,0 +1,83 @@
+//go:build linux && amd64
+
+package lab
+
+import (
+	"math/rand/v2"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"arrowgw/internal/sysfault"
+)
+
+// holdUp is how long a machine may keep a process from going on between two steps, at most.
+const holdUp = 150 * time.Millisecond
+
+// momentary are the errors that calls may fail with for a moment, by the number of the call.
+var momentary = map[int][]syscall.Errno{
+	unix.SYS_ACCEPT4: {
+		unix.ECONNABORTED, unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.ENETUNREACH, unix.ENETDOWN, unix.EPROTO,
+		unix.EHOSTUNREACH, unix.EOPNOTSUPP, unix.EPERM, unix.EINTR, unix.ENOSPC,
+	},
+	unix.SYS_SOCKET:    {unix.ENFILE, unix.EMFILE, unix.ENOBUFS, unix.ENOMEM},
+	unix.SYS_CONNECT:   {unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.EAGAIN},
+	unix.SYS_POLL:      {unix.EINTR, unix.ENOMEM},
+	unix.SYS_READ:      {unix.EINTR},
+	unix.SYS_WRITE:     {unix.EINTR},
+	unix.SYS_FSYNC:     {unix.EIO, unix.ENOSPC},
+	unix.SYS_FDATASYNC: {unix.EIO, unix.ENOSPC},
+	unix.SYS_PWRITE64:  {unix.ENOSPC, unix.EIO},
+}
+
+// callFaults decides the system calls of one process: it draws which fail, move few bytes or are held up.
+type callFaults struct {
+	supervisor *sysfault.Supervisor
+
+	mu    sync.Mutex
+	rng   *rand.Rand
+	share float64 // of calls that something is done to
+}
+
+// startSupervised starts a process whose system calls and clock a scenario can disturb.
+func startSupervised(cmd *exec.Cmd, seed uint64) (*callFaults, error) {
+	f := &callFaults{rng: rand.New(rand.NewPCG(seed, 8))}
+	var calls []int
+	for number := range momentary {
+		calls = append(calls, number)
+	}
+	var err error
+	f.supervisor, err = sysfault.Start(cmd, sysfault.Options{Calls: calls, Decide: f.decide, Clock: true})
+	return f, err
+}
+
+// disturb has that share of calls be disturbed from now on.
+func (f *callFaults) disturb(share float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.share = share
+}
+
+func (f *callFaults) decide(c sysfault.Call) (e sysfault.Effect) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.rng.Float64() >= f.share {
+		return e
+	}
+	moves := c.Number == unix.SYS_READ || c.Number == unix.SYS_WRITE
+	switch draw := f.rng.Float64(); {
+	case moves && draw < 0.6:
+		e.Most = 1 + f.rng.IntN(40)
+	case moves && draw < 0.62:
+		e.Delay = time.Duration(f.rng.Int64N(int64(holdUp)))
+	case moves && draw < 0.8:
+		return e
+	default:
+		errors := momentary[c.Number]
+		e.Errno = errors[f.rng.IntN(len(errors))]
+	}
+	return e
+}
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -172,6 +172,16 @@
 		return p.upgrade(i)
 	case "full":
 		return p.fileLimit(i, uint64(a.Size))
+	case "calls":
+		p.disturb(i, a.Size)
+		mended(ctx, a)
+		p.disturb(i, 0)
+	case "forward":
+		p.stepClock(i, time.Duration(a.Size*float64(time.Second)))
+	case "back":
+		p.stepClock(i, -time.Duration(a.Size*float64(time.Second)))
+	case "rude":
+		f.beRude(ctx, a, i)
 	}
 	return nil
 }
@@ -228,6 +238,16 @@
 		if mended(ctx, a) {
 			s.change(i, func(m *world.Server) { m.Refuse(false) })
 		}
+	case "spoil":
+		s.misbehave(i, func(u *server) { u.spoils = a.Size })
+		mended(ctx, a)
+		s.misbehave(i, func(u *server) { u.spoils = 0 })
+	case "hang":
+		s.misbehave(i, func(u *server) { u.hangs = a.Size })
+		mended(ctx, a)
+		s.misbehave(i, func(u *server) { u.hangs = 0 })
+	case "reset":
+		s.misbehave(i, (*server).reset)
 	case "out":
 		f.byHand(ctx, "disable-server", i)
 		if mended(ctx, a) {
@@ -237,6 +257,20 @@
 	return nil
 }
 
+// beRude has strangers connect to a sidecar, one after the other, while the fault lasts.
+func (f *faults) beRude(ctx context.Context, a Action, sidecar int) {
+	ctx, cancel := context.WithTimeout(ctx, a.For.D())
+	defer cancel()
+	h, c := f.run.history, f.run.clock
+	for n := 0; ctx.Err() == nil; n++ {
+		from := c.now()
+		if err := rude(f.run.net.at(sidecar, clientPort), rudeKinds[n%len(rudeKinds)]); err != nil {
+			h.note(&h.peers, "a stranger that came to sidecar %s at %v: %v", sidecarName(sidecar), from, err)
+		}
+		sleep(ctx, rudeRest)
+	}
+}
+
 // byHand calls at every sidecar's console, as an operator does: again and again until it says yes.
 func (f *faults) byHand(ctx context.Context, call string, server int) {
 	var all sync.WaitGroup
@@ -274,6 +308,8 @@
 		if mended(ctx, a) {
 			r.freeze(false)
 		}
+	case "mute":
+		r.mute()
 	case "crawl":
 		r.crawl(a.Pause.D())
 		if mended(ctx, a) {
--- a/internal/lab/history.go
+++ b/internal/lab/history.go
@@ -20,6 +20,8 @@
 	fallen  []string // servers that were pushed over when they were cold
 	ends    []string // processes that ended and should not have, or did not and should
 	over    []string // limits passed
+	peers   []string // strangers that got neither an error nor a close
+	broken  []string // invariants that sidecars found broken themselves
 	killed  []span   // when a sidecar's process was killed, by sidecar
 	started []span   // when it was started again, until it was ready
 	views   []viewed // what sidecars saw of the fleet
@@ -66,8 +68,11 @@
 	Ended   time.Duration
 	End     Outcome
 	Status  int
-	Partial bool   // some of an answer came
-	Body    string // of a served one
+	Partial bool          // some of an answer came
+	Fresh   bool          // its connection had carried no request before
+	Left    time.Duration // when its client left, before it had an answer; 0: it did not
+	Owed    time.Duration // its time was up
+	Body    string        // of a served one
 	Reached []Reached
 }
 
@@ -77,7 +82,9 @@
 	Sidecar int           // whose address it came by
 	At      time.Duration // of its first bytes
 	Verdict world.Verdict
-	Answer  string // the body, where it was served
+	Answer  string        // the body, where it was served
+	Spoilt  bool          // what came back was no whole answer, by the server's doing
+	Told    time.Duration // how long the sidecar said that it waits; 0: nothing
 }
 
 // Told is a word on a server that binds a sidecar: to send it nothing new from then on, or that it may.
@@ -128,10 +135,27 @@
 }
 
 // end takes how a try ended.
-func (h *History) end(t *Try, now time.Duration, end Outcome, status int, body string, partial bool) {
+func (h *History) end(t *Try, now time.Duration, end Outcome, status int, body string, partial, fresh bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	t.Ended, t.End, t.Status, t.Body, t.Partial = now, end, status, body, partial
+	t.Fresh = fresh
+}
+
+// left takes that a try's client leaves, unless it has ended.
+func (h *History) left(t *Try, now time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if t.End == "" {
+		t.Left = now
+	}
+}
+
+// spoil takes that an arrival's answer is spoilt.
+func (h *History) spoil(t *Try, n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t.Reached[n].Spoilt = true
 }
 
 // touched says whether a try has come to a server by now.
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -23,10 +23,12 @@
 	"time"
 
 	"arrowgw/internal/conf"
+	"arrowgw/internal/sysfault"
 )
 
 // TestMain lets the test program stand in for a sidecar that does wrong, and for a lab that is killed.
 func TestMain(m *testing.M) {
+	sysfault.Launch()
 	if Hold() {
 		return
 	}
--- a/internal/lab/roster.go
+++ b/internal/lab/roster.go
@@ -38,6 +38,7 @@
 	list    *world.Roster
 	desk    world.Desk
 	changed chan struct{} // closed with each change
+	muted   chan struct{} // closed where the watches that are open fall silent
 	away    bool
 	stale   *world.Roster // what it answers with instead, while it is stale
 	knows   [][]bool      // by sidecar and server: whether it was told that the server is out
@@ -51,7 +52,7 @@
 
 func newRoster(s *Scenario, c clock, h *History, n *subnet, servers *servers) (*roster, error) {
 	r := &roster{
-		clock: c, history: h, net: n, scene: s, servers: servers, changed: make(chan struct{}),
+		clock: c, history: h, net: n, scene: s, servers: servers, changed: make(chan struct{}), muted: make(chan struct{}),
 		list: world.NewRoster(s.Fleet.Servers, firstVersion),
 		desk: world.NewDesk(s.List.Call.D(), s.List.Line.D(), s.List.Wait.D()),
 	}
@@ -152,6 +153,14 @@
 	}
 }
 
+// mute has all watches that are open fall silent; new ones are served.
+func (r *roster) mute() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	close(r.muted)
+	r.muted = make(chan struct{})
+}
+
 // crawl makes each call take so much longer.
 func (r *roster) crawl(by time.Duration) {
 	r.mu.Lock()
@@ -196,6 +205,9 @@
 func (r *roster) answer(ctx context.Context, since int64, wait time.Duration) (entries []world.Entry, version int64, whole, ok bool) {
 	end := time.NewTimer(wait)
 	defer end.Stop()
+	r.mu.Lock()
+	muted := r.muted
+	r.mu.Unlock()
 	for waiting := since >= 0; waiting; {
 		r.mu.Lock()
 		news, away := r.changed, r.away
@@ -208,6 +220,9 @@
 		case <-news:
 		case <-end.C:
 			waiting = false
+		case <-muted:
+			<-ctx.Done()
+			return nil, 0, false, false
 		case <-ctx.Done():
 			return nil, 0, false, false
 		}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -245,6 +245,11 @@
 	if err := errors.Join(r.faults.errs...); err != nil {
 		return nil, err
 	}
+	broken, err := r.processes.brokenByLogs()
+	if err != nil {
+		return nil, err
+	}
+	r.history.broken = broken
 	res := r.result(o, plan, lab, time.Since(began))
 	if o.Out != "" {
 		return res, res.write(o.Out, r)
--- /dev/null
+++ b/internal/lab/soak_test.go
@@ -0,0 +1,106 @@
+package lab
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"arrowgw/internal/world"
+)
+
+// Faults that overlap in time, drawn from a seed, cost no sidecar an answer that it owes.
+func TestSoak(t *testing.T) {
+	program, err := Build(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, seed := range []uint64{1002, 1005} {
+		s, err := Soak(seed, 10)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("seed %d: %s", seed, strings.Join(s.Kinds(), " "))
+		res, _ := play(t, s, Options{Seed: seed, Program: program})
+		for _, v := range res.Verdicts {
+			if !v.Held {
+				t.Errorf("seed %d: %s broke %d times: %s", seed, v.Invariant, v.Broken, strings.Join(v.Findings, "\n"))
+			}
+		}
+	}
+}
+
+// The same seed draws the same, and some seeds together draw each kind of fault, overlapping.
+func TestSoakIsDrawn(t *testing.T) {
+	var kinds []string
+	for seed := range uint64(40) {
+		a, err := Soak(seed, 0)
+		if err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+		b, err := Soak(seed, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !slices.Equal(a.Fault, b.Fault) || a.Fleet != b.Fleet {
+			t.Errorf("seed %d draws two scenarios", seed)
+		}
+		kinds = append(kinds, a.Kinds()...)
+		overlap := 0
+		for i, f := range a.Fault {
+			for _, g := range a.Fault[:i] {
+				if f.At <= g.At+g.For && g.At <= f.At+f.For {
+					overlap++
+				}
+			}
+		}
+		if overlap < soakFaults/2 {
+			t.Errorf("seed %d: %d pairs of faults overlap", seed, overlap)
+		}
+	}
+	for _, k := range soakKinds {
+		if !slices.Contains(kinds, k.do) {
+			t.Errorf("no seed draws %q", k.do)
+		}
+	}
+}
+
+// Each invariant of the soak finds what breaks it, and nothing in what does not.
+func TestSoakInvariants(t *testing.T) {
+	const s = time.Second
+	at := func(at time.Duration, r Reached) []Reached { r.At = at; return []Reached{r} }
+	for name, c := range map[string]struct {
+		try    Try
+		killed []span
+		broken string // the invariant that is; empty: none
+	}{
+		"answered":                           {Try{End: Served, Sent: s, Ended: 2 * s, Owed: 3 * s}, nil, ""},
+		"no answer in time":                  {Try{End: GaveUp, Sent: s, Ended: 4 * s, Owed: 3 * s}, nil, "final"},
+		"no answer, as its client left":      {Try{End: GaveUp, Sent: s, Ended: 2 * s, Left: 2 * s, Owed: 3 * s}, nil, ""},
+		"no answer, as its sidecar died":     {Try{End: GaveUp, Sent: s, Ended: 4 * s, Owed: 3 * s}, []span{{0, 2 * s, 3 * s}}, ""},
+		"closed on a new connection":         {Try{End: Broken, Fresh: true, Sent: s, Ended: 2 * s, Owed: 3 * s}, nil, "final"},
+		"closed between requests":            {Try{End: Broken, Sent: s, Ended: 2 * s, Owed: 3 * s}, nil, ""},
+		"broken off by its server":           {Try{End: Broken, Fresh: true, Partial: true, Sent: s, Ended: 2 * s, Owed: 3 * s, Reached: at(s, Reached{Spoilt: true})}, nil, ""},
+		"broken off, but not by its server":  {Try{End: Broken, Fresh: true, Partial: true, Sent: s, Ended: 2 * s, Owed: 3 * s, Reached: at(s, Reached{Verdict: world.Taken})}, nil, "final"},
+		"sent on behind the leaving":         {Try{End: GaveUp, Sent: s, Left: s, Owed: 3 * s, Reached: at(s+400*time.Millisecond, Reached{})}, nil, "left"},
+		"sent on just behind it":             {Try{End: GaveUp, Sent: s, Left: s, Owed: 3 * s, Reached: at(s+90*time.Millisecond, Reached{})}, nil, ""},
+		"told more time than the client has": {Try{End: Served, Sent: s, Owed: 3 * s, Reached: at(2*s, Reached{Told: 1300 * time.Millisecond})}, nil, "told"},
+		"told what it has":                   {Try{End: Served, Sent: s, Owed: 3 * s, Reached: at(2*s, Reached{Told: s})}, nil, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := &History{tries: []*Try{&c.try}, killed: c.killed}
+			scenario := scene(t, "hold=['final','left','told','peers','guarded']\n[fleet]\nservers=2")
+			for _, v := range judge(h, scenario, false) {
+				if v.Held == (v.Invariant == c.broken) {
+					t.Errorf("%s held: %v; %v", v.Invariant, v.Held, v.Findings)
+				}
+			}
+		})
+	}
+	h := &History{peers: []string{"x"}, broken: []string{"x"}}
+	for _, v := range judge(h, scene(t, "hold=['peers','guarded']\n[fleet]\nservers=2"), false) {
+		if v.Held {
+			t.Errorf("%s held", v.Invariant)
+		}
+	}
+}
--- a/internal/lab/upstream.go
+++ b/internal/lab/upstream.go
@@ -7,8 +7,10 @@
 	"hash/fnv"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -58,6 +60,8 @@
 	fell    time.Duration // when it was, for good
 	silent  chan struct{} // not nil while it says nothing; closed when it speaks again
 	http    *http.Server
+	spoils  float64 // share of answers that it spoils
+	hangs   float64 // and of requests that it never answers
 }
 
 func newServers(s *Scenario, seed uint64, c clock, h *History, n *subnet) (*servers, error) {
@@ -519,7 +523,7 @@
 	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, bodyLimit)); err != nil {
 		return // its last byte never came: it has not begun
 	}
-	t, n := u.of.history.reach(id, Reached{Server: u.number, Sidecar: c.sidecar, At: at, Verdict: world.Full})
+	t, n := u.of.history.reach(id, Reached{Server: u.number, Sidecar: c.sidecar, At: at, Verdict: world.Full, Told: toldTime(r.Header.Get("X-Timeout"))})
 	if t == nil {
 		http.Error(w, "an id that no client sent", http.StatusBadRequest)
 		return
@@ -558,10 +562,47 @@
 		}
 	}
 	body := fmt.Sprintf("%s served by s-%d, arrival %d", id, u.number, n)
+	hang, spoils, draw := u.misbehaves()
+	if hang {
+		u.of.history.spoil(t, n)
+		<-r.Context().Done()
+		return
+	}
 	u.of.history.settle(t, n, verdict, body)
+	if spoils {
+		spoil(w, body, draw, func(whole bool) {
+			if !whole {
+				u.of.history.spoil(t, n)
+			}
+		})
+		return
+	}
 	_, _ = io.WriteString(w, body) // fails where the sidecar has gone
 }
 
+// misbehaves draws whether a request is never answered, or its answer spoilt, and in which way.
+func (u *server) misbehaves() (hangs, spoils bool, draw int) {
+	u.of.mu.Lock()
+	defer u.of.mu.Unlock()
+	return rand.Float64() < u.hangs, rand.Float64() < u.spoils, rand.IntN(len(spoilt))
+}
+
+// misbehave has a server hang for a share of its requests, or spoil a share of its answers.
+func (a *servers) misbehave(i int, set func(u *server)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	set(a.all[i])
+}
+
+// toldTime reads X-Timeout; 0: it is missing or malformed.
+func toldTime(text string) time.Duration {
+	d, err := time.ParseDuration(strings.NewReplacer("m", "ms", "u", "us").Replace(text))
+	if err != nil {
+		return 0
+	}
+	return d
+}
+
 // keyHash is a key as the model has it; 0: none.
 func keyHash(key string) uint64 {
 	if key == "" {
