--- a/internal/balance/rules.go
+++ b/internal/balance/rules.go
@@ -94,9 +94,9 @@
 func (l RetryBudget) check() error {
 	switch {
 	case l.Span < 0 || negative(l.Free) || negative(l.Share):
-		return fmt.Errorf("Budget: Span %v, Free %v or Share %v is negative or no number", l.Span, l.Free, l.Share)
+		return fmt.Errorf("field Budget: Span %v, Free %v or Share %v is negative or no number", l.Span, l.Free, l.Share)
 	case l.Span == 0 && l != (RetryBudget{}):
-		return fmt.Errorf("Budget: Span is 0, though Free %v and Share %v are set", l.Free, l.Share)
+		return fmt.Errorf("field Budget: Span is 0, though Free %v and Share %v are set", l.Free, l.Share)
 	}
 	return nil
 }
@@ -106,12 +106,12 @@
 	sum := 0.0
 	for i, t := range tenants {
 		if negative(t.Share) || negative(t.Quota) {
-			return fmt.Errorf("Tenants[%d]: Share %v or Quota %v is negative or no number", i, t.Share, t.Quota)
+			return fmt.Errorf("field Tenants[%d]: Share %v or Quota %v is negative or no number", i, t.Share, t.Quota)
 		}
 		sum += t.Share
 	}
 	if len(tenants) > 0 && (sum <= 0 || math.IsInf(sum, 0)) {
-		return fmt.Errorf("Tenants: the Share of all adds up to %v", sum)
+		return fmt.Errorf("field Tenants: the Share of all adds up to %v", sum)
 	}
 	return nil
 }
--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -32,7 +32,6 @@
 	net     *subnet
 	late    *lateness
 	classes []world.Class
-	names   []string
 
 	perSidecar []*http.Client
 	once       *http.Client // for requests that are sent once more: each on a connection of its own
