Hold no failure of this machine's own sockets against a server

Cause: socket and connect that go on failing for want of descriptors, buffers or ports ended attempts as 'no connection', so that the module rested servers that were well. Change: such an attempt ends as not sent. A test has the first calls fail.

--- a/cmd/caperarch/faults_test.go
+++ b/cmd/caperarch/faults_test.go
@@ -263,6 +263,7 @@
 	t.Run("poll for a client that left", pollIsInterrupted)
 	t.Run("read behind a last answer", readBehindAnswerIsInterrupted)
 	t.Run("listen at the start", listenFailsAtStart)
+	t.Run("connect to a server", connectFails)
 	t.Run("open at a reload", openFailsAtReload)
 }
 
@@ -376,6 +377,26 @@
 	c.wants("q1", http.StatusOK)
 }
 
+// connectFails has the first calls of socket and connect fail, for a request's connection among others.
+func connectFails(t *testing.T) {
+	server := newQueueServer(t, answerAtOnce)
+	s := startFaulty(t, fmt.Sprintf(faultySettings, "127.0.0.1:1", server.listener.Addr(), 2000), false, []int{unix.SYS_SOCKET, unix.SYS_CONNECT}, nil)
+	var failures atomic.Int64
+	s.will(func(c sysfault.Call) sysfault.Effect {
+		errno := map[int]syscall.Errno{unix.SYS_SOCKET: unix.ENOBUFS, unix.SYS_CONNECT: unix.EADDRNOTAVAIL}[c.Number]
+		if failures.Add(1) <= 3 {
+			return sysfault.Effect{Errno: errno}
+		}
+		return sysfault.Effect{}
+	})
+	c := s.connect()
+	c.send(request("q1", time.Second))
+	c.wants("q1", http.StatusOK)
+	if strings.Contains(s.said(), "ending=no_connection") {
+		t.Error("a failure of this machine's own ended an attempt")
+	}
+}
+
 // openFailsAtReload has the first calls to read the new configuration fail.
 func openFailsAtReload(t *testing.T) {
 	server := newQueueServer(t, answerAtOnce)
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -278,6 +278,9 @@
 	if m != nil && m.rest != nil {
 		m.left -= u.clock.now() - asked
 	}
+	if err != nil && isOwnFailure(err) {
+		return nil, nil, balance.NotSent
+	}
 	if err != nil {
 		return nil, nil, u.neverRan(x, m)
 	}
@@ -488,6 +491,10 @@
 	syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.EAGAIN, syscall.EINTR, syscall.ENETUNREACH, syscall.ENETDOWN,
 }
 
+func isOwnFailure(err error) bool {
+	return slices.ContainsFunc(ownFailures, func(e error) bool { return errors.Is(err, e) })
+}
+
 const (
 	dialTries = 4                    // of one connection, where this machine fails
 	dialPause = 5 * time.Millisecond // between them
@@ -497,8 +504,7 @@
 func (u *upstream) dialAgain(ctx context.Context, address string) (raw net.Conn, err error) {
 	for range dialTries {
 		raw, err = u.dial(ctx, "tcp", address)
-		own := slices.ContainsFunc(ownFailures, func(e error) bool { return errors.Is(err, e) })
-		if err == nil || !own {
+		if err == nil || !isOwnFailure(err) {
 			return raw, err
 		}
 		u.count(&u.failed.own)
