Have the guard take an answer that crosses its client's leaving for a denial

Change: a request is forgotten once its handler has ended, its attempts have, and the loop has no answer for it any more.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -72,6 +72,7 @@
 	ran      time.Duration // when the first attempt that may have run was sent
 	mayRun   bool          // there is one
 	answered bool
+	settled  bool // the program has no answer for it any more: it has given one, or knows that its client has left
 	left     bool // its client has closed its connection, or the sending side of it
 	leftAt   time.Duration
 	closed   bool // its handler has ended
@@ -210,13 +211,27 @@
 		}
 		g.violated(AnsweredOnce, name, "a second final answer, or one to a request that is not held")
 		return g.deny(AnsweredOnce)
+	case e.closed: // its handler has gone with the client, and word of that is on its way
+		e.settled = true
+		g.forget(id, e)
+		return g.deny(ClosedAfter)
 	case !e.Coming && !e.left && now > e.Deadline+AnswerSlack:
 		g.violated(AnsweredSoon, e.Name, fmt.Sprintf("answered %v behind its deadline", now-e.Deadline))
 	}
-	e.answered = true
+	e.answered, e.settled = true, true
 	return nil
 }
 
+// Settle takes that a request gets no answer, as its client has left.
+func (g *Guard) Settle(id balance.RequestID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if e := g.open[id]; e != nil {
+		e.settled = true
+		g.forget(id, e)
+	}
+}
+
 // Close takes that a request's handler ends. broken says that the request has no whole answer by the fault of somebody
 // else than this process: of its client, or of a server in an answer under way.
 func (g *Guard) Close(now time.Duration, id balance.RequestID, broken bool) {
@@ -246,7 +261,7 @@
 
 // forget drops a request that has ended. The caller holds the lock.
 func (g *Guard) forget(id balance.RequestID, e *entry) {
-	if e.closed && e.out <= 0 {
+	if e.closed && e.settled && e.out <= 0 {
 		delete(g.open, id)
 	}
 }
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -82,8 +82,13 @@
 			l.Written(102*ms, 103*ms, 1)
 			return nil
 		}, -1, SentWhileOpen},
-		"written for nobody":             {ordinary, func(l *life) error { l.Written(1*ms, 1*ms, 2); return nil }, -1, SentWhileOpen},
-		"two answers":                    {ordinary, func(l *life) error { _ = l.Answer(1*ms, 1); return l.Answer(2*ms, 1) }, AnsweredOnce, AnsweredOnce},
+		"written for nobody": {ordinary, func(l *life) error { l.Written(1*ms, 1*ms, 2); return nil }, -1, SentWhileOpen},
+		"two answers":        {ordinary, func(l *life) error { _ = l.Answer(1*ms, 1); return l.Answer(2*ms, 1) }, AnsweredOnce, AnsweredOnce},
+		"an answer that crosses the leaving": {ordinary, func(l *life) error {
+			l.Left(1*ms, 1)
+			l.Close(2*ms, 1, false)
+			return l.Answer(3*ms, 1)
+		}, ClosedAfter, -1},
 		"an answer just in time":         {ordinary, func(l *life) error { return l.Answer(1500*ms, 1) }, -1, -1},
 		"an answer too late":             {ordinary, func(l *life) error { return l.Answer(1501*ms, 1) }, -1, AnsweredSoon},
 		"closed with no answer":          {ordinary, func(l *life) error { l.Close(1*ms, 1, false); return nil }, -1, ClosedAfter},
@@ -125,6 +130,16 @@
 	if len(l.open) != 0 {
 		t.Error("a request that has ended is still held")
 	}
+	l.Take(2, Request{Name: "q2", Deadline: time.Second})
+	l.Left(1*ms, 2)
+	l.Close(1*ms, 2, false)
+	if len(l.open) != 1 {
+		t.Error("a request is forgotten that the program may still answer")
+	}
+	l.Settle(2)
+	if len(l.open) != 0 {
+		t.Error("a request whose client has left is still held")
+	}
 }
 
 // Nothing is taken before the sidecar is ready.
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -360,7 +360,10 @@
 // finish ends a request with its one answer, or with none where the client has gone.
 func (l *loop) finish(id balance.RequestID, r *request, a *answer) {
 	r.over = true
-	if a != nil && l.guard.Answer(l.now, id) == nil {
+	switch {
+	case a == nil:
+		l.guard.Settle(id)
+	case l.guard.Answer(l.now, id) == nil:
 		r.reply <- *a
 	}
 	if r.out == 0 {
