--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -258,6 +258,7 @@
 	}{
 		"the clock is right":             {balance.ListDelta, now, 1},
 		"set back":                       {balance.ListDelta, now + time.Hour, 1},
+		"the list tells it late":         {balance.ListDelta, now - 3*time.Second, 1},
 		"set back, in a whole list":      {balance.ListFull, now + time.Hour, 1},
 		"set forward":                    {balance.ListDelta, now - time.Hour, 1},
 		"long ago, by a whole list":      {balance.ListFull, now - time.Hour, 0},
@@ -265,7 +266,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			cfg := testConfig()
-			cfg.ColdTime = time.Minute
+			cfg.ColdTime = 10 * time.Second
 			b, _ := start(t, cfg, nil)
 			b.List(now, balance.ListFull, ready(1))
 			entry := ready(2)[0]
