Split the handler of requests into taking, awaiting and abandoning

Cause: one function of a hundred lines read, counted, asked and waited. Change: no change of behaviour; three functions with one job each.

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -111,13 +111,17 @@
 		f.rejectBody(w, err)
 		return
 	}
+	f.take(w, r, q, m)
+}
+
+// take takes a request on that has come, or whose held part has, and answers it.
+func (f *front) take(w http.ResponseWriter, r *http.Request, q balance.Request, m *message) {
 	arrived := f.clock.now() // the client's time began with the last byte; that of a longer body's is still to come
 	if m.rest == nil {
 		arrived -= max(0, f.clients.came(r.Context()))
 	}
-	left = f.stop.Load().left(arrived, left)
-	m.left = left
-	if !f.clients.took(r.Context()) { // its connection has made room for others
+	m.left = f.stop.Load().left(arrived, m.left)
+	if !f.clients.took(r.Context()) { // its connection has made room for others, and closes with a refusal
 		f.loop.trace.unanswered(m.id, closedRoomPartial, f.clock.now()-arrived)
 		panic(http.ErrAbortHandler)
 	}
@@ -127,31 +131,32 @@
 	if full || leaving { // descriptors run out, or another process serves here: this one ends with its answer
 		w.Header().Set("Connection", "close")
 	}
-	switch {
-	case full && !leaving:
-		f.reply(w, r, q.Class, answer{status: http.StatusServiceUnavailable, pause: f.pause()}, m.rest)
-		return
-	case !f.serves(): // not by rules of before
-		f.reply(w, r, q.Class, answer{status: http.StatusServiceUnavailable, pause: f.pause()}, m.rest)
-		return
-	case f.cfg.MostOpen > 0 && held > int64(f.cfg.MostOpen):
+	barred := !f.serves() // by rules, which were not those of before
+	if full && !leaving || barred || f.cfg.MostOpen > 0 && held > int64(f.cfg.MostOpen) {
 		f.reply(w, r, q.Class, answer{status: http.StatusServiceUnavailable, pause: f.pause()}, m.rest)
 		return
 	}
-	reply, broken := make(chan answer, 1), (chan error)(nil)
 	if m.rest != nil {
-		broken = m.rest.failed
 		f.uploads.Add(1)
 		m.rest.whole = sync.OnceFunc(func() { f.uploads.Add(-1) })
 		defer m.rest.whole()
 	}
 	m.gone = func() bool { return f.clients.left(r.Context()) }
 	if m.gone() { // while the request waited to be read
-		f.loop.trace.unanswered(m.id, closedClientLeft, f.clock.now()-arrived)
-		panic(http.ErrAbortHandler) // net/http's way to close the connection with no answer
+		f.abandon(m, arrived)
 	}
-	f.loop.trace.step("request taken", m.id, slog.Duration("left", left), slog.Int64("held", held))
-	id, look := f.loop.ask(q, m, arrived+left, reply), time.NewTicker(leftEvery)
+	f.loop.trace.step("request taken", m.id, slog.Duration("left", m.left), slog.Int64("held", held))
+	f.await(w, r, q, m, arrived)
+}
+
+// await asks for a request's answer, and passes it on. Where the client leaves before, or breaks its body off, the
+// request ends.
+func (f *front) await(w http.ResponseWriter, r *http.Request, q balance.Request, m *message, arrived time.Duration) {
+	reply, broken := make(chan answer, 1), (chan error)(nil)
+	if m.rest != nil {
+		broken = m.rest.failed
+	}
+	id, look := f.loop.ask(q, m, arrived+m.left, reply), time.NewTicker(leftEvery)
 	defer look.Stop()
 	incomplete := false // its client has not sent all of it
 	defer func() { f.loop.guard.Close(f.clock.now(), id, incomplete) }()
@@ -177,11 +182,16 @@
 		if m.rest != nil {
 			m.rest.stop()
 		}
-		f.loop.trace.unanswered(m.id, closedClientLeft, f.clock.now()-arrived)
-		panic(http.ErrAbortHandler)
+		f.abandon(m, arrived)
 	}
 }
 
+// abandon closes the connection of a client that has left, with no answer: net/http's way to do that is a panic.
+func (f *front) abandon(m *message, arrived time.Duration) {
+	f.loop.trace.unanswered(m.id, closedClientLeft, f.clock.now()-arrived)
+	panic(http.ErrAbortHandler)
+}
+
 // receive reads a request's body into m: whole, or as far as it is held.
 func (f *front) receive(w http.ResponseWriter, r *http.Request, m *message) error {
 	if r.ContentLength > bodyMost {
