Listen for clients last, and have the lab start a sidecar once at a time

Change: clients' listener is opened last, so that a start that waits or fails has none of their connections; the lab ends and starts one sidecar one at a time.

Measured: tests of starts, upgrades and the console pass.

--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -25,6 +25,8 @@
 	rng  *rand.Rand // of damages; guarded by mu
 	work sync.WaitGroup
 
+	lives []sync.Mutex // by sidecar: one end and new start after the other
+
 	mu    sync.Mutex
 	marks []Mark
 	errs  []error
@@ -139,6 +141,10 @@
 		_, err := p.start(i)
 		return err
 	}
+	if slices.Contains([]string{"kill", "stop", "upgrade"}, a.Do) {
+		f.lives[i].Lock()
+		defer f.lives[i].Unlock()
+	}
 	switch a.Do {
 	case "kill":
 		p.kill(i)
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -215,7 +215,7 @@
 	if err := r.hollow.resting(false); err != nil {
 		return nil, err
 	}
-	r.faults = &faults{run: r, rng: rand.New(rand.NewPCG(o.Seed, 7))}
+	r.faults = &faults{run: r, lives: make([]sync.Mutex, s.Fleet.Sidecars), rng: rand.New(rand.NewPCG(o.Seed, 7))}
 	players.Go(func() { r.faults.play(ctx, plan) })
 	before := cpuOf(syscall.RUSAGE_SELF)
 	r.clients.play(arrivals, ctx.Done())
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -26,17 +26,20 @@
 // Run listens and serves until ctx ends and everything taken by then is answered. On each signal from
 // reload it reads the configuration again.
 func Run(ctx context.Context, cfg *Config, reload <-chan os.Signal) error {
-	listener, err := listen(ctx, cfg.Listen)
-	if err != nil {
-		return err
-	}
 	var door net.Listener
+	var err error
 	if cfg.Console != "" {
 		if door, err = retryListen(ctx, cfg.Console, new(net.ListenConfig).Listen); err != nil {
-			listener.Close()
 			return fmt.Errorf("console: %w", err)
 		}
 	}
+	listener, err := listen(ctx, cfg.Listen) // last: clients that connect from now on are to be served
+	if err != nil {
+		if door != nil {
+			door.Close()
+		}
+		return err
+	}
 	return serve(ctx, cfg, listener, door, reload)
 }
 
