Open the clients' listener behind all else that a start may wait for

Cause: the listener was open while the state folder and the console were still to come, so that connections waited for a process that did not serve yet, and were reset where the start failed. Change: it is opened last, behind the state and the parts that join sidecars.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -33,18 +33,16 @@
 			return fmt.Errorf("console: %w", err)
 		}
 	}
-	listener, err := listen(ctx, cfg.Listen) // last: clients that connect from now on are to be served
-	if err != nil {
-		if door != nil {
-			door.Close()
-		}
-		return err
-	}
-	return serve(ctx, cfg, listener, door, reload)
+	open := func() (net.Listener, error) { return listen(ctx, cfg.Listen) }
+	return serve(ctx, cfg, open, door, reload)
 }
 
-// serve wires the parts and starts them. There is a console where door is not nil.
-func serve(ctx context.Context, cfg *Config, listener, door net.Listener, reload <-chan os.Signal) error {
+// serve wires the parts and starts them. There is a console where door is not nil. Clients' listener is opened last: whoever
+// connects from then on is served, however long a disk or an address has kept the start waiting.
+func serve(ctx context.Context, cfg *Config, open func() (net.Listener, error), door net.Listener, reload <-chan os.Signal) error {
+	if door != nil {
+		defer door.Close()
+	}
 	c := newClock()
 	up := newUpstream(cfg, c)
 	l, err := newLoop(cfg, c, up)
@@ -57,14 +55,12 @@
 	}
 	peers, work, sets := control.peers, control.work, control.sets
 	l.watch, l.asked, l.handover = control.discovery.ask, control.discovery.counters, control.state
-	k := newClients(cfg, listener, up.connections)
+	k := newClients(cfg, nil, up.connections)
 	up.yield, up.room = k.yield, k.spare
 	f := newFront(cfg, c, l, k)
 	l.clients, k.closed = f.counters, l.trace.closed
 	l.bounded = func(now, left time.Duration) time.Duration { return f.stop.Load().left(now, left) }
 	f.serves = sets.serves
-	slog.Info("serving", "name", cfg.Name, "listen", listener.Addr(), "servers", len(cfg.Known.servers))
-
 	running, stop := context.WithCancel(context.Background())
 	kept := make(chan struct{})
 	defer func() {
@@ -84,6 +80,10 @@
 	if err != nil {
 		return err
 	}
+	if k.Listener, err = open(); err != nil {
+		return err
+	}
+	slog.Info("serving", "name", cfg.Name, "listen", k.Addr(), "servers", len(cfg.Known.servers))
 	l.guard.Start()
 	f.ready.Store(true)
 	control.run(running)
--- a/internal/sidecar/stub_test.go
+++ b/internal/sidecar/stub_test.go
@@ -199,7 +199,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &running{url: "http://" + l.Addr().String(), door: door.Addr().String(), stop: cancel, ended: make(chan error, 1)}
-	go func() { s.ended <- serve(ctx, cfg, l, door, nil) }()
+	go func() { s.ended <- serve(ctx, cfg, func() (net.Listener, error) { return l, nil }, door, nil) }()
 	t.Cleanup(func() {
 		cancel()
 		http.DefaultClient.CloseIdleConnections()
