Close on no good request for what comes behind it, and doubt restarts too

Cause, by reading once more: a malformed request behind a good one, cut at its last byte, was told as an error to net/http's look for an end, which ends the good request with no answer. A known server that starts again was taken for long warm by a process whose clock is an hour ahead. The guard counted what a machine does that holds the process up for 0.15 s.

Change: that look sees nothing; such a restart counts as now; the guard allows the hold-up that the operators' terms name.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -38,8 +38,9 @@
 func (r Rule) String() string { return names[r] }
 
 const (
-	// LeftSlack is how long behind a client's leaving an attempt may begin (the operators' terms).
-	LeftSlack = 100 * time.Millisecond
+	// LeftSlack is how long behind a client's leaving an attempt may begin (the operators' terms): 0.1 s, and 0.15 s for a
+	// machine that holds the process up between its look and its write.
+	LeftSlack = 250 * time.Millisecond
 	// AnswerSlack is how long behind its deadline a final answer may come (the operators' terms).
 	AnswerSlack = 500 * time.Millisecond
 )
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -253,6 +253,8 @@
 		switch {
 		case c.ended:
 			err = &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
+		case c.failed != nil && len(p) == 1:
+			err = syscall.EAGAIN // net/http looks for an end while a request is open: that has its answer first
 		case c.failed != nil:
 			err = c.failed
 		default:
@@ -281,7 +283,10 @@
 	c.begun = true
 	c.spoke.Store(int64(c.clients.clock.now()))
 	if good, bad := c.framing.follow(p[:n]); bad != nil {
-		if c.failed = bad; good == 0 {
+		if c.failed = bad; good == 0 && len(p) == 1 {
+			return 0, syscall.EAGAIN
+		}
+		if good == 0 {
 			return 0, bad
 		}
 		return good, nil
--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -355,3 +355,46 @@
 		t.Errorf("%d descriptors of %d", most, sockets)
 	}
 }
+
+// A malformed request behind a good one, cut where net/http looks for its client's end by reading one byte, takes no
+// answer from the good one: that read sees nothing, and the next fails.
+func TestMalformedRequestBehindAGoodOne(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := newClients(testConfig(t, listed(1, "ready"), nil), listener, noUpstreams)
+	defer l.Close()
+	far, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	near, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	bad := "POST /entry HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r"
+	if _, err := io.WriteString(far, head("1", "Content-Length: 0")+bad); err != nil {
+		t.Fatal(err)
+	}
+	buffer := make([]byte, 4<<10)
+	for !strings.Contains(string(buffer), "chunked\r\n\r") {
+		if _, err := near.Read(buffer); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := io.WriteString(far, "\n"); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 { // as the byte comes, and behind it
+		_ = near.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		if n, err := near.Read(make([]byte, 1)); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatalf("the look for an end read %d bytes, error %v", n, err)
+		}
+	}
+	_ = near.SetReadDeadline(time.Time{})
+	if n, err := near.Read(buffer); n != 0 || !errors.Is(err, errFraming) {
+		t.Errorf("read %d bytes, error %v, want that the framing is told", n, err)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -796,10 +796,11 @@
 
 // startOf is when a server started at the earliest, for its slow start. Our clock may have been stepped
 // before this process began, by as much as an hour. So a start that is still to come is taken for one of now.
-// So is one of a server that is news, but began long before the list was heard without it.
+// So is one that is news, but was long before the list was heard without it.
 func (b *Balancer) startOf(now time.Duration, kind balance.ListKind, e balance.Server) time.Duration {
-	_, known := b.find(e.ID)
-	news := !known && e.Started > 0 && kind == balance.ListDelta && b.heardAt > 0
+	i, known := b.find(e.ID)
+	old := known && e.Started <= b.servers[i].Started
+	news := !old && e.Started > 0 && kind == balance.ListDelta && b.heardAt > 0
 	if e.Started > now || news && e.Started < b.heardAt-listLag {
 		return now
 	}
