--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -178,16 +178,8 @@
 		return p.upgrade(i)
 	case "full":
 		return p.fileLimit(i, uint64(a.Size))
-	case "calls":
-		p.disturb(i, a.Size)
-		mended(ctx, a)
-		p.disturb(i, 0)
-	case "forward":
-		p.stepClock(i, time.Duration(a.Size*float64(time.Second)))
-	case "back":
-		p.stepClock(i, -time.Duration(a.Size*float64(time.Second)))
-	case "rude":
-		f.beRude(ctx, a, i)
+	case "calls", "forward", "back", "rude":
+		f.disturb(ctx, a, i)
 	}
 	return nil
 }
@@ -244,16 +236,8 @@
 		if mended(ctx, a) {
 			s.change(i, func(m *world.Server) { m.Refuse(false) })
 		}
-	case "spoil":
-		s.misbehave(i, func(u *server) { u.spoils = a.Size })
-		mended(ctx, a)
-		s.misbehave(i, func(u *server) { u.spoils = 0 })
-	case "hang":
-		s.misbehave(i, func(u *server) { u.hangs = a.Size })
-		mended(ctx, a)
-		s.misbehave(i, func(u *server) { u.hangs = 0 })
-	case "reset":
-		s.misbehave(i, (*server).reset)
+	case "spoil", "hang", "reset":
+		f.misbehaviour(ctx, a, i)
 	case "out":
 		f.byHand(ctx, "disable-server", i)
 		if mended(ctx, a) {
@@ -263,6 +247,44 @@
 	return nil
 }
 
+// disturb does something to a sidecar's surroundings: its system calls, its clock, or who connects.
+func (f *faults) disturb(ctx context.Context, a Action, i int) {
+	p := f.run.processes
+	switch a.Do {
+	case "calls":
+		p.disturb(i, a.Size)
+		mended(ctx, a)
+		p.disturb(i, 0)
+	case "forward":
+		p.stepClock(i, time.Duration(a.Size*float64(time.Second)))
+	case "back":
+		p.stepClock(i, -time.Duration(a.Size*float64(time.Second)))
+	case "rude":
+		f.beRude(ctx, a, i)
+	}
+}
+
+// misbehaviour has a server answer badly while a fault lasts.
+func (f *faults) misbehaviour(ctx context.Context, a Action, i int) {
+	s := f.run.servers
+	if a.Do == "reset" {
+		s.misbehave(i, (*server).reset)
+		return
+	}
+	set := func(share float64) func(u *server) {
+		return func(u *server) {
+			if a.Do == "hang" {
+				u.hangs = share
+			} else {
+				u.spoils = share
+			}
+		}
+	}
+	s.misbehave(i, set(a.Size))
+	mended(ctx, a)
+	s.misbehave(i, set(0))
+}
+
 // beRude has strangers connect to a sidecar, one after the other, while the fault lasts.
 func (f *faults) beRude(ctx context.Context, a Action, sidecar int) {
 	ctx, cancel := context.WithTimeout(ctx, a.For.D())
--- a/internal/lab/upstream.go
+++ b/internal/lab/upstream.go
@@ -535,9 +535,7 @@
 		return
 	}
 	ended, job, verdict := u.take(work, keyHash(r.Header.Get("X-Route-Key")), keyHash(r.Header.Get("Idempotency-Key")))
-	if verdict != world.Taken {
-		u.of.history.settle(t, n, verdict, "")
-	}
+	u.of.history.settle(t, n, verdict, "")
 	switch verdict {
 	case world.Full:
 		w.Header().Set("X-Not-Processed", "1")
@@ -545,30 +543,32 @@
 		return
 	case world.Down:
 		panic(http.ErrAbortHandler) // its process is gone
-	case world.Taken:
-		u.of.history.settle(t, n, verdict, "")
-		select {
-		case e, alive := <-ended:
-			if !alive {
-				panic(http.ErrAbortHandler)
-			}
-			if e.Error {
-				w.WriteHeader(http.StatusInternalServerError)
-				return
-			}
-		case <-r.Context().Done(): // given up: the sidecar has closed the connection
-			u.cancel(job)
+	}
+	select {
+	case e, alive := <-ended:
+		if !alive {
+			panic(http.ErrAbortHandler)
+		}
+		if e.Error {
+			w.WriteHeader(http.StatusInternalServerError)
 			return
 		}
+		u.answer(w, r, t, n)
+	case <-r.Context().Done(): // given up: the sidecar has closed the connection
+		u.cancel(job)
 	}
-	body := fmt.Sprintf("%s served by s-%d, arrival %d", id, u.number, n)
+}
+
+// answer answers a request that has run, as well as the server does for now. n is its place among its try's arrivals.
+func (u *server) answer(w http.ResponseWriter, r *http.Request, t *Try, n int) {
+	body := fmt.Sprintf("%s served by s-%d, arrival %d", t.ID, u.number, n)
 	hang, spoils, draw := u.misbehaves()
 	if hang {
 		u.of.history.spoil(t, n)
 		<-r.Context().Done()
 		return
 	}
-	u.of.history.settle(t, n, verdict, body)
+	u.of.history.settle(t, n, world.Taken, body)
 	if spoils {
 		spoil(w, body, draw, func(whole bool) {
 			if !whole {
