--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -23,8 +23,10 @@
 	holdTime  = 10 * time.Millisecond   // an answer whose length is not told begins so long after its head
 
 	// A request is owed its final answer half a second behind its time at the latest. Of a long answer the first bytes
-	// are; the rest may take as long as its server goes on.
+	// are; the rest may take as long as its server goes on. Whether an answer is long need not be told, so that one which
+	// goes on is not cut off: only one that has stood still ends soon behind its client's deadline.
 	streamGrace = 300 * time.Millisecond
+	streamGap   = 500 * time.Millisecond // between two pieces of an answer that goes on, at most
 )
 
 var (
@@ -155,7 +157,7 @@
 	res   *http.Response
 	c     *conn
 	x     *exchange
-	endBy time.Time // an answer that is not long has come to its end by then
+	endBy time.Time // from then on an answer that is not known to be long may not stand still
 
 	mu    sync.Mutex
 	begun bool
@@ -177,9 +179,10 @@
 
 // waitForMore sets by when the next bytes have to come, behind so many of the answer.
 func (s *stream) waitForMore(read int64) {
-	by := time.Now().Add(stillTime)
+	now := time.Now()
+	by := now.Add(stillTime)
 	if long := max(read, s.length()) > bodyHeld; !long && s.endBy.Before(by) {
-		by = s.endBy
+		by = now.Add(max(streamGap, s.endBy.Sub(now)))
 	}
 	_ = s.c.SetReadDeadline(by) // fails only on a closed connection, as the read then does
 }
