Bound the connections that wait to be closed with a refusal

Change: eight at a time may be closed so, each place taken as it leaves the table; others are closed at once, as before.

--- a/internal/sidecar/accept.go
+++ b/internal/sidecar/accept.go
@@ -74,7 +74,11 @@
 		if l.enter(k) {
 			return k, nil
 		}
-		go k.closeRefused() // a request may be on its way, or have come
+		if l.reserveRefusal() {
+			go k.closeRefused() // a request may be on its way, or have come
+		} else {
+			c.Close()
+		}
 	}
 }
 
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -61,7 +61,8 @@
 	failed  error
 	begun   bool // bytes of a request have come that has had no answer yet
 	ended   bool // nothing more is read
-	refused bool // it is closed with a refusal, as part of a request has come
+	refused bool // it is closed with a refusal, as part of a request has come; it has reserved that
+	refusal sync.Once
 
 	spoke atomic.Int64 // when the last of its bytes came, by the clients' clock
 
@@ -91,7 +92,9 @@
 	c.mu.Lock()
 	c.ended = c.ended || !c.begun || half && !c.framing.between()
 	ended := c.ended
-	c.refused = c.refused || ended && c.begun
+	if ended && c.begun && !c.refused {
+		c.refused = c.clients.reserveRefusal()
+	}
 	refused := c.refused
 	c.mu.Unlock()
 	switch { // with no lock held: it waits for a look under way
@@ -303,7 +306,7 @@
 	c.mu.Unlock()
 	switch {
 	case refused:
-		c.closeRefused()
+		c.refusal.Do(c.closeRefused)
 		return nil
 	case answered && c.discard() > 0:
 		c.linger()
@@ -342,19 +345,26 @@
 // refusal is the answer to a request of which nobody knows whether it is on its way. Trying again is harmless.
 const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
-// refusingMost is how many connections may be closed with a refusal at once: each has a descriptor for up to restTime.
+// refusingMost is how many connections may be closed with a refusal at once: each has a descriptor for up to restTime,
+// and until its goroutine has its turn. Others are closed at once.
 const refusingMost = 8
 
-// closeRefused closes a connection with a refusal, for what may have come on it or still comes.
-func (c *clientConn) closeRefused() {
-	defer c.Conn.Close()
-	if c.clients == nil {
-		return
+// reserveRefusal takes one of the places for connections that are closed with a refusal, if there is one left.
+func (l *clients) reserveRefusal() bool {
+	if l == nil {
+		return false
 	}
-	defer c.clients.refusing.Add(-1)
-	if c.clients.refusing.Add(1) > refusingMost {
-		return
+	if l.refusing.Add(1) > refusingMost {
+		l.refusing.Add(-1)
+		return false
 	}
+	return true
+}
+
+// closeRefused closes a connection with a refusal that has been reserved, for what may have come on it or still comes.
+func (c *clientConn) closeRefused() {
+	defer c.clients.refusing.Add(-1)
+	defer c.Conn.Close()
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(restTime)) // fails only on a closed one, as the next does
 	if _, err := io.WriteString(c.Conn, refusal); err == nil {
 		c.linger()
--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -398,3 +398,29 @@
 		t.Errorf("read %d bytes, error %v, want that the framing is told", n, err)
 	}
 }
+
+// However many half requests make room before any of their goroutines has its turn, only few descriptors wait for that.
+func TestRefusedConnectionsAreBounded(t *testing.T) {
+	l := busyClients(t)
+	var ends []net.Conn
+	for range 4 * l.room {
+		near, far := net.Pipe()
+		t.Cleanup(func() { near.Close(); far.Close() })
+		k := &clientConn{Conn: near}
+		if !l.enter(k) {
+			t.Fatal("no room")
+		}
+		k.begun, k.framing.begun = true, true // half a head has come, and nobody reads on
+		ends = append(ends, far)
+	}
+	open := 0
+	for _, far := range ends {
+		_ = far.SetReadDeadline(time.Now().Add(time.Millisecond))
+		if _, err := far.Read(make([]byte, 1)); errors.Is(err, os.ErrDeadlineExceeded) {
+			open++
+		}
+	}
+	if most := len(l.conns) + refusingMost; open > most {
+		t.Errorf("%d connections are open, want %d at most", open, most)
+	}
+}
