--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -66,9 +66,10 @@
 
 	spoke atomic.Int64 // when the last of its bytes came, by the clients' clock
 
-	since time.Time // when it was accepted, or went idle; what follows is guarded by clients.mu
-	known bool      // a whole request has come on it
-	state http.ConnState
+	since  time.Time // when it was accepted, or went idle; what follows is guarded by clients.mu
+	known  bool      // a whole request has come on it
+	spoken bool      // bytes were seen that its goroutine had not read by then
+	state  http.ConnState
 }
 
 // newClients makes the application's listener, with room for all that one process may hold.
--- a/internal/sidecar/room.go
+++ b/internal/sidecar/room.go
@@ -79,6 +79,10 @@
 		if c == nil {
 			continue
 		}
+		if kind == closedRoomPartial && c.unread() { // asked of the one alone: the kernel's answer takes its time
+			c.spoken = true
+			return l.shedOne(last)
+		}
 		if !c.end(kind == closedRoomPartial) { // its request has come just now
 			return l.shedOne(last)
 		}
@@ -101,7 +105,7 @@
 	case begun:
 		return closedRoomPartial, clock - time.Duration(c.spoke.Load()), true
 	case waited <= silentTime:
-		return closedRoomPartial, waited, !c.unread()
+		return closedRoomPartial, waited, !c.spoken
 	case c.known:
 		return closedRoomIdle, waited, true
 	}
