--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -424,3 +424,32 @@
 		t.Errorf("%d connections are open, want %d at most", open, most)
 	}
 }
+
+// countedConn is a connection's raw side that counts how often the kernel is asked by it.
+type countedConn struct {
+	syscall.RawConn
+	asked *int
+}
+
+func (c countedConn) Control(func(fd uintptr)) error {
+	*c.asked++
+	return nil
+}
+
+// However full the table, making room for one connection asks the kernel of one.
+func TestMakingRoomAsksOfOne(t *testing.T) {
+	l, asked := busyClients(t), 0
+	for n := range 4 * l.room {
+		near, far := net.Pipe()
+		t.Cleanup(func() { near.Close(); far.Close() })
+		if !l.enter(&clientConn{Conn: near, raw: countedConn{asked: &asked}}) {
+			t.Fatal("no room")
+		}
+		if asked > n+1 {
+			t.Fatalf("the kernel was asked %d times for %d connections", asked, n+1)
+		}
+	}
+	if asked == 0 {
+		t.Error("the kernel was never asked")
+	}
+}
