--- a/cmd/caperarch/faults_test.go
+++ b/cmd/caperarch/faults_test.go
@@ -420,6 +420,7 @@
 func TestFinalAnswersComeInTime(t *testing.T) {
 	t.Run("stopping", stoppingAnswersLateRequests)
 	t.Run("standing stream", standingStreamEnds)
+	t.Run("stream that goes on", slowStreamComesWhole)
 }
 
 // stoppingAnswersLateRequests sends requests late in a stop, while the server hangs.
@@ -469,6 +470,29 @@
 	}
 }
 
+// slowStreamComesWhole has a server go on with an answer of no told length long behind its client's deadline.
+func slowStreamComesWhole(t *testing.T) {
+	const left, pieces = 200 * time.Millisecond, 15
+	server := newQueueServer(t, func(c net.Conn, id string) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for range pieces {
+			_, _ = io.WriteString(c, "5\r\npiece\r\n")
+			time.Sleep(50 * time.Millisecond)
+		}
+		_, _ = io.WriteString(c, "0\r\n\r\n")
+	})
+	s := startFaulty(t, fmt.Sprintf(faultySettings, "127.0.0.1:1", server.listener.Addr(), left.Milliseconds()), false, nil, nil)
+	c := s.connect()
+	c.send(request("q1", left))
+	res, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(res.Body); err != nil || string(body) != strings.Repeat("piece", pieces) {
+		t.Errorf("the answer came as %q, error %v, want all of it", body, err)
+	}
+}
+
 // A step of the wall clock takes no time from a request, and gives it none.
 func TestSteppedClockTakesNoTime(t *testing.T) {
 	for _, by := range []time.Duration{time.Hour, 3 * time.Second, -3 * time.Second, -time.Hour} {
