Have the test of a failing accept not race with the sidecar's start

The function is in force from the start now, and each listener's first, third, fifth call fails: whichever call takes a connection, the next one fails, so the check is as strict. With it the supervisor's wait for a program's listener goes on when a signal interrupts it (seen twice in 120 starts).

--- a/cmd/caperarch/faults_test.go
+++ b/cmd/caperarch/faults_test.go
@@ -7,10 +7,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -40,7 +42,8 @@
 type queueServer struct {
 	listener net.Listener
 	answer   func(c net.Conn, id string)
-	arrived  chan string // ids, in order
+	arrived  chan string         // ids, in order
+	heard    func(*http.Request) // hears of each request before it is answered; may be nil
 }
 
 func newQueueServer(t *testing.T, answer func(c net.Conn, id string)) *queueServer {
@@ -267,21 +270,31 @@
 	t.Run("open at a reload", openFailsAtReload)
 }
 
-// acceptFails has every second call of accept fail: so the one fails that follows the acceptance of a connection whose
-// request is still to come.
+// acceptFails has every second call of accept fail, from each listener's first on: whichever call takes a connection,
+// the next one fails, while that connection's request is still to come.
 func acceptFails(t *testing.T, errno syscall.Errno) {
 	server := newQueueServer(t, answerAtOnce)
-	s := startFaulty(t, fmt.Sprintf(faultySettings, "127.0.0.1:1", server.listener.Addr(), 2000), false, []int{unix.SYS_ACCEPT4}, nil)
-	var calls atomic.Int64
-	s.will(func(sysfault.Call) sysfault.Effect {
-		if calls.Add(1)%2 == 0 {
+	var mu sync.Mutex
+	calls := make(map[uint64]int) // by listener: there is the console's too
+	s := startFaulty(t, fmt.Sprintf(faultySettings, "127.0.0.1:1", server.listener.Addr(), 2000), false, []int{unix.SYS_ACCEPT4}, func(c sysfault.Call) sysfault.Effect {
+		mu.Lock()
+		defer mu.Unlock()
+		listener := c.Arguments[0]
+		calls[listener]++
+		if calls[listener]%2 == 1 {
 			return sysfault.Effect{Errno: errno}
 		}
 		return sysfault.Effect{}
 	})
 	first := s.connect()
-	eventually(t, "accept to be called behind the first connection", func() bool { return calls.Load() >= 3 || !s.lives() })
 	second := s.connect()
+	// Two connections take six calls: each that takes one is an even one, and the last finds none. So the first
+	// connection is taken by the fourth at the latest, and the fifth fails behind it. Nobody comes to the console.
+	eventually(t, "the sixth call of accept at a listener", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return slices.Max(append(slices.Collect(maps.Values(calls)), 0)) >= 6 || !s.lives()
+	})
 	first.send(request("q1", time.Second))
 	first.wants("q1", http.StatusOK)
 	second.send(request("q2", time.Second))
--- a/internal/sysfault/sysfault.go
+++ b/internal/sysfault/sysfault.go
@@ -123,7 +123,7 @@
 	}
 	var data [1]byte
 	control := make([]byte, unix.CmsgSpace(4))
-	_, n, _, _, err := unix.Recvmsg(socket, data[:], control, unix.MSG_CMSG_CLOEXEC)
+	n, err := receive(socket, data[:], control)
 	if err != nil {
 		return err
 	}
@@ -144,3 +144,14 @@
 	}
 	return err
 }
+
+// receive reads a message and its control data, and returns the length of that. A signal may interrupt it, as a limit
+// of time keeps the kernel from going on by itself.
+func receive(socket int, data, control []byte) (int, error) {
+	for {
+		_, n, _, _, err := unix.Recvmsg(socket, data, control, unix.MSG_CMSG_CLOEXEC)
+		if err != unix.EINTR {
+			return n, err
+		}
+	}
+}
