Reproduce four more losses of the class on real sockets, as failing tests

All looks for a client's leaving fail: its request goes to a server 0.15 s behind. A connection that is closing takes one of eight places for refusals for good. A connection of which no copy can be made at the end of listening is reset, and the listener is tried on for 0.4 s behind its end. The program changes only in that the maker of copies can be replaced by a test.

--- a/cmd/caperarch/faults_test.go
+++ b/cmd/caperarch/faults_test.go
@@ -80,6 +80,9 @@
 			return
 		}
 		id := request.Header.Get("X-Request-ID")
+		if s.heard != nil {
+			s.heard(request)
+		}
 		s.arrived <- id
 		s.answer(c, id)
 	}
@@ -264,6 +267,8 @@
 	}
 	t.Run("accept at the end of listening", acceptFailsAtTheEnd)
 	t.Run("poll for a client that left", pollIsInterrupted)
+	t.Run("all looks for a client that left", looksFail)
+	t.Run("accept for a while, behind a request", acceptFailsForLong)
 	t.Run("read behind a last answer", readBehindAnswerIsInterrupted)
 	t.Run("listen at the start", listenFailsAtStart)
 	t.Run("connect to a server", connectFails)
@@ -351,6 +356,74 @@
 	}
 }
 
+// looksFail has every look for a client's leaving fail, so that nothing tells whether it is there.
+func looksFail(t *testing.T) {
+	server := newQueueServer(t, answerAtOnce)
+	connect := make(chan struct{}) // until it is closed no connection of the sidecar's comes up
+	s := startFaulty(t, fmt.Sprintf(faultySettings, "127.0.0.1:1", server.listener.Addr(), 5000), false,
+		[]int{unix.SYS_POLL, unix.SYS_PPOLL, unix.SYS_GETSOCKOPT, unix.SYS_CONNECT}, nil)
+	s.will(func(c sysfault.Call) sysfault.Effect {
+		switch {
+		case c.Number == unix.SYS_CONNECT:
+			return sysfault.Effect{Until: connect}
+		case c.Number != unix.SYS_GETSOCKOPT:
+			return sysfault.Effect{Errno: unix.ENOMEM}
+		case c.Arguments[1] == unix.IPPROTO_TCP && c.Arguments[2] == unix.TCP_INFO:
+			return sysfault.Effect{Errno: unix.ENOBUFS}
+		}
+		return sysfault.Effect{}
+	})
+	c := s.connect()
+	c.send(request("q1", 4*time.Second) + strings.Repeat("G", readAhead))
+	s.saying(`msg="(request taken)" id=q1`)
+	c.conn.Close()
+	time.Sleep(150 * time.Millisecond) // the time that the rule allows, and more
+	close(connect)
+	s.saying(`msg="(attempt ended|request closed)" id=q1`)
+	select {
+	case id := <-server.arrived:
+		t.Errorf("request %s went to the server 0.15 s after its client had left", id)
+	default:
+	}
+}
+
+// acceptFailsForLong has accept fail while a request waits in the listener's queue: its server may be told no more time
+// than its client has left then.
+func acceptFailsForLong(t *testing.T) {
+	const left, held, slack = 900 * time.Millisecond, 500 * time.Millisecond, 150 * time.Millisecond
+	type arrival struct {
+		at   time.Time
+		told time.Duration
+	}
+	arrivals := make(chan arrival, 1)
+	server := newQueueServer(t, answerAtOnce)
+	server.heard = func(r *http.Request) {
+		told, err := time.ParseDuration(strings.Replace(r.Header.Get("X-Timeout"), "m", "ms", 1))
+		if err != nil {
+			t.Error(err)
+		}
+		arrivals <- arrival{time.Now(), told}
+	}
+	var failing atomic.Bool
+	failing.Store(true)
+	s := startFaulty(t, fmt.Sprintf(faultySettings, "127.0.0.1:1", server.listener.Addr(), 2000), false, []int{unix.SYS_ACCEPT4}, func(sysfault.Call) sysfault.Effect {
+		if failing.Load() {
+			return sysfault.Effect{Errno: unix.ENOBUFS}
+		}
+		return sysfault.Effect{}
+	})
+	c := s.connect()
+	sent := time.Now()
+	c.send(request("q1", left))
+	time.Sleep(held)
+	failing.Store(false)
+	c.wants("q1", http.StatusOK)
+	a := <-arrivals
+	if has := sent.Add(left).Sub(a.at); a.told > has+slack {
+		t.Errorf("the server was told %v, and the client had %v left", a.told, has)
+	}
+}
+
 // readBehindAnswerIsInterrupted has the read of what lies behind a connection's last answer end with EINTR.
 func readBehindAnswerIsInterrupted(t *testing.T) {
 	answers := make(chan struct{})
--- a/internal/sidecar/accept.go
+++ b/internal/sidecar/accept.go
@@ -185,7 +185,7 @@
 		}
 	})
 	for _, fd := range fds {
-		c, broken := connOf(fd)
+		c, broken := l.connOf(fd)
 		if broken != nil {
 			failed = errors.Join(failed, broken)
 			continue
@@ -198,11 +198,11 @@
 }
 
 // connOf makes a connection of a descriptor, which it takes over. That needs a second one for a moment.
-func connOf(fd int) (c net.Conn, err error) {
+func (l *clients) connOf(fd int) (c net.Conn, err error) {
 	f := os.NewFile(uintptr(fd), "client")
 	defer f.Close()
 	for end := time.Now().Add(leaveTime); ; time.Sleep(acceptPause) {
-		c, err = net.FileConn(f)
+		c, err = l.copyConn(f)
 		if err == nil || time.Now().After(end) {
 			return c, err
 		}
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -26,6 +27,7 @@
 	clock     clock
 	upstreams func() int // connections to upstreams now
 	closed    func(closeReason)
+	copyConn  func(*os.File) (net.Conn, error) // makes a connection of a descriptor's copy
 
 	mu      sync.Mutex
 	room    int        // connections with open requests at most
@@ -74,7 +76,7 @@
 
 // newClients makes the application's listener, with room for all that one process may hold.
 func newClients(cfg *Config, l net.Listener, upstreams func() int) *clients {
-	k := &clients{Listener: l, clock: newClock(), upstreams: upstreams, closed: func(closeReason) {}, conns: make(map[*clientConn]struct{})}
+	k := &clients{Listener: l, clock: newClock(), upstreams: upstreams, closed: func(closeReason) {}, copyConn: net.FileConn, conns: make(map[*clientConn]struct{})}
 	k.share(cfg.clientConns(1), cfg.allConns(1))
 	return k
 }
--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -453,3 +453,54 @@
 		t.Error("the kernel was never asked")
 	}
 }
+
+// A connection that its server is closing already takes no place among those that are closed with a refusal: nobody
+// would give the place back.
+func TestClosingConnectionTakesNoPlace(t *testing.T) {
+	l := newClients(testConfig(t, listed(1, "ready"), nil), nil, noUpstreams)
+	near, far := net.Pipe()
+	t.Cleanup(func() { far.Close() })
+	k := &clientConn{Conn: near, clients: l}
+	if !l.enter(k) {
+		t.Fatal("no room")
+	}
+	k.begun = true
+	_, _ = k.framing.follow([]byte("POST")) // a good beginning
+	if err := k.Close(); err != nil {
+		t.Fatal(err)
+	}
+	k.end(true) // to make room: it is held until its server reports that it is closed
+	if n := l.refusing.Load(); n != 0 {
+		t.Errorf("%d places are taken, want none", n)
+	}
+}
+
+// A connection that has come but of which no copy can be made at the end of listening is refused, and its request with it.
+func TestUncopiedConnectionIsRefused(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := newClients(testConfig(t, listed(1, "ready"), nil), listener, noUpstreams)
+	l.copyConn = func(*os.File) (net.Conn, error) { return nil, syscall.EMFILE }
+	c, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, "GET /look HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	if err := l.leave(); err == nil {
+		t.Error("nobody hears that a connection could not be taken over")
+	}
+	if took := time.Since(began); took >= 2*leaveTime {
+		t.Errorf("it took %v, as the listener was tried on behind its end", took)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(generous))
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || res.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("the client read %v, error %v, want 503", res, err)
+	}
+}
