Count a wait for accept as a request's time, and take no look that fails for an answer

Cause: four places took an unknown for a fact. A request's time began when it was read, however long accept had failed before: from the first failure on until nobody waits in the queue, a connection's first bytes now count as come at that failure, so that less time is told. A connection that its server has closed took one of eight places for refusals for good. A connection that can't be copied at the end of listening was reset; it is refused by its descriptor, and the listener is not tried on behind its end.

--- a/internal/sidecar/accept.go
+++ b/internal/sidecar/accept.go
@@ -1,15 +1,15 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"net"
 	"os"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // reusePort is SO_REUSEPORT on Linux, which package syscall does not name.
@@ -70,7 +70,7 @@
 		if err != nil { // it is closed
 			continue
 		}
-		k := &clientConn{Conn: c, raw: raw, clients: l}
+		k := &clientConn{Conn: c, raw: raw, clients: l, waited: l.failingSince()}
 		if l.enter(k) {
 			return k, nil
 		}
@@ -96,6 +96,25 @@
 		}
 		l.acceptFailed(err)
 		time.Sleep(acceptPause)
+		l.mu.Lock()
+		l.lookAtQueue()
+		l.mu.Unlock()
+	}
+}
+
+// failingSince tells since when a connection that is accepted now may have waited because accept failed; 0: it has not.
+func (l *clients) failingSince() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	since := l.failing
+	l.lookAtQueue()
+	return since
+}
+
+// lookAtQueue ends the time for which accept has failed where nobody waits for it any more. The caller holds the lock.
+func (l *clients) lookAtQueue() {
+	if l.failing > 0 && len(l.queued) == 0 && !pending(l.Listener) {
+		l.failing = 0
 	}
 }
 
@@ -110,6 +129,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.failures++
+	l.failing = cmp.Or(l.failing, l.clock.now())
 	for _, e := range scarce {
 		if errno == e {
 			l.scarce++
@@ -147,7 +167,8 @@
 	}
 	end := time.Now().Add(leaveTime)
 	for {
-		if err = l.empty(raw); err == nil || time.Now().After(end) {
+		var ended bool
+		if ended, err = l.empty(raw); ended || time.Now().After(end) {
 			break
 		}
 		l.acceptFailed(err)
@@ -160,12 +181,12 @@
 }
 
 // empty takes all connections that wait at the listener, and ends listening. The last look for one and the end are two
-// system calls in a row, as nothing else keeps the kernel from choosing this listener meanwhile. After an error this
-// process listens still.
-func (l *clients) empty(raw syscall.RawConn) error {
+// system calls in a row, as nothing else keeps the kernel from choosing this listener meanwhile. Where it has not ended
+// this process listens still. An error may also tell of connections that could not be taken over.
+func (l *clients) empty(raw syscall.RawConn) (ended bool, err error) {
 	var fds []int
 	var failed error
-	err := raw.Control(func(listener uintptr) {
+	err = raw.Control(func(listener uintptr) {
 		for {
 			fd, _, err := syscall.Accept4(int(listener), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
 			switch {
@@ -177,6 +198,7 @@
 				if failed == syscall.ENOTCONN {
 					failed = nil // where a listener knows no shutdown the close behind it does
 				}
+				ended = failed == nil
 				return
 			default:
 				failed = err
@@ -194,27 +216,45 @@
 		l.queued = append(l.queued, c)
 		l.mu.Unlock()
 	}
-	return errors.Join(err, failed)
+	return ended, errors.Join(err, failed)
 }
 
-// connOf makes a connection of a descriptor, which it takes over. That needs a second one for a moment.
+// connOf makes a connection of a descriptor, which it takes over. That needs a second one for a moment; where there is
+// none for long, whatever request comes on it is refused.
 func (l *clients) connOf(fd int) (c net.Conn, err error) {
 	f := os.NewFile(uintptr(fd), "client")
-	defer f.Close()
 	for end := time.Now().Add(leaveTime); ; time.Sleep(acceptPause) {
 		c, err = l.copyConn(f)
-		if err == nil || time.Now().After(end) {
-			return c, err
+		if err == nil {
+			f.Close()
+			return c, nil
 		}
+		if time.Now().After(end) {
+			break
+		}
+	}
+	if !l.reserveRefusal() {
+		f.Close()
+		return nil, err
 	}
+	go func() {
+		defer l.refusing.Add(-1)
+		refuseFile(f)
+	}()
+	return nil, err
 }
 
-// retryInterrupted makes a system call again that a signal has interrupted.
-func retryInterrupted(call func() (int, error)) (int, error) {
-	for {
-		n, err := call()
-		if err != unix.EINTR {
-			return n, err
-		}
+// refuseFile closes a connection, of which there is only a descriptor, with a refusal.
+func refuseFile(f *os.File) {
+	defer f.Close()
+	_ = f.SetDeadline(time.Now().Add(restTime)) // fails only on a closed one
+	if _, err := io.WriteString(f, refusal); err != nil {
+		return
+	}
+	raw, err := f.SyscallConn()
+	if err != nil {
+		return
 	}
+	_ = raw.Control(func(fd uintptr) { _ = syscall.Shutdown(int(fd), syscall.SHUT_WR) }) // fails where the client has gone
+	_, _ = io.CopyN(io.Discard, f, restMost)                                             // until it closes, or the deadline
 }
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -10,8 +11,6 @@
 	"sync/atomic"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -30,10 +29,11 @@
 	copyConn  func(*os.File) (net.Conn, error) // makes a connection of a descriptor's copy
 
 	mu      sync.Mutex
-	room    int        // connections with open requests at most
-	all     int        // and connections of any kind, those to upstreams included
-	leaving bool       // another process takes those that come from now on
-	queued  []net.Conn // had come by then
+	room    int           // connections with open requests at most
+	all     int           // and connections of any kind, those to upstreams included
+	leaving bool          // another process takes those that come from now on
+	queued  []net.Conn    // had come by then
+	failing time.Duration // since when accept has failed while connections may have waited; 0: it has not
 	conns   map[*clientConn]struct{}
 	peak    int    // the most at once, since the last count
 	shed    [3]int // closed to make room: silent, idle, with half a request
@@ -61,9 +61,11 @@
 	mu      sync.Mutex // held by each look for bytes, so that none are read of one that was found idle and is ended
 	framing framing
 	failed  error
-	begun   bool // bytes of a request have come that has had no answer yet
-	ended   bool // nothing more is read
-	refused bool // it is closed with a refusal, as part of a request has come; it has reserved that
+	begun   bool          // bytes of a request have come that has had no answer yet
+	ended   bool          // nothing more is read
+	closed  bool          // its server has closed it
+	refused bool          // it is closed with a refusal, as part of a request has come; it has reserved that
+	waited  time.Duration // since when what has come on it may have waited to be accepted; 0: no longer than it was looked for
 	refusal sync.Once
 
 	spoke atomic.Int64 // when the last of its bytes came, by the clients' clock
@@ -93,9 +95,9 @@
 // it is served. Half a request is refused, as its rest may have been sent by now.
 func (c *clientConn) end(half bool) bool {
 	c.mu.Lock()
-	c.ended = c.ended || !c.begun || half && !c.framing.between()
+	c.ended = c.ended || c.closed || !c.begun || half && !c.framing.between()
 	ended := c.ended
-	if ended && c.begun && !c.refused {
+	if ended && c.begun && !c.refused && !c.closed { // a closed one would keep its place for good
 		c.refused = c.clients.reserveRefusal()
 	}
 	refused := c.refused
@@ -202,32 +204,23 @@
 	return l.clock.now() - time.Duration(ctx.Value(connKey{}).(*clientConn).spoke.Load())
 }
 
-// left tells whether the client of ctx's connection has closed it, or its sending side. net/http hears of that as it
+// presenceOf tells whether the client of ctx's connection has closed it, or its sending side. net/http hears of that as it
 // reads, and reads no further than one byte behind a request, nor into a body that waits to be sent on: so the kernel
 // is asked, which knows of the end whatever is still to be read before it.
-func (l *clients) left(ctx context.Context) bool {
+func (l *clients) presenceOf(ctx context.Context) presence {
 	c, ok := ctx.Value(connKey{}).(*clientConn).Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return present
 	}
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return true
+		return departed
 	}
-	left := false
-	err = raw.Control(func(fd uintptr) { left = hungUp(int(fd)) })
-	return err != nil || left
-}
-
-// hungUp tells whether the other side of a connection has ended its sending, or all of it. Where poll fails the state
-// of the connection is read instead: an error is no sign that the client is there.
-func hungUp(fd int) bool {
-	p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-	if _, err := unix.Poll(p, 0); err == nil {
-		return p[0].Revents != 0
+	found := unsure
+	if raw.Control(func(fd uintptr) { found = presenceAt(int(fd)) }) != nil {
+		return departed // this side has closed it
 	}
-	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-	return err == nil && info.State != unix.BPF_TCP_ESTABLISHED
+	return found
 }
 
 // crowded tells whether so many open requests are more than there is room for, and whether this process leaves.
@@ -276,8 +269,9 @@
 
 // look takes the bytes that have come. The caller holds the lock.
 func (c *clientConn) look(fd int, p []byte) (int, error) {
-	n, err := retryInterrupted(func() (int, error) { return syscall.Read(fd, p) })
+	n, err := retryMomentary(func() (int, error) { return syscall.Read(fd, p) })
 	if err == syscall.EAGAIN {
+		c.waited = 0
 		return 0, err
 	}
 	if err != nil {
@@ -287,7 +281,8 @@
 		return 0, io.EOF
 	}
 	c.begun = true
-	c.spoke.Store(int64(c.clients.clock.now()))
+	c.spoke.Store(int64(cmp.Or(c.waited, c.clients.clock.now())))
+	c.waited = 0
 	if good, bad := c.framing.follow(p[:n]); bad != nil {
 		if c.failed = bad; good == 0 && len(p) == 1 {
 			return 0, syscall.EAGAIN
@@ -300,12 +295,16 @@
 	return n, nil
 }
 
+// Write passes over failures that the system has for a moment: an answer is owed whole.
+func (c *clientConn) Write(p []byte) (int, error) { return writeThrough(c.Conn, p) }
+
 // Close ends a connection behind its last answer. Where bytes are left unread, that would be a reset, which can take the answer
 // with it: then the sending ends first, and they are read on for a while. On one that stands idle nothing is read: what
 // crosses its end has to come again.
 func (c *clientConn) Close() error {
 	c.mu.Lock()
 	answered, refused := c.begun && !c.ended, c.refused
+	c.closed = true
 	c.mu.Unlock()
 	switch {
 	case refused:
@@ -324,7 +323,7 @@
 	}
 	var rest [4 << 10]byte
 	_ = c.raw.Control(func(fd uintptr) { // fails only on a closed one
-		n, _ = retryInterrupted(func() (int, error) { return syscall.Read(int(fd), rest[:]) })
+		n, _ = retryMomentary(func() (int, error) { return syscall.Read(int(fd), rest[:]) })
 	})
 	return n
 }
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -141,8 +141,8 @@
 		m.rest.whole = sync.OnceFunc(func() { f.uploads.Add(-1) })
 		defer m.rest.whole()
 	}
-	m.gone = func() bool { return f.clients.left(r.Context()) }
-	if m.gone() { // while the request waited to be read
+	m.presence = func() presence { return f.clients.presenceOf(r.Context()) }
+	if m.presence() == departed { // while the request waited to be read
 		f.abandon(m, arrived)
 	}
 	f.loop.trace.step("request taken", m.id, slog.Duration("left", m.left), slog.Int64("held", held))
@@ -172,7 +172,7 @@
 			f.rejectBody(w, err)
 			return
 		case <-look.C:
-			if !f.clients.left(ctx) {
+			if f.clients.presenceOf(ctx) != departed {
 				continue
 			}
 		case <-ctx.Done():
--- a/internal/sidecar/late_test.go
+++ b/internal/sidecar/late_test.go
@@ -498,7 +498,12 @@
 	m.rest = newUpload(&paced{body: strings.NewReader("end"), deadline: func(time.Time) error { return nil }})
 	m.rest.whole = func() { t.Error("the last byte went out") }
 	m.length = int64(len(m.body)) + 3
-	m.gone = func() bool { asked++; return asked > 1 }
+	m.presence = func() presence {
+		if asked++; asked > 1 {
+			return departed
+		}
+		return present
+	}
 	done := make(chan result, 1)
 	u.send(s.address, m, u.clock.now()+generous, 0, u.clock.now()+generous, func(r result) { done <- r })
 	if got := wait(t, "its end", done); got.ending != balance.Cancelled {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -314,14 +314,14 @@
 			l.post(func(now time.Duration) { l.uploaded(now, q.ID) })
 		}
 	}
-	if gone := m.gone; gone != nil {
-		m.gone = func() bool {
-			if !gone() {
-				return false
+	if look := m.presence; look != nil {
+		m.presence = func() presence {
+			found := look()
+			if found == departed {
+				l.guard.Left(l.clock.now(), q.ID)
+				l.gone(q.ID) // ahead of the end of the attempt that finds it out, or the module would make another
 			}
-			l.guard.Left(l.clock.now(), q.ID)
-			l.gone(q.ID) // ahead of the end of the attempt that finds it out, or the module would make another
-			return true
+			return found
 		}
 	}
 	l.post(func(now time.Duration) {
--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -139,7 +139,7 @@
 		until = s.last
 	}
 	_ = s.conn.SetWriteDeadline(until) // fails only on a closed connection
-	return s.conn.Write(b)
+	return writeThrough(s.conn, b)
 }
 
 // piecePool has the buffers that long answers go through.
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -49,14 +49,14 @@
 	rest   *upload       // what follows the held part; nil: nothing does
 	length int64         // of both together; -1: not told
 	left   time.Duration // how long the client waits once its last byte has gone out, where rest follows: less what it has waited for that to begin
-	gone   func() bool   // whether its client has left by now; nil: it has none
 
-	permit  func(now time.Duration) error  // whether its first byte may go out; nil: it may
-	written func(began, now time.Duration) // hears that its last byte has gone out; may be nil
+	presence func() presence                // whether its client is still there; nil: it has none
+	permit   func(now time.Duration) error  // whether its first byte may go out; nil: it may
+	written  func(began, now time.Duration) // hears that its last byte has gone out; may be nil
 }
 
-// over tells whether nobody waits for the answer any more.
-func (m *message) over() bool { return m != nil && m.gone != nil && m.gone() }
+// over tells whether nothing may be sent any more, as nobody is known to wait for the answer.
+func (m *message) over() bool { return m != nil && m.presence != nil && m.presence() != present }
 
 // spent tells whether the message can't be sent again, as part of its body is gone.
 func (m *message) spent() bool { return m.rest != nil && m.rest.taken.Load() }
@@ -377,7 +377,7 @@
 		return 0, err
 	}
 	_ = c.SetDeadline(u.clock.at(x.bound(until))) // fails only on a closed connection, as the write then does
-	if _, err := c.Write(out.Bytes()); err != nil {
+	if _, err := writeThrough(c, out.Bytes()); err != nil {
 		return 0, err
 	}
 	if m != nil {
@@ -527,7 +527,7 @@
 		return nil, err
 	}
 	c := &conn{Conn: raw, idleSince: u.clock.now()}
-	c.limit.R = raw
+	c.limit.R = retryingReader{raw}
 	c.r = bufio.NewReader(&c.limit)
 	return c, nil
 }
