Read and write on behind a moment's lack of memory, on either side

Cause: an error of read or write was taken for the end of the connection, though ENOMEM and ENOBUFS (recv(2), send(2)) say nothing of it. Both are tried again up to 20 times, 2 ms apart; a write goes on where it stopped.

--- a/internal/sidecar/momentary.go
+++ b/internal/sidecar/momentary.go
@@ -15,9 +15,11 @@
 	momentaryPause = 2 * time.Millisecond // between two of them
 )
 
-// isMomentary tells whether a call on a socket may well succeed when it is made again: a signal came. It says nothing of
-// the connection, which stands.
-func isMomentary(err error) bool { return errors.Is(err, unix.EINTR) }
+// isMomentary tells whether a call on a socket may well succeed when it is made again: a signal came, or the system had no
+// memory for it (recv(2), send(2)). It says nothing of the connection, which stands.
+func isMomentary(err error) bool {
+	return errors.Is(err, unix.EINTR) || errors.Is(err, unix.ENOMEM) || errors.Is(err, unix.ENOBUFS)
+}
 
 // retryMomentary makes a system call again that fails for a moment: at once where a signal came, else after a pause, so
 // that it may hold the caller up for momentaryTries pauses.
