--- a/cmd/caperarch/callmatrix_test.go
+++ b/cmd/caperarch/callmatrix_test.go
@@ -33,7 +33,6 @@
 	}},
 	{"read", unix.SYS_READ, []syscall.Errno{unix.EINTR, unix.ENOMEM, unix.ENOBUFS}},
 	{"write", unix.SYS_WRITE, []syscall.Errno{unix.EINTR, unix.ENOMEM, unix.ENOBUFS}},
-	{"epoll_ctl", unix.SYS_EPOLL_CTL, []syscall.Errno{unix.ENOMEM, unix.ENOSPC}},
 	{"epoll_pwait", unix.SYS_EPOLL_PWAIT, []syscall.Errno{unix.EINTR}},
 	{"poll", unix.SYS_POLL, []syscall.Errno{unix.EINTR, unix.ENOMEM}},
 	{"getsockname", unix.SYS_GETSOCKNAME, []syscall.Errno{unix.ENOBUFS}},
@@ -56,6 +55,14 @@
 	}
 }
 
+// So too where the system has no room to wait for one more connection. Package net closes one that has come where that
+// fails behind accept, so that its client gets no answer.
+func TestConnectionOutlivesFailingWait(t *testing.T) {
+	for _, errno := range []syscall.Errno{unix.ENOMEM, unix.ENOSPC} {
+		t.Run("epoll_ctl "+unix.ErrnoName(errno), func(t *testing.T) { callFails(t, unix.SYS_EPOLL_CTL, errno) })
+	}
+}
+
 // callFails has each third call fail while requests come on new connections, and then on one that is kept.
 func callFails(t *testing.T, number int, errno syscall.Errno) {
 	t.Parallel()
--- a/internal/sidecar/accept.go
+++ b/internal/sidecar/accept.go
@@ -161,7 +161,7 @@
 	l.mu.Lock()
 	l.leaving = true
 	l.mu.Unlock()
-	raw, err := l.Listener.(*net.TCPListener).SyscallConn()
+	raw, err := l.Listener.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return err
 	}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -488,7 +488,7 @@
 // ownFailures are errors of socket and connect that tell of this machine, and not of the server: they are no reason to
 // think ill of it, and mostly pass at once.
 var ownFailures = []error{
-	syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.EAGAIN, syscall.EINTR, syscall.ENETUNREACH, syscall.ENETDOWN,
+	syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ENOSPC, syscall.EADDRNOTAVAIL, syscall.EADDRINUSE, syscall.EAGAIN, syscall.EINTR, syscall.ENETUNREACH, syscall.ENETDOWN,
 }
 
 func isOwnFailure(err error) bool {
