Have the guard know of drains, and ask it again as a repeat goes out

The guard knew neither which servers were told draining or gone, nor whether a keyed repeat's window ended while its connection came up. It hears of both now: a send or first byte behind the settings' grace, or behind the window, is denied; what goes out all the same is a violation (sent_to_listed, repeat_allowed). Servers that went are forgotten after a minute.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -8,6 +8,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,11 +28,12 @@
 	AnsweredOnce              // one final answer
 	AnsweredSoon              // at AnswerSlack behind the deadline at the latest
 	ClosedAfter               // a client that waits is not closed on without an answer
+	SentToListed              // nothing is sent to a server that was told draining or gone longer than the grace ago
 	rules
 )
 
 var names = [rules]string{
-	"started", "sent_while_open", "sent_in_time", "repeat_allowed", "answered_once", "answered_soon", "closed_after",
+	"started", "sent_while_open", "sent_in_time", "repeat_allowed", "answered_once", "answered_soon", "closed_after", "sent_to_listed",
 }
 
 // String returns the rule's name in the log and among the figures.
@@ -43,6 +45,10 @@
 	LeftSlack = 250 * time.Millisecond
 	// AnswerSlack is how long behind its deadline a final answer may come (the operators' terms).
 	AnswerSlack = 500 * time.Millisecond
+	// GraceSlack is how much longer than the grace a send may take (the operators' terms, for sockets).
+	GraceSlack = 50 * time.Millisecond
+	// outKept bounds how long it is remembered that a server is gone: nothing is on its way there any more.
+	outKept = time.Minute
 )
 
 // Denied says which rule does not permit what was asked for.
@@ -82,17 +88,20 @@
 // Guard checks the invariants of all requests of a process. Its methods are safe for concurrent use.
 type Guard struct {
 	report     func(Violation)
+	grace      time.Duration // a server may be sent to for so long after it was told draining or gone; 0: for ever
 	ready      atomic.Bool
 	violations [rules]atomic.Uint64
 	denials    [rules]atomic.Uint64
 
 	mu   sync.Mutex
 	open map[balance.RequestID]*entry
+	out  map[string]time.Duration // servers, by address: when they were told draining or gone
 }
 
-// New makes a Guard. report hears of each violation, and must not call back.
-func New(report func(Violation)) *Guard {
-	return &Guard{report: report, open: make(map[balance.RequestID]*entry)}
+// New makes a Guard. report hears of each violation, and must not call back. grace is how long a server may still be sent
+// to after it was told draining or gone; 0: for ever.
+func New(report func(Violation), grace time.Duration) *Guard {
+	return &Guard{report: report, grace: grace, open: make(map[balance.RequestID]*entry), out: make(map[string]time.Duration)}
 }
 
 // Start takes that the sidecar is ready: requests may be taken from now on.
@@ -117,8 +126,23 @@
 	}
 }
 
-// Send asks whether an attempt may be begun, a first or a further one. Each that may has an End.
-func (g *Guard) Send(now time.Duration, id balance.RequestID) error {
+// Listed takes that the server at an address is told ready, or draining or gone. What is told twice counts from the
+// first time on.
+func (g *Guard) Listed(now time.Duration, address string, ready bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if ready {
+		delete(g.out, address)
+		return
+	}
+	maps.DeleteFunc(g.out, func(_ string, since time.Duration) bool { return now-since > outKept })
+	if _, known := g.out[address]; !known {
+		g.out[address] = now
+	}
+}
+
+// Send asks whether an attempt at the server at an address may be begun, a first or a further one. Each that may has an End.
+func (g *Guard) Send(now time.Duration, id balance.RequestID, address string) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e := g.open[id]
@@ -129,20 +153,40 @@
 		g.violated(RepeatAllowed, e.Name, "a repeat was asked for that its class does not allow")
 		return g.deny(RepeatAllowed)
 	}
+	if g.outFor(now, address) > g.grace {
+		g.violated(SentToListed, e.Name, "an attempt was asked for at a server that drains or is gone")
+		return g.deny(SentToListed)
+	}
 	e.out++
 	return nil
 }
 
-// Write asks whether the first byte of an attempt may go out now.
-func (g *Guard) Write(now time.Duration, id balance.RequestID) error {
+// Write asks whether the first byte of an attempt may go out to an address now.
+func (g *Guard) Write(now time.Duration, id balance.RequestID, address string) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if rule, denied := g.open[id].denies(now, true); denied {
+	e := g.open[id]
+	rule, denied := e.denies(now, true)
+	switch {
+	case denied:
 		return g.deny(rule)
+	case e.mayRun && !e.mayRepeat(now):
+		return g.deny(RepeatAllowed)
+	case g.outFor(now, address) > g.grace:
+		return g.deny(SentToListed)
 	}
 	return nil
 }
 
+// outFor is how long ago the server at an address was told draining or gone; 0: it is ready, or nothing limits sends.
+func (g *Guard) outFor(now time.Duration, address string) time.Duration {
+	since, out := g.out[address]
+	if !out || g.grace == 0 {
+		return 0
+	}
+	return now - since
+}
+
 // denies says which rule keeps anything from being sent for a request.
 func (e *entry) denies(now time.Duration, ready bool) (Rule, bool) {
 	switch {
@@ -161,8 +205,8 @@
 	return e.Effect == balance.Safe || e.Effect == balance.Keyed && now < e.ran+e.Window
 }
 
-// Written takes that the last byte of an attempt has gone out, which was begun at a moment.
-func (g *Guard) Written(began, now time.Duration, id balance.RequestID) {
+// Written takes that the last byte of an attempt has gone out to an address, which was begun at a moment.
+func (g *Guard) Written(began, now time.Duration, id balance.RequestID, address string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e := g.open[id]
@@ -171,9 +215,22 @@
 		g.violated(SentWhileOpen, "", "an attempt was written for a request that is not held")
 	case e.left && began > e.leftAt+LeftSlack:
 		g.violated(SentWhileOpen, e.Name, fmt.Sprintf("an attempt was begun %v behind its client's leaving", began-e.leftAt))
+	case e.mayRun && !e.mayRepeat(now):
+		g.violated(RepeatAllowed, e.Name, "a repeat went out that its class does not allow any more")
+	}
+	if name := nameOf(e); g.outFor(began, address) > g.grace+GraceSlack {
+		g.violated(SentToListed, name, fmt.Sprintf("an attempt was begun at %s %v after that was told draining or gone", address, g.outFor(began, address)))
 	}
 }
 
+// nameOf is the X-Request-ID of an entry, if there is one.
+func nameOf(e *entry) string {
+	if e == nil {
+		return ""
+	}
+	return e.Name
+}
+
 // End takes how an attempt ended that Send had permitted, begun at sent.
 func (g *Guard) End(sent time.Duration, id balance.RequestID, ending balance.Ending) {
 	g.mu.Lock()
@@ -206,11 +263,7 @@
 	e := g.open[id]
 	switch {
 	case e == nil || e.answered:
-		name := ""
-		if e != nil {
-			name = e.Name
-		}
-		g.violated(AnsweredOnce, name, "a second final answer, or one to a request that is not held")
+		g.violated(AnsweredOnce, nameOf(e), "a second final answer, or one to a request that is not held")
 		return g.deny(AnsweredOnce)
 	case e.closed: // its handler has gone with the client, and word of that is on its way
 		e.settled = true
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -10,6 +11,12 @@
 
 const ms = time.Millisecond
 
+// The server of the tests, and how long it may be sent to after it was told draining.
+const (
+	server = "10.0.0.1:80"
+	grace  = 100 * ms
+)
+
 // life is a guard with one request taken, and what it reports.
 type life struct {
 	*Guard
@@ -18,7 +25,7 @@
 
 func taken(r Request) *life {
 	l := new(life)
-	l.Guard = New(func(v Violation) { l.reported = append(l.reported, v) })
+	l.Guard = New(func(v Violation) { l.reported = append(l.reported, v) }, grace)
 	l.Start()
 	l.Take(1, r)
 	return l
@@ -35,8 +42,8 @@
 		violated Rule                // -1: none
 	}{
 		"an ordinary life": {ordinary, func(l *life) error {
-			err := errors.Join(l.Send(1*ms, 1), l.Write(2*ms, 1))
-			l.Written(2*ms, 2*ms, 1)
+			err := errors.Join(l.Send(1*ms, 1, server), l.Write(2*ms, 1, server))
+			l.Written(2*ms, 2*ms, 1, server)
 			l.End(1*ms, 1, balance.Served)
 			err = errors.Join(err, l.Answer(9*ms, 1))
 			l.Close(9*ms, 1, false)
@@ -44,45 +51,82 @@
 			return err
 		}, -1, -1},
 		"a repeat that never ran": {ordinary, func(l *life) error {
-			err := l.Send(1*ms, 1)
+			err := l.Send(1*ms, 1, server)
 			l.End(1*ms, 1, balance.TurnedAway)
-			return errors.Join(err, l.Send(2*ms, 1))
+			return errors.Join(err, l.Send(2*ms, 1, server))
 		}, -1, -1},
 		"a repeat that may have run": {ordinary, func(l *life) error {
-			_ = l.Send(1*ms, 1)
+			_ = l.Send(1*ms, 1, server)
 			l.End(1*ms, 1, balance.Broken)
-			return l.Send(2*ms, 1)
+			return l.Send(2*ms, 1, server)
 		}, RepeatAllowed, RepeatAllowed},
 		"a keyed repeat within its window": {keyed, func(l *life) error {
-			_ = l.Send(1*ms, 1)
+			_ = l.Send(1*ms, 1, server)
 			l.End(1*ms, 1, balance.Broken)
-			return l.Send(300*ms, 1)
+			return l.Send(300*ms, 1, server)
 		}, -1, -1},
 		"a keyed repeat behind its window": {keyed, func(l *life) error {
-			_ = l.Send(1*ms, 1)
+			_ = l.Send(1*ms, 1, server)
 			l.End(1*ms, 1, balance.Broken)
-			return l.Send(301*ms, 1)
+			return l.Send(301*ms, 1, server)
 		}, RepeatAllowed, RepeatAllowed},
+		"a keyed repeat whose window ends as it connects": {keyed, func(l *life) error {
+			_ = l.Send(1*ms, 1, server)
+			l.End(1*ms, 1, balance.Broken)
+			_ = l.Send(300*ms, 1, server)
+			return l.Write(301*ms, 1, server)
+		}, RepeatAllowed, -1},
+		"a keyed repeat that goes out behind its window": {keyed, func(l *life) error {
+			_ = l.Send(1*ms, 1, server)
+			l.End(1*ms, 1, balance.Broken)
+			l.Written(300*ms, 301*ms, 1, server)
+			return nil
+		}, -1, RepeatAllowed},
+		"a send within a drain's grace": {ordinary, func(l *life) error {
+			l.Listed(1*ms, server, false)
+			return l.Send(101*ms, 1, server)
+		}, -1, -1},
+		"a send behind a drain's grace": {ordinary, func(l *life) error {
+			l.Listed(1*ms, server, false)
+			l.Listed(50*ms, server, false) // said again, it counts from the first time on
+			return l.Send(102*ms, 1, server)
+		}, SentToListed, SentToListed},
+		"a write behind a drain's grace": {ordinary, func(l *life) error {
+			_ = l.Send(1*ms, 1, server)
+			l.Listed(1*ms, server, false)
+			return l.Write(102*ms, 1, server)
+		}, SentToListed, -1},
+		"written behind a drain's grace": {ordinary, func(l *life) error {
+			_ = l.Send(1*ms, 1, server)
+			l.Listed(1*ms, server, false)
+			l.Written(152*ms, 153*ms, 1, server)
+			return nil
+		}, -1, SentToListed},
+		"a send to a server that is back": {ordinary, func(l *life) error {
+			l.Listed(1*ms, server, false)
+			l.Listed(200*ms, server, true)
+			return l.Send(201*ms, 1, server)
+		}, -1, -1},
 		"a second copy": {keyed, func(l *life) error {
-			_ = l.Send(1*ms, 1)
-			return l.Send(2*ms, 1)
+			_ = l.Send(1*ms, 1, server)
+			return l.Send(2*ms, 1, server)
 		}, RepeatAllowed, RepeatAllowed},
-		"a send behind the deadline":   {ordinary, func(l *life) error { return l.Send(1000*ms, 1) }, SentInTime, -1},
-		"a write behind the deadline":  {ordinary, func(l *life) error { _ = l.Send(1*ms, 1); return l.Write(1000*ms, 1) }, SentInTime, -1},
-		"a write while the body comes": {Request{Name: "q1", Coming: true}, func(l *life) error { return l.Write(1000*ms, 1) }, -1, -1},
-		"a write behind the answer":    {ordinary, func(l *life) error { _ = l.Answer(1*ms, 1); return l.Write(2*ms, 1) }, SentWhileOpen, -1},
-		"a write behind the leaving":   {ordinary, func(l *life) error { l.Left(1*ms, 1); return l.Write(2*ms, 1) }, SentWhileOpen, -1},
+		"a send behind the deadline":   {ordinary, func(l *life) error { return l.Send(1000*ms, 1, server) }, SentInTime, -1},
+		"a write behind the deadline":  {ordinary, func(l *life) error { _ = l.Send(1*ms, 1, server); return l.Write(1000*ms, 1, server) }, SentInTime, -1},
+		"a write while the body comes": {Request{Name: "q1", Coming: true}, func(l *life) error { return l.Write(1000*ms, 1, server) }, -1, -1},
+		"a write behind the answer":    {ordinary, func(l *life) error { _ = l.Answer(1*ms, 1); return l.Write(2*ms, 1, server) }, SentWhileOpen, -1},
+		"a write behind the leaving":   {ordinary, func(l *life) error { l.Left(1*ms, 1); return l.Write(2*ms, 1, server) }, SentWhileOpen, -1},
 		"written just behind the leaving": {ordinary, func(l *life) error {
 			l.Left(1*ms, 1)
-			l.Written(251*ms, 252*ms, 1)
+			l.Written(251*ms, 252*ms, 1, server)
 			return nil
 		}, -1, -1},
 		"written long behind the leaving": {ordinary, func(l *life) error {
 			l.Left(1*ms, 1)
-			l.Written(252*ms, 253*ms, 1)
+			l.Written(252*ms, 253*ms, 1, server)
 			return nil
 		}, -1, SentWhileOpen},
-		"written for nobody": {ordinary, func(l *life) error { l.Written(1*ms, 1*ms, 2); return nil }, -1, SentWhileOpen},
+		"written for nobody": {ordinary, func(l *life) error { l.Written(1*ms, 1*ms, 2, server); return nil }, -1, SentWhileOpen},
 		"two answers":        {ordinary, func(l *life) error { _ = l.Answer(1*ms, 1); return l.Answer(2*ms, 1) }, AnsweredOnce, AnsweredOnce},
 		"an answer that crosses the leaving": {ordinary, func(l *life) error {
 			l.Left(1*ms, 1)
@@ -120,7 +164,7 @@
 // A request that has ended, with all its attempts, is forgotten.
 func TestNothingGrows(t *testing.T) {
 	l := taken(Request{Name: "q1", Deadline: time.Second})
-	_ = l.Send(1*ms, 1)
+	_ = l.Send(1*ms, 1, server)
 	_ = l.Answer(2*ms, 1)
 	l.Close(2*ms, 1, false)
 	if len(l.open) != 1 {
@@ -142,12 +186,23 @@
 	}
 }
 
+// Servers that went long ago are forgotten.
+func TestServersAreForgotten(t *testing.T) {
+	l := taken(Request{Name: "q1"})
+	for i := range 100 {
+		l.Listed(time.Duration(i)*outKept/10, fmt.Sprint(i), false)
+	}
+	if len(l.out) > 11 {
+		t.Errorf("%d servers are remembered that were told gone, want those of the last minute", len(l.out))
+	}
+}
+
 // Nothing is taken before the sidecar is ready.
 func TestNotReady(t *testing.T) {
 	l := new(life)
-	l.Guard = New(func(v Violation) { l.reported = append(l.reported, v) })
+	l.Guard = New(func(v Violation) { l.reported = append(l.reported, v) }, grace)
 	l.Take(1, Request{Name: "q1", Deadline: time.Second})
-	if err := l.Send(1*ms, 1); err != (Denied{Started}) || len(l.reported) != 1 {
+	if err := l.Send(1*ms, 1, server); err != (Denied{Started}) || len(l.reported) != 1 {
 		t.Errorf("error %v, reported %v", err, l.reported)
 	}
 }
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -83,7 +83,7 @@
 		asked:    func() map[string]int { return nil },
 		handover: new(handover),
 		trace:    newTrace(),
-		guard:    guard.New(logViolation),
+		guard:    guard.New(logViolation, cfg.DrainGrace),
 		bounded:  func(_, left time.Duration) time.Duration { return left },
 		events:   make(chan func(time.Duration), eventQueue),
 		requests: make(map[balance.RequestID]*request),
@@ -294,6 +294,12 @@
 	}
 	for address := range gone {
 		l.upstream.close(address)
+		l.guard.Listed(l.now, address, false)
+	}
+	for _, s := range news.servers {
+		if s.State != balance.Gone {
+			l.guard.Listed(l.now, news.address[s.ID], s.State == balance.Ready)
+		}
 	}
 	l.b.List(l.now, kind, news.servers)
 }
@@ -304,8 +310,8 @@
 	q.ID = balance.RequestID(l.lastID.Add(1))
 	class := l.classes[q.Class]
 	l.guard.Take(q.ID, guard.Request{Name: m.id, Deadline: deadline, Effect: class.Effect, Window: class.Window, Coming: m.rest != nil})
-	m.permit = func(now time.Duration) error { return l.guard.Write(now, q.ID) }
-	m.written = func(began, now time.Duration) { l.guard.Written(began, now, q.ID) }
+	m.permit = func(now time.Duration, address string) error { return l.guard.Write(now, q.ID, address) }
+	m.written = func(began, now time.Duration, address string) { l.guard.Written(began, now, q.ID, address) }
 	if m.rest != nil {
 		q.Coming = true
 		whole := m.rest.whole
@@ -419,7 +425,7 @@
 	r.out++
 	address := l.address[to]
 	never := r.over || number >= l.most || left <= 0 || timeout < 0 || unsent < 0 || address == ""
-	if spent := r.message.spent(); never || spent || l.guard.Send(l.now, id) != nil {
+	if spent := r.message.spent(); never || spent || l.guard.Send(l.now, id, address) != nil {
 		r.attempts = append(r.attempts, nil)
 		l.notSent = append(l.notSent, balance.Outcome{ID: id, Attempt: number, Ending: balance.NotSent, Spent: spent})
 		return
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -50,9 +50,9 @@
 	length int64         // of both together; -1: not told
 	left   time.Duration // how long the client waits once its last byte has gone out, where rest follows: less what it has waited for that to begin
 
-	presence func() presence                // whether its client is still there; nil: it has none
-	permit   func(now time.Duration) error  // whether its first byte may go out; nil: it may
-	written  func(began, now time.Duration) // hears that its last byte has gone out; may be nil
+	presence func() presence                                // whether its client is still there; nil: it has none
+	permit   func(now time.Duration, address string) error  // whether its first byte may go out there; nil: it may
+	written  func(began, now time.Duration, address string) // hears that its last byte has gone out; may be nil
 }
 
 // over tells whether nothing may be sent any more, as nobody is known to wait for the answer.
@@ -114,6 +114,7 @@
 // conn is a connection to a server; it carries one exchange at a time.
 type conn struct {
 	net.Conn
+	address   string // its server's, as listed
 	r         *bufio.Reader
 	limit     io.LimitedReader // what may still be read for this answer
 	idleSince time.Duration    // or opened, until its first exchange
@@ -288,7 +289,7 @@
 	if m != nil && m.rest != nil {
 		stop = func() { c.Conn.Close(); m.rest.interrupt() }
 	}
-	if m.over() || m != nil && m.permit != nil && m.permit(u.clock.now()) != nil { // asked here, as word of it may be behind others, and it has to go nowhere from now on
+	if m.over() || m != nil && m.permit != nil && m.permit(u.clock.now(), address) != nil { // asked here, as word of it may be behind others, and it has to go nowhere from now on
 		x.withdraw()
 	}
 	if !x.begin(true, stop) { // given up in the meantime: nothing may go out any more
@@ -367,7 +368,7 @@
 		if err := out.Flush(); err != nil {
 			return 0, err
 		}
-		u.wrote(m, began)
+		u.wrote(m, c, began)
 		m.rest.whole()
 		return u.clock.now() + m.left, nil
 	}
@@ -381,16 +382,16 @@
 		return 0, err
 	}
 	if m != nil {
-		u.wrote(m, began)
+		u.wrote(m, c, began)
 	}
 	return until, nil
 }
 
 // wrote takes that the last byte of an attempt has gone out, which was begun at a moment.
-func (u *upstream) wrote(m *message, began time.Duration) {
+func (u *upstream) wrote(m *message, c *conn, began time.Duration) {
 	u.written.Add(1)
 	if m.written != nil {
-		m.written(began, u.clock.now())
+		m.written(began, u.clock.now(), c.address)
 	}
 }
 
@@ -526,7 +527,7 @@
 		u.mu.Unlock()
 		return nil, err
 	}
-	c := &conn{Conn: raw, idleSince: u.clock.now()}
+	c := &conn{Conn: raw, address: address, idleSince: u.clock.now()}
 	c.limit.R = retryingReader{raw}
 	c.r = bufio.NewReader(&c.limit)
 	return c, nil
