--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -37,98 +37,126 @@
 	return serve(ctx, cfg, open, door, reload)
 }
 
-// serve wires the parts and starts them. There is a console where door is not nil. Clients' listener is opened last: whoever
-// connects from then on is served, however long a disk or an address has kept the start waiting.
+// parts are what a sidecar consists of.
+type parts struct {
+	cfg       *Config
+	upstreams *upstream
+	loop      *loop
+	control   *control
+	clients   *clients
+	front     *front
+}
+
+// newParts makes the parts and wires them. Nothing runs yet.
+func newParts(cfg *Config) (*parts, error) {
+	c := newClock()
+	p := &parts{cfg: cfg, upstreams: newUpstream(cfg, c)}
+	var err error
+	if p.loop, err = newLoop(cfg, c, p.upstreams); err != nil {
+		return nil, err
+	}
+	if p.control, err = newControl(cfg, c, p.loop); err != nil {
+		return nil, err
+	}
+	l, discovery := p.loop, p.control.discovery
+	l.watch, l.asked, l.handover = discovery.ask, discovery.counters, p.control.state
+	p.clients = newClients(cfg, nil, p.upstreams.connections)
+	p.upstreams.yield, p.upstreams.room = p.clients.yield, p.clients.spare
+	p.front = newFront(cfg, c, l, p.clients)
+	l.clients, p.clients.closed = p.front.counters, l.trace.closed
+	l.bounded = func(now, left time.Duration) time.Duration { return p.front.stop.Load().left(now, left) }
+	p.front.serves = p.control.sets.serves
+	return p, nil
+}
+
+// share takes how many processes this sidecar has: its limits are theirs together.
+func (p *parts) share(n int) {
+	limitMemory(p.cfg.MemoryMB, n)
+	p.upstreams.share(p.cfg.upstreamConns(n))
+	p.clients.share(p.cfg.clientConns(n), p.cfg.allConns(n))
+	p.loop.share(n)
+}
+
+// console is the operators' door to the parts.
+func (p *parts) console() *console {
+	return &console{
+		ready: p.front.up, rules: p.control.sets.show, server: p.loop.server, confirm: p.control.state.confirm,
+		members: p.control.peers.show, duties: p.control.work.show, move: p.control.work.move, stat: p.stat,
+	}
+}
+
+// stat writes all figures.
+func (p *parts) stat(w io.Writer) {
+	p.front.stat(w)
+	p.loop.trace.stat(w)
+	guardStat(w, p.loop.guard)
+	p.control.stat(w)
+	fmt.Fprintln(w, "EOF")
+}
+
+// serve makes the parts and has them run until ctx ends and what they have taken is answered. There is a console where
+// door is not nil. Clients' listener is opened last: whoever connects from then on is served, however long a disk or an
+// address has kept the start waiting.
 func serve(ctx context.Context, cfg *Config, open func() (net.Listener, error), door net.Listener, reload <-chan os.Signal) error {
 	if door != nil {
 		defer door.Close()
 	}
-	c := newClock()
-	up := newUpstream(cfg, c)
-	l, err := newLoop(cfg, c, up)
-	if err != nil {
-		return err
-	}
-	control, err := newControl(cfg, c, l)
+	p, err := newParts(cfg)
 	if err != nil {
 		return err
 	}
-	peers, work, sets := control.peers, control.work, control.sets
-	l.watch, l.asked, l.handover = control.discovery.ask, control.discovery.counters, control.state
-	k := newClients(cfg, nil, up.connections)
-	up.yield, up.room = k.yield, k.spare
-	f := newFront(cfg, c, l, k)
-	l.clients, k.closed = f.counters, l.trace.closed
-	l.bounded = func(now, left time.Duration) time.Duration { return f.stop.Load().left(now, left) }
-	f.serves = sets.serves
 	running, stop := context.WithCancel(context.Background())
 	kept := make(chan struct{})
 	defer func() {
 		stop()
-		select { // what is kept last may wait for a disk; the end does not
-		case <-kept:
-		case <-time.After(saveWait):
-		}
+		waitAtMost(kept, saveWait) // what is kept last may wait for a disk; the end does not
 	}()
-	go l.run(running, cfg.Known)
-	err = control.begin(running, kept, func(n int) {
-		limitMemory(cfg.MemoryMB, n)
-		up.share(cfg.upstreamConns(n))
-		k.share(cfg.clientConns(n), cfg.allConns(n))
-		l.share(n)
-	})
-	if err != nil {
+	go p.loop.run(running, cfg.Known)
+	if err := p.control.begin(running, kept, p.share); err != nil {
 		return err
 	}
-	if k.Listener, err = open(); err != nil {
+	if p.clients.Listener, err = open(); err != nil {
 		return err
 	}
-	slog.Info("serving", "name", cfg.Name, "listen", k.Addr(), "servers", len(cfg.Known.servers))
-	l.guard.Start()
-	f.ready.Store(true)
-	control.run(running)
-	go control.followReloads(running, cfg.path, reload) // also in a stop, for what is held
+	slog.Info("serving", "name", cfg.Name, "listen", p.clients.Addr(), "servers", len(cfg.Known.servers))
+	p.loop.guard.Start()
+	p.front.ready.Store(true)
+	p.control.run(running)
+	go p.control.followReloads(running, cfg.path, reload) // also in a stop, for what is held
 	if door != nil {
-		c := &console{
-			ready: f.up, rules: sets.show, server: l.server, confirm: control.state.confirm, members: peers.show, duties: work.show, move: work.move,
-			stat: func(w io.Writer) {
-				f.stat(w)
-				l.trace.stat(w)
-				guardStat(w, l.guard)
-				control.stat(w)
-				fmt.Fprintln(w, "EOF")
-			},
-		}
-		go c.serve(running, door)
+		go p.console().serve(running, door)
 		slog.Info("console", "listen", door.Addr())
 	}
-	server := f.server()
-	served, stopped := make(chan error, 1), make(chan error, 1)
-	go func() { served <- server.Serve(k) }()
-	asked, failed := ctx.Done(), served
-	for {
-		select {
-		case err := <-failed:
-			return err
-		case err := <-stopped:
-			return err
-		case <-asked:
-			asked, failed = nil, nil
-			replaced := l.handover.count() > 1
-			left := make(chan struct{})
-			go func() { // what this process holds for its clients does not wait for that
-				defer close(left)
-				peers.draining(replaced, work)
-			}()
-			defer func() {
-				select {
-				case <-left:
-				case <-time.After(leaveWait): // the others find out by themselves
-				}
-				peers.leave()
-			}()
-			go func() { stopped <- f.drain(served, cfg.Longest, replaced) }()
-		}
+	served := make(chan error, 1)
+	go func() { served <- p.front.server().Serve(p.clients) }()
+	select {
+	case err := <-served:
+		return err
+	case <-ctx.Done():
+		return p.stop(served)
+	}
+}
+
+// stop ends the service, and passes on what others of the fleet can take over.
+func (p *parts) stop(served <-chan error) error {
+	replaced := p.loop.handover.count() > 1
+	left := make(chan struct{})
+	go func() { // what this process holds for its clients does not wait for that
+		defer close(left)
+		p.control.peers.draining(replaced, p.control.work)
+	}()
+	defer func() {
+		waitAtMost(left, leaveWait) // the others find out by themselves
+		p.control.peers.leave()
+	}()
+	return p.front.drain(served, p.cfg.Longest, replaced)
+}
+
+// waitAtMost waits until a channel is closed, but no longer than a limit.
+func waitAtMost(closed <-chan struct{}, limit time.Duration) {
+	select {
+	case <-closed:
+	case <-time.After(limit):
 	}
 }
 
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -274,70 +274,94 @@
 func (u *upstream) exchange(
 	x *exchange, address string, req *http.Request, m *message, until time.Duration, begin func(*http.Response, *stream),
 ) (*http.Response, []byte, balance.Ending) {
+	c, ending := u.reach(x, address, m, until)
+	if c == nil {
+		return nil, nil, ending
+	}
+	if m != nil {
+		left := until - u.clock.now()
+		if m.rest != nil {
+			left = m.left
+		}
+		req.Header.Set("X-Timeout", strconv.FormatInt(max(1, left.Milliseconds()), 10)+"m")
+	}
+	until, err := u.write(x, c, req, m, until)
+	if err != nil {
+		u.discard(c)
+		return nil, nil, u.neverRan(x, m)
+	}
+	if m != nil && m.rest != nil { // the client's time has begun with its last byte
+		x.deadline = until
+	}
+	res, body, err := u.receive(x, c, req, until, begin)
+	switch {
+	case err == nil && !res.Close && c.r.Buffered() == 0 && x.begin(true, nil):
+		u.keepIdle(address, c, false)
+	default: // broken, to be closed, with bytes left over behind the answer, or given up
+		u.discard(c)
+	}
+	if err != nil {
+		return nil, nil, u.endingOf(x, c, res, err)
+	}
+	return res, body, balance.Served
+}
+
+// reach returns a connection on which the exchange may write at once. Where there is none the ending says why.
+func (u *upstream) reach(x *exchange, address string, m *message, until time.Duration) (*conn, balance.Ending) {
 	asked := u.clock.now()
 	c, err := u.connect(x, address, x.bound(until))
 	if m != nil && m.rest != nil {
 		m.left -= u.clock.now() - asked
 	}
-	if err != nil && isOwnFailure(err) {
-		return nil, nil, balance.NotSent
-	}
-	if err != nil {
-		return nil, nil, u.neverRan(x, m)
+	switch {
+	case err != nil && isOwnFailure(err):
+		return nil, balance.NotSent
+	case err != nil:
+		return nil, u.neverRan(x, m)
 	}
 	stop := func() { c.Conn.Close() }
 	if m != nil && m.rest != nil {
 		stop = func() { c.Conn.Close(); m.rest.interrupt() }
 	}
-	if m.over() || m != nil && m.permit != nil && m.permit(u.clock.now(), address) != nil { // asked here, as word of it may be behind others, and it has to go nowhere from now on
+	// Asked here, as word of a client's leaving may be behind others, and it has to go nowhere from now on.
+	if m.over() || m != nil && m.permit != nil && m.permit(u.clock.now(), address) != nil {
 		x.withdraw()
 	}
 	if !x.begin(true, stop) { // given up in the meantime: nothing may go out any more
 		u.keepIdle(address, c, true)
-		return nil, nil, u.neverRan(x, m)
-	}
-	if m != nil {
-		left := until - u.clock.now()
-		if m.rest != nil {
-			left = m.left
-		}
-		req.Header.Set("X-Timeout", strconv.FormatInt(max(1, left.Milliseconds()), 10)+"m")
-	}
-	if until, err = u.write(x, c, req, m, until); err != nil {
-		u.discard(c)
-		return nil, nil, u.neverRan(x, m)
+		return nil, u.neverRan(x, m)
 	}
+	return c, balance.Served
+}
+
+// receive reads the answer to a request that has gone out. An error says that it has not come whole; res is not nil where
+// its head has.
+func (u *upstream) receive(
+	x *exchange, c *conn, req *http.Request, until time.Duration, begin func(*http.Response, *stream),
+) (res *http.Response, body []byte, err error) {
 	_ = c.SetDeadline(u.clock.at(until)) // fails only on a closed connection, as the read then does
-	res, err := c.head(req)
-	var body []byte
-	switch {
-	case err != nil:
-	case begin != nil && res.StatusCode == http.StatusOK && (res.ContentLength < 0 || res.ContentLength > bodyHeld):
-		if m.rest != nil { // the client's time has begun with its last byte
-			x.deadline = until
-		}
+	if res, err = c.head(req); err != nil {
+		return res, nil, err
+	}
+	if begin != nil && res.StatusCode == http.StatusOK && (res.ContentLength < 0 || res.ContentLength > bodyHeld) {
 		body, err = newStream(res, c, x, u.clock.at(x.deadline+streamGrace)).run(begin)
-	default:
+	} else {
 		body, err = c.body(res)
 	}
 	if err == nil && c.limit.N <= 0 {
 		err = errors.New("the answer is too long") // else one with no length would pass for whole where it was left off
 	}
-	switch {
-	case err == nil && !res.Close && c.r.Buffered() == 0 && x.begin(true, nil):
-		u.keepIdle(address, c, false)
-	default: // broken, to be closed, with bytes left over behind the answer, or given up
-		u.discard(c)
-	}
-	if err == nil {
-		return res, body, balance.Served
-	}
+	return res, body, err
+}
+
+// endingOf says how an exchange ended whose answer has not come whole, and counts that.
+func (u *upstream) endingOf(x *exchange, c *conn, res *http.Response, err error) balance.Ending {
 	switch {
 	case x.givenUp():
-		return nil, nil, balance.Cancelled
+		return balance.Cancelled
 	case errors.Is(err, os.ErrDeadlineExceeded): // its own; ETIMEDOUT is the kernel's word that the connection broke
 		u.count(&u.failed.timedOut)
-		return nil, nil, balance.TimedOut
+		return balance.TimedOut
 	case res != nil || c.limit.N < answerLimit:
 		u.count(&u.failed.unreadable)
 	case c.kept:
@@ -345,7 +369,7 @@
 	default:
 		u.count(&u.failed.reset)
 	}
-	return nil, nil, balance.Broken // or malformed: it may have run
+	return balance.Broken // or malformed: it may have run
 }
 
 // write sends a request's head and body, and returns until when its answer may take: a client's time begins with
