Draw late connections, long and slow bodies, pipelining and more in the soak

New faults: deaf (accept fails throughout), hup (reloads in a row), late (connections come up a second late), close, long, dawdle, hurry, pipeline; out by hand is drawn too, broken connections to servers show as ETIMEDOUT, EHOSTUNREACH, ECONNRESET or EPIPE, and calls fail with ENOMEM and ENOBUFS. The seed also draws what repeats of each class may do, their window and how short deadlines are; 20 faults in place of 14. Servers check the bodies that they get, and clients the whole of long answers, by their own records.

--- a/internal/lab/callfaults.go
+++ b/internal/lab/callfaults.go
@@ -23,34 +23,42 @@
 		unix.ECONNABORTED, unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.ENETUNREACH, unix.ENETDOWN, unix.EPROTO,
 		unix.EHOSTUNREACH, unix.EOPNOTSUPP, unix.EPERM, unix.EINTR, unix.ENOSPC,
 	},
-	unix.SYS_SOCKET:    {unix.ENFILE, unix.EMFILE, unix.ENOBUFS, unix.ENOMEM},
-	unix.SYS_CONNECT:   {unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.EAGAIN},
-	unix.SYS_POLL:      {unix.EINTR, unix.ENOMEM},
-	unix.SYS_READ:      {unix.EINTR},
-	unix.SYS_WRITE:     {unix.EINTR},
-	unix.SYS_FSYNC:     {unix.EIO, unix.ENOSPC},
-	unix.SYS_FDATASYNC: {unix.EIO, unix.ENOSPC},
-	unix.SYS_PWRITE64:  {unix.ENOSPC, unix.EIO},
+	unix.SYS_EPOLL_PWAIT: {unix.EINTR},
+	unix.SYS_SOCKET:      {unix.ENFILE, unix.EMFILE, unix.ENOBUFS, unix.ENOMEM},
+	unix.SYS_CONNECT:     {unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.EAGAIN, unix.ETIMEDOUT, unix.EHOSTUNREACH},
+	unix.SYS_POLL:        {unix.EINTR, unix.ENOMEM},
+	unix.SYS_READ:        {unix.EINTR, unix.ENOMEM, unix.ENOBUFS},
+	unix.SYS_WRITE:       {unix.EINTR, unix.ENOMEM, unix.ENOBUFS},
+	unix.SYS_FSYNC:       {unix.EIO, unix.ENOSPC},
+	unix.SYS_FDATASYNC:   {unix.EIO, unix.ENOSPC},
+	unix.SYS_PWRITE64:    {unix.ENOSPC, unix.EIO},
 }
 
+// breaks are the errors by which a broken connection may show.
+var breaks = []syscall.Errno{unix.ETIMEDOUT, unix.EHOSTUNREACH, unix.ECONNRESET, unix.EPIPE}
+
 // callFaults decides the system calls of one process: it draws which fail, move few bytes or are held up.
 type callFaults struct {
-	supervisor *sysfault.Supervisor
+	toServer func(port int) bool // whether a server listens there
 
-	mu    sync.Mutex
-	rng   *rand.Rand
-	share float64 // of calls that something is done to
+	mu         sync.Mutex
+	supervisor *sysfault.Supervisor // nil until the process is under way
+	rng        *rand.Rand
+	share      float64 // of calls that something is done to
+	deaf       bool    // all calls of accept fail
 }
 
 // startSupervised starts a process whose system calls and clock a scenario can disturb.
-func startSupervised(cmd *exec.Cmd, seed uint64) (*callFaults, error) {
-	f := &callFaults{rng: rand.New(rand.NewPCG(seed, 8))}
+func startSupervised(cmd *exec.Cmd, seed uint64, toServer func(port int) bool) (*callFaults, error) {
+	f := &callFaults{rng: rand.New(rand.NewPCG(seed, 8)), toServer: toServer}
 	var calls []int
 	for number := range momentary {
 		calls = append(calls, number)
 	}
-	var err error
-	f.supervisor, err = sysfault.Start(cmd, sysfault.Options{Calls: calls, Decide: f.decide, Clock: true})
+	supervisor, err := sysfault.Start(cmd, sysfault.Options{Calls: calls, Decide: f.decide, Clock: true})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.supervisor = supervisor
 	return f, err
 }
 
@@ -61,10 +69,17 @@
 	f.share = share
 }
 
+// deafen has all calls of accept fail, or no more than others.
+func (f *callFaults) deafen(on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.deaf = on
+}
+
 func (f *callFaults) decide(c sysfault.Call) (e sysfault.Effect) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.rng.Float64() >= f.share {
+	if f.rng.Float64() >= f.share && !(f.deaf && c.Number == unix.SYS_ACCEPT4) {
 		return e
 	}
 	moves := c.Number == unix.SYS_READ || c.Number == unix.SYS_WRITE
@@ -73,6 +88,8 @@
 		e.Most = 1 + f.rng.IntN(40)
 	case moves && draw < 0.62:
 		e.Delay = time.Duration(f.rng.Int64N(int64(holdUp)))
+	case moves && draw < 0.64 && f.isToServer(c):
+		e.Errno = breaks[f.rng.IntN(len(breaks))]
 	case moves && draw < 0.8:
 		return e
 	default:
@@ -81,3 +98,12 @@
 	}
 	return e
 }
+
+// isToServer tells whether a call reads from a server, or writes to one. The caller holds the lock.
+func (f *callFaults) isToServer(c sysfault.Call) bool {
+	if f.supervisor == nil {
+		return false
+	}
+	port, err := f.supervisor.Peer(int(int32(c.Arguments[0])))
+	return err == nil && f.toServer(port)
+}
--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,7 +20,7 @@
 )
 
 // answerLimit is how much of an answer a client reads, in bytes.
-const answerLimit = 64 << 10
+const answerLimit = 1 << 20
 
 // clients make the requests of a run when they are due, whatever became of the ones before. The time of an answer
 // counts from when its request was due, so that a sidecar or a lab that stands still is not hidden.
@@ -59,7 +58,7 @@
 		k.count[o] = newCounter(seconds)
 	}
 	k.inTime = newCounter(seconds)
-	dial := (&net.Dialer{Timeout: time.Second}).DialContext
+	dial := (&net.Dialer{Timeout: dialTime}).DialContext
 	for range s.Fleet.Sidecars {
 		k.served = append(k.served, newCounter(seconds))
 		k.perSidecar = append(k.perSidecar, &http.Client{Transport: &http.Transport{
@@ -137,32 +136,37 @@
 func (k *clients) try(n int, a world.Arrival, class world.Class, last time.Duration, again bool) (*Try, time.Duration) {
 	now := k.clock.now()
 	patience := max(min(time.Duration(float64(class.Deadline)*k.scene.Load.Try), last-now), time.Millisecond)
-	t := k.history.begin(n, a.Sidecar, a.Class, now)
+	rng := rand.New(rand.NewPCG(uint64(n), uint64(now)))
+	m := k.scene.mannerAt(now, rng)
+	if m.hurry > 0 {
+		patience = min(patience, m.hurry)
+	}
+	begin := func() *Try { return k.history.begin(n, a.Sidecar, a.Class, k.clock.now()) }
+	word := func(t *Try) *http.Request { return k.message(t, n, a, class, m, patience, again) }
+	if m.pipeline > 0 {
+		return k.pipelined(m, patience, word, begin), 0
+	}
+	t := begin()
 	t.Owed = now + patience
-	ctx, cancel := context.WithDeadline(context.Background(), k.clock.at(t.Owed+k.scene.Load.late()))
+	ctx, cancel := context.WithDeadline(context.Background(), k.clock.at(t.Owed+m.slow+k.scene.Load.late()))
 	defer cancel()
-	if rng := rand.New(rand.NewPCG(uint64(n), uint64(now))); rng.Float64() < k.scene.leaving(now) {
-		leaver := time.AfterFunc(time.Duration(rng.Int64N(int64(patience))), func() {
+	if m.leaves {
+		leaver := time.AfterFunc(m.slow+time.Duration(rng.Int64N(int64(patience))), func() {
 			k.history.left(t, k.clock.now())
 			cancel()
 		})
 		defer leaver.Stop()
 	}
 	a0 := attempt{k: k, t: t}
-	res, body, err := a0.do(ctx, k.perSidecar[a.Sidecar], k.message(t, n, a, class, patience, again))
+	res, body, err := a0.do(ctx, k.perSidecar[a.Sidecar], word(t))
 	if err != nil && a0.crossed(ctx) {
-		res, body, err = a0.do(ctx, k.once, k.message(t, n, a, class, patience, again))
+		res, body, err = a0.do(ctx, k.once, word(t))
 	}
 	end, status := Failed, 0
 	switch {
 	case err == nil:
 		status = res.StatusCode
-		switch status {
-		case http.StatusOK:
-			end = Served
-		case http.StatusServiceUnavailable, http.StatusTooManyRequests:
-			end = Refused
-		}
+		end = outcomeOf(status)
 	case ctx.Err() != nil:
 		end = GaveUp
 	case !a0.connected:
@@ -179,16 +183,19 @@
 }
 
 // message words a try in the protocol.
-func (k *clients) message(t *Try, n int, a world.Arrival, class world.Class, patience time.Duration, again bool) *http.Request {
-	method, body := http.MethodPost, `{"n":1}`
+func (k *clients) message(t *Try, n int, a world.Arrival, class world.Class, m manner, patience time.Duration, again bool) *http.Request {
+	method, text, body := http.MethodPost, "", io.Reader(nil)
 	if class.Effect == world.Safe {
-		method, body = http.MethodGet, ""
+		method = http.MethodGet
+	} else {
+		text, body = k.bodyOf(t, m, patience)
 	}
-	url := fmt.Sprintf("http://%s/%s?work=%v", k.net.at(a.Sidecar, clientPort), class.Name, a.Work)
-	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	url := fmt.Sprintf("http://%s/%s?%s", k.net.at(a.Sidecar, clientPort), class.Name, m.query(a, text))
+	req, err := http.NewRequest(method, url, body)
 	if err != nil {
 		panic(err) // of parts that are all well formed
 	}
+	req.ContentLength = int64(len(text))
 	req.GetBody = nil // or net/http would send a keyed request once more by itself, wherever its connection broke
 	h := req.Header
 	h.Set("X-Request-ID", t.ID)
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -19,6 +19,9 @@
 	Text      string
 }
 
+// reloadGap is the time between two signals to read the configuration again, in a row of them.
+const reloadGap = 15 * time.Millisecond
+
 // faults plays a plan. Each action has a goroutine while it lasts; all end with the context.
 type faults struct {
 	run  *run
@@ -178,8 +181,23 @@
 		return p.upgrade(i)
 	case "full":
 		return p.fileLimit(i, uint64(a.Size))
-	case "calls", "forward", "back", "rude":
+	case "calls", "deaf", "forward", "back", "rude":
 		f.disturb(ctx, a, i)
+	case "hup":
+		return f.hangUps(ctx, a, i)
+	}
+	return nil
+}
+
+// hangUps has a sidecar read its configuration again, several times in a row.
+func (f *faults) hangUps(ctx context.Context, a Action, i int) error {
+	for range int(a.Size) {
+		if err := f.run.processes.reload(i); err != nil {
+			return err
+		}
+		if !sleep(ctx, reloadGap) {
+			break
+		}
 	}
 	return nil
 }
@@ -236,8 +254,12 @@
 		if mended(ctx, a) {
 			s.change(i, func(m *world.Server) { m.Refuse(false) })
 		}
-	case "spoil", "hang", "reset":
+	case "spoil", "hang", "reset", "close":
 		f.misbehaviour(ctx, a, i)
+	case "late":
+		s.hold(i, true)
+		mended(ctx, a)
+		s.hold(i, false)
 	case "out":
 		f.byHand(ctx, "disable-server", i)
 		if mended(ctx, a) {
@@ -255,6 +277,10 @@
 		p.disturb(i, a.Size)
 		mended(ctx, a)
 		p.disturb(i, 0)
+	case "deaf":
+		p.deafen(i, true)
+		mended(ctx, a)
+		p.deafen(i, false)
 	case "forward":
 		p.stepClock(i, time.Duration(a.Size*float64(time.Second)))
 	case "back":
@@ -267,9 +293,13 @@
 // misbehaviour has a server answer badly while a fault lasts.
 func (f *faults) misbehaviour(ctx context.Context, a Action, i int) {
 	s := f.run.servers
-	if a.Do == "reset" {
+	switch a.Do {
+	case "reset":
 		s.misbehave(i, (*server).reset)
 		return
+	case "close":
+		s.misbehave(i, (*server).closeAll)
+		return
 	}
 	set := func(share float64) func(u *server) {
 		return func(u *server) {
--- a/internal/lab/history.go
+++ b/internal/lab/history.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"strconv"
 	"sync"
@@ -31,6 +32,9 @@
 	cuts    []span          // when links were cut, slow or lost more than a few packets
 }
 
+// hashedFrom is the length in bytes from which a body is kept by a hash.
+const hashedFrom = 1 << 10
+
 // span is a time in a sidecar's life.
 type span struct {
 	sidecar  int
@@ -131,17 +135,35 @@
 func (h *History) settle(t *Try, n int, verdict world.Verdict, answer string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	t.Reached[n].Verdict, t.Reached[n].Answer = verdict, answer
+	t.Reached[n].Verdict, t.Reached[n].Answer = verdict, keptBody(answer)
 }
 
 // end takes how a try ended.
 func (h *History) end(t *Try, now time.Duration, end Outcome, status int, body string, partial, fresh bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	t.Ended, t.End, t.Status, t.Body, t.Partial = now, end, status, body, partial
+	t.Ended, t.End, t.Status, t.Body, t.Partial = now, end, status, keptBody(body), partial
 	t.Fresh = fresh
 }
 
+// sent takes that a try's last byte goes out now: its client's time begins.
+func (h *History) sent(t *Try, now, patience time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t.Owed = now + patience
+}
+
+// keptBody is a body as it is kept: a long one by its length and a hash.
+func keptBody(body string) string {
+	if len(body) <= hashedFrom {
+		return body
+	}
+	return fmt.Sprintf("%d bytes, %s", len(body), sumOf([]byte(body)))
+}
+
+// sumOf is a hash of a body, in hexadecimal.
+func sumOf(body []byte) string { return fmt.Sprintf("%x", sha256.Sum256(body)) }
+
 // left takes that a try's client leaves, unless it has ended.
 func (h *History) left(t *Try, now time.Duration) {
 	h.mu.Lock()
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -265,7 +265,7 @@
 	if !p.scene.Fleet.Supervised {
 		return q.cmd.Start()
 	}
-	q.calls, err = startSupervised(q.cmd, p.seed+uint64(q.sidecar)<<16+uint64(q.turn)<<40)
+	q.calls, err = startSupervised(q.cmd, p.seed+uint64(q.sidecar)<<16+uint64(q.turn)<<40, p.roster.servers.listens)
 	return err
 }
 
@@ -276,6 +276,13 @@
 	}
 }
 
+// deafen has all of a sidecar's calls of accept fail, or none.
+func (p *processes) deafen(sidecar int, on bool) {
+	if q := p.of(sidecar); q != nil && q.calls != nil {
+		q.calls.deafen(on)
+	}
+}
+
 // stepClock sets a sidecar's wall clock.
 func (p *processes) stepClock(sidecar int, by time.Duration) {
 	if q := p.of(sidecar); q != nil && q.calls != nil {
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -55,6 +55,10 @@
 	Try     float64       `toml:"try" default:"0.4" min:"0.05" max:"1" help:"a try is given up after this share of the deadline"`
 	Backoff conf.Duration `toml:"backoff" default:"15ms" min:"0s" max:"10s" help:"pause before a client's further try, where it was told none"`
 	Late    conf.Duration `toml:"late" default:"0s" min:"0s" max:"10s" help:"how much longer than its time a client waits for its answer"`
+	Publish string        `toml:"publish" default:"unsafe" oneof:"unsafe keyed safe" help:"what a repeat of a publish request may do"`
+	Rebuild string        `toml:"rebuild" default:"keyed" oneof:"unsafe keyed safe" help:"and of a rebuild request"`
+	Within  conf.Duration `toml:"within" default:"4s" min:"50ms" max:"1m" help:"keyed requests: for how long a zone drops repeats"`
+	Urgent  float64       `toml:"urgent" default:"1" min:"0.1" max:"10" help:"every class's aim and deadline, against the usual"`
 	Heed    float64       `toml:"heed" default:"0.4" min:"0" max:"1" help:"share of clients that heed Retry-After"`
 }
 
@@ -94,7 +98,7 @@
 // Fault is one line of the timetable.
 type Fault struct {
 	At     conf.Duration `toml:"at" need:"yes" min:"0s" max:"1h" help:"when, after the first request"`
-	Do     string        `toml:"do" need:"yes" oneof:"kill stop pause starve upgrade full push calls forward back rude spoil hang reset mute leave crash slow err silence replace refuse drain out away move stale crawl burst cut delay drop duplicate reorder limit" help:"what; docs/lab.md words them"`
+	Do     string        `toml:"do" need:"yes" oneof:"kill stop pause starve upgrade full push calls deaf forward back hup rude spoil hang reset close late mute leave long dawdle hurry pipeline crash slow err silence replace refuse drain out away move stale crawl burst cut delay drop duplicate reorder limit" help:"what; docs/lab.md words them"`
 	Target string        `toml:"target" help:"whom: all, 3, 0-2, 25%, or zone a; of sidecars, servers or links, as the fault has it"`
 	Peer   string        `toml:"peer" help:"links only: the other end, in the same form; empty: all others"`
 	Way    string        `toml:"way" default:"both" oneof:"both out in" help:"links only: both ways, or from or to the target"`
@@ -110,8 +114,9 @@
 	size bool
 }{
 	"kill": {"sidecar", false}, "stop": {"sidecar", false}, "pause": {"sidecar", false}, "starve": {"sidecar", true}, "upgrade": {"sidecar", false}, "full": {"sidecar", true}, "push": {"sidecar", false},
-	"calls": {"sidecar", true}, "forward": {"sidecar", true}, "back": {"sidecar", true}, "rude": {"sidecar", false},
-	"spoil": {"server", true}, "hang": {"server", true}, "reset": {"server", false}, "mute": {"discovery", false}, "leave": {"load", true},
+	"calls": {"sidecar", true}, "deaf": {"sidecar", false}, "hup": {"sidecar", true}, "forward": {"sidecar", true}, "back": {"sidecar", true}, "rude": {"sidecar", false},
+	"spoil": {"server", true}, "hang": {"server", true}, "reset": {"server", false}, "close": {"server", false}, "late": {"server", false}, "mute": {"discovery", false}, "leave": {"load", true},
+	"long": {"load", true}, "dawdle": {"load", true}, "hurry": {"load", true}, "pipeline": {"load", true},
 	"crash": {"server", false}, "replace": {"server", false}, "slow": {"server", true}, "err": {"server", true}, "silence": {"server", false}, "refuse": {"server", false},
 	"drain": {"server", false}, "out": {"server", false},
 	"away": {"discovery", false}, "move": {"discovery", false}, "stale": {"discovery", false}, "crawl": {"discovery", false},
@@ -246,7 +251,7 @@
 }
 
 // supervisedOnly are the faults that need sidecars under supervision.
-var supervisedOnly = []string{"calls", "forward", "back"}
+var supervisedOnly = []string{"calls", "deaf", "forward", "back"}
 
 // toHollow are the faults of sidecars that hollow ones take too.
 var toHollow = []string{"kill", "stop", "push"}
@@ -289,21 +294,28 @@
 	return plan
 }
 
-// classes are the operators' two, and one that is safe to repeat.
+// classes are the operators' two.
 func (s *Scenario) classes() []world.Class {
 	const ms = time.Millisecond
 	classes := []world.Class{
-		{Name: "publish", Share: 0.62, Work: 15 * ms, Spread: 1.1, Aim: 150 * ms, Deadline: 500 * ms, Worth: 10, Effect: world.Unsafe},
-		{Name: "rebuild", Share: 0.38, Work: 23 * ms, Spread: 1, Aim: 200 * ms, Deadline: 800 * ms, Worth: 3, Effect: world.Keyed, Window: 4 * time.Second},
+		{Name: "publish", Share: 0.62, Work: 15 * ms, Spread: 1.1, Aim: 150 * ms, Deadline: 500 * ms, Worth: 10, Effect: world.Effect(s.Load.Publish)},
+		{Name: "rebuild", Share: 0.38, Work: 23 * ms, Spread: 1, Aim: 200 * ms, Deadline: 800 * ms, Worth: 3, Effect: world.Effect(s.Load.Rebuild)},
 	}
 	for i := range classes {
+		c := &classes[i]
+		c.Aim, c.Deadline = scaled(c.Aim, s.Load.Urgent), scaled(c.Deadline, s.Load.Urgent)
 		if s.Patience > 0 {
-			classes[i].Aim, classes[i].Deadline = s.Patience, s.Patience
+			c.Aim, c.Deadline = s.Patience, s.Patience
+		}
+		if c.Effect == world.Keyed {
+			c.Window = s.Load.Within.D()
 		}
 	}
 	return classes
 }
 
+func scaled(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
+
 // tenants are the operators'.
 var tenants = []struct {
 	name  string
--- a/internal/lab/soak.go
+++ b/internal/lab/soak.go
@@ -14,7 +14,7 @@
 	soakQuiet    = 1500 * time.Millisecond // no fault before
 	soakRest     = 3 * time.Second         // and none goes on behind the end less this
 	soakLength   = 16 * time.Second
-	soakFaults   = 14
+	soakFaults   = 20
 	soakLongest  = 5 * time.Second
 	soakLate     = 600 * time.Millisecond // clients wait so much longer than their time for the answer that they are owed
 	soakShortest = 500 * time.Millisecond
@@ -22,11 +22,12 @@
 
 // soakKind is a kind of fault as a soak draws it.
 type soakKind struct {
-	do     string
-	target func(rng *rand.Rand) string
-	size   [2]float64
-	pause  time.Duration // at most
-	once   bool          // it has no length
+	do      string
+	target  func(rng *rand.Rand) string
+	size    [2]float64
+	pause   time.Duration // at most
+	longest time.Duration // 0: soakLongest
+	once    bool          // it has no length
 }
 
 func soakShare(from, to int) func(*rand.Rand) string {
@@ -42,6 +43,15 @@
 	{do: "upgrade", target: soakShare(5, 25), once: true},
 	{do: "pause", target: soakShare(10, 60)},
 	{do: "full", target: soakShare(10, 40), size: [2]float64{1, 4096}, once: true},
+	{do: "deaf", target: soakShare(10, 60), longest: 400 * time.Millisecond},
+	{do: "hup", target: soakShare(20, 100), size: [2]float64{2, 8}, once: true},
+	{do: "out", target: soakShare(5, 15)},
+	{do: "close", target: soakShare(10, 100), once: true},
+	{do: "late", target: soakShare(5, 35), longest: 1500 * time.Millisecond},
+	{do: "long", target: soakNobody, size: [2]float64{0.02, 0.15}},
+	{do: "dawdle", target: soakNobody, size: [2]float64{0.05, 0.4}},
+	{do: "hurry", target: soakNobody, size: [2]float64{0.05, 0.4}},
+	{do: "pipeline", target: soakNobody, size: [2]float64{0.02, 0.3}},
 	{do: "calls", target: soakShare(30, 100), size: [2]float64{0.02, 0.4}},
 	{do: "forward", target: soakShare(20, 100), size: [2]float64{1, 3600}, once: true},
 	{do: "back", target: soakShare(20, 100), size: [2]float64{1, 3600}, once: true},
@@ -64,6 +74,13 @@
 	{do: "rude", target: soakShare(20, 80)},
 }
 
+// What repeats of requests may do, and for how long those of keyed ones are dropped.
+var (
+	soakPublish = []string{"unsafe", "unsafe", "keyed", "safe"}
+	soakRebuild = []string{"keyed", "keyed", "safe"}
+	soakWithin  = []time.Duration{400 * time.Millisecond, time.Second, 4 * time.Second}
+)
+
 // Soak draws a scenario of faults that overlap in time, from a seed: the same seed draws the same. It has so many
 // sidecars; 0: 10 to 20.
 func Soak(seed uint64, sidecars int) (*Scenario, error) {
@@ -71,8 +88,10 @@
 	drawn := 10 + rng.IntN(11)
 	text := fmt.Sprintf("about = 'faults drawn from seed %d, overlapping in time'\nfor = '%v'\n"+
 		"hold = ['answered', 'once', 'honest', 'known', 'drains', 'cold', 'limits', 'alive', 'final', 'left', 'told', 'peers', 'guarded']\n"+
-		"[fleet]\nsidecars = %d\nservers = %d\nzones = 2\nsupervised = true\n[load]\neach = %d\nretries = 2\nlate = '%v'\ntry = 1\n",
-		seed, soakLength, cmp.Or(sidecars, drawn), 10+rng.IntN(8), 8+rng.IntN(10), soakLate)
+		"[fleet]\nsidecars = %d\nservers = %d\nzones = 2\nsupervised = true\n[load]\neach = %d\nretries = 2\nlate = '%v'\ntry = 1\n"+
+		"publish = '%s'\nrebuild = '%s'\nwithin = '%v'\nurgent = %.2f\n",
+		seed, soakLength, cmp.Or(sidecars, drawn), 10+rng.IntN(8), 8+rng.IntN(10), soakLate,
+		soakPublish[rng.IntN(len(soakPublish))], soakRebuild[rng.IntN(len(soakRebuild))], soakWithin[rng.IntN(len(soakWithin))], 0.5+rng.Float64())
 	for i := range soakFaults {
 		text += soakFault(rng, soakKinds[(int(seed)+i*5+rng.IntN(5))%len(soakKinds)])
 	}
@@ -85,6 +104,9 @@
 	at := soakQuiet + time.Duration(rng.Int64N(int64(last-soakQuiet-soakShortest)))
 	length := soakShortest + time.Duration(rng.Int64N(int64(min(soakLongest, last-at)-soakShortest+1)))
 	text := fmt.Sprintf("[[fault]]\nat = '%v'\ndo = '%s'\n", at.Round(time.Millisecond), kind.do)
+	if kind.longest > 0 {
+		length = min(length, time.Duration(rng.Int64N(int64(kind.longest))))
+	}
 	if kind.do == "pause" {
 		length = holdUp
 	}
@@ -107,16 +129,6 @@
 	return text
 }
 
-// leaving is the share of clients that leave at a moment, by the timetable.
-func (s *Scenario) leaving(now time.Duration) (share float64) {
-	for _, f := range s.Fault {
-		if f.Do == "leave" && now >= f.At.D() && now < f.At.D()+f.For.D() {
-			share = max(share, f.Size)
-		}
-	}
-	return share
-}
-
 // Kinds lists the kinds of faults that a scenario plays, in order.
 func (s *Scenario) Kinds() (all []string) {
 	for _, f := range s.Fault {
--- a/internal/lab/upstream.go
+++ b/internal/lab/upstream.go
@@ -10,8 +10,11 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,12 +24,14 @@
 )
 
 const (
-	bodyLimit  = 64 << 10 // bytes of a body in the protocol
+	bodyLimit  = 1 << 20 // bytes of a body that a server reads
 	serverIdle = 15 * time.Second
 	backlog    = 4096
 	fillMost   = 8 // connections that fill a silent server's queue, which is for one
 	fillTime   = 50 * time.Millisecond
 	parkTime   = time.Second
+	pieceSize  = 16 << 10 // of a long answer
+	piecePause = 2 * time.Millisecond
 )
 
 // servers are the stand-ins for all queue servers. One lock serialises their models, which share zones.
@@ -120,6 +125,11 @@
 // at is where a sidecar reaches a server.
 func (a *servers) at(sidecar, server int) string { return a.net.at(sidecar, a.all[server].port) }
 
+// listens tells whether a port is a server's.
+func (a *servers) listens(port int) bool {
+	return slices.ContainsFunc(a.all, func(u *server) bool { return u.port == port })
+}
+
 // sample counts, once a second, what the servers are at.
 func (a *servers) sample() (tipped, held, up int) {
 	a.mu.Lock()
@@ -160,9 +170,10 @@
 type door struct {
 	server   *server
 	mu       sync.Mutex
-	listener *net.TCPListener // nil: refused
-	fillers  []net.Conn       // fill the queue of a door that is silent
-	parked   chan struct{}    // has one where nobody accepts any more, as the server is silent
+	listener *net.TCPListener              // nil: refused
+	fillers  []net.Conn                    // fill the queue of a door that is silent
+	parked   chan struct{}                 // has one where nobody accepts any more, as the server is silent or the door is held
+	held     atomic.Pointer[chan struct{}] // not nil while connections don't come up here; closed when they do again
 }
 
 // open listens, and serves what comes.
@@ -262,6 +273,31 @@
 	_ = d.listener.SetDeadline(time.Time{})
 }
 
+// hold keeps new connections from coming up until release; those that there are go on. A connection that is tried
+// meanwhile comes up when its first packet is sent again, after a second.
+func (d *door) hold() {
+	held := make(chan struct{})
+	if d.held.CompareAndSwap(nil, &held) {
+		d.hush()
+	}
+}
+
+// release ends hold.
+func (d *door) release() {
+	held := d.held.Swap(nil)
+	if held == nil {
+		return
+	}
+	defer close(*held)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.empty()
+	if d.listener != nil {
+		d.queue(backlog)
+		_ = d.listener.SetDeadline(time.Time{}) // fails only on a closed one
+	}
+}
+
 // full says whether the queue has no room.
 func (d *door) full() (full bool) {
 	raw, err := d.listener.SyscallConn()
@@ -310,23 +346,33 @@
 		}
 		u.of.mu.Unlock()
 		var timeout net.Error
+		late := errors.As(err, &timeout) && timeout.Timeout()
 		switch {
 		case err == nil: // it came up in the moment that the server went
 			_ = c.SetLinger(0)
 			c.Close()
-		case silent == nil || !errors.As(err, &timeout) || !timeout.Timeout():
-			if silent == nil && errors.As(err, &timeout) && timeout.Timeout() {
-				continue // it speaks again
-			}
+		case !late:
 			return nil, err
 		}
-		if silent != nil {
-			select {
-			case w.d.parked <- struct{}{}:
-			default:
-			}
-			<-silent
+		w.d.park(silent)
+	}
+}
+
+// park waits while the server is silent, or the door is held.
+func (d *door) park(silent chan struct{}) {
+	untils := []chan struct{}{silent}
+	if held := d.held.Load(); held != nil {
+		untils = append(untils, *held)
+	}
+	for _, until := range untils {
+		if until == nil {
+			continue
+		}
+		select {
+		case d.parked <- struct{}{}:
+		default:
 		}
+		<-until
 	}
 }
 
@@ -335,6 +381,14 @@
 	*net.TCPConn
 	server  *server
 	sidecar int
+	spoil   atomic.Pointer[func()] // notes that the long answer on it is cut off by the server; nil: there is none
+}
+
+// breakOff takes that the server ends the connection, whatever is on it.
+func (c *conn) breakOff() {
+	if spoil := c.spoil.Load(); spoil != nil {
+		(*spoil)()
+	}
 }
 
 var errVanished = errors.New("the server had vanished")
@@ -348,6 +402,7 @@
 		return nil
 	}
 	<-silent
+	c.breakOff()
 	c.Close()
 	return errVanished
 }
@@ -377,12 +432,22 @@
 // reset ends all connections as the death of a process does.
 func (u *server) reset() {
 	for c := range u.conns {
+		c.breakOff()
 		_ = c.TCPConn.SetLinger(0) // fails only on a closed one
 		c.TCPConn.Close()
 		delete(u.conns, c)
 	}
 }
 
+// closeAll ends all connections as a server does that takes them for idle: with no reset, unless a request is on its way.
+func (u *server) closeAll() {
+	for c := range u.conns {
+		c.breakOff()
+		c.TCPConn.Close()
+		delete(u.conns, c)
+	}
+}
+
 // speak ends the server's silence; all that was open is reset.
 func (u *server) speak() {
 	if u.silent != nil {
@@ -394,6 +459,7 @@
 
 func (u *server) shut() {
 	for _, d := range u.doors {
+		d.release()
 		d.shut()
 	}
 	u.reset()
@@ -421,9 +487,13 @@
 	}
 }
 
-// start brings a crashed server back, cold.
+// start brings a crashed server back, cold. One that another fault has brought back is left as it is.
 func (a *servers) start(i int) error {
 	a.mu.Lock()
+	if a.all[i].model.Up() {
+		a.mu.Unlock()
+		return nil
+	}
 	a.all[i].model.Start(a.clock.now())
 	a.all[i].pushed = false
 	a.mu.Unlock()
@@ -460,6 +530,19 @@
 	a.mu.Unlock()
 }
 
+// hold keeps new connections to a server from coming up, or lets them; those that there are go on.
+func (a *servers) hold(i int, on bool) {
+	var all sync.WaitGroup
+	for _, d := range a.all[i].ways() {
+		if on {
+			all.Go(d.hold)
+		} else {
+			d.release()
+		}
+	}
+	all.Wait()
+}
+
 // change does something to a server's model.
 func (a *servers) change(i int, f func(*world.Server)) {
 	a.mu.Lock()
@@ -520,7 +603,9 @@
 		http.Error(w, "no X-Request-ID", http.StatusNotFound)
 		return
 	}
-	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, bodyLimit)); err != nil {
+	c.spoil.Store(nil)
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit))
+	if err != nil {
 		return // its last byte never came: it has not begun
 	}
 	t, n := u.of.history.reach(id, Reached{Server: u.number, Sidecar: c.sidecar, At: at, Verdict: world.Full, Told: toldTime(r.Header.Get("X-Timeout"))})
@@ -528,6 +613,10 @@
 		http.Error(w, "an id that no client sent", http.StatusBadRequest)
 		return
 	}
+	if sum := r.URL.Query().Get("sum"); sum != "" && sum != sumOf(body) {
+		h := u.of.history
+		h.note(&h.strays, "at %v server %d got a body of %d bytes with request %s that its client did not send", at, u.number, len(body), id)
+	}
 	u.of.tally[u.number].add(at, 1)
 	work, err := time.ParseDuration(r.URL.Query().Get("work"))
 	if err != nil {
@@ -562,6 +651,9 @@
 // answer answers a request that has run, as well as the server does for now. n is its place among its try's arrivals.
 func (u *server) answer(w http.ResponseWriter, r *http.Request, t *Try, n int) {
 	body := fmt.Sprintf("%s served by s-%d, arrival %d", t.ID, u.number, n)
+	if size, err := strconv.Atoi(r.URL.Query().Get("answer")); err == nil {
+		body = strings.Repeat(body, 1+min(size, bodyLimit)/len(body))
+	}
 	hang, spoils, draw := u.misbehaves()
 	if hang {
 		u.of.history.spoil(t, n)
@@ -577,7 +669,28 @@
 		})
 		return
 	}
-	_, _ = io.WriteString(w, body) // fails where the sidecar has gone
+	if len(body) <= pieceSize {
+		_, _ = io.WriteString(w, body) // fails where the sidecar has gone
+		return
+	}
+	c := r.Context().Value(connKey{}).(*conn)
+	cut := func() { u.of.history.spoil(t, n) }
+	c.spoil.Store(&cut)
+	answerLong(w, body, draw)
+}
+
+// answerLong sends an answer in pieces, with its length told or not.
+func answerLong(w http.ResponseWriter, body string, draw int) {
+	if draw%2 == 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	flush := http.NewResponseController(w).Flush
+	for at := 0; at < len(body); at += pieceSize {
+		if _, err := io.WriteString(w, body[at:min(at+pieceSize, len(body))]); err != nil || flush() != nil {
+			return // the sidecar has gone
+		}
+		time.Sleep(piecePause)
+	}
 }
 
 // misbehaves draws whether a request is never answered, or its answer spoilt, and in which way.
--- a/internal/sysfault/sysfault.go
+++ b/internal/sysfault/sysfault.go
@@ -112,6 +112,24 @@
 // StepClock sets the program's wall clock forward, or back where by is below 0. Its monotonic clock goes on.
 func (s *Supervisor) StepClock(by time.Duration) { s.offset.Add(int64(by)) }
 
+// Peer returns the port that a socket of the program's is connected to, over IPv4. An error says that it is none such.
+func (s *Supervisor) Peer(descriptor int) (port int, err error) {
+	socket, err := unix.PidfdGetfd(s.pidfd, descriptor, 0)
+	if err != nil {
+		return 0, err
+	}
+	defer unix.Close(socket)
+	address, err := unix.Getpeername(socket)
+	if err != nil {
+		return 0, err
+	}
+	at, ok := address.(*unix.SockaddrInet4)
+	if !ok {
+		return 0, unix.EAFNOSUPPORT
+	}
+	return at.Port, nil
+}
+
 // Wait returns once the program has ended and all its calls have been decided.
 func (s *Supervisor) Wait() { <-s.done }
 
