--- a/internal/lab/callfaults.go
+++ b/internal/lab/callfaults.go
@@ -94,7 +94,7 @@
 		return e
 	default:
 		errors := momentary[c.Number]
-		e.Errno = errors[f.rng.IntN(len(errors))]
+		e.Errno, e.OnSocket = errors[f.rng.IntN(len(errors))], moves
 	}
 	return e
 }
--- a/internal/sysfault/supervise.go
+++ b/internal/sysfault/supervise.go
@@ -90,6 +90,7 @@
 // carryOut says how a call ends that is not held up any more.
 func (s *Supervisor) carryOut(n *notification, effect Effect) response {
 	switch {
+	case effect.Errno != 0 && effect.OnSocket && !s.isSocket(n):
 	case effect.Errno != 0:
 		return response{errno: -int32(effect.Errno)}
 	case effect.Most > 0 && n.number == unix.SYS_READ:
@@ -112,14 +113,11 @@
 	if size == 0 || size == n.arguments[2] {
 		return goOn
 	}
-	socket, err := unix.PidfdGetfd(s.pidfd, int(int32(n.arguments[0])), 0)
+	socket, err := s.socketOf(n)
 	if err != nil {
 		return goOn
 	}
 	defer unix.Close(socket)
-	if _, err := unix.GetsockoptInt(socket, unix.SOL_SOCKET, unix.SO_TYPE); err != nil {
-		return goOn
-	}
 	moved, err := carry(socket, make([]byte, size), n.arguments[1])
 	if errno, failed := err.(syscall.Errno); failed {
 		return response{errno: -int32(errno)}
@@ -127,6 +125,28 @@
 	return response{value: int64(moved)}
 }
 
+// socketOf returns a copy of the socket that a call is made on, which the caller closes. An error says that it is none.
+func (s *Supervisor) socketOf(n *notification) (int, error) {
+	socket, err := unix.PidfdGetfd(s.pidfd, int(int32(n.arguments[0])), 0)
+	if err != nil {
+		return 0, err
+	}
+	if _, err := unix.GetsockoptInt(socket, unix.SOL_SOCKET, unix.SO_TYPE); err != nil {
+		unix.Close(socket)
+		return 0, err
+	}
+	return socket, nil
+}
+
+func (s *Supervisor) isSocket(n *notification) bool {
+	socket, err := s.socketOf(n)
+	if err != nil {
+		return false
+	}
+	unix.Close(socket)
+	return true
+}
+
 func (s *Supervisor) read(socket int, buffer []byte, address uint64) (int, error) {
 	n, _, err := unix.Recvfrom(socket, buffer, unix.MSG_DONTWAIT)
 	if err != nil || n == 0 {
--- a/internal/sysfault/sysfault.go
+++ b/internal/sysfault/sysfault.go
@@ -38,7 +38,10 @@
 	Delay time.Duration   // it is held up for so long first
 	Until <-chan struct{} // and until this is closed; nil: no longer
 	Errno syscall.Errno   // it fails with this, and does nothing
-	Most  int             // reads and writes of sockets only: they move so many bytes at most; 0: no limit
+	// OnSocket has it fail only where its first argument is a socket: Go's runtime ends a program whose own pipes and
+	// event descriptors fail in ways that Linux does not document for them.
+	OnSocket bool
+	Most     int // reads and writes of sockets only: they move so many bytes at most; 0: no limit
 }
 
 // Options say which calls are decided, and by whom.
