Reproduce calls by hand forgotten as their folder fails at a start

The list of the state folder fails eight times, or reading its files twelve times (EIO), as a process begins: it knows none of three calls that were kept.

--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -751,3 +752,65 @@
 		t.Error(err)
 	}
 }
+
+// unreadable is a disk whose folders can't be listed, and files not be read, a number of times.
+type unreadable struct {
+	OS
+	lists, reads int
+}
+
+func (d *unreadable) List(dir string) ([]string, error) {
+	if d.lists > 0 {
+		d.lists--
+		return nil, syscall.EIO
+	}
+	return d.OS.List(dir)
+}
+
+func (d *unreadable) Read(path string, limit int) ([]byte, error) {
+	if d.reads > 0 {
+		d.reads--
+		return nil, syscall.EIO
+	}
+	return d.OS.Read(path, limit)
+}
+
+// What was kept is found by a process that can't read the folder when it begins, however long that goes on: at once, or
+// when it looks again. Until then it removes nothing, and it goes into the next process's hands.
+func TestFolderThatCannotBeRead(t *testing.T) {
+	for name, disk := range map[string]*unreadable{
+		"listed late":       {lists: 8},
+		"read late":         {reads: 12},
+		"not listed at all": {lists: 1 << 20},
+		"not read at all":   {reads: 1 << 20},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			dir, alone := t.TempDir(), func() bool { return true }
+			for _, key := range []string{"a", "b", "c"} { // a process each
+				s, err := Open(Options{Dir: dir, Alone: alone})
+				if err == nil {
+					err = errors.Join(s.Put("calls", key, []byte("out")), s.Close())
+				}
+				if err != nil {
+					t.Fatal(err)
+				}
+			}
+			s, _ := Open(Options{FS: disk, Dir: dir, Alone: alone})
+			if found := len(s.All("calls")); found != 3 && strings.HasSuffix(name, "late") {
+				t.Errorf("%d calls are known at once, want 3", found)
+			}
+			disk.lists, disk.reads = 0, 0
+			if _, err := s.Follow(); err != nil || len(s.All("calls")) != 3 {
+				t.Errorf("%d calls are known when it can be read, error %v; want 3", len(s.All("calls")), err)
+			}
+			if err := s.Put("calls", "a", []byte("back")); err != nil {
+				t.Error(err)
+			}
+			next, err := Open(Options{Dir: dir, Alone: alone})
+			if e, _ := next.Get("calls", "a"); err != nil || len(next.All("calls")) != 3 || string(e.Value) != "back" {
+				t.Errorf("the next process has %v, error %v", next.All("calls"), err)
+			}
+		})
+	}
+}
