Read a state folder again that fails as a process begins, and remove nothing meanwhile

Cause: a folder that could not be listed, or a file that could not be read within 50 ms, was taken for an empty one, so that calls by hand that operators had been answered 200 for were forgotten, and younger words got lower versions than they. Both are read again for up to 1 s; where that is not enough the process serves, removes no file of others, and looks again (Follow, every 250 ms) until all was read. The lock file is tried for 0.5 s in place of 25 ms.

--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -28,8 +28,8 @@
 	backKept     = time.Minute            // a call back is kept so long: a second process must know who is cold
 	alonePoll    = 250 * time.Millisecond // how often a process looks for a second one
 	togetherPoll = 50 * time.Millisecond  // and, beside one, for calls made to that
-	enterTries   = 5                      // of the lock file: the system may fail for a moment
-	enterPause   = 5 * time.Millisecond
+	enterTries   = 50                     // of the lock file: the system may fail for a moment
+	enterPause   = 10 * time.Millisecond
 	stateWait    = 300 * time.Millisecond // the other process writes for no longer than this
 
 	// The bytes of the lock file: one for each process, and one for whoever writes the state file.
@@ -364,7 +364,7 @@
 		if n > 1 {
 			pause = togetherPoll
 		}
-		if n > 1 || before > 1 {
+		if n > 1 || before > 1 || h.store.Unread() {
 			calls(h.known())
 		}
 		select {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -68,6 +68,7 @@
 	alone func() bool
 
 	committed atomic.Int64 // size of the file, for readers that must not wait for a disk
+	unread    atomic.Bool  // something in the folder could not be read so far
 
 	mu      sync.RWMutex // guards what follows
 	entries map[id]entry
@@ -117,7 +118,8 @@
 // readAll takes in all files of the folder, and returns the highest number of a process.
 func (s *Store) readAll() (highest uint64, err error) {
 	contents, unread, err := readFolder(s.fs, s.dir)
-	s.fresh = len(contents)+len(unread) == 0
+	s.unread.Store(errors.Is(err, errUnread))
+	s.fresh = len(contents)+len(unread) == 0 && !s.unread.Load()
 	var bad []string
 	for _, c := range contents {
 		highest = max(highest, c.ref.number)
@@ -156,16 +158,24 @@
 	return gone
 }
 
-// readFolder reads all state files of a folder, in order of their age. unread are those of newer programs.
+// errUnread says that the folder, or a file in it, could not be read.
+var errUnread = errors.New("state not read")
+
+// readFolder reads all state files of a folder, in order of their age. unread are those of newer programs, and those
+// that can't be read, which is an errUnread too.
 func readFolder(disk FS, dir string) (contents []content, unread []string, err error) {
-	names, err := disk.List(dir)
+	end := time.Now().Add(readTime)
+	names, err := readAgain(end, func() ([]string, error) { return disk.List(dir) })
+	if err != nil {
+		err = fmt.Errorf("%w: %w", errUnread, err)
+	}
 	for _, name := range names {
 		if _, ok := parseRef(name); !ok {
 			continue
 		}
-		raw, failed := readAgain(disk, filepath.Join(dir, name))
+		raw, failed := readAgain(end, func() ([]byte, error) { return disk.Read(filepath.Join(dir, name), readMost) })
 		if failed != nil {
-			err = errors.Join(err, failed)
+			err = errors.Join(err, fmt.Errorf("%w: %w", errUnread, failed))
 			unread = append(unread, name)
 			continue
 		}
@@ -182,22 +192,19 @@
 }
 
 const (
-	readTries = 5 // of a state file: a folder may fail for a moment, and what the file says is owed
+	readTime  = time.Second // a folder may fail for a moment, and what it says is owed: it is read again for so long
 	readPause = 10 * time.Millisecond
 )
 
-// readAgain reads a state file, and again after a failure but that it is gone.
-func readAgain(disk FS, path string) (raw []byte, err error) {
-	for try := range readTries {
-		if try > 0 {
-			time.Sleep(readPause)
-		}
-		raw, err = disk.Read(path, readMost)
-		if err == nil || errors.Is(err, fs.ErrNotExist) {
-			break
+// readAgain reads something, and again until end after a failure but that it is gone.
+func readAgain[T any](end time.Time, read func() (T, error)) (T, error) {
+	for {
+		got, err := read()
+		if err == nil || errors.Is(err, fs.ErrNotExist) || time.Now().After(end) {
+			return got, err
 		}
+		time.Sleep(readPause)
 	}
-	return raw, err
 }
 
 // setAside renames damaged files, so that nobody reads them again, and removes the oldest of many. A process that
@@ -283,7 +290,9 @@
 	}
 	s.file, s.slot, s.size, s.own, s.dirty, s.behind = f, slot, len(raw), next, false, false
 	s.committed.Store(int64(s.size))
-	s.tidy()
+	if !s.unread.Load() { // else what others have is in their files alone
+		s.tidy()
+	}
 	return nil
 }
 
@@ -508,6 +517,9 @@
 // Size is how many bytes the file in use had when it was committed last.
 func (s *Store) Size() int { return int(s.committed.Load()) }
 
+// Unread says whether something in the folder could not be read so far. Follow tries again.
+func (s *Store) Unread() bool { return s.unread.Load() }
+
 // Follow takes in what other processes have put since, and says whether that was news.
 func (s *Store) Follow() (news bool, err error) {
 	s.io.Lock()
@@ -516,7 +528,7 @@
 	if err != nil {
 		return false, err
 	}
-	seen := make(map[string]string)
+	seen, unread := make(map[string]string), false
 	for _, name := range names {
 		r, ok := parseRef(name)
 		if !ok || r.number == s.own.number {
@@ -531,6 +543,7 @@
 		raw, failed := s.fs.Read(path, readMost)
 		if failed != nil {
 			delete(seen, name) // it has just gone, or is looked at again
+			unread = unread || !errors.Is(failed, fs.ErrNotExist)
 			continue
 		}
 		c, failed := decode(name, raw) // it may be half written: what is sound counts
@@ -544,6 +557,7 @@
 		s.mu.Unlock()
 	}
 	s.stamps = seen
+	s.unread.Store(unread)
 	return news, nil
 }
 
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -800,9 +800,12 @@
 			if found := len(s.All("calls")); found != 3 && strings.HasSuffix(name, "late") {
 				t.Errorf("%d calls are known at once, want 3", found)
 			}
+			if s.Unread() != strings.HasSuffix(name, "at all") {
+				t.Errorf("unread: %v", s.Unread())
+			}
 			disk.lists, disk.reads = 0, 0
-			if _, err := s.Follow(); err != nil || len(s.All("calls")) != 3 {
-				t.Errorf("%d calls are known when it can be read, error %v; want 3", len(s.All("calls")), err)
+			if _, err := s.Follow(); err != nil || s.Unread() || len(s.All("calls")) != 3 {
+				t.Errorf("%d calls are known when it can be read, unread %v, error %v; want 3", len(s.All("calls")), s.Unread(), err)
 			}
 			if err := s.Put("calls", "a", []byte("back")); err != nil {
 				t.Error(err)
