Write the log from a ring, so that no request waits for who reads it

Cause: each line was written to standard error by whoever logged it, the loop among them; with its pipe full the whole sidecar stood. At the end the log is waited for 0.1 s at most.

--- a/cmd/caperarch/main.go
+++ b/cmd/caperarch/main.go
@@ -89,14 +89,19 @@
 	return c
 }
 
+// flushTime bounds how long the end waits for the log to be read.
+const flushTime = 100 * time.Millisecond
+
 // run serves until it is told to stop. An error is in the log by then.
 func run() (err error) {
+	log := logging.Detach(os.Stderr) // whoever reads it may stall
+	defer log.Flush(flushTime)
 	defer func() {
 		if err != nil {
 			slog.Error("ends", "error", err)
 		}
 	}()
-	if err := logging.Setup(os.Stderr, os.Getenv); err != nil {
+	if err := logging.Setup(log, os.Getenv); err != nil {
 		return err
 	}
 	// It has one core at most, and the heap is small: more threads and frequent collections only cost.
--- a/internal/logging/logs_test.go
+++ b/internal/logging/logs_test.go
@@ -13,7 +13,9 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 )
 
 func TestSetup(t *testing.T) {
@@ -110,3 +112,32 @@
 	s, err := strconv.Unquote(lit.Value)
 	return s, err == nil
 }
+
+// stalled is a writer that takes nothing until it is let go.
+type stalled struct {
+	release chan struct{}
+	lines   atomic.Int64
+}
+
+func (s *stalled) Write(p []byte) (int, error) {
+	<-s.release
+	s.lines.Add(1)
+	return len(p), nil
+}
+
+// Who logs is not held up by a reader that stalls; once that goes on it has the newest lines, of a bounded number.
+func TestDetachedWriterHoldsUpNobody(t *testing.T) {
+	w := &stalled{release: make(chan struct{})}
+	log := Detach(w)
+	for range 3 * waitingMost {
+		if _, err := log.Write([]byte("a line\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	log.Flush(time.Millisecond) // it waits no longer for a reader that stalls
+	close(w.release)
+	log.Flush(time.Minute)
+	if n := w.lines.Load(); n == 0 || n > waitingMost+1 {
+		t.Errorf("%d lines are written, want some and no more than may wait", n)
+	}
+}
