--- a/internal/lab/upstream.go
+++ b/internal/lab/upstream.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
@@ -125,9 +126,21 @@
 // at is where a sidecar reaches a server.
 func (a *servers) at(sidecar, server int) string { return a.net.at(sidecar, a.all[server].port) }
 
-// listens tells whether a port is a server's.
-func (a *servers) listens(port int) bool {
-	return slices.ContainsFunc(a.all, func(u *server) bool { return u.port == port })
+// broken takes that a sidecar finds its connection to a server broken, so that a long answer on it is cut off. It says
+// whether there is such a server.
+func (a *servers) broken(local, remote netip.AddrPort) bool {
+	i := slices.IndexFunc(a.all, func(u *server) bool { return u.port == int(remote.Port()) })
+	if i < 0 {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for c := range a.all[i].conns {
+		if at, ok := c.RemoteAddr().(*net.TCPAddr); ok && at.AddrPort().Port() == local.Port() {
+			c.breakOff()
+		}
+	}
+	return true
 }
 
 // sample counts, once a second, what the servers are at.
--- a/internal/sysfault/sysfault.go
+++ b/internal/sysfault/sysfault.go
@@ -14,6 +14,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/netip"
 	"os"
 	"os/exec"
 	"runtime"
@@ -115,22 +116,36 @@
 // StepClock sets the program's wall clock forward, or back where by is below 0. Its monotonic clock goes on.
 func (s *Supervisor) StepClock(by time.Duration) { s.offset.Add(int64(by)) }
 
-// Peer returns the port that a socket of the program's is connected to, over IPv4. An error says that it is none such.
-func (s *Supervisor) Peer(descriptor int) (port int, err error) {
+// Ends returns the addresses at both ends of a connection of the program's, over IPv4. An error says that the descriptor is
+// none such.
+func (s *Supervisor) Ends(descriptor int) (local, remote netip.AddrPort, err error) {
 	socket, err := unix.PidfdGetfd(s.pidfd, descriptor, 0)
 	if err != nil {
-		return 0, err
+		return local, remote, err
 	}
 	defer unix.Close(socket)
-	address, err := unix.Getpeername(socket)
+	here, err := unix.Getsockname(socket)
 	if err != nil {
-		return 0, err
+		return local, remote, err
 	}
+	there, err := unix.Getpeername(socket)
+	if err != nil {
+		return local, remote, err
+	}
+	if local, err = addressOf(here); err != nil {
+		return local, remote, err
+	}
+	remote, err = addressOf(there)
+	return local, remote, err
+}
+
+// addressOf is a socket's address over IPv4.
+func addressOf(address unix.Sockaddr) (netip.AddrPort, error) {
 	at, ok := address.(*unix.SockaddrInet4)
 	if !ok {
-		return 0, unix.EAFNOSUPPORT
+		return netip.AddrPort{}, unix.EAFNOSUPPORT
 	}
-	return at.Port, nil
+	return netip.AddrPortFrom(netip.AddrFrom4(at.Addr), uint16(at.Port)), nil
 }
 
 // Wait returns once the program has ended and all its calls have been decided.
