Look once a second into a folder that could not be read, and test that

The look at each turn of the watch could log four errors a second for as long as a folder stays unreadable. TestUnreadCallsAreTakenInLater: calls in a folder that can't be listed as a process begins reach its module once it can be; the tests of state and hand-over pass (11 s).

--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -28,6 +28,7 @@
 	backKept     = time.Minute            // a call back is kept so long: a second process must know who is cold
 	alonePoll    = 250 * time.Millisecond // how often a process looks for a second one
 	togetherPoll = 50 * time.Millisecond  // and, beside one, for calls made to that
+	unreadPoll   = time.Second            // and whether a folder that could not be read can be read by now
 	enterTries   = 50                     // of the lock file: the system may fail for a moment
 	enterPause   = 10 * time.Millisecond
 	stateWait    = 300 * time.Millisecond // the other process writes for no longer than this
@@ -354,6 +355,7 @@
 	if h.lock == nil {
 		return
 	}
+	looked := time.Now()
 	for {
 		before := n
 		if n = h.count(); n != before {
@@ -364,7 +366,9 @@
 		if n > 1 {
 			pause = togetherPoll
 		}
-		if n > 1 || before > 1 || h.store.Unread() {
+		again := h.store.Unread() && time.Since(looked) >= unreadPoll
+		if n > 1 || before > 1 || again {
+			looked = time.Now()
 			calls(h.known())
 		}
 		select {
--- a/internal/sidecar/state_test.go
+++ b/internal/sidecar/state_test.go
@@ -9,6 +9,7 @@
 	"reflect"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -238,3 +239,42 @@
 		t.Error(err)
 	}
 }
+
+// blindFS is a file system whose folders can't be listed for now.
+type blindFS struct {
+	store.OS
+	blind *atomic.Bool
+}
+
+func (f blindFS) List(dir string) ([]string, error) {
+	if f.blind.Load() {
+		return nil, syscall.EIO
+	}
+	return f.OS.List(dir)
+}
+
+// Calls in a folder that can't be read as a process begins are taken in once it can be.
+func TestUnreadCallsAreTakenInLater(t *testing.T) {
+	dir := t.TempDir()
+	before := newHandover(dir, "n0")
+	if err := before.save("s-1", true, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	before.die()
+	if err := os.Remove(filepath.Join(dir, "sidecar-n0.state")); err != nil { // the copy for older programs
+		t.Fatal(err)
+	}
+	disk := blindFS{blind: new(atomic.Bool)}
+	disk.blind.Store(true)
+	h := openHandover(dir, "n0", store.Options{FS: disk})
+	if len(h.known()) > 0 {
+		t.Fatal("the folder could be read")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	heard := make(chan map[string]handed, 100)
+	go h.watch(ctx, 1, func(int) {}, func(calls map[string]handed) { heard <- calls })
+	disk.blind.Store(false)
+	for !wait(t, "the call", heard)["s-1"].Out {
+	}
+}
