Take a log that nobody reads any more for a failed write

SIGPIPE is ignored, as SIGXFSZ is: the write fails with EPIPE, and the line is lost. Writes to sockets raised it without effect before.

--- a/cmd/caperarch/main.go
+++ b/cmd/caperarch/main.go
@@ -112,7 +112,8 @@
 	// One signal is kept while another is seen to: the file is read behind the last.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
-	signal.Ignore(syscall.SIGXFSZ) // a file that may not grow is an error of its write
+	// A file that may not grow, and a log that nobody reads any more, are errors of their writes.
+	signal.Ignore(syscall.SIGXFSZ, syscall.SIGPIPE)
 	cfg, err := sidecar.ReadConfigAtStart(ctx, os.Getenv("EDGE_CONFIG"))
 	if err != nil {
 		return err
