Judge a drain by the address, and keep it as long as it is listed

Found on reading the guard again: with a server that drains and a ready one listed at one address, the last told decided, so that a ready one could have been denied; and a drain was forgotten after a minute, and servers that went were looked through at each word. An address is ready where any server listed there is; a drain is kept as long as it is listed; what went is looked through ten times a minute. TestGuardKnowsTheList. internal/sidecar, internal/guard and internal/conform pass.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -49,6 +49,8 @@
 	GraceSlack = 50 * time.Millisecond
 	// outKept bounds how long it is remembered that a server is gone: nothing is on its way there any more.
 	outKept = time.Minute
+	// clearedIn is how often in that time those are forgotten that have been kept for so long.
+	clearedIn = 10
 )
 
 // Denied says which rule does not permit what was asked for.
@@ -85,6 +87,12 @@
 	closed   bool // its handler has ended
 }
 
+// outage is what was told of a server that is not ready. One that drains is kept as long as it is listed.
+type outage struct {
+	since time.Duration
+	gone  bool
+}
+
 // Guard checks the invariants of all requests of a process. Its methods are safe for concurrent use.
 type Guard struct {
 	report     func(Violation)
@@ -95,13 +103,15 @@
 
 	mu   sync.Mutex
 	open map[balance.RequestID]*entry
-	out  map[string]time.Duration // servers, by address: when they were told draining or gone
+	out  map[string]outage // servers that were told draining or gone, by address
+
+	cleared time.Duration // when those of long ago were forgotten last
 }
 
 // New makes a Guard. report hears of each violation, and must not call back. grace is how long a server may still be sent
 // to after it was told draining or gone; 0: for ever.
 func New(report func(Violation), grace time.Duration) *Guard {
-	return &Guard{report: report, grace: grace, open: make(map[balance.RequestID]*entry), out: make(map[string]time.Duration)}
+	return &Guard{report: report, grace: grace, open: make(map[balance.RequestID]*entry), out: make(map[string]outage)}
 }
 
 // Start takes that the sidecar is ready: requests may be taken from now on.
@@ -126,19 +136,24 @@
 	}
 }
 
-// Listed takes that the server at an address is told ready, or draining or gone. What is told twice counts from the
-// first time on.
-func (g *Guard) Listed(now time.Duration, address string, ready bool) {
+// Listed takes what the server at an address is told to be. What is told twice counts from the first time on.
+func (g *Guard) Listed(now time.Duration, address string, state balance.State) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if ready {
+	if state == balance.Ready {
 		delete(g.out, address)
 		return
 	}
-	maps.DeleteFunc(g.out, func(_ string, since time.Duration) bool { return now-since > outKept })
-	if _, known := g.out[address]; !known {
-		g.out[address] = now
+	if now-g.cleared > outKept/clearedIn {
+		g.cleared = now
+		maps.DeleteFunc(g.out, func(_ string, o outage) bool { return o.gone && now-o.since > outKept })
+	}
+	o, known := g.out[address]
+	if !known {
+		o.since = now
 	}
+	o.gone = state == balance.Gone
+	g.out[address] = o
 }
 
 // Send asks whether an attempt at the server at an address may be begun, a first or a further one. Each that may has an End.
@@ -180,11 +195,11 @@
 
 // outFor is how long ago the server at an address was told draining or gone; 0: it is ready, or nothing limits sends.
 func (g *Guard) outFor(now time.Duration, address string) time.Duration {
-	since, out := g.out[address]
+	o, out := g.out[address]
 	if !out || g.grace == 0 {
 		return 0
 	}
-	return now - since
+	return now - o.since
 }
 
 // denies says which rule keeps anything from being sent for a request.
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -83,28 +83,28 @@
 			return nil
 		}, -1, RepeatAllowed},
 		"a send within a drain's grace": {ordinary, func(l *life) error {
-			l.Listed(1*ms, server, false)
+			l.Listed(1*ms, server, balance.Draining)
 			return l.Send(101*ms, 1, server)
 		}, -1, -1},
 		"a send behind a drain's grace": {ordinary, func(l *life) error {
-			l.Listed(1*ms, server, false)
-			l.Listed(50*ms, server, false) // said again, it counts from the first time on
+			l.Listed(1*ms, server, balance.Draining)
+			l.Listed(50*ms, server, balance.Draining) // said again, it counts from the first time on
 			return l.Send(102*ms, 1, server)
 		}, SentToListed, SentToListed},
 		"a write behind a drain's grace": {ordinary, func(l *life) error {
 			_ = l.Send(1*ms, 1, server)
-			l.Listed(1*ms, server, false)
+			l.Listed(1*ms, server, balance.Draining)
 			return l.Write(102*ms, 1, server)
 		}, SentToListed, -1},
 		"written behind a drain's grace": {ordinary, func(l *life) error {
 			_ = l.Send(1*ms, 1, server)
-			l.Listed(1*ms, server, false)
+			l.Listed(1*ms, server, balance.Draining)
 			l.Written(152*ms, 153*ms, 1, server)
 			return nil
 		}, -1, SentToListed},
 		"a send to a server that is back": {ordinary, func(l *life) error {
-			l.Listed(1*ms, server, false)
-			l.Listed(200*ms, server, true)
+			l.Listed(1*ms, server, balance.Draining)
+			l.Listed(200*ms, server, balance.Ready)
 			return l.Send(201*ms, 1, server)
 		}, -1, -1},
 		"a second copy": {keyed, func(l *life) error {
@@ -186,13 +186,17 @@
 	}
 }
 
-// Servers that went long ago are forgotten.
+// Servers that went long ago are forgotten, and one that drains is not.
 func TestServersAreForgotten(t *testing.T) {
-	l := taken(Request{Name: "q1"})
+	l := taken(Request{Name: "q1", Deadline: time.Hour})
+	l.Listed(0, server, balance.Draining)
 	for i := range 100 {
-		l.Listed(time.Duration(i)*outKept/10, fmt.Sprint(i), false)
+		l.Listed(time.Duration(i)*outKept/10, fmt.Sprint(i), balance.Gone)
 	}
-	if len(l.out) > 11 {
+	if err := l.Send(10*outKept, 1, server); err != (Denied{SentToListed}) {
+		t.Errorf("a server that has drained for long may be sent to: %v", err)
+	}
+	if len(l.out) > clearedIn+3 {
 		t.Errorf("%d servers are remembered that were told gone, want those of the last minute", len(l.out))
 	}
 }
--- a/internal/sidecar/accept.go
+++ b/internal/sidecar/accept.go
@@ -70,7 +70,7 @@
 		if err != nil { // it is closed
 			continue
 		}
-		k := &clientConn{Conn: c, raw: raw, clients: l, waited: l.failingSince()}
+		k := &clientConn{Conn: c, raw: raw, clients: l, queuedSince: l.failingSince()}
 		if l.enter(k) {
 			return k, nil
 		}
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -58,15 +58,15 @@
 	raw     syscall.RawConn
 	clients *clients
 
-	mu      sync.Mutex // held by each look for bytes, so that none are read of one that was found idle and is ended
-	framing framing
-	failed  error
-	begun   bool          // bytes of a request have come that has had no answer yet
-	ended   bool          // nothing more is read
-	closed  bool          // its server has closed it
-	refused bool          // it is closed with a refusal, as part of a request has come; it has reserved that
-	waited  time.Duration // since when what has come on it may have waited to be accepted; 0: no longer than it was looked for
-	refusal sync.Once
+	mu          sync.Mutex // held by each look for bytes, so that none are read of one that was found idle and is ended
+	framing     framing
+	failed      error
+	begun       bool          // bytes of a request have come that has had no answer yet
+	ended       bool          // nothing more is read
+	closed      bool          // its server has closed it
+	refused     bool          // it is closed with a refusal, as part of a request has come; it has reserved that
+	queuedSince time.Duration // since when what has come on it may have waited to be accepted; 0: no longer than it was looked for
+	refusal     sync.Once
 
 	spoke atomic.Int64 // when the last of its bytes came, by the clients' clock
 
@@ -271,7 +271,7 @@
 func (c *clientConn) look(fd int, p []byte) (int, error) {
 	n, err := retryMomentary(func() (int, error) { return syscall.Read(fd, p) })
 	if err == syscall.EAGAIN {
-		c.waited = 0
+		c.queuedSince = 0
 		return 0, err
 	}
 	if err != nil {
@@ -281,8 +281,8 @@
 		return 0, io.EOF
 	}
 	c.begun = true
-	c.spoke.Store(int64(cmp.Or(c.waited, c.clients.clock.now())))
-	c.waited = 0
+	c.spoke.Store(int64(cmp.Or(c.queuedSince, c.clients.clock.now())))
+	c.queuedSince = 0
 	if good, bad := c.framing.follow(p[:n]); bad != nil {
 		if c.failed = bad; good == 0 && len(p) == 1 {
 			return 0, syscall.EAGAIN
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -46,9 +46,10 @@
 	now      time.Duration // the time of the event under way
 	requests map[balance.RequestID]*request
 	address  map[balance.ServerID]string
-	notSent  []balance.Outcome // owed once the event under way is over
-	wakes    []time.Duration   // when Wake is due, in order
-	timer    *time.Timer       // set for the first of them
+	ready    map[balance.ServerID]bool // of those with an address
+	notSent  []balance.Outcome         // owed once the event under way is over
+	wakes    []time.Duration           // when Wake is due, in order
+	timer    *time.Timer               // set for the first of them
 }
 
 // members counts the servers in the list, and those that the module avoids.
@@ -88,6 +89,7 @@
 		events:   make(chan func(time.Duration), eventQueue),
 		requests: make(map[balance.RequestID]*request),
 		address:  make(map[balance.ServerID]string),
+		ready:    make(map[balance.ServerID]bool),
 		timer:    time.NewTimer(time.Hour),
 	}
 	var err error
@@ -279,31 +281,44 @@
 			gone[address] = true
 		}
 		clear(l.address)
+		clear(l.ready)
 	}
 	for _, s := range news.servers {
 		if old, ok := l.address[s.ID]; ok {
 			gone[old] = true
 			delete(l.address, s.ID)
+			delete(l.ready, s.ID)
 		}
 		if s.State != balance.Gone {
 			l.address[s.ID] = news.address[s.ID]
+			l.ready[s.ID] = s.State == balance.Ready
 		}
 	}
-	for _, address := range l.address {
+	ready := make(map[string]bool) // addresses of ready servers, though others may be listed there too
+	for id, address := range l.address {
 		delete(gone, address)
+		ready[address] = ready[address] || l.ready[id]
 	}
 	for address := range gone {
 		l.upstream.close(address)
-		l.guard.Listed(l.now, address, false)
+		l.guard.Listed(l.now, address, balance.Gone)
 	}
 	for _, s := range news.servers {
-		if s.State != balance.Gone {
-			l.guard.Listed(l.now, news.address[s.ID], s.State == balance.Ready)
+		if address, listed := l.address[s.ID]; listed {
+			l.guard.Listed(l.now, address, stateAt(ready[address]))
 		}
 	}
 	l.b.List(l.now, kind, news.servers)
 }
 
+// stateAt is what an address is: ready where any server that is listed there is.
+func stateAt(ready bool) balance.State {
+	if ready {
+		return balance.Ready
+	}
+	return balance.Draining
+}
+
 // ask takes a request on. Its final answer goes to reply, which must have room for it.
 // The number that it returns names the request for gone.
 func (l *loop) ask(q balance.Request, m *message, deadline time.Duration, reply chan<- answer) balance.RequestID {
--- a/internal/sidecar/loop_test.go
+++ b/internal/sidecar/loop_test.go
@@ -189,3 +189,38 @@
 		t.Errorf("the moment %v is %v after the start", last, got)
 	}
 }
+
+// The guard lets nothing go to a server that has drained for longer than the grace, and lets a ready one have its
+// requests where another that drains is listed at the same address.
+func TestGuardKnowsTheList(t *testing.T) {
+	const grace = time.Second
+	for name, c := range map[string]struct {
+		states []balance.State // of s-0 and of another server there
+		after  time.Duration
+		sent   bool
+	}{
+		"draining within the grace":    {[]balance.State{balance.Draining}, grace / 2, true},
+		"draining for long":            {[]balance.State{balance.Draining}, 2 * grace, false},
+		"ready beside one that drains": {[]balance.State{balance.Ready, balance.Draining}, 2 * grace, true},
+		"draining beside a ready one":  {[]balance.State{balance.Draining, balance.Ready}, 2 * grace, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := idleLoop(t, "127.0.0.1:1")
+			l.guard = guard.New(func(guard.Violation) {}, grace)
+			l.guard.Start()
+			_, _ = l.hold(7)
+			news := listing{whole: true, address: make(map[balance.ServerID]string)}
+			for i, state := range c.states {
+				id := serverID([]string{"s-0", "s-1"}[i])
+				news.servers = append(news.servers, balance.Server{ID: id, State: state})
+				news.address[id] = "127.0.0.1:1"
+			}
+			l.take(news, balance.ListFull)
+			l.now += c.after
+			l.Send(7, serverID("s-0"), 0, 0)
+			if sent := len(l.notSent) == 0; sent != c.sent {
+				t.Errorf("sent: %v", sent)
+			}
+		})
+	}
+}
