--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -817,3 +817,28 @@
 		})
 	}
 }
+
+// A folder that stays unreadable in part takes in no more files, however often this process writes anew.
+func TestUnreadFolderDoesNotGrow(t *testing.T) {
+	dir, alone := t.TempDir(), func() bool { return true }
+	before, err := Open(Options{Dir: dir, Alone: alone})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := errors.Join(before.Put("calls", "a", []byte("out")), before.Close()); err != nil {
+		t.Fatal(err)
+	}
+	s, _ := Open(Options{FS: &unreadable{reads: 1 << 30}, Dir: dir, Alone: alone, Limit: 16 << 10})
+	for i := range 200 { // some ten files
+		if err := s.Put("calls", "b", make([]byte, 400+i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	names, err := OS{}.List(dir)
+	if err != nil || len(names) > 3 {
+		t.Errorf("the folder has %v, error %v, want the file that can't be read and two of this process's", names, err)
+	}
+	if !s.Unread() {
+		t.Error("all was read")
+	}
+}
