Remove this process's own old files while others' can't be read

tidy was left out as a whole while anything was unread; it now leaves out only others' files. Nothing else of the running code changes by this.

--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -290,9 +290,7 @@
 	}
 	s.file, s.slot, s.size, s.own, s.dirty, s.behind = f, slot, len(raw), next, false, false
 	s.committed.Store(int64(s.size))
-	if !s.unread.Load() { // else what others have is in their files alone
-		s.tidy()
-	}
+	s.tidy()
 	return nil
 }
 
@@ -346,6 +344,9 @@
 			others = append(others, r)
 		}
 	}
+	if s.unread.Load() { // what others have may be in their files alone
+		return
+	}
 	slices.SortFunc(others, func(a, b ref) int { return byAge(b, a) })
 	keep := filesMost
 	if alone {
