Bound the copying of all connections at the end of listening together

Each connection that could not be copied was tried for 0.4 s behind the other, so that many could take a stop's time. They share one 0.4 s. The sidecar's tests of leaving, hand-over and accept pass (12 s).

--- a/internal/sidecar/accept.go
+++ b/internal/sidecar/accept.go
@@ -206,8 +206,9 @@
 			}
 		}
 	})
+	end := time.Now().Add(leaveTime) // for all of them
 	for _, fd := range fds {
-		c, broken := l.connOf(fd)
+		c, broken := l.connOf(fd, end)
 		if broken != nil {
 			failed = errors.Join(failed, broken)
 			continue
@@ -220,10 +221,10 @@
 }
 
 // connOf makes a connection of a descriptor, which it takes over. That needs a second one for a moment; where there is
-// none for long, whatever request comes on it is refused.
-func (l *clients) connOf(fd int) (c net.Conn, err error) {
+// none until end, whatever request comes on it is refused.
+func (l *clients) connOf(fd int, end time.Time) (c net.Conn, err error) {
 	f := os.NewFile(uintptr(fd), "client")
-	for end := time.Now().Add(leaveTime); ; time.Sleep(acceptPause) {
+	for ; ; time.Sleep(acceptPause) {
 		c, err = l.copyConn(f)
 		if err == nil {
 			f.Close()
