End a fault of the lab at the process that it began at

pause, deaf and calls looked their process up anew at their end: beside an upgrade SIGCONT, and the word that accept works again, went to the new one.

--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -166,9 +166,10 @@
 			return again()
 		}
 	case "pause":
-		p.pause(i, true)
+		q := p.of(i)
+		p.pause(q, true)
 		mended(ctx, a)
-		p.pause(i, false)
+		p.pause(q, false)
 	case "starve":
 		if a.For > 0 {
 			var cancel context.CancelFunc
@@ -269,22 +270,23 @@
 	return nil
 }
 
-// disturb does something to a sidecar's surroundings: its system calls, its clock, or who connects.
+// disturb does something to a sidecar's surroundings: its system calls, its clock, or who connects. It ends at the
+// process that it began at, whichever is the sidecar's by then.
 func (f *faults) disturb(ctx context.Context, a Action, i int) {
-	p := f.run.processes
+	q := f.run.processes.of(i)
 	switch a.Do {
 	case "calls":
-		p.disturb(i, a.Size)
+		q.disturb(a.Size)
 		mended(ctx, a)
-		p.disturb(i, 0)
+		q.disturb(0)
 	case "deaf":
-		p.deafen(i, true)
+		q.deafen(true)
 		mended(ctx, a)
-		p.deafen(i, false)
+		q.deafen(false)
 	case "forward":
-		p.stepClock(i, time.Duration(a.Size*float64(time.Second)))
+		q.stepClock(time.Duration(a.Size * float64(time.Second)))
 	case "back":
-		p.stepClock(i, -time.Duration(a.Size*float64(time.Second)))
+		q.stepClock(-time.Duration(a.Size * float64(time.Second)))
 	case "rude":
 		f.beRude(ctx, a, i)
 	}
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -269,23 +269,26 @@
 	return err
 }
 
-// disturb has a share of a sidecar's system calls be disturbed.
-func (p *processes) disturb(sidecar int, share float64) {
-	if q := p.of(sidecar); q != nil && q.calls != nil {
+// supervised says whether a process, which may be nil, is under supervision.
+func (q *process) supervised() bool { return q != nil && q.calls != nil }
+
+// disturb has a share of a process's system calls be disturbed.
+func (q *process) disturb(share float64) {
+	if q.supervised() {
 		q.calls.disturb(share)
 	}
 }
 
-// deafen has all of a sidecar's calls of accept fail, or none.
-func (p *processes) deafen(sidecar int, on bool) {
-	if q := p.of(sidecar); q != nil && q.calls != nil {
+// deafen has all of a process's calls of accept fail, or none.
+func (q *process) deafen(on bool) {
+	if q.supervised() {
 		q.calls.deafen(on)
 	}
 }
 
-// stepClock sets a sidecar's wall clock.
-func (p *processes) stepClock(sidecar int, by time.Duration) {
-	if q := p.of(sidecar); q != nil && q.calls != nil {
+// stepClock sets a process's wall clock.
+func (q *process) stepClock(by time.Duration) {
+	if q.supervised() {
 		q.calls.supervisor.StepClock(by)
 	}
 }
@@ -430,9 +433,8 @@
 	}
 }
 
-// pause stands a process still, or lets it go on.
-func (p *processes) pause(sidecar int, on bool) {
-	q := p.of(sidecar)
+// pause stands a process still, or lets it go on; nil is none.
+func (p *processes) pause(q *process, on bool) {
 	if q == nil {
 		return
 	}
@@ -442,8 +444,11 @@
 	}
 	p.mu.Lock()
 	q.paused = on
+	last := p.current[q.sidecar] == q
 	p.mu.Unlock()
-	p.history.runs(sidecar, p.clock.now(), !on)
+	if last {
+		p.history.runs(q.sidecar, p.clock.now(), !on)
+	}
 	_ = q.cmd.Process.Signal(sig) // it may have ended by itself
 }
 
