Keep accepted connections that the system can't wait on at first

What callers saw: a reset in place of an answer, wherever epoll_ctl failed behind accept (ENOMEM, ENOSPC).

Cause: package net registers an accepted socket with the network poller and closes it where that fails; the application never sees it. The class is a wait that can't be set up and is taken for the connection's end. At the end of listening net.FileConn, which copies the descriptor and registers the copy, is its kin.

Change: package listener. It accepts by accept4 in a read of the listener's own file and owns the descriptor from then on. The end of listening hands its connections to Accept at once, and copies nothing. The console listens by it too.

TestUncopiedConnectionIsRefused goes with the copy; TestConnectionThatCannotBeWaitedOnIsRefused asks the same (503, and no place kept) of a connection that the poller never takes.

--- /dev/null
+++ b/internal/listener/listener_test.go
@@ -0,0 +1,180 @@
+//go:build unix
+
+package listener
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// patience bounds every wait for what is to happen.
+const patience = 20 * time.Second
+
+// opened is a listener with options, and its address.
+func opened(t *testing.T, o options) (*Listener, string) {
+	t.Helper()
+	l, err := Listen(context.Background(), "127.0.0.1:0", true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	l.options = o
+	return l, l.Addr().String()
+}
+
+func dialled(t *testing.T, address string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	_ = c.SetDeadline(time.Now().Add(patience)) // fails only on a closed one
+	return c
+}
+
+// A connection that the network poller refuses at first is read and written once it takes it, also where a read was begun before.
+func TestConnectionIsTakenLater(t *testing.T) {
+	var refusals atomic.Int64
+	refusals.Store(5)
+	l, address := opened(t, options{limit: patience, register: func(f *os.File) error {
+		if refusals.Add(-1) >= 0 {
+			return ErrUnregistered
+		}
+		return registered(f)
+	}})
+	far := dialled(t, address)
+	near, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer near.Close()
+	read := make(chan error, 1)
+	go func() {
+		_, err := io.ReadFull(near, make([]byte, 5))
+		read <- err
+	}()
+	if _, err := io.WriteString(far, "hello"); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-read; err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(near, "there"); err != nil {
+		t.Fatal(err)
+	}
+	if err := near.(*Conn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := io.ReadAll(far); err != nil || string(got) != "there" {
+		t.Errorf("the other side read %q, error %v", got, err)
+	}
+	if err := near.SetReadDeadline(time.Unix(1, 0)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := near.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a read behind its deadline failed with %v", err)
+	}
+}
+
+// A connection that the network poller never takes fails its reads in time, and still can be written to and closed.
+func TestConnectionThatIsNeverTaken(t *testing.T) {
+	l, address := opened(t, options{limit: 20 * time.Millisecond, register: func(*os.File) error { return ErrUnregistered }})
+	far := dialled(t, address)
+	near, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		if _, err := near.Read(make([]byte, 1)); !errors.Is(err, ErrUnregistered) {
+			t.Errorf("a read failed with %v, want %v", err, ErrUnregistered)
+		}
+	}
+	if _, err := io.WriteString(near, "no"); err != nil {
+		t.Fatal(err)
+	}
+	if err := near.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := io.ReadAll(far); err != nil || string(got) != "no" {
+		t.Errorf("the other side read %q, error %v", got, err)
+	}
+}
+
+// The close of a connection ends the wait for the network poller to take it.
+func TestCloseEndsTheWait(t *testing.T) {
+	asked := make(chan struct{}, 1)
+	l, address := opened(t, options{limit: time.Hour, register: func(*os.File) error {
+		select {
+		case asked <- struct{}{}:
+		default:
+		}
+		return ErrUnregistered
+	}})
+	dialled(t, address)
+	near, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-asked
+	read := make(chan error, 1)
+	go func() {
+		_, err := near.Read(make([]byte, 1))
+		read <- err
+	}()
+	<-asked // by the read
+	near.Close()
+	select {
+	case err := <-read:
+		if !errors.Is(err, net.ErrClosed) {
+			t.Errorf("the read failed with %v, want %v", err, net.ErrClosed)
+		}
+	case <-time.After(patience):
+		t.Fatal("the read goes on")
+	}
+}
+
+// Whoever waits in Accept as listening ends has all connections that had come, and then the end.
+func TestAcceptHasWhatFinishTook(t *testing.T) {
+	l, address := opened(t, systemOptions())
+	accepted := make(chan error, 10)
+	go func() {
+		for {
+			_, err := l.Accept()
+			accepted <- err
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+		}
+	}()
+	for range 3 {
+		dialled(t, address)
+	}
+	if err := l.Finish(); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		if err := <-accepted; err != nil {
+			t.Fatal(err)
+		}
+	}
+	for end := time.After(patience); ; {
+		select {
+		case err := <-accepted:
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+		case <-end:
+			t.Fatal("Accept goes on behind the end of listening")
+		}
+	}
+}
--- a/internal/sidecar/accept.go
+++ b/internal/sidecar/accept.go
@@ -4,44 +4,33 @@
 	"cmp"
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"net"
-	"os"
 	"syscall"
 	"time"
-)
 
-// reusePort is SO_REUSEPORT on Linux, which package syscall does not name.
-const reusePort = 15
+	"arrowgw/internal/listener"
+)
 
 const (
-	acceptPause = 5 * time.Millisecond   // before accept is tried again after a failure
-	leaveTime   = 400 * time.Millisecond // the end of listening is tried for so long where accept fails
-	listenTime  = 5 * time.Second        // and its beginning, at the start of the process
+	acceptPause = 5 * time.Millisecond // before accept is tried again after a failure
+	listenTime  = 5 * time.Second      // a listener is tried for so long at the start of the process
 	listenPause = 50 * time.Millisecond
 )
 
-// listen opens the listener for clients. A second process may listen beside this one: an upgrade starts it
-// before this one ends.
-func listen(ctx context.Context, address string) (net.Listener, error) {
-	shared := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		var failed error
-		if err := c.Control(func(fd uintptr) {
-			failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, reusePort, 1)
-		}); err != nil {
-			return err
-		}
-		return failed
-	}}
-	return retryListen(ctx, address, shared.Listen)
+// clientListener is where clients connect: package listener's, or a test's.
+type clientListener interface {
+	net.Listener
+	Finish() error // takes what waits, for Accept to return, and ends listening; an error says that it has not ended
+	Waiting() bool // whether connections have come that Accept has not returned
 }
 
-// retryListen opens a listener, and tries for a while: the system may lack a buffer, or the address, for a moment only.
-func retryListen(ctx context.Context, address string, open func(ctx context.Context, network, address string) (net.Listener, error)) (net.Listener, error) {
+// listen opens a listener, and tries for a while: the system may lack a buffer, or the address, for a moment only. With
+// shared a second process may listen beside this one: an upgrade starts it before this one ends.
+func listen(ctx context.Context, address string, shared bool) (*listener.Listener, error) {
 	for end := time.Now().Add(listenTime); ; {
-		l, err := open(ctx, "tcp", address)
-		if err == nil || !isSystemError(err) || time.Now().After(end) {
+		l, err := listener.Listen(ctx, address, shared)
+		if err == nil || !mayListenLater(err) || time.Now().After(end) {
 			return l, err
 		}
 		slog.Warn("listen failed", "listen", address, "error", err)
@@ -53,7 +42,12 @@
 	}
 }
 
-// isSystemError tells whether a system call failed: that may pass. An address that can't be parsed does not.
+// mayListenLater tells whether it was the system that failed: that may pass. An address that can't be parsed does not.
+func mayListenLater(err error) bool {
+	return isSystemError(err) || errors.Is(err, listener.ErrUnregistered)
+}
+
+// isSystemError tells whether a system call failed.
 func isSystemError(err error) bool {
 	var errno syscall.Errno
 	return errors.As(err, &errno)
@@ -82,17 +76,16 @@
 	}
 }
 
-// accept returns the next connection, and once this process leaves those that had come before. Whatever the system
-// says passes, but for the end of listening: net/http would end the service at most errors, and wait twice as long
-// each time at others, up to a second.
+// accept returns the next connection. Whatever the system says passes, but for the end of listening: net/http would end
+// the service at most errors, and wait twice as long each time at others, up to a second.
 func (l *clients) accept() (net.Conn, error) {
 	for {
-		c, err := l.Listener.Accept()
+		c, err := l.clientListener.Accept()
 		if err == nil {
 			return c, nil
 		}
 		if errors.Is(err, net.ErrClosed) {
-			return l.nextQueued()
+			return nil, err
 		}
 		l.acceptFailed(err)
 		time.Sleep(acceptPause)
@@ -113,7 +106,7 @@
 
 // lookAtQueue ends the time for which accept has failed where nobody waits for it any more. The caller holds the lock.
 func (l *clients) lookAtQueue() {
-	if l.failing > 0 && len(l.queued) == 0 && !pending(l.Listener) {
+	if l.failing > 0 && !l.Waiting() {
 		l.failing = 0
 	}
 }
@@ -143,119 +136,23 @@
 	}
 }
 
-// nextQueued returns a connection that had come before this process ended listening; net.ErrClosed: there is none left.
-func (l *clients) nextQueued() (net.Conn, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if len(l.queued) == 0 {
-		return nil, net.ErrClosed
-	}
-	c := l.queued[0]
-	l.queued = l.queued[1:]
-	return c, nil
-}
-
-// leave stops listening, for a second process that listens here too. Connections that have come but were not
-// accepted yet would be reset with the listener: Accept returns them first.
-func (l *clients) leave() error {
+// leave stops listening, for a second process that listens here too. Connections that have come but were not accepted
+// yet would be reset with the listener: Accept returns them first. Where that fails it is tried until end, as nobody else
+// can accept them.
+func (l *clients) leave(end time.Time) error {
 	l.mu.Lock()
 	l.leaving = true
 	l.mu.Unlock()
-	raw, err := l.Listener.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return err
-	}
-	end := time.Now().Add(leaveTime)
+	var err error
 	for {
-		var ended bool
-		if ended, err = l.empty(raw); ended || time.Now().After(end) {
+		if err = l.Finish(); err == nil || !time.Now().Before(end) {
 			break
 		}
 		l.acceptFailed(err)
 		time.Sleep(acceptPause)
 	}
-	if closed := l.Listener.Close(); !errors.Is(closed, net.ErrClosed) { // the server does so too, as Accept fails
+	if closed := l.Close(); !errors.Is(closed, net.ErrClosed) { // the server does so too, as Accept fails
 		err = errors.Join(err, closed)
 	}
 	return err
 }
-
-// empty takes all connections that wait at the listener, and ends listening. The last look for one and the end are two
-// system calls in a row, as nothing else keeps the kernel from choosing this listener meanwhile. Where it has not ended
-// this process listens still. An error may also tell of connections that could not be taken over.
-func (l *clients) empty(raw syscall.RawConn) (ended bool, err error) {
-	var fds []int
-	var failed error
-	err = raw.Control(func(listener uintptr) {
-		for {
-			fd, _, err := syscall.Accept4(int(listener), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
-			switch {
-			case err == nil:
-				fds = append(fds, fd)
-			case err == syscall.EINTR || err == syscall.ECONNABORTED:
-			case err == syscall.EAGAIN:
-				failed = syscall.Shutdown(int(listener), syscall.SHUT_RD)
-				if failed == syscall.ENOTCONN {
-					failed = nil // where a listener knows no shutdown the close behind it does
-				}
-				ended = failed == nil
-				return
-			default:
-				failed = err
-				return
-			}
-		}
-	})
-	end := time.Now().Add(leaveTime) // for all of them
-	for _, fd := range fds {
-		c, broken := l.connOf(fd, end)
-		if broken != nil {
-			failed = errors.Join(failed, broken)
-			continue
-		}
-		l.mu.Lock()
-		l.queued = append(l.queued, c)
-		l.mu.Unlock()
-	}
-	return ended, errors.Join(err, failed)
-}
-
-// connOf makes a connection of a descriptor, which it takes over. That needs a second one for a moment; where there is
-// none until end, whatever request comes on it is refused.
-func (l *clients) connOf(fd int, end time.Time) (c net.Conn, err error) {
-	f := os.NewFile(uintptr(fd), "client")
-	for ; ; time.Sleep(acceptPause) {
-		c, err = l.copyConn(f)
-		if err == nil {
-			f.Close()
-			return c, nil
-		}
-		if time.Now().After(end) {
-			break
-		}
-	}
-	if !l.reserveRefusal() {
-		f.Close()
-		return nil, err
-	}
-	go func() {
-		defer l.refusing.Add(-1)
-		refuseFile(f)
-	}()
-	return nil, err
-}
-
-// refuseFile closes a connection, of which there is only a descriptor, with a refusal.
-func refuseFile(f *os.File) {
-	defer f.Close()
-	_ = f.SetDeadline(time.Now().Add(restTime)) // fails only on a closed one
-	if _, err := io.WriteString(f, refusal); err != nil {
-		return
-	}
-	raw, err := f.SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Control(func(fd uintptr) { _ = syscall.Shutdown(int(fd), syscall.SHUT_WR) }) // fails where the client has gone
-	_, _ = io.CopyN(io.Discard, f, restMost)                                             // until it closes, or the deadline
-}
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -3,14 +3,16 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"arrowgw/internal/listener"
 )
 
 const (
@@ -22,17 +24,15 @@
 // connections; past that, one with no open request makes room. Such connections may also take the descriptors that
 // upstreams have no use for now, and are closed when that changes.
 type clients struct {
-	net.Listener
+	clientListener
 	clock     clock
 	upstreams func() int // connections to upstreams now
 	closed    func(closeReason)
-	copyConn  func(*os.File) (net.Conn, error) // makes a connection of a descriptor's copy
 
 	mu      sync.Mutex
 	room    int           // connections with open requests at most
 	all     int           // and connections of any kind, those to upstreams included
-	leaving bool          // another process takes those that come from now on
-	queued  []net.Conn    // had come by then
+	leaving bool          // another process takes those that come from now on, or this one ends
 	failing time.Duration // since when accept has failed while connections may have waited; 0: it has not
 	conns   map[*clientConn]struct{}
 	peak    int    // the most at once, since the last count
@@ -77,8 +77,8 @@
 }
 
 // newClients makes the application's listener, with room for all that one process may hold.
-func newClients(cfg *Config, l net.Listener, upstreams func() int) *clients {
-	k := &clients{Listener: l, clock: newClock(), upstreams: upstreams, closed: func(closeReason) {}, copyConn: net.FileConn, conns: make(map[*clientConn]struct{})}
+func newClients(cfg *Config, l clientListener, upstreams func() int) *clients {
+	k := &clients{clientListener: l, clock: newClock(), upstreams: upstreams, closed: func(closeReason) {}, conns: make(map[*clientConn]struct{})}
 	k.share(cfg.clientConns(1), cfg.allConns(1))
 	return k
 }
@@ -261,6 +261,11 @@
 		}
 		return err != syscall.EAGAIN
 	})
+	if errors.Is(waited, listener.ErrUnregistered) { // nobody can wait for its request, which may have come
+		c.mu.Lock()
+		c.refused = c.refused || c.clients.reserveRefusal()
+		c.mu.Unlock()
+	}
 	if waited != nil { // until its deadline, or it was closed
 		return 0, &net.OpError{Op: "read", Net: "tcp", Err: waited} // by which the server knows not to answer
 	}
@@ -328,15 +333,22 @@
 	return n
 }
 
-// linger ends the sending, and reads what still comes for a while.
+// writeCloser is a connection whose sending can be ended by itself.
+type writeCloser interface{ CloseWrite() error }
+
+// linger ends the sending, and reads what still comes for a while, or what has come where nobody can wait for more.
 func (c *clientConn) linger() {
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok || tcp.CloseWrite() != nil || tcp.SetReadDeadline(time.Now().Add(restTime)) != nil {
+	sending, ok := c.Conn.(writeCloser)
+	if !ok || sending.CloseWrite() != nil {
+		return
+	}
+	if c.Conn.SetReadDeadline(time.Now().Add(restTime)) != nil {
+		c.discard()
 		return
 	}
 	var rest [4 << 10]byte
 	for left := restMost; left > 0; {
-		n, err := tcp.Read(rest[:])
+		n, err := c.Conn.Read(rest[:])
 		if err != nil {
 			return
 		}
--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -21,6 +21,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"arrowgw/internal/listener"
 )
 
 // Connections make room in the order of how little they are needed, and those with an open request do not.
@@ -124,7 +126,7 @@
 
 // Bytes that come as a connection is ended are either read, and it goes on, or it is closed and nothing is read of it.
 func TestBytesCrossTheEnd(t *testing.T) {
-	listener, err := listen(context.Background(), "127.0.0.1:0")
+	listener, err := listen(context.Background(), "127.0.0.1:0", true)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -164,12 +166,14 @@
 
 // without is a listener that has no descriptor to accept with until some moment.
 type without struct {
-	net.Listener
+	clientListener
 	failure error
 	until   time.Time
 	calls   int
 }
 
+func (l *without) Waiting() bool { return false }
+
 func (l *without) Accept() (net.Conn, error) {
 	l.calls++
 	if time.Now().Before(l.until) {
@@ -359,13 +363,13 @@
 // A malformed request behind a good one, cut where net/http looks for its client's end by reading one byte, takes no
 // answer from the good one: that read sees nothing, and the next fails.
 func TestMalformedRequestBehindAGoodOne(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	inner, err := listen(context.Background(), "127.0.0.1:0", true)
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := newClients(testConfig(t, listed(1, "ready"), nil), listener, noUpstreams)
+	l := newClients(testConfig(t, listed(1, "ready"), nil), inner, noUpstreams)
 	defer l.Close()
-	far, err := net.Dial("tcp", listener.Addr().String())
+	far, err := net.Dial("tcp", inner.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -475,31 +479,57 @@
 	}
 }
 
-// A connection that has come but of which no copy can be made at the end of listening is refused, and its request with it.
-func TestUncopiedConnectionIsRefused(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// A connection that has come and that the system can't wait on for as long as it is tried is refused, and its request with it.
+func TestConnectionThatCannotBeWaitedOnIsRefused(t *testing.T) {
+	inner, err := listen(context.Background(), "127.0.0.1:0", true)
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := newClients(testConfig(t, listed(1, "ready"), nil), listener, noUpstreams)
-	l.copyConn = func(*os.File) (net.Conn, error) { return nil, syscall.EMFILE }
-	c, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
+	l := newClients(testConfig(t, listed(1, "ready"), nil), &unregistering{inner}, noUpstreams)
+	c := dialled(t, inner.Addr().String())
+	if _, err := io.WriteString(c, "GET /look HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
 		t.Fatal(err)
 	}
-	defer c.Close()
-	if _, err := io.WriteString(c, "GET /look HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+	near, err := l.Accept()
+	if err != nil {
 		t.Fatal(err)
 	}
-	if err := l.leave(); err == nil {
-		t.Error("nobody hears that a connection could not be taken over")
+	if _, err := near.Read(make([]byte, 1)); !errors.Is(err, listener.ErrUnregistered) {
+		t.Errorf("the server read with error %v, want %v", err, listener.ErrUnregistered)
 	}
-	if l.failures > 0 {
-		t.Errorf("the listener was tried %d times more behind its end", l.failures)
+	if err := near.Close(); err != nil {
+		t.Error(err)
 	}
 	_ = c.SetReadDeadline(time.Now().Add(generous))
 	res, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil || res.StatusCode != http.StatusServiceUnavailable {
 		t.Errorf("the client read %v, error %v, want 503", res, err)
 	}
+	if n := l.refusing.Load(); n != 0 {
+		t.Errorf("%d places of refusals are taken, want none", n)
+	}
 }
+
+// unregistering is a listener whose connections the network poller never takes.
+type unregistering struct{ clientListener }
+
+func (l *unregistering) Accept() (net.Conn, error) {
+	c, err := l.clientListener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &unregistered{c.(*listener.Conn)}, nil
+}
+
+type unregistered struct{ *listener.Conn }
+
+func (c *unregistered) SetReadDeadline(time.Time) error { return listener.ErrUnregistered }
+
+func (c *unregistered) SyscallConn() (syscall.RawConn, error) {
+	raw, err := c.Conn.SyscallConn()
+	return unreadable{raw}, err
+}
+
+type unreadable struct{ syscall.RawConn }
+
+func (unreadable) Read(func(uintptr) bool) error { return listener.ErrUnregistered }
--- a/internal/sidecar/console.go
+++ b/internal/sidecar/console.go
@@ -104,7 +104,7 @@
 			why = "400 the line is too long\n"
 		}
 		_, _ = io.WriteString(conn, why)
-		if tcp, ok := conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil {
+		if sending, ok := conn.(writeCloser); ok && sending.CloseWrite() == nil {
 			_, _ = io.CopyN(io.Discard, conn, callRest)
 		}
 		return
--- a/internal/sidecar/handover_test.go
+++ b/internal/sidecar/handover_test.go
@@ -157,7 +157,7 @@
 // Connections that have come when the process leaves are handed out, whether or not Accept waits for one; those
 // that come later reach the second process.
 func TestLeavingEmptiesTheQueue(t *testing.T) {
-	listener, err := listen(context.Background(), "127.0.0.1:0")
+	listener, err := listen(context.Background(), "127.0.0.1:0", true)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -169,12 +169,12 @@
 			t.Fatal(err)
 		}
 	}
-	second, err := listen(context.Background(), address)
+	second, err := listen(context.Background(), address, true)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer second.Close()
-	if err := first.leave(); err != nil {
+	if err := first.leave(time.Now().Add(generous)); err != nil {
 		t.Fatal(err)
 	}
 	for i := range 5 {
--- a/internal/sidecar/late_test.go
+++ b/internal/sidecar/late_test.go
@@ -188,7 +188,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := listen(context.Background(), "127.0.0.1:0", true)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/sidecar/momentary.go
+++ b/internal/sidecar/momentary.go
@@ -3,8 +3,6 @@
 import (
 	"errors"
 	"io"
-	"net"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -105,21 +103,3 @@
 	}
 	return unsure
 }
-
-// pending tells whether connections are known to wait at a listener.
-func pending(l net.Listener) bool {
-	c, ok := l.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return false // it is closed
-	}
-	waiting := 0
-	_ = raw.Control(func(fd uintptr) { // it fails only on a closed one
-		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
-		waiting, _ = retryMomentary(func() (int, error) { return unix.Poll(p, 0) })
-	})
-	return waiting > 0
-}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -12,6 +12,7 @@
 
 const (
 	lingerTime = 500 * time.Millisecond // new connections go on coming for so long after a stop is asked for
+	leaveTime  = 400 * time.Millisecond // the end of listening is tried for so long where accept fails
 	leaveWait  = time.Second            // the end waits no longer for duties to be passed on
 	lookEvery  = 5 * time.Millisecond   // how often it is seen whether all connections are closed
 
@@ -29,11 +30,11 @@
 	var door net.Listener
 	var err error
 	if cfg.Console != "" {
-		if door, err = retryListen(ctx, cfg.Console, new(net.ListenConfig).Listen); err != nil {
+		if door, err = listen(ctx, cfg.Console, false); err != nil {
 			return fmt.Errorf("console: %w", err)
 		}
 	}
-	open := func() (net.Listener, error) { return listen(ctx, cfg.Listen) }
+	open := func() (clientListener, error) { return listen(ctx, cfg.Listen, true) }
 	return serve(ctx, cfg, open, door, reload)
 }
 
@@ -97,7 +98,7 @@
 // serve makes the parts and has them run until ctx ends and what they have taken is answered. There is a console where
 // door is not nil. Clients' listener is opened last: whoever connects from then on is served, however long a disk or an
 // address has kept the start waiting.
-func serve(ctx context.Context, cfg *Config, open func() (net.Listener, error), door net.Listener, reload <-chan os.Signal) error {
+func serve(ctx context.Context, cfg *Config, open func() (clientListener, error), door net.Listener, reload <-chan os.Signal) error {
 	if door != nil {
 		defer door.Close()
 	}
@@ -115,7 +116,7 @@
 	if err := p.control.begin(running, kept, p.share); err != nil {
 		return err
 	}
-	if p.clients.Listener, err = open(); err != nil {
+	if p.clients.clientListener, err = open(); err != nil {
 		return err
 	}
 	slog.Info("serving", "name", cfg.Name, "listen", p.clients.Addr(), "servers", len(cfg.Known.servers))
@@ -187,7 +188,7 @@
 	slog.Info("stopping", "held", f.held.Load(), "replaced", replaced)
 	f.ready.Store(false)
 	leave := func() {
-		if err := f.clients.leave(); err != nil {
+		if err := f.clients.leave(time.Now().Add(leaveTime)); err != nil {
 			slog.Error("connections may be lost", "error", err)
 		}
 	}
@@ -196,7 +197,7 @@
 	} else {
 		f.clients.stop()
 	}
-	time.Sleep(lingerTime)
+	time.Sleep(min(lingerTime, time.Until(end)))
 	if replaced {
 		f.clients.stop()
 	} else {
--- a/internal/sidecar/stub_test.go
+++ b/internal/sidecar/stub_test.go
@@ -189,7 +189,7 @@
 // startWith serves by a configuration.
 func startWith(t *testing.T, cfg *Config) *running {
 	t.Helper()
-	l, err := net.Listen("tcp", cfg.Listen)
+	l, err := listen(context.Background(), cfg.Listen, true)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -199,7 +199,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &running{url: "http://" + l.Addr().String(), door: door.Addr().String(), stop: cancel, ended: make(chan error, 1)}
-	go func() { s.ended <- serve(ctx, cfg, func() (net.Listener, error) { return l, nil }, door, nil) }()
+	go func() { s.ended <- serve(ctx, cfg, func() (clientListener, error) { return l, nil }, door, nil) }()
 	t.Cleanup(func() {
 		cancel()
 		http.DefaultClient.CloseIdleConnections()
