End listening for as long as what waits can be answered, where calls fail

What callers saw: a process that ends while accept fails for longer than 0.4 s reset the connections that waited at its listener, or left them with no answer. Cause: leave gave up 0.4 s behind its first try and closed the listener with its queue, though the process has the longest deadline and 0.5 s left. The new process listens by then; the kernel gives each connection to one of the two for good, so that nobody else can accept what waits at the old one.

Change: the end of listening is tried until the moment at which all answers are due (the longest deadline, 3 s at most, and 0.5 s). What can be taken is served meanwhile; a later connection's time is bounded by the stop as before.

--- a/cmd/caperarch/faults_test.go
+++ b/cmd/caperarch/faults_test.go
@@ -111,12 +111,18 @@
 
 // startFaulty starts a sidecar and waits until it serves. decide may be nil; it can be changed later.
 func startFaulty(t *testing.T, config string, clock bool, calls []int, decide func(sysfault.Call) sysfault.Effect) *faultySidecar {
+	t.Helper()
+	return startFaultyIn(t, t.TempDir(), config, clock, calls, decide)
+}
+
+// startFaultyIn is startFaulty with the sidecar's state in a folder, which may be another process's too.
+func startFaultyIn(t *testing.T, state, config string, clock bool, calls []int, decide func(sysfault.Call) sysfault.Effect) *faultySidecar {
 	t.Helper()
 	s := &faultySidecar{t: t, ended: make(chan struct{})}
 	s.will(decide)
 	cmd := program(t, config)
 	s.config = strings.TrimPrefix(cmd.Env[len(cmd.Env)-1], "EDGE_CONFIG=")
-	cmd.Env = append(cmd.Env, "EDGE_LOG_LEVEL=debug")
+	cmd.Env = append(cmd.Env, "EDGE_LOG_LEVEL=debug", "TMPDIR="+state)
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	output, err := cmd.StderrPipe()
 	if err != nil {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -12,7 +12,6 @@
 
 const (
 	lingerTime = 500 * time.Millisecond // new connections go on coming for so long after a stop is asked for
-	leaveTime  = 400 * time.Millisecond // the end of listening is tried for so long where accept fails
 	leaveWait  = time.Second            // the end waits no longer for duties to be passed on
 	lookEvery  = 5 * time.Millisecond   // how often it is seen whether all connections are closed
 
@@ -182,13 +181,14 @@
 // http.Server's Shutdown is of no use here: behind it a request on a connection that had none yet is read and
 // dropped, and it takes connections for idle that hold a request.
 func (f *front) drain(served <-chan error, longest time.Duration, replaced bool) error {
-	end := time.Now().Add(longest + exitMargin)
-	now := f.clock.now()
-	f.stop.Store(&stop{late: now + answerMargin, due: now + min(longest, killedFrom) + answerMargin})
+	began, now := time.Now(), f.clock.now()
+	end := began.Add(longest + exitMargin)
+	due := min(longest, killedFrom) + answerMargin
+	f.stop.Store(&stop{late: now + answerMargin, due: now + due})
 	slog.Info("stopping", "held", f.held.Load(), "replaced", replaced)
 	f.ready.Store(false)
-	leave := func() {
-		if err := f.clients.leave(time.Now().Add(leaveTime)); err != nil {
+	leave := func() { // nobody else can accept what waits here: only from then on no answer could reach its client
+		if err := f.clients.leave(began.Add(due)); err != nil {
 			slog.Error("connections may be lost", "error", err)
 		}
 	}
