Hold another process of the sidecar for what it was where the lock does not tell

Found by looking for the same fault elsewhere: a process asks by fcntl whether a second one runs, and took a call that failed for 'nobody is there'. Told to stop in that moment it ended its idle connections at once and went on listening beside its successor for half a second (log: replaced=false). Cause: count looked at EAGAIN alone. Now a byte of the lock file that the system does not tell of counts as it did last.

--- a/cmd/caperarch/stopfaults_test.go
+++ b/cmd/caperarch/stopfaults_test.go
@@ -29,6 +29,7 @@
 	{"accept without descriptors", unix.SYS_ACCEPT4, unix.EMFILE, 1300 * time.Millisecond},
 	{"shutdown", unix.SYS_SHUTDOWN, unix.ENOBUFS, 1300 * time.Millisecond},
 	{"epoll_ctl", unix.SYS_EPOLL_CTL, unix.ENOSPC, 700 * time.Millisecond},
+	{"fcntl, by which a process asks for others", unix.SYS_FCNTL, unix.EMFILE, 1300 * time.Millisecond},
 }
 
 // Connections that wait as a process ends, while a call of the end of listening fails for longer than a moment, are answered:
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -60,6 +60,9 @@
 	read   fs.FileInfo       // the older programs' file as last read; nil: there was none
 	handed map[string]handed // by instanceId, where there is no store
 
+	counting sync.Mutex
+	others   [processes]bool // other processes that run, as the system told last
+
 	mu        sync.Mutex
 	nextList  *keepNext // the list that is to be kept next; nil: there is no news
 	oldDamage int       // 1: the older programs' file was all there was, and it is damaged
@@ -187,11 +190,23 @@
 	return err
 }
 
-// count tells how many processes run, this one included.
+// count tells how many processes run, this one included. One that the system does not tell of is held for what it was.
 func (h *handover) count() int {
+	h.counting.Lock() // and not mu: the store counts under a lock of its own
+	defer h.counting.Unlock()
 	n := 1
 	for at := int64(0); h.lock != nil && at < processes; at++ {
-		if at != h.mine && errors.Is(fcntl(h.lock, getLock, at, syscall.F_WRLCK), syscall.EAGAIN) {
+		if at == h.mine {
+			continue
+		}
+		err := fcntl(h.lock, getLock, at, syscall.F_WRLCK)
+		switch {
+		case err == nil:
+			h.others[at] = false
+		case errors.Is(err, syscall.EAGAIN):
+			h.others[at] = true
+		}
+		if h.others[at] {
 			n++
 		}
 	}
