Record what each queue server of the lab did with each try

Each arrival now has the sidecar's port and up to eight steps (taken, hangs, spoils and how, bytes of a long answer, cut off and why, given up); findings of answered and final tell them, and a folder of results has all tries (tries.jsonl).

--- a/internal/lab/history.go
+++ b/internal/lab/history.go
@@ -1,9 +1,13 @@
 package lab
 
 import (
+	"bytes"
 	"crypto/sha256"
+	"encoding/json"
 	"fmt"
+	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -89,8 +93,19 @@
 	Answer  string        // the body, where it was served
 	Spoilt  bool          // what came back was no whole answer, by the server's doing
 	Told    time.Duration // how long the sidecar said that it waits; 0: nothing
+	Port    int           // the sidecar's end of the connection
+	Steps   []Step        // what the server did with it, in order; see stepsMost
 }
 
+// Step is one thing that a server did with a request, or that befell the request's connection there.
+type Step struct {
+	At   time.Duration
+	What string
+}
+
+// stepsMost bounds the steps that are kept of an arrival.
+const stepsMost = 8
+
 // Told is a word on a server that binds a sidecar: to send it nothing new from then on, or that it may.
 type Told struct {
 	At      time.Duration
@@ -180,6 +195,41 @@
 	t.Reached[n].Spoilt = true
 }
 
+// step takes what a server did with an arrival.
+func (h *History) step(t *Try, n int, now time.Duration, format string, args ...any) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if r := &t.Reached[n]; len(r.Steps) < stepsMost {
+		r.Steps = append(r.Steps, Step{now, fmt.Sprintf(format, args...)})
+	}
+}
+
+// writeTries writes all tries to a file, one to a line.
+func (h *History) writeTries(path string) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var text bytes.Buffer
+	lines := json.NewEncoder(&text)
+	for _, t := range h.tries {
+		if err := lines.Encode(t); err != nil {
+			return err
+		}
+	}
+	return os.WriteFile(path, text.Bytes(), 0o644)
+}
+
+// serverSide words what all servers did with a try. The caller holds the lock.
+func (t *Try) serverSide() string {
+	var text strings.Builder
+	for _, r := range t.Reached {
+		fmt.Fprintf(&text, "; at server %d from port %d at %v, told %v: %s", r.Server, r.Port, r.At, r.Told, r.Verdict)
+		for _, s := range r.Steps {
+			fmt.Fprintf(&text, ", %s at %v", s.What, s.At)
+		}
+	}
+	return text.String()
+}
+
 // touched says whether a try has come to a server by now.
 func (h *History) touched(t *Try) bool {
 	h.mu.Lock()
--- a/internal/lab/judge.go
+++ b/internal/lab/judge.go
@@ -85,8 +85,8 @@
 		if t.End != Broken || t.Left > 0 || brokenByServer(t) || !t.Partial && len(t.Reached) == 0 || killedIn(h.killed, t.Sidecar, t.Sent, t.Ended) {
 			continue
 		}
-		broken("request %s, sent to sidecar %s at %v, was taken and lost: the connection ended at %v with no whole answer",
-			t.ID, sidecarName(t.Sidecar), t.Sent, t.Ended)
+		broken("request %s, sent to sidecar %s at %v, was taken and lost: the connection ended at %v with no whole answer%s",
+			t.ID, sidecarName(t.Sidecar), t.Sent, t.Ended, t.serverSide())
 	}
 }
 
@@ -197,11 +197,11 @@
 		}
 		switch {
 		case t.End == GaveUp:
-			broken("request %s, sent to sidecar %s at %v, had no final answer at %v; its time was up at %v; it was at %d servers",
-				t.ID, sidecarName(t.Sidecar), t.Sent, t.Ended, t.Owed, len(t.Reached))
+			broken("request %s, sent to sidecar %s at %v, had no final answer at %v; its time was up at %v; it was at %d servers%s",
+				t.ID, sidecarName(t.Sidecar), t.Sent, t.Ended, t.Owed, len(t.Reached), t.serverSide())
 		case t.End == Broken && t.Fresh && !brokenByServer(t):
-			broken("request %s, sent to sidecar %s at %v on a new connection, was closed on at %v; it was at %d servers",
-				t.ID, sidecarName(t.Sidecar), t.Sent, t.Ended, len(t.Reached))
+			broken("request %s, sent to sidecar %s at %v on a new connection, was closed on at %v; it was at %d servers%s",
+				t.ID, sidecarName(t.Sidecar), t.Sent, t.Ended, len(t.Reached), t.serverSide())
 		}
 	}
 }
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -44,6 +44,9 @@
 	Sends    [][]float64        `json:"sends,omitempty"` // attempts that reached each server, second by second
 }
 
+// triesName is the file of all tries in a result's folder, one to a line, with what servers did with each.
+const triesName = "tries.jsonl"
+
 // ResultName is the file of a result in its folder.
 const ResultName = "result.json"
 
@@ -331,6 +334,7 @@
 	}
 	return errors.Join(
 		os.WriteFile(filepath.Join(dir, "report.html"), page, 0o644),
+		run.history.writeTries(filepath.Join(dir, triesName)),
 		r.rewrite(dir), // last: where it is, the run is whole
 	)
 }
--- a/internal/lab/spoil.go
+++ b/internal/lab/spoil.go
@@ -61,14 +61,14 @@
 }
 
 // spoil answers in one of the ways, and ends the connection. It says whether the answer may be taken for whole.
-func spoil(w http.ResponseWriter, body string, draw int, settle func(whole bool)) {
+func spoil(w http.ResponseWriter, body string, draw int, settle func(way string, whole bool)) {
 	way := spoilt[draw%len(spoilt)]
 	c, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return // it is gone
 	}
 	defer c.Close()
-	settle(way.whole)
+	settle(way.name, way.whole)
 	way.write(c, body)
 }
 
--- a/internal/lab/upstream.go
+++ b/internal/lab/upstream.go
@@ -137,7 +137,7 @@
 	defer a.mu.Unlock()
 	for c := range a.all[i].conns {
 		if at, ok := c.RemoteAddr().(*net.TCPAddr); ok && at.AddrPort().Port() == local.Port() {
-			c.breakOff()
+			c.breakOff("broken for the sidecar alone")
 		}
 	}
 	return true
@@ -394,13 +394,13 @@
 	*net.TCPConn
 	server  *server
 	sidecar int
-	spoil   atomic.Pointer[func()] // notes that the long answer on it is cut off by the server; nil: there is none
+	cut     atomic.Pointer[func(why string)] // notes that the exchange on it is cut off by the server; nil: there is none
 }
 
 // breakOff takes that the server ends the connection, whatever is on it.
-func (c *conn) breakOff() {
-	if spoil := c.spoil.Load(); spoil != nil {
-		(*spoil)()
+func (c *conn) breakOff(why string) {
+	if cut := c.cut.Load(); cut != nil {
+		(*cut)(why)
 	}
 }
 
@@ -415,7 +415,7 @@
 		return nil
 	}
 	<-silent
-	c.breakOff()
+	c.breakOff("reset behind a silence")
 	c.Close()
 	return errVanished
 }
@@ -445,7 +445,7 @@
 // reset ends all connections as the death of a process does.
 func (u *server) reset() {
 	for c := range u.conns {
-		c.breakOff()
+		c.breakOff("reset")
 		_ = c.TCPConn.SetLinger(0) // fails only on a closed one
 		c.TCPConn.Close()
 		delete(u.conns, c)
@@ -455,7 +455,7 @@
 // closeAll ends all connections as a server does that takes them for idle: with no reset, unless a request is on its way.
 func (u *server) closeAll() {
 	for c := range u.conns {
-		c.breakOff()
+		c.breakOff("closed")
 		c.TCPConn.Close()
 		delete(u.conns, c)
 	}
@@ -616,12 +616,12 @@
 		http.Error(w, "no X-Request-ID", http.StatusNotFound)
 		return
 	}
-	c.spoil.Store(nil)
+	c.cut.Store(nil)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit))
 	if err != nil {
 		return // its last byte never came: it has not begun
 	}
-	t, n := u.of.history.reach(id, Reached{Server: u.number, Sidecar: c.sidecar, At: at, Verdict: world.Full, Told: toldTime(r.Header.Get("X-Timeout"))})
+	t, n := u.of.history.reach(id, Reached{Server: u.number, Sidecar: c.sidecar, At: at, Verdict: world.Full, Told: toldTime(r.Header.Get("X-Timeout")), Port: portOf(c.RemoteAddr())})
 	if t == nil {
 		http.Error(w, "an id that no client sent", http.StatusBadRequest)
 		return
@@ -638,6 +638,9 @@
 	}
 	ended, job, verdict := u.take(work, keyHash(r.Header.Get("X-Route-Key")), keyHash(r.Header.Get("Idempotency-Key")))
 	u.of.history.settle(t, n, verdict, "")
+	step := func(format string, args ...any) { u.of.history.step(t, n, u.of.clock.now(), format, args...) }
+	cut := func(why string) { step("%s", why) }
+	c.cut.Store(&cut)
 	switch verdict {
 	case world.Full:
 		w.Header().Set("X-Not-Processed", "1")
@@ -649,14 +652,17 @@
 	select {
 	case e, alive := <-ended:
 		if !alive {
+			step("dropped as its server went down")
 			panic(http.ErrAbortHandler)
 		}
 		if e.Error {
+			step("answered 500")
 			w.WriteHeader(http.StatusInternalServerError)
 			return
 		}
 		u.answer(w, r, t, n)
 	case <-r.Context().Done(): // given up: the sidecar has closed the connection
+		step("given up")
 		u.cancel(job)
 	}
 }
@@ -668,42 +674,68 @@
 		body = strings.Repeat(body, 1+min(size, bodyLimit)/len(body))
 	}
 	hang, spoils, draw := u.misbehaves()
+	step := func(format string, args ...any) { u.of.history.step(t, n, u.of.clock.now(), format, args...) }
 	if hang {
 		u.of.history.spoil(t, n)
+		step("hangs")
 		<-r.Context().Done()
+		step("connection ended")
 		return
 	}
 	u.of.history.settle(t, n, world.Taken, body)
 	if spoils {
-		spoil(w, body, draw, func(whole bool) {
+		spoil(w, body, draw, func(way string, whole bool) {
+			step("spoils: %s", way)
 			if !whole {
 				u.of.history.spoil(t, n)
 			}
 		})
+		step("connection ended")
 		return
 	}
 	if len(body) <= pieceSize {
 		_, _ = io.WriteString(w, body) // fails where the sidecar has gone
+		step("answered")
 		return
 	}
 	c := r.Context().Value(connKey{}).(*conn)
-	cut := func() { u.of.history.spoil(t, n) }
-	c.spoil.Store(&cut)
-	answerLong(w, body, draw)
+	cut := func(why string) {
+		u.of.history.spoil(t, n)
+		step("%s", why)
+	}
+	c.cut.Store(&cut)
+	step("begins a long answer")
+	sent, err := answerLong(w, body, draw)
+	step("sent %d of %d bytes, error %v", sent, len(body), err)
+}
+
+// portOf is the port of a TCP address, or 0.
+func portOf(address net.Addr) int {
+	if at, ok := address.(*net.TCPAddr); ok {
+		return at.Port
+	}
+	return 0
 }
 
-// answerLong sends an answer in pieces, with its length told or not.
-func answerLong(w http.ResponseWriter, body string, draw int) {
+// answerLong sends an answer in pieces, with its length told or not. It returns how much has gone out; an error says that the
+// sidecar has gone.
+func answerLong(w http.ResponseWriter, body string, draw int) (sent int, err error) {
 	if draw%2 == 0 {
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	flush := http.NewResponseController(w).Flush
-	for at := 0; at < len(body); at += pieceSize {
-		if _, err := io.WriteString(w, body[at:min(at+pieceSize, len(body))]); err != nil || flush() != nil {
-			return // the sidecar has gone
+	for sent < len(body) {
+		n, err := io.WriteString(w, body[sent:min(sent+pieceSize, len(body))])
+		if err == nil {
+			err = flush()
+		}
+		if err != nil {
+			return sent, err
 		}
+		sent += n
 		time.Sleep(piecePause)
 	}
+	return sent, nil
 }
 
 // misbehaves draws whether a request is never answered, or its answer spoilt, and in which way.
--- a/internal/world/server.go
+++ b/internal/world/server.go
@@ -69,6 +69,11 @@
 	Down                    // there is nobody
 )
 
+// String names a verdict.
+func (v Verdict) String() string {
+	return [...]string{Taken: "taken", Full: "turned away", Repeated: "repeated", Down: "down"}[v]
+}
+
 // Ended is a job that is done.
 type Ended struct {
 	ID    uint64
