Judge an answer that stands still by its server's pace, also where it is long

What callers saw: an answer of over 64 KiB whose server stood still ended 5 s behind its last byte, whatever the client's time was; clients were freed only by leaving (request closed, why=client_left). Cause: waitForMore took length for a sign that the server goes on.

Change: the module decides (policy.AnswerPace). Behind the client's time an answer may stand still for 0.5 s, or for 1.5 times the longest pause that its server has made in this answer, 2 s at most; one that stands already ends 0.3 s behind the client's time. Waiting for a slower client is no pause.

--- a/cmd/caperarch/faults_test.go
+++ b/cmd/caperarch/faults_test.go
@@ -499,7 +499,10 @@
 func TestFinalAnswersComeInTime(t *testing.T) {
 	t.Run("stopping", stoppingAnswersLateRequests)
 	t.Run("standing stream", standingStreamEnds)
+	t.Run("standing long answer, by length", func(t *testing.T) { standingLongAnswerEnds(t, "Content-Length: 200000", "") })
+	t.Run("standing long answer, in chunks", func(t *testing.T) { standingLongAnswerEnds(t, "Transfer-Encoding: chunked", "30d40\r\n") })
 	t.Run("stream that goes on", slowStreamComesWhole)
+	t.Run("long answer that goes on", slowLongAnswerComesWhole)
 }
 
 // stoppingAnswersLateRequests sends requests late in a stop, while the server hangs.
@@ -549,6 +552,50 @@
 	}
 }
 
+// standingLongAnswerEnds has a server stand still in the middle of an answer of over 64 KiB: its client was held up for five
+// seconds, whatever its time.
+func standingLongAnswerEnds(t *testing.T, framing, before string) {
+	const left, slack = 500 * time.Millisecond, 500 * time.Millisecond
+	server := newQueueServer(t, func(c net.Conn, id string) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+framing+"\r\n\r\n"+before+strings.Repeat("x", 100000))
+	})
+	s := startFaulty(t, fmt.Sprintf(faultySettings, "127.0.0.1:1", server.listener.Addr(), left.Milliseconds()), false, nil, nil)
+	c := s.connect()
+	c.send(request("q1", left))
+	_ = c.conn.SetReadDeadline(time.Now().Add(left + slack))
+	res, err := http.ReadResponse(c.r, nil)
+	if err == nil {
+		_, err = io.ReadAll(res.Body)
+	}
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("the answer that stands still ended with %v, want an end that shows that it is not whole", err)
+	}
+}
+
+// slowLongAnswerComesWhole has a server go on with an answer of over 64 KiB behind its client's deadline, with pauses that
+// grow: what it has shown so far is what it is judged by.
+func slowLongAnswerComesWhole(t *testing.T) {
+	const left, piece = 300 * time.Millisecond, 30000
+	pauses := []time.Duration{100, 200, 350, 450, 650, 850, 100}
+	server := newQueueServer(t, func(c net.Conn, id string) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", piece*len(pauses))
+		for _, pause := range pauses {
+			_, _ = io.WriteString(c, strings.Repeat("x", piece))
+			time.Sleep(pause * time.Millisecond)
+		}
+	})
+	s := startFaulty(t, fmt.Sprintf(faultySettings, "127.0.0.1:1", server.listener.Addr(), left.Milliseconds()), false, nil, nil)
+	c := s.connect()
+	c.send(request("q1", left))
+	res, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(res.Body); err != nil || len(body) != piece*len(pauses) {
+		t.Errorf("%d bytes of the answer came, error %v, want all %d", len(body), err, piece*len(pauses))
+	}
+}
+
 // slowStreamComesWhole has a server go on with an answer of no told length long behind its client's deadline.
 func slowStreamComesWhole(t *testing.T) {
 	const left, pieces = 200 * time.Millisecond, 15
--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"arrowgw/policy"
 )
 
 const (
@@ -21,12 +23,6 @@
 	pieceSize = 16 << 10                // bytes of a piece of a long answer,
 	pieces    = 4                       // of which so many wait for the client
 	holdTime  = 10 * time.Millisecond   // an answer whose length is not told begins so long after its head
-
-	// A request is owed its final answer half a second behind its time at the latest. Of a long answer the first bytes
-	// are; the rest may take as long as its server goes on. Whether an answer is long need not be told, so that one which
-	// goes on is not cut off: only one that has stood still ends soon behind its client's deadline.
-	streamGrace = 300 * time.Millisecond
-	streamGap   = 500 * time.Millisecond // between two pieces of an answer that goes on, at most
 )
 
 var (
@@ -157,9 +153,10 @@
 	res   *http.Response
 	c     *conn
 	x     *exchange
-	endBy time.Time // from then on an answer that is not known to be long may not stand still
+	clock clock
 
 	mu    sync.Mutex
+	pace  policy.AnswerPace
 	begun bool
 	due   bool   // it is to begin with its next byte
 	held  []byte // what came before it began
@@ -170,21 +167,19 @@
 	left   sync.Once
 }
 
-func newStream(res *http.Response, c *conn, x *exchange, endBy time.Time) *stream {
-	return &stream{res: res, c: c, x: x, endBy: endBy, due: res.ContentLength > bodyHeld, pieces: make(chan piece, pieces), gone: make(chan struct{})}
+func newStream(res *http.Response, c *conn, x *exchange, clock clock) *stream {
+	return &stream{
+		res: res, c: c, x: x, clock: clock, pace: policy.NewAnswerPace(clock.now(), x.deadline), due: res.ContentLength > bodyHeld,
+		pieces: make(chan piece, pieces), gone: make(chan struct{}),
+	}
 }
 
 // length is what the answer tells of its body's length, or -1.
 func (s *stream) length() int64 { return s.res.ContentLength }
 
-// waitForMore sets by when the next bytes have to come, behind so many of the answer.
-func (s *stream) waitForMore(read int64) {
-	now := time.Now()
-	by := now.Add(stillTime)
-	if long := max(read, s.length()) > bodyHeld; !long && s.endBy.Before(by) {
-		by = now.Add(max(streamGap, s.endBy.Sub(now)))
-	}
-	_ = s.c.SetReadDeadline(by) // fails only on a closed connection, as the read then does
+// waitForMore sets by when the next bytes have to come. The caller holds the lock.
+func (s *stream) waitForMore() {
+	_ = s.c.SetReadDeadline(s.clock.at(s.pace.Wait(s.clock.now()))) // fails only on a closed connection, as the read then does
 }
 
 // run reads the answer from its connection. One that ends before it has begun is returned whole; else begin hears
@@ -199,18 +194,18 @@
 		defer s.mu.Unlock()
 		s.due = true
 		if !s.begun && len(s.held) > 0 {
-			s.waitForMore(int64(len(s.held)))
+			s.waitForMore()
 			start()
 		}
 	})
 	defer hold.Stop()
 	defer close(s.pieces)
-	for read := int64(0); ; {
+	for {
 		p := piece{buffer: piecePool.Get().(*[pieceSize]byte)}
 		n, err := s.res.Body.Read(p.buffer[:])
 		p.n = n
-		read += int64(n)
 		s.mu.Lock()
+		s.pace.Came(s.clock.now())
 		if !s.begun {
 			s.held = append(s.held, p.buffer[:n]...)
 			piecePool.Put(p.buffer)
@@ -244,7 +239,9 @@
 		}
 		if begun { // however long it is: bounded is what is held of it
 			s.c.limit.N = math.MaxInt64
-			s.waitForMore(read)
+			s.mu.Lock()
+			s.waitForMore()
+			s.mu.Unlock()
 		}
 	}
 }
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -27,7 +27,7 @@
 const (
 	bodyHeld    = 64 << 10        // bytes of a body, either way, that are held at once
 	answerLimit = 512 << 10       // bytes on the wire of an answer that is held whole, and of any answer's head
-	stillTime   = 5 * time.Second // a server may stand still for so long in a long body
+	stillTime   = 5 * time.Second // a server may stand still for so long as it takes a long body
 	interimMost = 8               // 1xx answers that are read over before the one that counts
 	idleMargin  = time.Second
 	// A second answer may come some milliseconds behind the first. It must find no request out on its connection.
@@ -344,7 +344,7 @@
 		return res, nil, err
 	}
 	if begin != nil && res.StatusCode == http.StatusOK && (res.ContentLength < 0 || res.ContentLength > bodyHeld) {
-		body, err = newStream(res, c, x, u.clock.at(x.deadline+streamGrace)).run(begin)
+		body, err = newStream(res, c, x, u.clock).run(begin)
 	} else {
 		body, err = c.body(res)
 	}
--- /dev/null
+++ b/policy/stream.go
@@ -0,0 +1,34 @@
+package policy
+
+import "time"
+
+const (
+	answerGrace = 300 * time.Millisecond // behind its client's time an answer that stands still ends: half a second is allowed
+	goesOn      = 500 * time.Millisecond // a server that has paused for less goes on with its answer,
+	pauseShare  = 1.5                    // and so does one that pauses for less than this multiple of what it has shown
+	pauseMost   = 2 * time.Second        // but not one that pauses for longer
+	standMost   = 5 * time.Second        // and within its client's time none may stand still for longer
+)
+
+// AnswerPace follows an answer that is passed on as it comes, and decides for how long its server may stand still. A request
+// is owed its final answer half a second behind its time at the latest, but an answer that its server goes on with is not
+// cut off, however long it is. What tells the two apart is the pauses that the server has made in this answer so far.
+type AnswerPace struct {
+	owed    time.Duration // the client's time is up
+	asked   time.Duration // since when the next bytes are waited for
+	longest time.Duration // pause so far
+}
+
+// NewAnswerPace begins with an answer whose head has come now, and whose client's time is up at another moment.
+func NewAnswerPace(now, owed time.Duration) AnswerPace { return AnswerPace{owed: owed, asked: now} }
+
+// Wait takes that the next bytes are waited for from now on, and returns until when. Time in which nobody waits for the server,
+// as the client is slower, is no pause of its.
+func (p *AnswerPace) Wait(now time.Duration) (until time.Duration) {
+	p.asked = now
+	pause := min(max(goesOn, time.Duration(pauseShare*float64(p.longest))), pauseMost)
+	return min(max(now+pause, p.owed+answerGrace), now+standMost)
+}
+
+// Came takes that bytes have come.
+func (p *AnswerPace) Came(now time.Duration) { p.longest = max(p.longest, now-p.asked) }
--- a/policy/stream_test.go
+++ b/policy/stream_test.go
@@ -110,3 +110,42 @@
 		t.Fatalf("sends %v, want another for what is still held", h.sends)
 	}
 }
+
+// An answer whose server stands still ends within half a second of its client's time; one that goes on, or has shown that it
+// pauses for longer, does not. Time in which the client is slower is no pause.
+func TestAnswerEndsByItsServersPace(t *testing.T) {
+	const owed = time.Second
+	for name, c := range map[string]struct {
+		pauses []time.Duration // that the server has made, each behind the one before
+		idle   time.Duration   // that the client took before the last wait
+		until  time.Duration   // from the last wait's beginning on; 0: until owed and 0.3 s more
+	}{
+		"stands from the start":       {nil, 0, 0},
+		"stands behind some bytes":    {[]time.Duration{ms, ms, 400 * ms}, 0, 0},
+		"stands just before the time": {[]time.Duration{300 * ms, 300 * ms, 300 * ms}, 0, 500 * ms},
+		"goes on behind the time":     {[]time.Duration{400 * ms, 400 * ms, 400 * ms, 400 * ms}, 0, 600 * ms},
+		"pauses for long":             {[]time.Duration{400 * ms, 400 * ms, 900 * ms}, 0, 1350 * ms},
+		"pauses for very long":        {[]time.Duration{1250 * ms, 1800 * ms}, 0, 2 * time.Second},
+		"its client is slow":          {[]time.Duration{100 * ms, 100 * ms}, 5 * time.Second, 500 * ms},
+	} {
+		now := time.Duration(0)
+		p := NewAnswerPace(now, owed)
+		for _, pause := range c.pauses {
+			p.Wait(now)
+			now += pause
+			p.Came(now)
+		}
+		now += c.idle
+		want := now + c.until
+		if c.until == 0 {
+			want = owed + 300*ms
+		}
+		if until := p.Wait(now); until != want {
+			t.Errorf("%s: waited for from %v until %v, want %v", name, now, until, want)
+		}
+	}
+	p := NewAnswerPace(0, time.Hour)
+	if until := p.Wait(time.Minute); until != time.Minute+5*time.Second {
+		t.Errorf("within its client's time it may stand still until %v, want 5 s", until)
+	}
+}
