Take an interrupted read of a request's connection for no leaving of its client

What callers saw: a request with a long body whose server did not answer got no answer, but a closed connection; the log said client_left of a client that had stayed. Cause: an attempt that is called off interrupts the reading of its request's body by a deadline in the past. Behind the body's end these reads are net/http's own look for the client's leaving, which cancels the request's context at any error; await took that for the leaving, and where both were ready chose by chance. Change: a cancelled context is a reason to ask the kernel for the client, as at each look; only its word counts. A body that has come whole is not interrupted.

--- /dev/null
+++ b/internal/sidecar/calledoff_test.go
@@ -0,0 +1,49 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// crossing bounds how long a crossing is held open, so that the other side may run into it.
+const crossing = 300 * time.Millisecond
+
+// callOff calls a request's first attempt off, and holds the loop until happened or crossing is over.
+func (f *front) callOff(t *testing.T, happened func() bool) {
+	t.Helper()
+	err := f.loop.do(context.Background(), func(time.Duration) {
+		for id := range f.loop.requests {
+			f.loop.Cancel(id, 0)
+		}
+		for end := time.Now().Add(crossing); !happened() && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A request whose body has gone out whole keeps its final answer as its attempt is called off: that interrupted the reads of
+// its connection, which was taken for its client's leaving.
+func TestCalledOffUploadIsAnswered(t *testing.T) {
+	s := newStub(t, func(net.Conn, received) bool { select {} })
+	f, side, serve := assembled(t, s.address, nil)
+	serve()
+	c := side.dial(t)
+	body := string(long(bodyHeld + 4<<10))
+	if _, err := io.WriteString(c, head("1", fmt.Sprintf("Content-Length: %d", len(body)))+body); err != nil {
+		t.Fatal(err)
+	}
+	wait(t, "the request", s.seen)
+	f.callOff(t, func() bool { return f.held.Load() == 0 })
+	_ = c.SetReadDeadline(time.Now().Add(generous)) // fails only on a closed one
+	if res, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || res.StatusCode < 500 {
+		t.Errorf("it was answered %v, error %v, want a failure or a refusal", res, err)
+	}
+}
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -160,7 +160,8 @@
 	defer look.Stop()
 	incomplete := false // its client has not sent all of it
 	defer func() { f.loop.guard.Close(f.clock.now(), id, incomplete) }()
-	for ctx := r.Context(); ; {
+	ctx := r.Context()
+	for cancelled := ctx.Done(); ; {
 		select {
 		case a := <-reply:
 			f.reply(w, r, q.Class, a, m.rest)
@@ -172,10 +173,11 @@
 			f.rejectBody(w, err)
 			return
 		case <-look.C:
-			if f.clients.presenceOf(ctx) != departed {
-				continue
-			}
-		case <-ctx.Done():
+		case <-cancelled: // net/http's word for any read that fails, also one that was interrupted
+			cancelled = nil
+		}
+		if f.clients.presenceOf(ctx) != departed {
+			continue
 		}
 		f.loop.guard.Left(f.clock.now(), id)
 		f.loop.gone(id) // the client has closed its connection
--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -103,9 +103,13 @@
 	return n, err
 }
 
-// interrupt ends the read under way and lets none follow.
+// interrupt ends the read under way and lets none follow. Behind the body's end the connection's reads are net/http's, which
+// looks for its client's leaving by them.
 func (u *upload) interrupt() {
 	u.stopped.Store(true)
+	if u.ended.Load() {
+		return
+	}
 	_ = u.body.deadline(time.Unix(1, 0)) // fails only on a closed connection
 }
 
