Take no answer from an attempt that was called off as it began

Cause: the module called the attempt off while word of its answer's beginning waited in the loop's queue; the loop then handed the client a stream whose connection it had closed itself, as the request's one final answer. Beside load that queue is long enough for the crossing. Change: the beginning of an attempt that is called off is passed over; its end comes as 'cancelled', and the module goes on from there.

--- a/internal/sidecar/calledoff_test.go
+++ b/internal/sidecar/calledoff_test.go
@@ -47,3 +47,35 @@
 		t.Errorf("it was answered %v, error %v, want a failure or a refusal", res, err)
 	}
 }
+
+// An answer that begins as its attempt is called off is no answer: its connection is closed, so that the client saw it break off.
+func TestCalledOffStreamIsNoAnswer(t *testing.T) {
+	begin := make(chan struct{})
+	s := newStub(t, func(c net.Conn, r received) bool {
+		<-begin
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\nthe first bytes", 2*bodyHeld)
+		_, _ = io.Copy(io.Discard, c) // until it is called off
+		return false
+	})
+	f, side, serve := assembled(t, s.address, nil)
+	serve()
+	c := side.dial(t)
+	if _, err := io.WriteString(c, head("1", "Content-Length: 0")); err != nil {
+		t.Fatal(err)
+	}
+	wait(t, "the request", s.seen)
+	err := f.loop.do(context.Background(), func(time.Duration) {
+		close(begin)
+		for end := time.Now().Add(generous); len(f.loop.events) == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		}
+		for id := range f.loop.requests { // the answer's beginning waits behind this
+			f.loop.Cancel(id, 0)
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if res, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || res.StatusCode < 500 {
+		t.Errorf("it was answered %v, error %v, want a failure or a refusal", res, err)
+	}
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -407,7 +407,7 @@
 // off any more.
 func (l *loop) began(id balance.RequestID, number int, res result) {
 	r := l.requests[id]
-	if r.over {
+	if r.over || r.attempts[number].givenUp() { // called off while this was on its way: its connection is closed
 		res.stream.leave()
 		return
 	}
