Hold no lock of a connection while its looks for bytes are tried again

What callers saw: while the system had no memory for a socket (ENOMEM, ENOBUFS) a look for bytes was tried again for up to 40 ms under the connection's lock, and whoever made room for another connection, under the lock of all, waited for it: every accept, request and answer behind that waited too. Cause: the retry stood inside the lock. Now each look takes the lock for itself, and one that is ended meanwhile reads nothing.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -28,6 +28,7 @@
 	clock     clock
 	upstreams func() int // connections to upstreams now
 	closed    func(closeReason)
+	read      func(fd int, p []byte) (int, error) // the system call
 
 	mu      sync.Mutex
 	room    int           // connections with open requests at most
@@ -78,7 +79,7 @@
 
 // newClients makes the application's listener, with room for all that one process may hold.
 func newClients(cfg *Config, l clientListener, upstreams func() int) *clients {
-	k := &clients{clientListener: l, clock: newClock(), upstreams: upstreams, closed: func(closeReason) {}, conns: make(map[*clientConn]struct{})}
+	k := &clients{clientListener: l, clock: newClock(), upstreams: upstreams, closed: func(closeReason) {}, read: syscall.Read, conns: make(map[*clientConn]struct{})}
 	k.share(cfg.clientConns(1), cfg.allConns(1))
 	return k
 }
@@ -247,17 +248,10 @@
 // then answers 400 and closes the connection.
 func (c *clientConn) Read(p []byte) (n int, err error) {
 	waited := c.raw.Read(func(fd uintptr) bool {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		switch {
-		case c.ended:
-			err = &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
-		case c.failed != nil && len(p) == 1:
-			err = syscall.EAGAIN // net/http looks for an end while a request is open: that has its answer first
-		case c.failed != nil:
-			err = c.failed
-		default:
-			n, err = c.look(int(fd), p)
+		// No lock is held between two tries: whoever makes room waits for a look, and not for the system to have memory.
+		n, err = retryMomentary(func() (int, error) { return c.lookOnce(int(fd), p) })
+		if errno, failed := err.(syscall.Errno); failed && errno != syscall.EAGAIN {
+			err = &net.OpError{Op: "read", Net: "tcp", Err: errno}
 		}
 		return err != syscall.EAGAIN
 	})
@@ -272,15 +266,29 @@
 	return n, err
 }
 
+// lookOnce takes the bytes that have come, if any may be read. Where the system call fails its error is returned as it is.
+func (c *clientConn) lookOnce(fd int, p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.ended:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
+	case c.failed != nil && len(p) == 1:
+		return 0, syscall.EAGAIN // net/http looks for an end while a request is open: that has its answer first
+	case c.failed != nil:
+		return 0, c.failed
+	}
+	return c.look(fd, p)
+}
+
 // look takes the bytes that have come. The caller holds the lock.
 func (c *clientConn) look(fd int, p []byte) (int, error) {
-	n, err := retryMomentary(func() (int, error) { return syscall.Read(fd, p) })
+	n, err := c.clients.read(fd, p)
 	if err == syscall.EAGAIN {
 		c.queuedSince = 0
-		return 0, err
 	}
 	if err != nil {
-		return 0, &net.OpError{Op: "read", Net: "tcp", Err: err}
+		return 0, err
 	}
 	if n == 0 && len(p) > 0 {
 		return 0, io.EOF
--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -479,6 +479,44 @@
 	}
 }
 
+// Whoever makes room for others does not wait for a connection whose looks fail for lack of memory: the lock was held over all of them.
+func TestMakingRoomWaitsForNoMemory(t *testing.T) {
+	inner, err := listen(context.Background(), "127.0.0.1:0", true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := newClients(testConfig(t, listed(1, "ready"), nil), inner, noUpstreams)
+	defer l.Close()
+	var looks atomic.Int64
+	first := make(chan struct{})
+	l.read = func(int, []byte) (int, error) {
+		if looks.Add(1) == 1 {
+			close(first)
+		}
+		return 0, syscall.ENOMEM
+	}
+	dialled(t, inner.Addr().String())
+	near, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	read := make(chan error, 1)
+	go func() {
+		_, err := near.Read(make([]byte, 10))
+		read <- err
+	}()
+	wait(t, "the first look", first)
+	if !near.(*clientConn).end(false) {
+		t.Error("it makes no room")
+	}
+	if n := looks.Load(); n > momentaryTries/2 {
+		t.Errorf("the end waited for %d looks", n)
+	}
+	if err := wait(t, "the end of its read", read); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("its read ended with %v, want %v", err, net.ErrClosed)
+	}
+}
+
 // A connection that has come and that the system can't wait on for as long as it is tried is refused, and its request with it.
 func TestConnectionThatCannotBeWaitedOnIsRefused(t *testing.T) {
 	inner, err := listen(context.Background(), "127.0.0.1:0", true)
