Count how long a call back was kept by this process's own clock

What callers saw: with the wall clock stepped forward behind a call back, the next call by hand dropped it at once, so that a process started within its minute took the server that is back for warm; stepped back, it stayed too long. Cause: forget took the difference of two wall times. Now each process counts from when it first saw the call, on its monotonic clock. TestSteppedClockForgetsNoCallBack (an hour, either way) fails without the change and passes with it; TestHandover's long ago is forgotten as before.

--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -60,6 +60,8 @@
 	read   fs.FileInfo       // the older programs' file as last read; nil: there was none
 	handed map[string]handed // by instanceId, where there is no store
 
+	backs map[string]backSeen // calls back in force, by instanceId
+
 	counting sync.Mutex
 	others   [processes]bool // other processes that run, as the system told last
 
@@ -68,6 +70,12 @@
 	oldDamage int       // 1: the older programs' file was all there was, and it is damaged
 }
 
+// backSeen is when a call back was first seen by this process.
+type backSeen struct {
+	atMs int64     // of the call, which tells it from others
+	at   time.Time // with the monotonic clock
+}
+
 // handed is a server that is out by hand, or was until lately.
 type handed struct {
 	Out  bool  `json:"out"`
@@ -114,6 +122,7 @@
 		slog.Error("state not kept", "reason", err)
 	}
 	h.adopt()
+	h.seeBacks(time.Now())
 	damage := h.store.Damage().Files
 	slog.Info("state", "number", h.store.Number(), "calls", len(h.inForce()), "bytes", h.bytes(), "took", time.Since(began), "damaged", len(damage))
 	for _, d := range damage {
@@ -305,10 +314,27 @@
 	return h.store.Put(sectionCalls, instance, raw)
 }
 
-// forget drops calls back that everybody knows of by now.
-func (h *handover) forget(now time.Time) {
+// seeBacks notes since when this process has seen each call back.
+func (h *handover) seeBacks(now time.Time) {
+	seen := make(map[string]backSeen)
 	for instance, c := range h.inForce() {
-		if !c.Out && now.Sub(time.UnixMilli(c.AtMs)) > backKept && h.store != nil {
+		if c.Out {
+			continue
+		}
+		seen[instance] = backSeen{c.AtMs, now}
+		if before, ok := h.backs[instance]; ok && before.atMs == c.AtMs {
+			seen[instance] = before
+		}
+	}
+	h.backs = seen
+}
+
+// forget drops calls back that everybody knows of by now. How long one has been there is time of this process's own: the wall
+// clock may have been stepped since the call.
+func (h *handover) forget(now time.Time) {
+	h.seeBacks(now)
+	for instance, seen := range h.backs {
+		if h.store != nil && now.Sub(seen.at) > backKept {
 			_ = h.store.Delete(sectionCalls, instance) // or it stays for longer
 		}
 	}
@@ -361,6 +387,7 @@
 	if h.lock != nil {
 		h.follow()
 	}
+	h.seeBacks(time.Now())
 	return h.inForce()
 }
 
--- a/internal/sidecar/handover_test.go
+++ b/internal/sidecar/handover_test.go
@@ -79,6 +79,28 @@
 	same(newHandover(dir, "n0"), map[string]bool{"b": false, "c": true})
 }
 
+// A call back is kept for its minute though the wall clock is stepped by an hour behind it: that was counted as time passed.
+func TestSteppedClockForgetsNoCallBack(t *testing.T) {
+	for _, step := range []time.Duration{time.Hour, -time.Hour} {
+		h := newHandover(t.TempDir(), "n0")
+		before := time.Now().Add(-step) // the clock's date as the call was made
+		if err := errors.Join(h.enterCall("a", handed{true, before.UnixMilli()}), h.enterCall("a", handed{false, before.UnixMilli()})); err != nil {
+			t.Fatal(err)
+		}
+		h.known()
+		now := time.Now()
+		h.forget(now.Add(backKept / 2))
+		if _, kept := h.inForce()["a"]; !kept {
+			t.Errorf("stepped by %v: the call back is forgotten half a minute behind it", step)
+		}
+		h.forget(now.Add(2 * backKept))
+		if _, kept := h.inForce()["a"]; kept {
+			t.Errorf("stepped by %v: the call back is kept for two minutes", step)
+		}
+		h.die()
+	}
+}
+
 // A state file that can't be used keeps no process from its start, and the next call replaces it.
 func TestDamagedState(t *testing.T) {
 	for name, text := range map[string]string{
