Serve without a state folder that hangs, and take over its calls once it answers

What callers saw: nobody served for as long as a system call on the state folder did not return (F_OFD_SETLK held: never, in 20 s). Cause: the start opened the state before all else, with bounds on failures only. Once the folder answers, the calls by hand in it hold; those made at this process meanwhile are newer and win. The rest of the state counts from the next start on.

--- a/cmd/caperarch/stopfaults_test.go
+++ b/cmd/caperarch/stopfaults_test.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"net/http"
@@ -92,3 +93,54 @@
 		c.wants(fmt.Sprint("q", i), http.StatusOK, http.StatusServiceUnavailable)
 	}
 }
+
+// setLock is F_OFD_SETLK, by which a process enters among its sidecar's.
+const setLock = 37
+
+// A state folder that hangs as a process begins does not keep it from serving; it was waited for without an end. What is
+// owed by the calls by hand in it holds once it answers.
+func TestStartOutlivesHangingFolder(t *testing.T) {
+	server := newQueueServer(t, answerAtOnce)
+	config := fmt.Sprintf(faultySettings, "127.0.0.1:1", server.listener.Addr(), 2000)
+	state := t.TempDir()
+	first := startFaultyIn(t, state, config, false, nil, nil)
+	if answer, err := callAt(first.console, "disable-server s-0"); err != nil || !strings.HasPrefix(answer, "200") {
+		t.Fatalf("disable-server: %q, error %v", answer, err)
+	}
+	first.signal(syscall.SIGKILL)
+	<-first.ended
+	answers := make(chan struct{})
+	began := time.Now()
+	s := startFaultyIn(t, state, config, false, []int{unix.SYS_FCNTL}, func(c sysfault.Call) sysfault.Effect {
+		if c.Arguments[1] == setLock {
+			return sysfault.Effect{Until: answers}
+		}
+		return sysfault.Effect{}
+	})
+	if took := time.Since(began); took > 6*time.Second {
+		t.Errorf("it served after %v, want 6 s at most", took)
+	}
+	c := s.connect()
+	c.send(request("q1", time.Second))
+	c.wants("q1", http.StatusOK)
+	close(answers)
+	s.saying(`msg="by hand" server=s-0 (out=true)`)
+	c = s.connect()
+	c.send(request("q2", time.Second))
+	c.wants("q2", http.StatusServiceUnavailable)
+}
+
+// callAt makes one call at a console.
+func callAt(address, line string) (string, error) {
+	c, err := net.DialTimeout("tcp", address, patience)
+	if err != nil {
+		return "", err
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(patience)) // fails only on a closed one
+	if _, err := fmt.Fprintln(c, line); err != nil {
+		return "", err
+	}
+	answer, err := bufio.NewReader(c).ReadString('\n')
+	return answer, err
+}
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -75,6 +75,7 @@
 			k.discovery.beside(kept, list)
 		}
 	})
+	go k.state.followLate(ctx, func(owed map[string]handed) { k.path.calls(ctx, owed) })
 	go func() {
 		defer close(kept)
 		k.state.keep(ctx, k.path.learned)
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -29,6 +29,7 @@
 	alonePoll    = 250 * time.Millisecond // how often a process looks for a second one
 	togetherPoll = 50 * time.Millisecond  // and, beside one, for calls made to that
 	unreadPoll   = time.Second            // and whether a folder that could not be read can be read by now
+	folderWait   = 4 * time.Second        // for a folder that does not answer; a start has 6 s
 	enterTries   = 50                     // of the lock file: the system may fail for a moment
 	enterPause   = 10 * time.Millisecond
 	stateWait    = 300 * time.Millisecond // the other process writes for no longer than this
@@ -62,6 +63,8 @@
 
 	backs map[string]backSeen // calls back in force, by instanceId
 
+	late <-chan *handover // what its folder holds, once that answers; nil: it did in time
+
 	counting sync.Mutex
 	others   [processes]bool // other processes that run, as the system told last
 
@@ -102,13 +105,52 @@
 // the log and keeps no process from its start.
 func newHandover(dir, name string) *handover { return openHandover(dir, name, store.Options{}) }
 
-// openHandover is newHandover with the options of the state that are not its own to choose.
+// openHandover is newHandover with the options of the state that are not its own to choose. A folder that does not answer is
+// waited for no longer than folderWait: see followLate.
 func openHandover(dir, name string, options store.Options) *handover {
-	h := &handover{saves: make(chan struct{}, savesAtOnce), news: make(chan struct{}, 1)}
 	if dir == "" {
 		slog.Info("state not kept", "reason", "TMPDIR is not set: calls by hand end with this process")
+		return emptyHandover()
+	}
+	opened := make(chan *handover, 1)
+	go func() { opened <- enterFolder(dir, name, options) }()
+	select {
+	case h := <-opened:
+		return h
+	case <-time.After(folderWait):
+		slog.Error("state not kept", "reason", "the folder does not answer", "waited", folderWait)
+		h := emptyHandover()
+		h.late = opened
 		return h
 	}
+}
+
+// emptyHandover is that of a process that stands alone and keeps nothing.
+func emptyHandover() *handover {
+	return &handover{saves: make(chan struct{}, savesAtOnce), news: make(chan struct{}, 1)}
+}
+
+// followLate takes over the calls by hand of a folder that did not answer in time, once it does; those that were made at this
+// process meanwhile are newer. Nothing else of it counts until the next start.
+func (h *handover) followLate(ctx context.Context, calls func(map[string]handed)) {
+	if h.late == nil {
+		return
+	}
+	select {
+	case late := <-h.late:
+		owed := late.known()
+		for instance := range h.known() {
+			delete(owed, instance)
+		}
+		slog.Warn("state came late", "calls", len(owed))
+		calls(owed)
+	case <-ctx.Done():
+	}
+}
+
+// enterFolder opens the state in a folder.
+func enterFolder(dir, name string, options store.Options) *handover {
+	h := emptyHandover()
 	base := filepath.Join(dir, "sidecar-"+url.PathEscape(name))
 	h.state = base + ".state"
 	if err := h.enter(base + ".lock"); err != nil {
