--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -209,7 +209,7 @@
 		n, err := s.res.Body.Read(p.buffer[:])
 		p.n = n
 		s.mu.Lock()
-		s.pace.Came(s.clock.now())
+		s.pace.Came(s.clock.now(), n)
 		if !s.begun {
 			s.held = append(s.held, p.buffer[:n]...)
 			piecePool.Put(p.buffer)
--- a/policy/stream.go
+++ b/policy/stream.go
@@ -3,11 +3,14 @@
 import "time"
 
 const (
-	answerGrace = 300 * time.Millisecond // behind its client's time an answer that stands still ends: half a second is allowed
-	goesOn      = 500 * time.Millisecond // a server that has paused for less goes on with its answer,
-	pauseShare  = 1.5                    // and so does one that pauses for less than this multiple of what it has shown
-	pauseMost   = 2 * time.Second        // but not one that pauses for longer
-	standMost   = 5 * time.Second        // and within its client's time none may stand still for longer
+	answerGrace = 350 * time.Millisecond // behind its client's time an answer that stands still ends: half a second is allowed, and 0.15 s of being held up
+	goesOn      = 500 * time.Millisecond // a server that has paused for less goes on with its answer, behind its client's time,
+	fastGoesOn  = 300 * time.Millisecond // or for less than this, where it has sent fastFrom bytes and never paused for fastPause
+	fastFrom    = 64 << 10
+	fastPause   = 50 * time.Millisecond
+	pauseShare  = 1.5             // and one that pauses for less than this multiple of what it has shown goes on in any case,
+	pauseMost   = 2 * time.Second // but not where it pauses for longer
+	standMost   = 5 * time.Second // and within its client's time none may stand still for longer
 )
 
 // AnswerPace follows an answer that is passed on as it comes, and decides for how long its server may stand still. A request
@@ -17,6 +20,7 @@
 	owed    time.Duration // the client's time is up
 	asked   time.Duration // since when the next bytes are waited for
 	longest time.Duration // pause so far
+	bytes   int           // so far
 }
 
 // NewAnswerPace begins with an answer whose head has come now, and whose client's time is up at another moment.
@@ -26,9 +30,19 @@
 // as the client is slower, is no pause of its.
 func (p *AnswerPace) Wait(now time.Duration) (until time.Duration) {
 	p.asked = now
-	pause := min(max(goesOn, time.Duration(pauseShare*float64(p.longest))), pauseMost)
-	return min(max(now+pause, p.owed+answerGrace), now+standMost)
+	pause := time.Duration(pauseShare * float64(p.longest))
+	switch {
+	case now < p.owed: // it has not gone on behind that so far
+	case p.bytes >= fastFrom && p.longest < fastPause:
+		pause = max(pause, fastGoesOn)
+	default:
+		pause = max(pause, goesOn)
+	}
+	return min(max(now+min(pause, pauseMost), p.owed+answerGrace), now+standMost)
 }
 
-// Came takes that bytes have come.
-func (p *AnswerPace) Came(now time.Duration) { p.longest = max(p.longest, now-p.asked) }
+// Came takes that so many bytes have come.
+func (p *AnswerPace) Came(now time.Duration, bytes int) {
+	p.longest = max(p.longest, now-p.asked)
+	p.bytes += bytes
+}
--- a/policy/stream_test.go
+++ b/policy/stream_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -117,28 +118,33 @@
 	const owed = time.Second
 	for name, c := range map[string]struct {
 		pauses []time.Duration // that the server has made, each behind the one before
+		piece  int             // bytes that came behind each
 		idle   time.Duration   // that the client took before the last wait
-		until  time.Duration   // from the last wait's beginning on; 0: until owed and 0.3 s more
+		until  time.Duration   // from the last wait's beginning on; 0: until owed and 0.35 s more
 	}{
-		"stands from the start":       {nil, 0, 0},
-		"stands behind some bytes":    {[]time.Duration{ms, ms, 400 * ms}, 0, 0},
-		"stands just before the time": {[]time.Duration{300 * ms, 300 * ms, 300 * ms}, 0, 500 * ms},
-		"goes on behind the time":     {[]time.Duration{400 * ms, 400 * ms, 400 * ms, 400 * ms}, 0, 600 * ms},
-		"pauses for long":             {[]time.Duration{400 * ms, 400 * ms, 900 * ms}, 0, 1350 * ms},
-		"pauses for very long":        {[]time.Duration{1250 * ms, 1800 * ms}, 0, 2 * time.Second},
-		"its client is slow":          {[]time.Duration{100 * ms, 100 * ms}, 5 * time.Second, 500 * ms},
+		"stands from the start":         {nil, 0, 0, 0},
+		"stands behind some bytes":      {[]time.Duration{ms, ms, 400 * ms}, 100, 0, 0},
+		"stands just before the time":   {[]time.Duration{20 * ms, 20 * ms, 200 * ms, 200 * ms, 200 * ms, 200 * ms, 150 * ms}, 100, 0, 0},
+		"stands just behind it":         {[]time.Duration{200 * ms, 200 * ms, 200 * ms, 200 * ms, 210 * ms}, 100, 0, 500 * ms},
+		"was fast, and stands there":    {slices.Repeat([]time.Duration{15 * ms}, 80), 16 << 10, 0, 300 * ms},
+		"was fast with little":          {slices.Repeat([]time.Duration{15 * ms}, 80), 10, 0, 500 * ms},
+		"goes on behind the time":       {[]time.Duration{400 * ms, 400 * ms, 400 * ms, 400 * ms}, 16 << 10, 0, 600 * ms},
+		"pauses, just before the time":  {[]time.Duration{400 * ms, 400 * ms, 150 * ms}, 16 << 10, 0, 600 * ms},
+		"pauses for long":               {[]time.Duration{400 * ms, 400 * ms, 900 * ms}, 16 << 10, 0, 1350 * ms},
+		"pauses for very long":          {[]time.Duration{1250 * ms, 1800 * ms}, 16 << 10, 0, 2 * time.Second},
+		"its client is slow, behind it": {[]time.Duration{100 * ms, 100 * ms}, 16 << 10, 5 * time.Second, 500 * ms},
 	} {
 		now := time.Duration(0)
 		p := NewAnswerPace(now, owed)
 		for _, pause := range c.pauses {
 			p.Wait(now)
 			now += pause
-			p.Came(now)
+			p.Came(now, c.piece)
 		}
 		now += c.idle
 		want := now + c.until
 		if c.until == 0 {
-			want = owed + 300*ms
+			want = owed + 350*ms
 		}
 		if until := p.Wait(now); until != want {
 			t.Errorf("%s: waited for from %v until %v, want %v", name, now, until, want)
