--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -43,6 +43,8 @@
 	inTime  *counter                  // those served within their aim
 	served  []*counter                // by sidecar
 	live    atomic.Int64              // requests open now
+
+	clinging atomic.Int64 // requests of clients that keep their connections through a termination
 }
 
 func newClients(s *Scenario, c clock, h *History, n *subnet, late *lateness) *clients {
--- a/internal/lab/faults.go
+++ b/internal/lab/faults.go
@@ -100,7 +100,7 @@
 func (f *faults) act(ctx context.Context, a Action) error {
 	one := map[string]func(context.Context, Action, int) error{
 		"sidecar": f.sidecar, "server": f.server, "discovery": f.discovery, "link": f.link,
-		"load": func(context.Context, Action, int) error { return nil }, // it is in the arrivals
+		"load": f.load,
 	}[kinds[a.Do].on]
 	var all sync.WaitGroup
 	errs := make(chan error, len(a.Targets))
@@ -119,6 +119,14 @@
 	return errors.Join(bad...)
 }
 
+// load carries out what is not in the arrivals already.
+func (f *faults) load(ctx context.Context, a Action, _ int) error {
+	if a.Do != "busy" {
+		return nil
+	}
+	return keepBusy(ctx, f.run.processes.launch, int(a.Size), a.For.D())
+}
+
 // mended waits until an action's time is over; false: it is for good, or the run ends before.
 func mended(ctx context.Context, a Action) bool { return a.For > 0 && sleep(ctx, a.For.D()) }
 
@@ -144,7 +152,7 @@
 		_, err := p.start(i)
 		return err
 	}
-	if slices.Contains([]string{"kill", "stop", "upgrade"}, a.Do) {
+	if slices.Contains([]string{"kill", "stop", "upgrade", "term", "swap"}, a.Do) {
 		f.lives[i].Lock()
 		defer f.lives[i].Unlock()
 	}
@@ -180,6 +188,12 @@
 	case "upgrade":
 		defer f.run.history.changed(f.run.clock) // a member is another process now
 		return p.upgrade(i)
+	case "term":
+		return f.terminate(ctx, a, i)
+	case "swap":
+		return f.replaceBySeries(ctx, a, i)
+	case "crowd":
+		f.crowd(ctx, a, i)
 	case "full":
 		return p.fileLimit(i, uint64(a.Size))
 	case "calls", "deaf", "forward", "back", "rude":
--- a/internal/lab/history.go
+++ b/internal/lab/history.go
@@ -28,6 +28,8 @@
 	peers   []string // strangers that got neither an error nor a close
 	broken  []string // invariants that sidecars found broken themselves
 	killed  []span   // when a sidecar's process was killed, by sidecar
+	late    []kill   // when one was killed that had been told to end
+	crowded []span   // when idle clients filled a sidecar's descriptors: it may shut new connections unread
 	started []span   // when it was started again, until it was ready
 	views   []viewed // what sidecars saw of the fleet
 	tokens  []tokenSeen
@@ -45,6 +47,12 @@
 	from, to time.Duration
 }
 
+// kill is the end of a process that was told to end and did not in time: only what had come until then is the kill's.
+type kill struct {
+	span
+	came time.Duration
+}
+
 // Asked is what became of what a client wanted, over all its tries.
 type Asked struct {
 	world.Arrival
@@ -80,6 +88,7 @@
 	Fresh   bool          // its connection had carried no request before
 	Left    time.Duration // when its client left, before it had an answer; 0: it did not
 	Owed    time.Duration // its time was up
+	Whole   time.Duration // its last byte had gone out; 0: as it was sent
 	Body    string        // of a served one
 	Reached []Reached
 }
@@ -165,7 +174,7 @@
 func (h *History) sent(t *Try, now, patience time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	t.Owed = now + patience
+	t.Owed, t.Whole = now+patience, now
 }
 
 // keptBody is a body as it is kept: a long one by its length and a hash.
@@ -272,6 +281,13 @@
 	h.lives = append(h.lives, lifeChange{now, sidecar, up})
 }
 
+// killedLate takes the kill of a process that had been told to end, with the moment until which what came is the kill's.
+func (h *History) killedLate(s span, came time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.late = append(h.late, kill{s, came})
+}
+
 // life takes a time in a sidecar's life into one of the lists.
 func (h *History) life(list *[]span, s span) {
 	h.mu.Lock()
--- a/internal/lab/soak.go
+++ b/internal/lab/soak.go
@@ -95,9 +95,60 @@
 	for i := range soakFaults {
 		text += soakFault(rng, soakKinds[(int(seed)+i*5+rng.IntN(5))%len(soakKinds)])
 	}
+	if seed >= SoakWiderFrom {
+		text += soakCrossings(rand.New(rand.NewPCG(seed, 10)), cmp.Or(sidecars, drawn))
+	}
 	return ReadScenario(fmt.Sprintf("soak-%d.toml", seed), []byte(text))
 }
 
+// SoakWiderFrom is the first seed whose soak has terminations by the page's timing and crossings besides; those before it draw
+// what they drew when they were noted.
+const SoakWiderFrom = 100_000
+
+// soakCrossings words terminations of sidecars with series of signals, an upgrade of one whose accept fails, and, in some soaks, a
+// crowd of idle clients (also while discovery is away), many clients at once, and a busy machine.
+func soakCrossings(rng *rand.Rand, sidecars int) (text string) {
+	add := func(do string, at, length time.Duration, target string, size float64) {
+		text += fmt.Sprintf("[[fault]]\nat = '%v'\ndo = '%s'\n", at.Round(time.Millisecond), do)
+		if length > 0 {
+			text += fmt.Sprintf("for = '%v'\n", length.Round(time.Millisecond))
+		}
+		if target != "" {
+			text += fmt.Sprintf("target = '%s'\n", target)
+		}
+		if size > 0 {
+			text += fmt.Sprintf("size = %.2f\n", size)
+		}
+	}
+	at := func() time.Duration {
+		return soakQuiet + time.Duration(rng.Int64N(int64(soakLength-soakRest-soakLongest)))
+	}
+	one := func() string { return fmt.Sprint(rng.IntN(sidecars)) }
+	for range 3 {
+		add("term", at(), soakShortest, one(), float64(1+rng.IntN(lastSeries)))
+		add("swap", at(), 0, one(), float64(1+rng.IntN(hangupBehind)))
+	}
+	for range 2 {
+		deaf, target := at(), one()
+		add("deaf", deaf, 200*time.Millisecond+time.Duration(rng.Int64N(int64(400*time.Millisecond))), target, 0)
+		add("swap", deaf+time.Duration(rng.Int64N(int64(100*time.Millisecond))), 0, target, plainTerm)
+	}
+	if rng.IntN(2) == 0 {
+		crowd := at()
+		add("crowd", crowd, 3*time.Second, one(), float64(200+rng.IntN(200)))
+		if rng.IntN(2) == 0 {
+			add("away", crowd+time.Second, time.Second, "", 0)
+		}
+	}
+	if rng.IntN(3) == 0 {
+		add("burst", at(), time.Second, "", 3+2*rng.Float64())
+	}
+	if rng.IntN(3) == 0 {
+		add("busy", at(), 4*time.Second, "", float64(6+rng.IntN(6)))
+	}
+	return text
+}
+
 // soakFault words one fault.
 func soakFault(rng *rand.Rand, kind soakKind) string {
 	last := soakLength - soakRest
