Test that a clock which is ahead at a start makes no cold server warm, known to fail

What was learned: later starts are caught (startOf: a start that is news but lies long before the list was heard without it). Kept states hold wall times of the same machine.

--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -286,3 +286,21 @@
 		})
 	}
 }
+
+// A server of the first whole list that has just started is cold, also by a clock that was ahead as this process began: such a
+// clock makes the start look long ago.
+func TestColdServerIsColdByAClockThatIsAhead(t *testing.T) {
+	const start = 1_000_000 * time.Second
+	for _, ahead := range []time.Duration{0, 30 * time.Second, time.Hour} {
+		b, err := New(testConfig(), 1, newFakeHost())
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := start + time.Second + ahead
+		b.Start(now)
+		b.List(now, balance.ListFull, []balance.Server{{ID: 1, State: balance.Ready, Weight: 1, Started: start}})
+		if s := b.server(1); s.warmAt <= now {
+			t.Errorf("the clock is %v ahead: a server that started a second ago is held for warm", ahead)
+		}
+	}
+}
