--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -158,6 +158,7 @@
 	c     *conn
 	x     *exchange
 	clock clock
+	begin func(*http.Response, *stream) // hears that the answer has begun
 
 	mu    sync.Mutex
 	pace  policy.AnswerPace
@@ -189,65 +190,89 @@
 // run reads the answer from its connection. One that ends before it has begun is returned whole; else begin hears
 // that it has, and run returns when it has ended.
 func (s *stream) run(begin func(*http.Response, *stream)) ([]byte, error) {
-	start := func() { // with the lock held
-		s.begun = true
-		begin(s.res, s)
-	}
-	hold := time.AfterFunc(holdTime, func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.due = true
-		if !s.begun && len(s.held) > 0 {
-			s.waitForMore()
-			start()
-		}
-	})
+	s.begin = begin
+	hold := time.AfterFunc(holdTime, s.beginHeld)
 	defer hold.Stop()
 	defer close(s.pieces)
 	for {
 		p := piece{buffer: piecePool.Get().(*[pieceSize]byte)}
-		n, err := s.res.Body.Read(p.buffer[:])
-		p.n = n
-		s.mu.Lock()
-		s.pace.Came(s.clock.now(), n)
-		if !s.begun {
-			s.held = append(s.held, p.buffer[:n]...)
-			piecePool.Put(p.buffer)
-			p.n = 0
-			switch {
-			case err == io.EOF && len(s.held) <= bodyHeld:
-				s.begun = true // nothing is left for hold to begin
-				s.mu.Unlock()
-				return s.held, nil
-			case err != nil && err != io.EOF:
-				s.begun = true
-			case len(s.held) > bodyHeld || s.due && n > 0:
-				start()
-			}
-		}
-		begun := s.begun
-		s.mu.Unlock()
-		if p.n > 0 {
-			select {
-			case s.pieces <- p:
-			case <-s.gone:
-				piecePool.Put(p.buffer)
-			}
-		}
-		if err == io.EOF {
+		var err error
+		p.n, err = s.res.Body.Read(p.buffer[:])
+		begun, whole := s.came(&p, err)
+		s.passOn(p)
+		switch {
+		case whole:
+			return s.held, nil
+		case err == io.EOF:
 			return nil, nil
-		}
-		if err != nil {
+		case err != nil:
 			s.err = err
 			return nil, err
+		case begun:
+			s.goOn()
 		}
-		if begun { // however long it is: bounded is what is held of it
-			s.c.limit.N = math.MaxInt64
-			s.mu.Lock()
-			s.waitForMore()
-			s.mu.Unlock()
+	}
+}
+
+// start begins the answer. The caller holds the lock.
+func (s *stream) start() {
+	s.begun = true
+	s.begin(s.res, s)
+}
+
+// beginHeld begins an answer whose length is not told and that has come in part by now.
+func (s *stream) beginHeld() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.due = true
+	if !s.begun && len(s.held) > 0 {
+		s.waitForMore()
+		s.start()
+	}
+}
+
+// came takes what a read has brought, and empties the piece where that is held. begun: the answer has begun; whole: it has come whole
+// before, and is all held.
+func (s *stream) came(p *piece, err error) (begun, whole bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pace.Came(s.clock.now(), p.n)
+	if s.begun {
+		return true, false
+	}
+	some := p.n > 0
+	s.held = append(s.held, p.buffer[:p.n]...)
+	p.n = 0
+	switch {
+	case err == io.EOF && len(s.held) <= bodyHeld:
+		s.begun = true // nothing is left to begin
+		return true, true
+	case err != nil && err != io.EOF:
+		s.begun = true
+	case len(s.held) > bodyHeld || s.due && some:
+		s.start()
+	}
+	return s.begun, false
+}
+
+// passOn hands a piece to the client's handler, unless the client has gone.
+func (s *stream) passOn(p piece) {
+	if p.n > 0 {
+		select {
+		case s.pieces <- p:
+			return
+		case <-s.gone:
 		}
 	}
+	piecePool.Put(p.buffer)
+}
+
+// goOn waits for more of an answer that has begun, however long it is: bounded is what is held of it.
+func (s *stream) goOn() {
+	s.c.limit.N = math.MaxInt64
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waitForMore()
 }
 
 // leave ends a stream that its client does not wait for any more.
