End in time though the state folder hangs

Found by looking for the hanging folder elsewhere: a process that is told to end asks by fcntl whether a second one runs, and waited for that without an end. It went on as if nothing had been said, and was killed with what it held (F_OFD_GETLK held: no line 'stopping' in 2.7 s). Cause: one call on a disk ahead of the whole stop. Now it waits 50 ms, and behind that goes by the last count.

--- a/cmd/caperarch/stopfaults_test.go
+++ b/cmd/caperarch/stopfaults_test.go
@@ -94,8 +94,8 @@
 	}
 }
 
-// setLock is F_OFD_SETLK, by which a process enters among its sidecar's.
-const setLock = 37
+// Commands of fcntl: by F_OFD_SETLK a process enters among its sidecar's, by F_OFD_GETLK it asks for others.
+const getLock, setLock = 36, 37
 
 // A state folder that hangs as a process begins does not keep it from serving; it was waited for without an end. What is
 // owed by the calls by hand in it holds once it answers.
@@ -130,6 +130,34 @@
 	c.wants("q2", http.StatusServiceUnavailable)
 }
 
+// A state folder that hangs as a process is told to end does not keep it from ending in time: it asked there for a second
+// process first, and went on as if nothing had been said.
+func TestStopOutlivesHangingFolder(t *testing.T) {
+	const longest = 2000 * time.Millisecond
+	server := newQueueServer(t, answerAtOnce)
+	s := startFaulty(t, fmt.Sprintf(faultySettings, "127.0.0.1:1", server.listener.Addr(), longest.Milliseconds()), false, []int{unix.SYS_FCNTL}, nil)
+	hangs := make(chan struct{})
+	defer close(hangs)
+	s.will(func(c sysfault.Call) sysfault.Effect {
+		if c.Arguments[1] == getLock || c.Arguments[1] == setLock {
+			return sysfault.Effect{Until: hangs}
+		}
+		return sysfault.Effect{}
+	})
+	c := s.connect()
+	c.send("GET /look HT")
+	time.Sleep(400 * time.Millisecond) // the process has asked for others meanwhile
+	s.signal(syscall.SIGTERM)
+	told := time.Now()
+	c.send(strings.TrimPrefix(request("q1", time.Second), "GET /look HT"))
+	c.wants("q1", http.StatusOK, http.StatusServiceUnavailable)
+	select {
+	case <-s.ended:
+	case <-time.After(time.Until(told.Add(longest + 700*time.Millisecond))):
+		t.Error("it goes on when it may be killed")
+	}
+}
+
 // callAt makes one call at a console.
 func callAt(address, line string) (string, error) {
 	c, err := net.DialTimeout("tcp", address, patience)
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"arrowgw/internal/store"
@@ -44,6 +45,7 @@
 
 	counting sync.Mutex
 	others   [processes]bool // other processes that run, as the system told last
+	counted  atomic.Int64    // how many processes that makes; 0: nobody has counted yet
 
 	mu        sync.Mutex
 	nextList  *keepNext // the list that is to be kept next; nil: there is no news
--- a/internal/sidecar/processlock.go
+++ b/internal/sidecar/processlock.go
@@ -12,6 +12,7 @@
 const (
 	enterTries = 50 // of the lock file: the system may fail for a moment
 	enterPause = 10 * time.Millisecond
+	countLimit = 50 * time.Millisecond // the end of a process waits no longer to hear of others
 
 	// The bytes of the lock file: one for each process, and one for whoever writes the state file.
 	processes = 4
@@ -81,5 +82,18 @@
 			n++
 		}
 	}
+	h.counted.Store(int64(n))
 	return n
 }
+
+// countWithin is count for whoever can't wait for a folder that hangs: behind limit the last count counts.
+func (h *handover) countWithin(limit time.Duration) int {
+	counted := make(chan int, 1)
+	go func() { counted <- h.count() }()
+	select {
+	case n := <-counted:
+		return n
+	case <-time.After(limit):
+		return max(1, int(h.counted.Load()))
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -139,7 +139,7 @@
 
 // stop ends the service, and passes on what others of the fleet can take over.
 func (p *parts) stop(served <-chan error) error {
-	replaced := p.loop.handover.count() > 1
+	replaced := p.loop.handover.countWithin(countLimit) > 1
 	left := make(chan struct{})
 	go func() { // what this process holds for its clients does not wait for that
 		defer close(left)
