Read the lab's records of a try and of its servers without races

Found with the race detector beside load: what net/http tells of a try (connected, reused, part of an answer came) is set by goroutines that may outlive it, and figures read the servers' models without their lock while timers still ran. The first is part of the soak's oracle. Four plays at a time of TestEachInvariantCanFail under the detector: races in four of four before, in none of four now.

--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -171,12 +171,12 @@
 		end = outcomeOf(status)
 	case ctx.Err() != nil:
 		end = GaveUp
-	case !a0.connected:
+	case !a0.connected.Load():
 		end = Unreachable
 	default:
 		end = Broken
 	}
-	k.history.end(t, k.clock.now(), end, status, body, a0.partial, a0.connected && !a0.reused)
+	k.history.end(t, k.clock.now(), end, status, body, a0.partial.Load(), a0.connected.Load() && !a0.reused.Load())
 	if end != Refused {
 		return t, 0
 	}
@@ -218,16 +218,18 @@
 type attempt struct {
 	k         *clients
 	t         *Try
-	connected bool
-	reused    bool // the connection had carried a request before
-	partial   bool // some of an answer came
+	connected atomic.Bool // these are set by net/http's goroutines, which may outlive the try
+	reused    atomic.Bool // the connection had carried a request before
+	partial   atomic.Bool // some of an answer came
 }
 
 func (a *attempt) do(ctx context.Context, client *http.Client, req *http.Request) (*http.Response, string, error) {
-	a.connected, a.reused, a.partial = false, false, false
+	for _, flag := range []*atomic.Bool{&a.connected, &a.reused, &a.partial} {
+		flag.Store(false)
+	}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn:              func(i httptrace.GotConnInfo) { a.connected, a.reused = true, i.Reused },
-		GotFirstResponseByte: func() { a.partial = true },
+		GotConn:              func(i httptrace.GotConnInfo) { a.connected.Store(true); a.reused.Store(i.Reused) },
+		GotFirstResponseByte: func() { a.partial.Store(true) },
 	})
 	res, err := client.Do(req.WithContext(ctx))
 	if err != nil {
@@ -244,5 +246,5 @@
 // crossed says whether the sidecar may have closed a kept connection just as the request was on its way: nothing
 // came back, and no server has it. Then clients send it once more, on a new connection.
 func (a *attempt) crossed(ctx context.Context) bool {
-	return ctx.Err() == nil && a.reused && !a.partial && !a.k.history.touched(a.t)
+	return ctx.Err() == nil && a.reused.Load() && !a.partial.Load() && !a.k.history.touched(a.t)
 }
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -116,10 +116,12 @@
 	}
 	f["p50_ms"], f["p99_ms"] = float64(all.ValueAtQuantile(50))/1000, float64(all.ValueAtQuantile(99))/1000
 	worked, choked := 0.0, 0.0
+	r.servers.mu.Lock() // their timers may still run
 	for _, u := range r.servers.all {
 		worked += u.model.Worked
 		choked += float64(u.model.Choked())
 	}
+	r.servers.mu.Unlock()
 	f["work"], f["choked"] = worked/max(work, 1e-9), choked
 	r.roster.mu.Lock()
 	f["discovery_calls"], f["discovery_lines"] = float64(r.roster.calls)/n, float64(r.roster.lines)/n
