--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -69,7 +69,7 @@
 	case h := <-opened:
 		return h
 	case <-time.After(folderWait):
-		slog.Error("state not kept", "reason", "the folder does not answer", "waited", folderWait)
+		slog.Error("state not kept", "reason", "the folder does not answer within "+folderWait.String())
 		h := emptyHandover()
 		h.late = opened
 		return h
--- a/policy/stream.go
+++ b/policy/stream.go
@@ -2,20 +2,24 @@
 
 import "time"
 
+// An answer that stands still ends behind its client's time, within the half second that is allowed less the 0.15 s for
+// which a sidecar may be held up. Behind that time a server goes on with an answer while it pauses for no longer than
+// one of these.
 const (
-	answerGrace = 350 * time.Millisecond // behind its client's time an answer that stands still ends: half a second is allowed, and 0.15 s of being held up
-	goesOn      = 500 * time.Millisecond // a server that has paused for less goes on with its answer, behind its client's time,
-	fastGoesOn  = 300 * time.Millisecond // or for less than this, where it has sent fastFrom bytes and never paused for fastPause
+	answerGrace = 350 * time.Millisecond
+	goesOn      = 500 * time.Millisecond
+	fastGoesOn  = 300 * time.Millisecond // where it has sent fastFrom bytes and never paused for fastPause
 	fastFrom    = 64 << 10
 	fastPause   = 50 * time.Millisecond
-	pauseShare  = 1.5             // and one that pauses for less than this multiple of what it has shown goes on in any case,
-	pauseMost   = 2 * time.Second // but not where it pauses for longer
+	pauseShare  = 1.5             // of the longest pause that it has shown,
+	pauseMost   = 2 * time.Second // but no longer than this
 	standMost   = 5 * time.Second // and within its client's time none may stand still for longer
 )
 
-// AnswerPace follows an answer that is passed on as it comes, and decides for how long its server may stand still. A request
-// is owed its final answer half a second behind its time at the latest, but an answer that its server goes on with is not
-// cut off, however long it is. What tells the two apart is the pauses that the server has made in this answer so far.
+// AnswerPace follows an answer that is passed on as it comes, and decides for how long its server may stand still. A
+// request is owed its final answer half a second behind its time at the latest, but an answer that its server goes on
+// with is not cut off, however long it is. What tells the two apart is the pauses that the server has made in this
+// answer so far.
 type AnswerPace struct {
 	owed    time.Duration // the client's time is up
 	asked   time.Duration // since when the next bytes are waited for
@@ -23,11 +27,13 @@
 	bytes   int           // so far
 }
 
-// NewAnswerPace begins with an answer whose head has come now, and whose client's time is up at another moment.
-func NewAnswerPace(now, owed time.Duration) AnswerPace { return AnswerPace{owed: owed, asked: now} }
+// NewAnswerPace begins with an answer whose head has come now; at owed its client's time is up.
+func NewAnswerPace(now, owed time.Duration) AnswerPace {
+	return AnswerPace{owed: owed, asked: now}
+}
 
-// Wait takes that the next bytes are waited for from now on, and returns until when. Time in which nobody waits for the server,
-// as the client is slower, is no pause of its.
+// Wait takes that the next bytes are waited for from now on, and returns until when. Time in which nobody waits for
+// the server, as the client is slower, is no pause of its.
 func (p *AnswerPace) Wait(now time.Duration) (until time.Duration) {
 	p.asked = now
 	pause := time.Duration(pauseShare * float64(p.longest))
