--- a/policy/stream.go
+++ b/policy/stream.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// An answer that stands still ends behind its client's time, within the half second that is allowed less the 0.15 s for
-// which a sidecar may be held up. Behind that time a server goes on with an answer while it pauses for no longer than
-// one of these.
+// An answer that stands still ends behind its client's time, within the half second that is allowed less
+// the 0.15 s for which a sidecar may be held up. Behind that time a server goes on with an answer while
+// it pauses for no longer than one of these.
 const (
 	answerGrace = 350 * time.Millisecond
 	goesOn      = 500 * time.Millisecond
@@ -16,10 +16,10 @@
 	standMost   = 5 * time.Second // and within its client's time none may stand still for longer
 )
 
-// AnswerPace follows an answer that is passed on as it comes, and decides for how long its server may stand still. A
-// request is owed its final answer half a second behind its time at the latest, but an answer that its server goes on
-// with is not cut off, however long it is. What tells the two apart is the pauses that the server has made in this
-// answer so far.
+// AnswerPace follows an answer that is passed on as it comes, and decides for how long its server may
+// stand still. A request is owed its final answer half a second behind its time at the latest, but an
+// answer that its server goes on with is not cut off, however long it is. What tells the two apart is the
+// pauses that the server has made in this answer so far.
 type AnswerPace struct {
 	owed    time.Duration // the client's time is up
 	asked   time.Duration // since when the next bytes are waited for
@@ -32,8 +32,8 @@
 	return AnswerPace{owed: owed, asked: now}
 }
 
-// Wait takes that the next bytes are waited for from now on, and returns until when. Time in which nobody waits for
-// the server, as the client is slower, is no pause of its.
+// Wait takes that the next bytes are waited for from now on, and returns until when. Time in which nobody
+// waits for the server, as the client is slower, is no pause of its.
 func (p *AnswerPace) Wait(now time.Duration) (until time.Duration) {
 	p.asked = now
 	pause := time.Duration(pauseShare * float64(p.longest))
