Have the lab's reloads disturb no process that is starting

Each process has a file of its own now, and a signal waits until it has been ready for a second. TestReloadDisturbsNoProcessThatStarts asks for both; the file's part fails before.

--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -145,7 +145,7 @@
 	if err != nil {
 		return "", err
 	}
-	path = filepath.Join(folder, fmt.Sprintf("%d.json", sidecar))
+	path = filepath.Join(folder, fmt.Sprintf("%d-%d.json", sidecar, turn)) // a reload of the process before must not change it
 	return path, os.WriteFile(path, raw, 0o644)
 }
 
@@ -496,10 +496,32 @@
 	if _, err := p.configure(sidecar, q.turn); err != nil {
 		return err
 	}
-	_ = q.cmd.Process.Signal(syscall.SIGHUP) // it may have ended by itself
+	if q.mayReload(p.clock.now()) {
+		_ = q.cmd.Process.Signal(syscall.SIGHUP) // it may have ended by itself
+		return nil
+	}
+	go func() {
+		for !q.mayReload(p.clock.now()) {
+			select {
+			case <-q.ended:
+				return
+			case <-time.After(readyPoll):
+			}
+		}
+		_ = q.cmd.Process.Signal(syscall.SIGHUP)
+	}()
 	return nil
 }
 
+// noReload is how long the platform sends no SIGHUP to a process that has become ready.
+const noReload = time.Second
+
+// mayReload says whether the platform may tell a process to read its configuration again.
+func (q *process) mayReload(now time.Duration) bool {
+	born := q.born.Load()
+	return born != math.MaxInt64 && now >= time.Duration(born)+noReload
+}
+
 // fileLimit bounds what files of a process may hold, in place of a disk that is full.
 func (p *processes) fileLimit(sidecar int, bytes uint64) error {
 	q := p.of(sidecar)
--- a/internal/lab/twice_test.go
+++ b/internal/lab/twice_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"os"
 	"os/exec"
 	"strings"
@@ -48,6 +49,50 @@
 	}
 }
 
+// A process has a configuration of its own, and hears of a new one only once it has been ready for a second: by one file for all of a
+// sidecar's processes, and a signal at any time, a reload beside an upgrade had two listen at one console, or ended the new one.
+func TestReloadDisturbsNoProcessThatStarts(t *testing.T) {
+	q := sleeper(t) // SIGHUP ends it
+	q.ended = make(chan struct{})
+	q.born.Store(math.MaxInt64)
+	if q.mayReload(time.Hour) {
+		t.Error("a process that is not ready may be told")
+	}
+	q.born.Store(int64(time.Minute))
+	if q.mayReload(time.Minute+noReload-1) || !q.mayReload(time.Minute+noReload) {
+		t.Error("a process may be told at another moment than a second behind being ready")
+	}
+	s := scene(t, "[fleet]\nsidecars=1\nservers=1")
+	n, err := claimSubnet()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.release)
+	c, h := newClock(), new(History)
+	all, err := newServers(s, 1, c, h, n)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(all.close)
+	r, err := newRoster(s, c, h, n, all)
+	t.Cleanup(r.close)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &processes{clock: c, scene: s, history: h, net: n, roster: r, dir: t.TempDir(), routes: func(int) map[string]string { return nil }}
+	first, err := p.configure(0, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := p.configure(0, 2)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if first == second {
+		t.Errorf("two processes of a sidecar read %s", first)
+	}
+}
+
 // sleeper is a process that does nothing.
 func sleeper(t *testing.T) *process {
 	t.Helper()
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -1,4 +1,4 @@
-//go:build unix
+//go:build linux
 
 package listener
 
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -1,4 +1,4 @@
-//go:build unix
+//go:build linux
 
 // Package listener accepts TCP connections, and keeps those that the system can't wait on at first.
 //
