Let a server that is taken out by hand bind both processes of an upgrade from the yes on

Cause, by its logs: the call came to the new process 15 ms behind its start; the old one looks for a second process each 250 ms, and took the call over 100 ms behind the yes. Now the yes on a server that is taken out waits 0.45 s where a second process runs: the looks of both and 0.15 s of being held up; a call is owed its answer within 1 s. TestCallByHandBindsBothProcessesFromItsYes failed 2 of 2 before (11 of 20 requests), passes 3 of 3.

--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -18,6 +18,7 @@
 const (
 	alonePoll    = 250 * time.Millisecond // how often a process looks for a second one
 	togetherPoll = 50 * time.Millisecond  // and, beside one, for calls made to that
+	otherHeldUp  = 150 * time.Millisecond // for which the second process may be held up besides
 	unreadPoll   = time.Second            // and whether a folder that could not be read can be read by now
 	folderWait   = 4 * time.Second        // for a folder that does not answer; a start has 6 s
 )
--- a/internal/sidecar/handover_test.go
+++ b/internal/sidecar/handover_test.go
@@ -318,3 +318,30 @@
 		}
 	}
 }
+
+// From the yes on a server that is taken out by hand has nothing new from either process of an upgrade: the other one heard of
+// it up to a quarter of a second later.
+func TestCallByHandBindsBothProcessesFromItsYes(t *testing.T) {
+	out, other := newStub(t, echo), newStub(t, echo)
+	shared := t.TempDir()
+	begin := func() *running {
+		cfg := testConfig(t, listed(1, "ready", out.address, other.address), nil)
+		cfg.Shared = shared
+		return startWith(t, cfg)
+	}
+	first := begin()
+	first.figures(t, map[string]string{"members": "2"})
+	second := begin()
+	second.figures(t, map[string]string{"members": "2"})
+	if answer := second.call(t, "disable-server s-0\n"); !strings.HasPrefix(answer, "200") {
+		t.Fatalf("disable-server: %q", answer)
+	}
+	for range 20 {
+		if res, _ := do(t, first.request(t, "GET", "/look", "")); res.StatusCode != http.StatusOK {
+			t.Errorf("answered %s", res.Status)
+		}
+	}
+	if n := len(out.seen); n > 0 {
+		t.Errorf("%d requests went to the server behind the yes", n)
+	}
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -132,9 +132,20 @@
 	if err != nil {
 		slog.Error("by hand not kept", "server", instance, "out", out, "error", err)
 	}
+	if out && err == nil && l.handover.countWithin(countLimit) > 1 { // it binds the other process too, from the yes on
+		l.awaitOther(ctx)
+	}
 	return err
 }
 
+// awaitOther waits until the other process has taken over the calls that were kept by now, also where it may be held up.
+func (l *loop) awaitOther(ctx context.Context) {
+	select {
+	case <-time.After(alonePoll + togetherPoll + otherHeldUp):
+	case <-ctx.Done():
+	}
+}
+
 // learned asks the module what it has learned.
 func (l *loop) learned(ctx context.Context) (told balance.Learned, err error) {
 	err = l.do(ctx, func(now time.Duration) { told = l.b.Learned(now) })
