Stay, when told to end, for answers that their servers go on with

What callers saw: a process that was told to end left 0.64 s behind the last deadline, and cut off answers that were under way (240,000 of 400,000 bytes came). Cause: the end waited for connections until a moment, whatever was on them. Now it waits on while an answer is passed on; one that stands still ends by its pace, and the platform may kill meanwhile.

--- a/cmd/caperarch/stopfaults_test.go
+++ b/cmd/caperarch/stopfaults_test.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -158,6 +159,35 @@
 	}
 }
 
+// A process that is told to end stays for an answer that its server goes on with: it left behind the last deadline, and cut it off.
+func TestStopWaitsForAnswersThatGoOn(t *testing.T) {
+	const longest, piece, pieces = 500 * time.Millisecond, 20000, 20
+	server := newQueueServer(t, func(c net.Conn, id string) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", piece*pieces)
+		for range pieces {
+			_, _ = io.WriteString(c, strings.Repeat("x", piece))
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
+	s := startFaulty(t, fmt.Sprintf(faultySettings, "127.0.0.1:1", server.listener.Addr(), longest.Milliseconds()), false, nil, nil)
+	c := s.connect()
+	c.send(request("q1", longest))
+	<-server.arrived
+	s.signal(syscall.SIGTERM)
+	res, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if body, err := io.ReadAll(res.Body); err != nil || len(body) != piece*pieces {
+		t.Errorf("%d bytes of the answer came, error %v, want all %d", len(body), err, piece*pieces)
+	}
+	select {
+	case <-s.ended:
+	case <-time.After(time.Second):
+		t.Error("it goes on behind its last answer")
+	}
+}
+
 // callAt makes one call at a console.
 func callAt(address, line string) (string, error) {
 	c, err := net.DialTimeout("tcp", address, patience)
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -39,6 +39,7 @@
 	ended   []tally      // those that had theirs, by class
 	streams struct {     // answers passed on as they come, for the log
 		begun  atomic.Int64
+		now    atomic.Int64 // under way
 		broken atomic.Int64 // by their server, or cut off as it stood still
 		still  atomic.Int64 // cut off as the client did
 	}
@@ -262,6 +263,8 @@
 		w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
 	}
 	f.streams.begun.Add(1)
+	f.streams.now.Add(1)
+	defer f.streams.now.Add(-1)
 	began, why := f.clock.now(), closedClientLeft
 	if err := a.stream.copyTo(r.Context(), w); err != nil {
 		switch {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -210,6 +210,9 @@
 	f.clients.waitClosed(end)
 	f.clients.endIdle(true)
 	f.clients.waitClosed(end.Add(lastLook))
+	for f.streams.now.Load() > 0 { // an answer that its server goes on with is owed whole; one that stands still ends by itself
+		time.Sleep(lookEvery)
+	}
 	f.loop.guard.Stop()
 	slog.Info("stopped", "held", f.held.Load())
 	return nil
