Accept by a call that asks the new socket for nothing

Cause: Accept4 of package unix asks the accepted socket for its protocol, and closes it where that fails. Package syscall's does not, and saves a call per connection.

--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -128,7 +128,8 @@
 // accept takes a connection that waits; EAGAIN: none does.
 func (l *Listener) accept(fd int) (*Conn, error) {
 	for {
-		socket, remote, err := unix.Accept4(fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		// Package unix would ask the new socket for its protocol, and close it where that fails.
+		socket, remote, err := syscall.Accept4(fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		switch err {
 		case nil:
 			return newConn(socket, l.address, addressOf(remote), l.options), nil
@@ -224,11 +225,11 @@
 func (l *Listener) SyscallConn() (syscall.RawConn, error) { return l.raw, nil }
 
 // addressOf is a peer's address, of either version of IP.
-func addressOf(address unix.Sockaddr) net.Addr {
+func addressOf(address syscall.Sockaddr) net.Addr {
 	switch at := address.(type) {
-	case *unix.SockaddrInet4:
+	case *syscall.SockaddrInet4:
 		return &net.TCPAddr{IP: at.Addr[:], Port: at.Port}
-	case *unix.SockaddrInet6:
+	case *syscall.SockaddrInet6:
 		return &net.TCPAddr{IP: at.Addr[:], Port: at.Port}
 	}
 	return new(net.TCPAddr)
