Keep the supervision of system calls alive through signals

Cause (of this signature): the supervisor took each result of poll on the filter's listener without POLLIN for the end of the program and closed the listener. The kernel also returns POLLERR there when a signal interrupts its wait for the filter's lock. With the listener closed all supervised calls fail with ENOSYS, so that Go's runtime aborts (status 2) and cannot write its trace. A response that failed with EINTR for the same reason was dropped, which blocks the program's call for good.

Change: only POLLHUP ends the supervision, EINTR is retried on both ioctl calls, and any other failure is counted. A play in which the supervision of a process failed is an error of the lab, named so, and no verdict on the sidecar.

Evidence: TestSignalsAtSupervisorLoseNoCall sends SIGURG to all threads of the supervisor while a program transfers bytes through pipes and connections.

--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -315,6 +315,22 @@
 	}
 }
 
+// supervisionError returns an error if the supervision of any process failed, which would be no fault of the sidecar.
+func (p *processes) supervisionError() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var errs []error
+	for _, q := range p.all {
+		if !q.supervised() {
+			continue
+		}
+		if err := q.calls.supervisor.Err(); err != nil {
+			errs = append(errs, fmt.Errorf("the lab failed, not sidecar %s: %w", sidecarName(q.sidecar), err))
+		}
+	}
+	return errors.Join(errs...)
+}
+
 // violationsInLogs returns the lines of the sidecars' logs that report a violated invariant or a crash.
 func (p *processes) violationsInLogs() (lines []string, err error) {
 	logs, err := filepath.Glob(filepath.Join(p.logs, "*.log"))
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -245,7 +245,7 @@
 	if interrupted != nil {
 		return nil, errors.New("the run was interrupted")
 	}
-	if err := errors.Join(r.faults.errs...); err != nil {
+	if err := errors.Join(append(r.faults.errs, r.processes.supervisionError())...); err != nil {
 		return nil, err
 	}
 	broken, err := r.processes.violationsInLogs()
--- a/internal/sysfault/supervise.go
+++ b/internal/sysfault/supervise.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"syscall"
 	"time"
 	"unsafe"
@@ -33,6 +34,9 @@
 // maxMovedBytes limits the bytes of a read or write that the supervisor carries out for the program.
 const maxMovedBytes = 64 << 10
 
+// pollRetryInterval is the pause before poll is retried after the system lacked memory for it.
+const pollRetryInterval = time.Millisecond
+
 // serve handles notifications of system calls until all processes under the filter have exited.
 func (s *Supervisor) serve() {
 	defer func() {
@@ -42,22 +46,53 @@
 		unix.Close(s.pidfd)
 		close(s.done)
 	}()
+	for s.awaitNotification() {
+		var n notification
+		switch errno := s.control(unix.SECCOMP_IOCTL_NOTIF_RECV, unsafe.Pointer(&n)); errno {
+		case 0:
+			s.handle(&n)
+		case unix.EINTR, unix.ENOENT: // interrupted by a signal, or the thread that made the call was killed
+		default:
+			s.recordFailure("receiving a call: %w", errno)
+		}
+	}
+}
+
+// awaitNotification waits for a call. It returns false once no process is left under the filter.
+func (s *Supervisor) awaitNotification() bool {
 	for {
 		waiting := []unix.PollFd{{Fd: int32(s.listener), Events: unix.POLLIN}}
-		if _, err := unix.Poll(waiting, -1); err != nil {
-			if err == unix.EINTR {
-				continue
-			}
-			return
-		}
-		if waiting[0].Revents&unix.POLLIN == 0 { // no process is left under the filter
-			return
-		}
-		var n notification
-		if _, _, errno := syscall.Syscall(unix.SYS_IOCTL, uintptr(s.listener), unix.SECCOMP_IOCTL_NOTIF_RECV, uintptr(unsafe.Pointer(&n))); errno != 0 {
-			continue // the thread that made the call was killed
+		_, err := unix.Poll(waiting, -1)
+		events := waiting[0].Revents
+		switch {
+		case err == unix.EINTR:
+		case err != nil:
+			time.Sleep(pollRetryInterval)
+		case events&unix.POLLIN != 0:
+			return true
+		case events&unix.POLLHUP != 0:
+			return false
+		case events&unix.POLLNVAL != 0:
+			s.recordFailure("waiting for calls: %w", unix.EBADF)
+			return false
 		}
-		s.handle(&n)
+		// POLLERR alone means that a signal interrupted the kernel as it waited for the filter's lock.
+	}
+}
+
+// control makes an ioctl call on the filter's listener.
+func (s *Supervisor) control(request uintptr, argument unsafe.Pointer) syscall.Errno {
+	_, _, errno := syscall.Syscall(unix.SYS_IOCTL, uintptr(s.listener), request, uintptr(argument))
+	return errno
+}
+
+// recordFailure records a failure of the supervision itself.
+func (s *Supervisor) recordFailure(format string, args ...any) {
+	s.failureMu.Lock()
+	defer s.failureMu.Unlock()
+	s.failureCount++
+	if len(s.failures) < maxFailuresKept {
+		s.failures = append(s.failures, fmt.Errorf(format, args...))
 	}
 }
 
@@ -101,10 +136,20 @@
 	return response{flags: unix.SECCOMP_USER_NOTIF_FLAG_CONTINUE}
 }
 
-// respond sends the response to a notification to the kernel.
+// respond sends the response to a notification to the kernel. A response that is not delivered would block the program's
+// thread for good.
 func (s *Supervisor) respond(n *notification, r response) {
 	r.id = n.id
-	_, _, _ = syscall.Syscall(unix.SYS_IOCTL, uintptr(s.listener), unix.SECCOMP_IOCTL_NOTIF_SEND, uintptr(unsafe.Pointer(&r))) // fails if the thread was killed
+	for {
+		switch errno := s.control(unix.SECCOMP_IOCTL_NOTIF_SEND, unsafe.Pointer(&r)); errno {
+		case unix.EINTR: // a signal interrupted the wait for the filter's lock
+			continue
+		case 0, unix.ENOENT: // delivered, or the thread was killed
+		default:
+			s.recordFailure("responding to call %d: %w", n.number, errno)
+		}
+		return
+	}
 }
 
 // moveBytes carries out a read or write of at most maxBytes on behalf of the program. It lets the kernel proceed with
--- a/internal/sysfault/sysfault.go
+++ b/internal/sysfault/sysfault.go
@@ -52,6 +52,9 @@
 	ControlClock bool              // the program's wall clock is set by Supervisor.StepClock
 }
 
+// maxFailuresKept is how many failures of the supervision are kept with their text.
+const maxFailuresKept = 5
+
 // startTimeout limits the time from the start of the launcher until it has sent the filter's listener.
 const startTimeout = 10 * time.Second
 
@@ -65,6 +68,10 @@
 	delayed     sync.WaitGroup // goroutines of delayed calls
 	exited      chan struct{}  // closed when no process is left under the filter
 	done        chan struct{}  // closed when all calls, including delayed ones, have been handled
+
+	failureMu    sync.Mutex
+	failures     []error // the first failures of the supervision itself, at most maxFailuresKept
+	failureCount int     // all of them
 }
 
 // Start starts a command under supervision. The command's Path must be absolute. The caller waits for the command as
@@ -151,6 +158,17 @@
 // Wait waits until the program has exited and all its supervised calls have been handled.
 func (s *Supervisor) Wait() { <-s.done }
 
+// Err returns an error if the supervision itself has failed: calls of the program may then have hung or failed, which is
+// no fault of the program. It returns nil if there was no such failure so far.
+func (s *Supervisor) Err() error {
+	s.failureMu.Lock()
+	defer s.failureMu.Unlock()
+	if s.failureCount == 0 {
+		return nil
+	}
+	return fmt.Errorf("supervision of process %d failed %d times: %w", s.pid, s.failureCount, errors.Join(s.failures...))
+}
+
 // receiveListener receives the filter's listener from the launcher, and opens a descriptor of the process.
 func (s *Supervisor) receiveListener(socket int) error {
 	limit := unix.NsecToTimeval(int64(startTimeout))
--- a/internal/sysfault/sysfault_test.go
+++ b/internal/sysfault/sysfault_test.go
@@ -26,6 +26,8 @@
 		echoOneConnection()
 	case "clock":
 		printClock()
+	case "transfer":
+		transferUntilClosed()
 	default:
 		os.Exit(m.Run())
 	}
