Take bytes from a supervised connection only once the program has them

A write of which nothing could be read from memory returned 0 bytes moved.

Change: the supervisor peeks, writes, and only then takes the bytes. If the program's memory can't be accessed, the kernel carries the call out itself.

--- a/internal/sysfault/supervise.go
+++ b/internal/sysfault/supervise.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"syscall"
 	"time"
@@ -166,6 +167,9 @@
 	}
 	defer unix.Close(socket)
 	moved, err := transfer(socket, make([]byte, size), n.arguments[1])
+	if errors.Is(err, errMemoryAccess) {
+		return proceed
+	}
 	if errno, failed := err.(syscall.Errno); failed {
 		return response{errno: -int32(errno)}
 	}
@@ -196,13 +200,20 @@
 	return true
 }
 
-// receive reads from a socket into the program's memory.
+// errMemoryAccess means that the program's memory could not be read or written. Nothing has been moved then.
+var errMemoryAccess = errors.New("the program's memory is not accessible")
+
+// receive reads from a socket into the program's memory. The bytes leave the socket only once they are in the memory.
 func (s *Supervisor) receive(socket int, buffer []byte, address uint64) (int, error) {
-	n, _, err := unix.Recvfrom(socket, buffer, unix.MSG_DONTWAIT)
+	n, _, err := unix.Recvfrom(socket, buffer, unix.MSG_DONTWAIT|unix.MSG_PEEK)
 	if err != nil || n == 0 {
 		return n, err
 	}
-	return n, s.writeMemory(address, buffer[:n])
+	if s.writeMemory(address, buffer[:n]) != nil {
+		return 0, errMemoryAccess
+	}
+	n, _, err = unix.Recvfrom(socket, buffer[:n], unix.MSG_DONTWAIT)
+	return n, err
 }
 
 // send writes from the program's memory to a socket.
@@ -210,8 +221,8 @@
 	local := []unix.Iovec{{Base: &buffer[0], Len: uint64(len(buffer))}}
 	remote := []unix.RemoteIovec{{Base: uintptr(address), Len: len(buffer)}}
 	n, err := unix.ProcessVMReadv(s.pid, local, remote, 0)
-	if err != nil {
-		return 0, err
+	if err != nil || n == 0 {
+		return 0, errMemoryAccess
 	}
 	return unix.SendmsgN(socket, buffer[:n], nil, nil, unix.MSG_DONTWAIT|unix.MSG_NOSIGNAL)
 }
@@ -228,10 +239,13 @@
 	return response{}
 }
 
-// writeMemory writes data to the program's memory.
+// writeMemory writes data to the program's memory. It fails if not all of it can be written.
 func (s *Supervisor) writeMemory(address uint64, data []byte) error {
 	local := []unix.Iovec{{Base: &data[0], Len: uint64(len(data))}}
 	remote := []unix.RemoteIovec{{Base: uintptr(address), Len: len(data)}}
-	_, err := unix.ProcessVMWritev(s.pid, local, remote, 0)
+	n, err := unix.ProcessVMWritev(s.pid, local, remote, 0)
+	if err == nil && n < len(data) {
+		err = unix.EFAULT
+	}
 	return err
 }
