Let a connection that the lab breaks stay broken

Seen: the lab breaks a connection "for the sidecar alone" by failing one read or write with ETIMEDOUT or the like; the next read of the same connection succeeded. Linux reports such an error once, and then the end of the data and EPIPE: a connection does not come back.

Change: the supervisor shuts the socket down and drops what has arrived, so that reads end and writes fail from then on. TestBrokenConnectionStaysBroken: the second read ends, and the write fails with a broken pipe.

--- a/internal/lab/callfaults.go
+++ b/internal/lab/callfaults.go
@@ -92,7 +92,7 @@
 	case transfersData && draw < 0.62:
 		e.Delay = time.Duration(f.rng.Int64N(int64(maxStall)))
 	case transfersData && draw < 0.64 && f.breakServerConnection(c):
-		e.Errno = connectionErrors[f.rng.IntN(len(connectionErrors))]
+		e.Errno, e.BreaksConnection = connectionErrors[f.rng.IntN(len(connectionErrors))], true
 	case transfersData && draw < 0.8:
 		return e
 	default:
--- a/internal/sysfault/supervise.go
+++ b/internal/sysfault/supervise.go
@@ -128,6 +128,9 @@
 	switch {
 	case effect.Errno != 0 && effect.SocketsOnly && !s.isSocket(n):
 	case effect.Errno != 0:
+		if effect.BreaksConnection {
+			s.breakConnection(n)
+		}
 		return response{errno: -int32(effect.Errno)}
 	case effect.MaxBytes > 0 && n.number == unix.SYS_READ:
 		return s.moveBytes(n, effect.MaxBytes, s.receive)
@@ -203,6 +206,21 @@
 // errMemoryAccess means that the program's memory could not be read or written. Nothing has been moved then.
 var errMemoryAccess = errors.New("the program's memory is not accessible")
 
+// breakConnection ends the connection that is a call's first argument, and drops what it has received.
+func (s *Supervisor) breakConnection(n *notification) {
+	socket, err := s.duplicateSocket(n)
+	if err != nil {
+		return // not a connection
+	}
+	defer unix.Close(socket)
+	_ = unix.Shutdown(socket, unix.SHUT_RDWR) // fails only if the connection has ended
+	for buffer := make([]byte, maxMovedBytes); ; {
+		if dropped, _, err := unix.Recvfrom(socket, buffer, unix.MSG_DONTWAIT); err != nil || dropped == 0 {
+			return
+		}
+	}
+}
+
 // receive reads from a socket into the program's memory. The bytes leave the socket only once they are in the memory.
 func (s *Supervisor) receive(socket int, buffer []byte, address uint64) (int, error) {
 	n, _, err := unix.Recvfrom(socket, buffer, unix.MSG_DONTWAIT|unix.MSG_PEEK)
--- a/internal/sysfault/sysfault.go
+++ b/internal/sysfault/sysfault.go
@@ -42,7 +42,10 @@
 	// SocketsOnly restricts Errno to calls whose first argument is a socket. Go's runtime aborts a program if calls on
 	// its own pipes and event descriptors fail in ways that Linux does not document for them.
 	SocketsOnly bool
-	MaxBytes    int // limit for reads from and writes to sockets, in bytes; 0: no limit
+	// BreaksConnection makes Errno the error with which the connection that is the call's first argument ends. As the
+	// kernel does then, it drops what has arrived, ends further reads and fails further writes.
+	BreaksConnection bool
+	MaxBytes         int // limit for reads from and writes to sockets, in bytes; 0: no limit
 }
 
 // Options select the system calls that are supervised, and what happens to them.
--- a/internal/sysfault/sysfault_test.go
+++ b/internal/sysfault/sysfault_test.go
@@ -28,6 +28,8 @@
 		printClock()
 	case "transfer":
 		transferUntilClosed()
+	case "reuse":
+		reuseBrokenConnection()
 	default:
 		os.Exit(m.Run())
 	}
@@ -126,6 +128,49 @@
 	}
 }
 
+// reuseBrokenConnection reads twice from a connection on which bytes wait, then writes to it, and prints each error.
+func reuseBrokenConnection() {
+	in, out := openConnection()
+	if _, err := out.Write([]byte("waits")); err != nil {
+		panic(err)
+	}
+	buffer := make([]byte, 100)
+	for range 2 {
+		n, err := in.Read(buffer)
+		fmt.Println(n, err)
+	}
+	_, err := in.(net.Conn).Write(buffer)
+	fmt.Println(err)
+}
+
+// A connection that an injected error breaks stays broken, as the kernel has it: what has arrived is dropped, the next read
+// is at the end, and a write fails.
+func TestBrokenConnectionStaysBroken(t *testing.T) {
+	cmd := subjectCommand("reuse")
+	var broken atomic.Bool
+	var output strings.Builder
+	cmd.Stdout, cmd.Stderr = &output, &output
+	s, err := Start(cmd, Options{Calls: []int{unix.SYS_READ}, Decide: func(c Call) Effect {
+		if c.Arguments[2] != 100 || broken.Swap(true) { // not the read of the connection
+			return Effect{}
+		}
+		return Effect{Errno: syscall.ETIMEDOUT, BreaksConnection: true}
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+	s.Wait()
+	text := output.String()
+	for _, want := range []string{"0 read tcp", "connection timed out", "0 EOF", "broken pipe"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("the program printed %q, want %q in it", text, want)
+		}
+	}
+}
+
 // StepClock steps the wall clock and does not change the monotonic clock.
 func TestClockIsStepped(t *testing.T) {
 	cmd := subjectCommand("clock")
