Record the disturbed system calls of a run, and why a try was cut off

Findings of soaks could not be told apart: whether a broken try's connection had been reset or closed, and which calls on it the lab had disturbed, stood nowhere.

--- a/internal/lab/callfaults.go
+++ b/internal/lab/callfaults.go
@@ -3,6 +3,7 @@
 package lab
 
 import (
+	"errors"
 	"math/rand/v2"
 	"net/netip"
 	"os/exec"
@@ -50,20 +51,39 @@
 	acceptFails bool    // all calls of accept fail
 }
 
-// startSupervised starts a process whose system calls and clock the lab can disturb.
-func startSupervised(cmd *exec.Cmd, seed uint64, broken func(local, remote netip.AddrPort) bool) (*callFaults, error) {
-	f := &callFaults{rng: rand.New(rand.NewPCG(seed, 8)), breakConnection: broken}
+// newCallFaults returns the disturbance of a process that is yet to be started. broken is called when a connection is to
+// break, and reports whether it is one to a server.
+func newCallFaults(seed uint64, broken func(local, remote netip.AddrPort) bool) *callFaults {
+	return &callFaults{rng: rand.New(rand.NewPCG(seed, 8)), breakConnection: broken}
+}
+
+// start starts the process. observe is called with each call that is disturbed; nil: it is not called.
+func (f *callFaults) start(cmd *exec.Cmd, observe func(sysfault.Call, sysfault.Effect, sysfault.Outcome)) error {
 	var calls []int
 	for number := range transientErrors {
 		calls = append(calls, number)
 	}
-	supervisor, err := sysfault.Start(cmd, sysfault.Options{Calls: calls, Decide: f.decide, ControlClock: true})
+	supervisor, err := sysfault.Start(cmd, sysfault.Options{Calls: calls, Decide: f.decide, ControlClock: true, Observe: observe})
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.supervisor = supervisor
-	return f, err
+	return err
 }
 
+// connAddrs returns the ends of the connection that is a call's first argument, or an error if it is none.
+func (f *callFaults) connAddrs(c sysfault.Call) (local, remote netip.AddrPort, err error) {
+	f.mu.Lock()
+	supervisor := f.supervisor
+	f.mu.Unlock()
+	if supervisor == nil {
+		return local, remote, errNotStarted
+	}
+	return supervisor.ConnAddrs(int(int32(c.Arguments[0])))
+}
+
+// errNotStarted means that a process is not supervised yet.
+var errNotStarted = errors.New("the process is not supervised yet")
+
 // setShare sets the share of calls that are disturbed from now on.
 func (f *callFaults) setShare(share float64) {
 	f.mu.Lock()
--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -178,6 +178,7 @@
 	default:
 		end = Broken
 	}
+	k.history.recordCause(t, err)
 	k.history.endTry(t, k.clock.now(), end, status, body, ex.partial.Load(), ex.connected.Load() && !ex.reused.Load())
 	if end != Refused {
 		return t, 0
--- a/internal/lab/history.go
+++ b/internal/lab/history.go
@@ -86,6 +86,7 @@
 	Ended   time.Duration
 	End     Outcome
 	Status  int           // HTTP status of the answer; 0: none
+	Cause   string        // the error that ended a try without an answer
 	Partial bool          // part of an answer arrived
 	Fresh   bool          // its connection had carried no earlier request
 	Left    time.Duration // when its client disconnected without an answer; 0: it did not
@@ -172,6 +173,16 @@
 	t.Fresh = fresh
 }
 
+// recordCause records the error that ended a try, if there was one.
+func (h *History) recordCause(t *Try, err error) {
+	if err == nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t.Cause = err.Error()
+}
+
 // recordSent records that a try's last byte is being written. Its client waits for an answer for the time patience from now.
 func (h *History) recordSent(t *Try, now, patience time.Duration) {
 	h.mu.Lock()
--- a/internal/lab/judge.go
+++ b/internal/lab/judge.go
@@ -220,8 +220,8 @@
 			report("request %s, sent to sidecar %s at %v, had no final answer at %v; it was due at %v; the request reached %d servers%s",
 				t.ID, sidecarName(t.Sidecar), t.Sent, t.Ended, t.Owed, len(t.Reached), t.describeServerSide())
 		case t.End == Broken && t.Fresh && !brokenByServer(t) && !closedUnread(h, t):
-			report("request %s, sent to sidecar %s at %v on a new connection, was dropped at %v by closing the connection; it reached %d servers%s",
-				t.ID, sidecarName(t.Sidecar), t.Sent, t.Ended, len(t.Reached), t.describeServerSide())
+			report("request %s, sent to sidecar %s at %v on a new connection, was dropped at %v by closing the connection (%s); it reached %d servers%s",
+				t.ID, sidecarName(t.Sidecar), t.Sent, t.Ended, t.Cause, len(t.Reached), t.describeServerSide())
 		}
 	}
 }
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -70,6 +70,7 @@
 	logs     string // folder of the logs
 	record   *processRecord
 	seed     uint64
+	callLog  *callLog // nil if disturbed calls are not logged
 
 	// Functions to run on a thread that lives as long as the lab: a child is killed when the thread that started it
 	// ends.
@@ -287,8 +288,9 @@
 	if !p.scenario.Fleet.Supervised {
 		return q.cmd.Start()
 	}
-	q.calls, err = startSupervised(q.cmd, p.seed+uint64(q.sidecar)<<16+uint64(q.ordinal)<<40, p.roster.servers.noteBrokenConnection)
-	return err
+	calls := newCallFaults(p.seed+uint64(q.sidecar)<<16+uint64(q.ordinal)<<40, p.roster.servers.noteBrokenConnection)
+	q.calls = calls
+	return calls.start(q.cmd, p.callLog.observer(q))
 }
 
 // supervised reports whether the process is supervised. q may be nil.
--- a/internal/lab/result.go
+++ b/internal/lab/result.go
@@ -342,6 +342,7 @@
 	return errors.Join(
 		os.WriteFile(filepath.Join(dir, "report.html"), page, 0o644),
 		run.history.writeTries(filepath.Join(dir, triesName)),
+		run.processes.callLog.write(filepath.Join(dir, callsName)),
 		r.rewrite(dir), // last: its presence means that the folder is complete
 	)
 }
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -116,6 +116,9 @@
 		return nil, err
 	}
 	r.processes = newProcesses(s, r.clock, r.history, r.net, r.roster, o.Program, record.dir, logs, record, o.Seed)
+	if o.Out != "" {
+		r.processes.callLog = &callLog{clock: r.clock}
+	}
 	defer func() {
 		shutdownCtx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 		defer cancel()
--- a/internal/sysfault/supervise.go
+++ b/internal/sysfault/supervise.go
@@ -105,10 +105,10 @@
 	}
 	var effect Effect
 	if s.options.Decide != nil {
-		effect = s.options.Decide(Call{Number: int(n.number), Arguments: n.arguments})
+		effect = s.options.Decide(n.call())
 	}
 	if effect.Delay <= 0 && effect.Until == nil {
-		s.respond(n, s.apply(n, effect))
+		s.carryOut(n, effect)
 		return
 	}
 	s.delayed.Go(func() {
@@ -119,10 +119,24 @@
 			case <-s.exited:
 			}
 		}
-		s.respond(n, s.apply(n, effect))
+		s.carryOut(n, effect)
 	})
 }
 
+// carryOut applies an effect to a call, after any delay, reports it and responds to the call.
+func (s *Supervisor) carryOut(n *notification, effect Effect) {
+	r := s.apply(n, effect)
+	if s.options.Observe != nil && effect != (Effect{}) {
+		s.options.Observe(n.call(), effect, Outcome{
+			Proceeded: r.flags&unix.SECCOMP_USER_NOTIF_FLAG_CONTINUE != 0, Moved: r.value, Errno: syscall.Errno(-r.errno),
+		})
+	}
+	s.respond(n, r)
+}
+
+// call returns the call that a notification is about.
+func (n *notification) call() Call { return Call{Number: int(n.number), Arguments: n.arguments} }
+
 // apply returns the response to a call according to its effect, after any delay.
 func (s *Supervisor) apply(n *notification, effect Effect) response {
 	switch {
--- a/internal/sysfault/sysfault.go
+++ b/internal/sysfault/sysfault.go
@@ -48,11 +48,21 @@
 	MaxBytes         int // limit for reads from and writes to sockets, in bytes; 0: no limit
 }
 
+// Outcome is the result of a call that an effect was applied to.
+type Outcome struct {
+	Proceeded bool          // the kernel carries the call out; the other fields are 0 then
+	Moved     int64         // bytes moved by the supervisor
+	Errno     syscall.Errno // the error that the call fails with; 0: none
+}
+
 // Options select the system calls that are supervised, and what happens to them.
 type Options struct {
 	Calls        []int             // numbers of the supervised calls; all other calls run at full speed
 	Decide       func(Call) Effect // called from one goroutine, and must not block; nil lets all calls proceed
 	ControlClock bool              // the program's wall clock is set by Supervisor.StepClock
+	// Observe is called with each call that an effect was applied to, while the call is still open. It may be called from
+	// several goroutines at once. nil: not called.
+	Observe func(Call, Effect, Outcome)
 }
 
 // maxFailuresKept is how many failures of the supervision are kept with their text.
