End an exchange at the first read that fails, also within a line

Cause: bufio.Reader.ReadLine, by which net/http reads heads, returns the bytes before a read error as a whole line and drops the error. Where a read failed between CR and LF of the status line and the next one succeeded, the LF was taken for the empty line that ends the head: Content-Length became part of the body, and the answer one of unknown length. The client side has the same: a request's head can seem to end within a header line.

Change: a read that has failed for good fails all further reads of that connection: at servers always, at clients where part of a request has been read. Transient failures are retried as before.

Evidence: TestFailedReadWithinHeadEndsAttempt cuts an answer's head at each of its bytes. TestFailedReadWithinHeadEndsReads read on behind the failure before. Both pass now.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -67,6 +67,7 @@
 	framingErr       error
 	requestBegun     bool          // bytes have been read of a request that has no answer yet
 	readsEnded       bool          // no further reads are allowed
+	readErr          error         // why a read failed for good amid a request; further reads fail with it
 	serverClosed     bool          // net/http has closed the connection
 	closeWithRefusal bool          // part of a request may have arrived; the refusal is reserved
 	queuedSince      time.Duration // earliest arrival of data that waited while accept failed; 0: the data did not wait
@@ -257,12 +258,16 @@
 // Read withholds the end of a request head whose framing is ambiguous, and fails from there on: the HTTP server then
 // answers 400 and closes the connection.
 func (c *clientConn) Read(p []byte) (n int, err error) {
+	if err := c.permanentReadError(); err != nil {
+		return 0, err
+	}
 	waitErr := c.raw.Read(func(fd uintptr) bool {
 		// No lock is held between retries: code that makes room then waits for one read and not for the system to
 		// have memory.
 		n, err = retryTransient(func() (int, error) { return c.readOnce(int(fd), p) })
 		if errno, failed := err.(syscall.Errno); failed && errno != syscall.EAGAIN {
 			err = &net.OpError{Op: "read", Net: "tcp", Err: errno}
+			c.setReadError(err)
 		}
 		return err != syscall.EAGAIN
 	})
@@ -277,6 +282,23 @@
 	return n, err
 }
 
+// permanentReadError returns the error with which all further reads fail, or nil.
+func (c *clientConn) permanentReadError() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readErr
+}
+
+// setReadError makes all further reads fail if part of a request has been read: the HTTP server takes the bytes of a line
+// that precede a read error for a whole line, and could go on behind it.
+func (c *clientConn) setReadError(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.framing.atBoundary() {
+		c.readErr = err
+	}
+}
+
 // readOnce reads the bytes that have arrived, unless reads have ended or the framing is broken. An error of the
 // system call is returned unwrapped.
 func (c *clientConn) readOnce(fd int, p []byte) (int, error) {
--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -525,6 +525,46 @@
 	}
 }
 
+// A read that fails for good within a request fails all further reads. Otherwise net/http would take the part of a header
+// line before the failure for a whole line.
+func TestFailedReadWithinHeadEndsReads(t *testing.T) {
+	inner, err := listen(context.Background(), "127.0.0.1:0", true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := newClients(testConfig(t, listAnswer(1, "ready"), nil), inner, noUpstreamConns)
+	defer l.Close()
+	begin, rest := "GET /look HTTP/1.1\r\nHost: x\r", "\nX-Timeout: 480m\r\n\r\n"
+	reads := 0
+	l.readFD = func(_ int, p []byte) (int, error) {
+		switch reads++; {
+		case reads == 1:
+			return copy(p, begin), nil
+		case reads <= 2+maxTransientRetries:
+			return 0, syscall.ENOMEM
+		}
+		return copy(p, rest), nil
+	}
+	c := dialTCP(t, inner.Addr().String())
+	if _, err := io.WriteString(c, begin+rest); err != nil {
+		t.Fatal(err)
+	}
+	near, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer near.Close()
+	buffer := make([]byte, 100)
+	if n, err := near.Read(buffer); n != len(begin) || err != nil {
+		t.Fatalf("first read: %d bytes, error %v", n, err)
+	}
+	for range 2 {
+		if n, err := near.Read(buffer); n != 0 || !errors.Is(err, syscall.ENOMEM) {
+			t.Errorf("read %q, error %v, want %v", buffer[:n], err, syscall.ENOMEM)
+		}
+	}
+}
+
 // A connection that can't be registered with the network poller in time is closed with a refusal, as a request may have
 // arrived on it.
 func TestUnregisteredConnectionIsRefused(t *testing.T) {
--- a/internal/sidecar/momentary.go
+++ b/internal/sidecar/momentary.go
@@ -57,14 +57,23 @@
 	}
 }
 
-// retryingReader retries reads that fail transiently.
-type retryingReader struct{ io.Reader }
+// retryingReader retries reads that fail transiently. Once a read has failed for good, all further reads fail with the
+// same error: bufio.Reader.ReadLine returns the bytes before an error as a whole line and drops the error, so if reading
+// went on, a head could seem to end where the read failed. It is not safe for concurrent use.
+type retryingReader struct {
+	io.Reader
+	failed error // of the read that failed for good; nil if none did
+}
 
 // Read implements io.Reader. It makes at most maxTransientRetries retries.
-func (r retryingReader) Read(p []byte) (n int, err error) {
+func (r *retryingReader) Read(p []byte) (n int, err error) {
+	if r.failed != nil {
+		return 0, r.failed
+	}
 	for tries := 0; ; tries++ {
 		n, err = r.Reader.Read(p)
 		if n > 0 || err == nil || !isTransient(err) || tries == maxTransientRetries {
+			r.failed = err
 			return n, err
 		}
 		time.Sleep(transientRetryInterval)
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -564,7 +564,7 @@
 		return nil, err
 	}
 	c := &conn{Conn: raw, address: address, idleSince: u.clock.now()}
-	c.answerLimit.R = retryingReader{raw}
+	c.answerLimit.R = &retryingReader{Reader: raw}
 	c.r = bufio.NewReader(&c.answerLimit)
 	return c, nil
 }
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -5,11 +5,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/url"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -102,6 +104,48 @@
 	}
 }
 
+// cutConn is a connection whose reads fail once, after some bytes, and then go on.
+type cutConn struct {
+	net.Conn
+	left int // bytes before the failure; negative: it has failed
+	err  error
+}
+
+// Read implements net.Conn.
+func (c *cutConn) Read(p []byte) (int, error) {
+	switch {
+	case c.left < 0:
+		return c.Conn.Read(p)
+	case c.left == 0:
+		c.left = -1
+		return 0, c.err
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.left)])
+	c.left -= n
+	return n, err
+}
+
+// A read that fails within an answer's head ends the attempt, wherever it fails. bufio.Reader returns the part of a line
+// before the failure as a whole line, so that reading on could take the rest of the head for the body.
+func TestFailedReadWithinHeadEndsAttempt(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+	s := newStub(t, func(c net.Conn, _ stubRequest) bool {
+		_, _ = io.WriteString(c, head+"hi") // fails if the sidecar has closed the connection
+		return false
+	})
+	for cut := range len(head) {
+		u := testTransport(t)
+		dial := u.dial
+		u.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dial(ctx, network, address)
+			return &cutConn{Conn: c, left: cut, err: syscall.ETIMEDOUT}, err
+		}
+		if got := runAttempt(t, u, s.address, "1", testTimeout); got.ending != balance.Broken || got.stream != nil {
+			t.Errorf("failure after %d bytes: ending %v, body %q, streamed %v; want %v", cut, got.ending, got.body, got.stream != nil, balance.Broken)
+		}
+	}
+}
+
 // A reused connection breaks after the last byte of the request: the request may have run, so that only the module may
 // send it again. http.Transport resends it, even a POST with Idempotency-Key.
 func TestBrokenReusedConnectionIsNotRetried(t *testing.T) {
