Retry transient read failures on discovery's connections

What discovery has written counts as known, so the answer must not be given up for a moment's lack of memory.

Change: connections to discovery retry transient failures of read and write, as those of clients and servers do. TestDiscoveryRetriesTransientRead fails a read after 0, 5, 50 and 200 bytes: on the code before each call failed, now each needs one call. Peers and the console read by other means and repeat their calls.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -188,12 +188,14 @@
 	conn, err := d.dial(ctx, network, address)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if err == nil {
+	switch {
+	case err == nil:
 		d.connectTimeouts = 0
-	} else if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return newRetryingConn(conn), nil // an answer counts as known once discovery has written it
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		d.connectTimeouts = min(d.connectTimeouts+1, maxConnectDoublings)
 	}
-	return conn, err
+	return nil, err
 }
 
 // subscribe handles the module's request to subscribe to the list.
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"io"
 	"maps"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -258,3 +260,30 @@
 		t.Errorf("addresses %v after an empty whole list", l.addresses)
 	}
 }
+
+// A read from discovery that fails transiently is retried. The answer counts as known once discovery has written it, and
+// another call may have to wait for long.
+func TestDiscoveryRetriesTransientRead(t *testing.T) {
+	var calls atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		_, _ = io.WriteString(w, listAnswer(41, "ready", "127.0.0.1:80"))
+	}))
+	defer server.Close()
+	for _, err := range []error{syscall.ENOMEM, syscall.ENOBUFS} {
+		for _, cut := range []int{0, 5, 50, 200} {
+			d := newDiscovery(testConfig(t, listAnswer(1, "ready"), nil), func(listing) {}, func() {})
+			dial := d.dial
+			d.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+				c, failed := dial(ctx, network, address)
+				return &cutConn{Conn: c, left: cut, err: err}, failed
+			}
+			calls.Store(0)
+			l, failed := d.fetch(context.Background(), server.Listener.Addr().String(), "", testTimeout)
+			if failed != nil || l.version != 41 || calls.Load() != 1 {
+				t.Errorf("%v after %d bytes: version %d after %d calls, error %v", err, cut, l.version, calls.Load(), failed)
+			}
+			d.client.CloseIdleConnections()
+		}
+	}
+}
--- a/internal/sidecar/momentary.go
+++ b/internal/sidecar/momentary.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -80,6 +81,23 @@
 	}
 }
 
+// retryingConn is a connection whose reads and writes retry transient failures.
+type retryingConn struct {
+	net.Conn
+	reader retryingReader
+}
+
+// newRetryingConn returns c with reads and writes that retry transient failures.
+func newRetryingConn(c net.Conn) *retryingConn {
+	return &retryingConn{Conn: c, reader: retryingReader{Reader: c}}
+}
+
+// Read implements net.Conn. After a failure no further read succeeds.
+func (c *retryingConn) Read(p []byte) (int, error) { return c.reader.Read(p) }
+
+// Write implements net.Conn.
+func (c *retryingConn) Write(p []byte) (int, error) { return writeRetrying(c.Conn, p) }
+
 // presence is what is known about whether a client is still connected.
 type presence int
 
