Tell the guard how sure a deadline is where accept failed

Cause: the data of a connection that waits while accept fails has no known time of arrival. It is taken for as early as accept began to fail, so that no server is told too much time. The guard took the deadline worked out from that for the client's own.

Change: a request carries how much later it may have arrived (from the first failure to the read). The guard permits nothing to be sent past the early deadline, as before, and reports an answer once it is late by the latest deadline. Where accept has not failed both are the same. TestInvariants: with 0.2 s of doubt an answer 0.70 s late is in time, 0.701 s is not, and no send passes the early one.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -27,7 +27,7 @@
 	SentInTime                     // nothing is sent after a request's deadline
 	RepeatAllowed                  // a request that may have run is sent again only if its class allows it, and in parallel only if it is safe
 	AnsweredOnce                   // a request has at most one final answer
-	AnsweredSoon                   // a final answer is given at most AnswerSlack after the deadline
+	AnsweredSoon                   // a final answer is given at most AnswerSlack after the latest time that the deadline may be
 	ClosedAfter                    // the connection of a waiting client is not closed without an answer
 	SentToListed                   // nothing is sent to a server that has been listed as draining or gone for longer than the drain grace
 	invariantCount
@@ -69,11 +69,12 @@
 
 // Request describes a request when it is admitted.
 type Request struct {
-	RequestID   string // X-Request-ID
-	Deadline    time.Duration
-	Effect      balance.Idempotency
-	Window      time.Duration // keyed requests only: how long after the first attempt servers drop repeats
-	BodyPending bool          // its body is still arriving, and its deadline is not set yet
+	RequestID           string // X-Request-ID
+	Deadline            time.Duration
+	DeadlineUncertainty time.Duration // how much later than Deadline its client's deadline may be
+	Effect              balance.Idempotency
+	Window              time.Duration // keyed requests only: how long after the first attempt servers drop repeats
+	BodyPending         bool          // its body is still arriving, and its deadline is not set yet
 }
 
 // requestState is the state of an admitted request. It is kept until the request and all of its attempts have ended.
@@ -135,7 +136,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if s := g.requests[id]; s != nil {
-		s.BodyPending, s.Deadline = false, deadline
+		s.BodyPending, s.Deadline, s.DeadlineUncertainty = false, deadline, 0
 	}
 }
 
@@ -291,7 +292,7 @@
 		s.noAnswerDue = true
 		g.forgetIfEnded(id, s)
 		return g.deny(ClosedAfter)
-	case !s.BodyPending && !s.clientLeft && now > s.Deadline+AnswerSlack:
+	case !s.BodyPending && !s.clientLeft && now > s.Deadline+s.DeadlineUncertainty+AnswerSlack:
 		g.reportViolation(AnsweredSoon, s.RequestID, fmt.Sprintf("answered %v after its deadline", now-s.Deadline))
 	}
 	s.answered, s.noAnswerDue = true, true
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -35,6 +35,7 @@
 // Each way of violating an invariant is denied or reported under that invariant; an ordinary request causes neither.
 func TestInvariants(t *testing.T) {
 	ordinary := Request{RequestID: "q1", Deadline: 1000 * ms, Effect: balance.Unsafe}
+	uncertain := Request{RequestID: "q1", Deadline: 1000 * ms, DeadlineUncertainty: 200 * ms, Effect: balance.Unsafe}
 	keyed := Request{RequestID: "q1", Deadline: 1000 * ms, Effect: balance.Keyed, Window: 300 * ms}
 	for name, c := range map[string]struct {
 		request  Request
@@ -137,13 +138,16 @@
 			l.HandlerEnded(2*ms, 1, false)
 			return l.PermitAnswer(3*ms, 1)
 		}, ClosedAfter, -1},
-		"an answer just in time":             {ordinary, func(l *recordingGuard) error { return l.PermitAnswer(1500*ms, 1) }, -1, -1},
-		"an answer too late":                 {ordinary, func(l *recordingGuard) error { return l.PermitAnswer(1501*ms, 1) }, -1, AnsweredSoon},
-		"closed with no answer":              {ordinary, func(l *recordingGuard) error { l.HandlerEnded(1*ms, 1, false); return nil }, -1, ClosedAfter},
-		"closed by the client":               {ordinary, func(l *recordingGuard) error { l.ClientLeft(1*ms, 1); l.HandlerEnded(1*ms, 1, false); return nil }, -1, -1},
-		"closed as its answer was cut short": {ordinary, func(l *recordingGuard) error { l.HandlerEnded(1*ms, 1, true); return nil }, -1, -1},
-		"open at the end":                    {ordinary, func(l *recordingGuard) error { l.Stop(); return nil }, -1, ClosedAfter},
-		"admitted twice":                     {ordinary, func(l *recordingGuard) error { l.Admit(1, ordinary); return nil }, -1, Started},
+		"an answer just in time":                        {ordinary, func(l *recordingGuard) error { return l.PermitAnswer(1500*ms, 1) }, -1, -1},
+		"an answer too late":                            {ordinary, func(l *recordingGuard) error { return l.PermitAnswer(1501*ms, 1) }, -1, AnsweredSoon},
+		"an uncertain deadline, an answer just in time": {uncertain, func(l *recordingGuard) error { return l.PermitAnswer(1700*ms, 1) }, -1, -1},
+		"an uncertain deadline, an answer too late":     {uncertain, func(l *recordingGuard) error { return l.PermitAnswer(1701*ms, 1) }, -1, AnsweredSoon},
+		"an uncertain deadline, a send too late":        {uncertain, func(l *recordingGuard) error { return l.PermitSend(1000*ms, 1, server) }, SentInTime, -1},
+		"closed with no answer":                         {ordinary, func(l *recordingGuard) error { l.HandlerEnded(1*ms, 1, false); return nil }, -1, ClosedAfter},
+		"closed by the client":                          {ordinary, func(l *recordingGuard) error { l.ClientLeft(1*ms, 1); l.HandlerEnded(1*ms, 1, false); return nil }, -1, -1},
+		"closed as its answer was cut short":            {ordinary, func(l *recordingGuard) error { l.HandlerEnded(1*ms, 1, true); return nil }, -1, -1},
+		"open at the end":                               {ordinary, func(l *recordingGuard) error { l.Stop(); return nil }, -1, ClosedAfter},
+		"admitted twice":                                {ordinary, func(l *recordingGuard) error { l.Admit(1, ordinary); return nil }, -1, Started},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := guardWithRequest(c.request)
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -73,7 +73,8 @@
 	queuedSince      time.Duration // earliest arrival of data that waited while accept failed; 0: the data did not wait
 	refuseOnce       sync.Once
 
-	lastRead atomic.Int64 // when the last bytes arrived, by the clients' clock
+	lastRead     atomic.Int64 // when the last bytes arrived at the earliest, by the clients' clock
+	lastReadDone atomic.Int64 // when the last bytes were read; they arrived no later
 
 	since      time.Time // when it was accepted or became idle; this and the following fields are guarded by clients.mu
 	hadRequest bool      // a whole request has arrived on it
@@ -215,6 +216,13 @@
 	return l.clock.now() - time.Duration(ctx.Value(connKey{}).(*clientConn).lastRead.Load())
 }
 
+// arrivalUncertainty returns how much later than assumed the last bytes on the connection of ctx may have arrived: bytes
+// that waited while accept failed count from the first failure on.
+func (l *clients) arrivalUncertainty(ctx context.Context) time.Duration {
+	k := ctx.Value(connKey{}).(*clientConn)
+	return time.Duration(k.lastReadDone.Load() - k.lastRead.Load())
+}
+
 // queryPresence reports whether the client of ctx's connection has closed it or its sending side. It queries the kernel,
 // which detects the close even if unread data precedes it. net/http detects a close only by reading, and reads at most
 // one byte beyond a request and nothing of a body that waits to be forwarded.
@@ -328,7 +336,9 @@
 		return 0, io.EOF
 	}
 	c.requestBegun = true
-	c.lastRead.Store(int64(cmp.Or(c.queuedSince, c.clients.clock.now())))
+	now := c.clients.clock.now()
+	c.lastRead.Store(int64(cmp.Or(c.queuedSince, now)))
+	c.lastReadDone.Store(int64(now))
 	c.queuedSince = 0
 	if valid, framingErr := c.framing.advance(p[:n]); framingErr != nil {
 		if c.framingErr = framingErr; valid == 0 && len(p) == 1 {
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -125,6 +125,7 @@
 	arrived := f.clock.now() // the client's timeout began with its last byte; for a longer body that byte is still to come
 	if m.upload == nil {
 		arrived -= max(0, f.clients.sinceLastRead(r.Context()))
+		m.arrivalUncertainty = f.clients.arrivalUncertainty(r.Context())
 	}
 	m.timeLeft = f.stopLimits.Load().bound(arrived, m.timeLeft)
 	if !f.clients.requestReceived(r.Context()) { // the connection is being closed to make room, with a refusal
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -345,7 +345,10 @@
 func (l *loop) submit(q balance.Request, outbound *outboundRequest, deadline time.Duration, reply chan<- answer) balance.RequestID {
 	q.ID = balance.RequestID(l.lastID.Add(1))
 	class := l.classes[q.Class]
-	l.guard.Admit(q.ID, guard.Request{RequestID: outbound.id, Deadline: deadline, Effect: class.Idempotency, Window: class.DedupWindow, BodyPending: outbound.upload != nil})
+	l.guard.Admit(q.ID, guard.Request{
+		RequestID: outbound.id, Deadline: deadline, DeadlineUncertainty: outbound.arrivalUncertainty,
+		Effect: class.Idempotency, Window: class.DedupWindow, BodyPending: outbound.upload != nil,
+	})
 	outbound.permitWrite = func(now time.Duration, address string) error { return l.guard.PermitWrite(now, q.ID, address) }
 	outbound.onWritten = func(began, now time.Duration, address string) { l.guard.AttemptWritten(began, now, q.ID, address) }
 	if outbound.upload != nil {
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -52,6 +52,8 @@
 	length   int64         // of the whole body, or -1 if unknown
 	timeLeft time.Duration // the client's timeout; with upload it counts from the last byte sent, and the time taken to get a connection is deducted
 
+	arrivalUncertainty time.Duration // how much later than assumed the request may have arrived
+
 	clientPresence func() presence                                // whether the client is still there; nil if there is no client
 	permitWrite    func(now time.Duration, address string) error  // whether the first byte may be written to address; nil if always
 	onWritten      func(began, now time.Duration, address string) // called when the last byte has been written; may be nil
