Judge what the guard finds by time only where the lab ran on time

Cause: the lab judges no invariant that compares times where it ran late itself, since the machine then stood still for the sidecars too. guarded was exempt as a whole, though some of the guard's findings are times.

Change: the guard marks a violation as timed where it is a matter of time only: an answer too late, an attempt begun long after its client left, or begun long after a server was listed as draining. In a late run the lab leaves out just these; in a run on time they count as before, and a second answer, a repeat that is not allowed or a crash counts always. TestLateRunExcusesOnlyTimedGuardViolations holds the four cases.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -65,6 +65,7 @@
 	Invariant Invariant
 	RequestID string // X-Request-ID of the request; empty if unknown
 	Detail    string // what happened
+	Timed     bool   // it is a matter of time only, so that a machine that stalled may have caused it
 }
 
 // Request describes a request when it is admitted.
@@ -237,12 +238,12 @@
 	case s == nil:
 		g.reportViolation(SentWhileOpen, "", "an attempt was written for an unknown request")
 	case s.clientLeft && began > s.clientLeftAt+ClientLeftSlack:
-		g.reportViolation(SentWhileOpen, s.RequestID, fmt.Sprintf("an attempt began %v after its client left", began-s.clientLeftAt))
+		g.reportLate(SentWhileOpen, s.RequestID, fmt.Sprintf("an attempt began %v after its client left", began-s.clientLeftAt))
 	case s.mayHaveRun && !s.mayRepeat(now):
 		g.reportViolation(RepeatAllowed, s.RequestID, "a retry was written that its class no longer allows")
 	}
 	if requestID := requestIDOf(s); g.notReadyFor(began, address) > g.drainGrace+DrainGraceSlack {
-		g.reportViolation(SentToListed, requestID, fmt.Sprintf("an attempt at %s began %v after the server was listed as draining or gone", address, g.notReadyFor(began, address)))
+		g.reportLate(SentToListed, requestID, fmt.Sprintf("an attempt at %s began %v after the server was listed as draining or gone", address, g.notReadyFor(began, address)))
 	}
 }
 
@@ -293,7 +294,7 @@
 		g.forgetIfEnded(id, s)
 		return g.deny(ClosedAfter)
 	case !s.BodyPending && !s.clientLeft && now > s.Deadline+s.DeadlineUncertainty+AnswerSlack:
-		g.reportViolation(AnsweredSoon, s.RequestID, fmt.Sprintf("answered %v after its deadline", now-s.Deadline))
+		g.reportLate(AnsweredSoon, s.RequestID, fmt.Sprintf("answered %v after its deadline", now-s.Deadline))
 	}
 	s.answered, s.noAnswerDue = true, true
 	return nil
@@ -352,7 +353,13 @@
 // reportViolation counts and reports a violation.
 func (g *Guard) reportViolation(invariant Invariant, requestID, detail string) {
 	g.violations[invariant].Add(1)
-	g.report(Violation{invariant, requestID, detail})
+	g.report(Violation{Invariant: invariant, RequestID: requestID, Detail: detail})
+}
+
+// reportLate counts and reports a violation that is a matter of time only.
+func (g *Guard) reportLate(invariant Invariant, requestID, detail string) {
+	g.violations[invariant].Add(1)
+	g.report(Violation{Invariant: invariant, RequestID: requestID, Detail: detail, Timed: true})
 }
 
 // InvariantCount is how often an invariant was violated, and how often it denied an operation.
--- a/internal/lab/history.go
+++ b/internal/lab/history.go
@@ -19,23 +19,30 @@
 type History struct {
 	mu              sync.Mutex
 	tries           []*Try
-	requests        []ClientRequest // by index of the arrival
-	unknownRequests []string        // request ids that reached a server and that no client had sent
-	serverUpdates   []ServerUpdate  // lifecycle changes of servers that sidecars were informed of
-	collapsedCold   []string        // servers that collapsed under load while they were cold
-	processFailures []string        // processes that ended unexpectedly, or did not end when they should have
-	exceededLimits  []string        // memory and descriptor limits that processes exceeded
-	unansweredPeers []string        // foreign connections that got neither an error nor a close
-	guardViolations []string        // invariant violations that sidecars detected and logged themselves
-	kills           []sidecarSpan   // from each kill of a sidecar's process to its end
-	lateKills       []lateKill      // kills of processes that had been signalled to end
-	descriptorsFull []sidecarSpan   // when idle clients used up a sidecar's descriptors: it may close new connections without reading them
-	restarts        []sidecarSpan   // from each restart of a process until it was ready
-	views           []observedView  // membership views that sidecars reported
-	tokens          []observedToken // duty tokens that sidecars reported to hold
-	processChanges  []processChange // starts and ends of sidecar processes
-	linkChanges     []time.Duration // when links changed, or a sidecar's process was replaced
-	linkOutages     []sidecarSpan   // when a sidecar's links were cut or rate-limited
+	requests        []ClientRequest  // by index of the arrival
+	unknownRequests []string         // request ids that reached a server and that no client had sent
+	serverUpdates   []ServerUpdate   // lifecycle changes of servers that sidecars were informed of
+	collapsedCold   []string         // servers that collapsed under load while they were cold
+	processFailures []string         // processes that ended unexpectedly, or did not end when they should have
+	exceededLimits  []string         // memory and descriptor limits that processes exceeded
+	unansweredPeers []string         // foreign connections that got neither an error nor a close
+	guardViolations []guardViolation // invariant violations that sidecars detected and logged themselves
+	kills           []sidecarSpan    // from each kill of a sidecar's process to its end
+	lateKills       []lateKill       // kills of processes that had been signalled to end
+	descriptorsFull []sidecarSpan    // when idle clients used up a sidecar's descriptors: it may close new connections without reading them
+	restarts        []sidecarSpan    // from each restart of a process until it was ready
+	views           []observedView   // membership views that sidecars reported
+	tokens          []observedToken  // duty tokens that sidecars reported to hold
+	processChanges  []processChange  // starts and ends of sidecar processes
+	linkChanges     []time.Duration  // when links changed, or a sidecar's process was replaced
+	linkOutages     []sidecarSpan    // when a sidecar's links were cut or rate-limited
+	late            bool             // the lab did not run on time; set when the history is judged
+}
+
+// guardViolation is a violation of an invariant, or a crash, that a sidecar logged.
+type guardViolation struct {
+	line  string
+	timed bool // it is a matter of time only
 }
 
 // hashBodiesOver is the length in bytes above which a hash of a body is kept instead of the body.
--- a/internal/lab/judge.go
+++ b/internal/lab/judge.go
@@ -45,7 +45,7 @@
 	{"left", true, checkNoAttemptAfterLeaving},
 	{"told", true, checkTimeToldToServers},
 	{"peers", true, fromFindings(func(h *History) []string { return h.unansweredPeers })},
-	{"guarded", false, fromFindings(func(h *History) []string { return h.guardViolations })},
+	{"guarded", false, checkGuardViolations},
 }
 
 // judge checks the invariants that the scenario requires over the whole history. late reports that the lab did not run
@@ -53,6 +53,7 @@
 func judge(h *History, s *Scenario, late bool) (all []Verdict) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.late = late
 	for _, inv := range invariants {
 		if !slices.Contains(s.Invariants, inv.name) {
 			continue
@@ -80,6 +81,16 @@
 	}
 }
 
+// checkGuardViolations finds the violations and crashes that sidecars logged. Violations that are a matter of time only
+// count where the lab ran on time, like those of the timed invariants.
+func checkGuardViolations(h *History, _ *Scenario, report func(string, ...any)) {
+	for _, v := range h.guardViolations {
+		if !v.timed || !h.late {
+			report("%s", v.line)
+		}
+	}
+}
+
 // checkAnswered finds requests that a running sidecar accepted and did not answer completely. A request was certainly
 // accepted if it reached a server or if part of an answer arrived. Requests that were open when the sidecar's process was
 // killed do not count.
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -334,7 +334,7 @@
 }
 
 // violationsInLogs returns the lines of the sidecars' logs that report a violated invariant or a crash.
-func (p *processes) violationsInLogs() (lines []string, err error) {
+func (p *processes) violationsInLogs() (found []guardViolation, err error) {
 	logs, err := filepath.Glob(filepath.Join(p.logs, "*.log"))
 	if err != nil {
 		return nil, err
@@ -345,12 +345,13 @@
 			return nil, err
 		}
 		for line := range strings.Lines(string(raw)) {
-			if strings.Contains(line, `msg="invariant violated"`) || strings.HasPrefix(line, "panic:") || strings.HasPrefix(line, "fatal error:") {
-				lines = append(lines, filepath.Base(path)+": "+strings.TrimSpace(line))
+			violated := strings.Contains(line, `msg="invariant violated"`)
+			if violated || strings.HasPrefix(line, "panic:") || strings.HasPrefix(line, "fatal error:") {
+				found = append(found, guardViolation{filepath.Base(path) + ": " + strings.TrimSpace(line), violated && strings.Contains(line, " timed=true")})
 			}
 		}
 	}
-	return lines, nil
+	return found, nil
 }
 
 // awaitExit waits for the end of a process and notes in the history if that was unexpected.
--- a/internal/lab/soak_test.go
+++ b/internal/lab/soak_test.go
@@ -211,7 +211,7 @@
 			}
 		})
 	}
-	h := &History{unansweredPeers: []string{"x"}, guardViolations: []string{"x"}}
+	h := &History{unansweredPeers: []string{"x"}, guardViolations: []guardViolation{{"x", false}}}
 	for _, v := range judge(h, readScenario(t, "hold=['peers','guarded']\n[fleet]\nservers=2"), false) {
 		if v.Held {
 			t.Errorf("%s held", v.Invariant)
@@ -219,6 +219,19 @@
 	}
 }
 
+// What a sidecar's guard reports as a matter of time only counts in runs in which the lab was on time; all else always.
+func TestLateRunExcusesOnlyTimedGuardViolations(t *testing.T) {
+	scenario := readScenario(t, "hold=['guarded']\n[fleet]\nservers=2")
+	for _, timed := range []bool{false, true} {
+		for _, late := range []bool{false, true} {
+			h := &History{guardViolations: []guardViolation{{"x", timed}}}
+			if v := judge(h, scenario, late)[0]; v.Held != (timed && late) {
+				t.Errorf("timed %v, run late %v: held %v", timed, late, v.Held)
+			}
+		}
+	}
+}
+
 // The timeout of a slow client begins once, when the last byte of its body is handed over.
 func TestSlowBodyEndsWithItsLastByte(t *testing.T) {
 	ended := 0
--- a/internal/sidecar/trace.go
+++ b/internal/sidecar/trace.go
@@ -142,7 +142,7 @@
 
 // logViolation logs a violation of an invariant.
 func logViolation(v guard.Violation) {
-	slog.Error("invariant violated", "rule", v.Invariant.String(), "id", v.RequestID, "what", v.Detail)
+	slog.Error("invariant violated", "rule", v.Invariant.String(), "id", v.RequestID, "what", v.Detail, "timed", v.Timed)
 }
 
 // writeGuardStats writes a guard's counters for the console.
