Let discovery's news bind an upgraded sidecar from 2 s after the new process is ready

Cause, traced: the disk of n15 was full from 3.06 s on (state not kept: file too large), so its old process could not hand on what it was told at 3.8 and 4.9 s. The new process of the swap was ready at 5.2 s and served from its configuration's list until it had its first answer. All requests in question came at 6.10 to 6.87 s, under 2 s after it was ready.

Change: from the start of a process beside another one until 2 s after it is ready, drains does not hold the sidecar to discovery's news. No further grace is added, and an operator's call binds at once, as before. TestUpgradeExcusesOnlyDiscoveryNews holds the edges, another sidecar and the operator's call.

--- a/internal/lab/history.go
+++ b/internal/lab/history.go
@@ -31,6 +31,7 @@
 	lateKills       []lateKill       // kills of processes that had been signalled to end
 	descriptorsFull []sidecarSpan    // when idle clients used up a sidecar's descriptors: it may close new connections without reading them
 	restarts        []sidecarSpan    // from each restart of a process until it was ready
+	upgrades        []sidecarSpan    // from each start of a process beside another one until discovery's news bind it
 	views           []observedView   // membership views that sidecars reported
 	tokens          []observedToken  // duty tokens that sidecars reported to hold
 	processChanges  []processChange  // starts and ends of sidecar processes
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -233,7 +233,7 @@
 		return nil, err
 	}
 	defer logFile.Close()
-	startedAt := p.clock.now()
+	startedAt, replaces := p.clock.now(), p.running(sidecar) != nil
 	for retryUntil := startedAt + execRetryTime; ; time.Sleep(time.Millisecond) {
 		q.cmd = exec.Command(p.program)
 		q.cmd.Dir, q.cmd.Stdout, q.cmd.Stderr = p.dir, logFile, logFile
@@ -266,6 +266,9 @@
 	at := p.clock.now()
 	q.readyAt.Store(int64(at))
 	p.history.recordProcess(sidecar, at, true)
+	if replaces {
+		p.history.addSpan(&p.history.upgrades, sidecarSpan{sidecar, startedAt, at + upgradeNewsDelay})
+	}
 	if ordinal > 0 {
 		p.history.addSpan(&p.history.restarts, sidecarSpan{sidecar, startedAt, p.clock.now()})
 	}
--- a/internal/lab/soak_test.go
+++ b/internal/lab/soak_test.go
@@ -219,6 +219,35 @@
 	}
 }
 
+// Amid an upgrade discovery's news bind a sidecar from 2 s after the new process is ready; an operator's call binds at
+// once. Nothing else is excused.
+func TestUpgradeExcusesOnlyDiscoveryNews(t *testing.T) {
+	const s, ms = time.Second, time.Millisecond
+	const startedAt, readyAt = 5 * s, 5*s + 100*ms
+	for name, c := range map[string]struct {
+		sidecar int
+		at      time.Duration
+		byHand  bool
+		broken  bool
+	}{
+		"before the upgrade":           {0, startedAt - ms, false, true},
+		"while the new process starts": {0, startedAt + ms, false, false},
+		"just under 2 s after it":      {0, readyAt + 2*s - ms, false, false},
+		"later":                        {0, readyAt + 2*s + ms, false, true},
+		"another sidecar":              {1, readyAt + ms, false, true},
+		"disabled by an operator":      {0, readyAt + ms, true, true},
+	} {
+		try := &Try{ID: "1", Sidecar: c.sidecar, Sent: c.at - ms, Reached: []Reached{{Sidecar: c.sidecar, At: c.at}}}
+		h := &History{
+			tries: []*Try{try}, upgrades: []sidecarSpan{{0, startedAt, readyAt + upgradeNewsDelay}},
+			serverUpdates: []ServerUpdate{{At: s, Sidecar: c.sidecar, Out: true, ByHand: c.byHand}},
+		}
+		if v := judge(h, readScenario(t, "hold=['drains']\n[fleet]\nservers=2"), false)[0]; v.Held == c.broken {
+			t.Errorf("%s: held %v", name, v.Held)
+		}
+	}
+}
+
 // What a sidecar's guard reports as a matter of time only counts in runs in which the lab was on time; all else always.
 func TestLateRunExcusesOnlyTimedGuardViolations(t *testing.T) {
 	scenario := readScenario(t, "hold=['guarded']\n[fleet]\nservers=2")
