Force the order of a late second answer and the next request in its row

Change: the time counts from before the first answer's write, and the sidecar's process is stopped from before the check until its kernel has acknowledged the second answer. So the second answer comes before the reuse or is not sent.

--- a/internal/conform/process.go
+++ b/internal/conform/process.go
@@ -23,6 +23,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // maxWait limits every wait for an expected event. Only a faulty program reaches it.
@@ -154,7 +156,7 @@
 	entries, order := make(map[string]string), []string{}
 	for _, s := range all {
 		if p.servers[s.ID] == nil {
-			n, err := newStandIn(s.ID, p.observed, s.HoldConnections)
+			n, err := newStandIn(s.ID, p.observed, s.HoldConnections, p.pause)
 			if err != nil {
 				return err
 			}
@@ -288,6 +290,30 @@
 	})
 }
 
+// stopPollInterval is the time between two checks whether the program's process has stopped.
+const stopPollInterval = 50 * time.Microsecond
+
+// pause stops all threads of the program until the returned function is called.
+func (p *processRunner) pause() (resume func(), err error) {
+	process := p.cmd.Process
+	if err := process.Signal(syscall.SIGSTOP); err != nil {
+		return nil, err
+	}
+	resume = func() { _ = process.Signal(syscall.SIGCONT) } // fails only if it has ended
+	for end := time.Now().Add(maxWait); time.Now().Before(end); time.Sleep(stopPollInterval) {
+		var info unix.Siginfo
+		if err := unix.Waitid(unix.P_PID, process.Pid, &info, unix.WSTOPPED|unix.WNOHANG|unix.WNOWAIT, nil); err != nil && err != unix.EINTR {
+			resume()
+			return nil, fmt.Errorf("waiting for the program to stop: %w", err)
+		}
+		if info.Signo == int32(unix.SIGCHLD) {
+			return resume, nil
+		}
+	}
+	resume()
+	return nil, fmt.Errorf("the program did not stop within %v", maxWait)
+}
+
 // waitFor polls a condition until it holds, and returns an error after maxWait.
 func (p *processRunner) waitFor(description string, condition func() bool) error {
 	for end := time.Now().Add(maxWait); ; time.Sleep(2 * time.Millisecond) {
--- a/internal/conform/standin.go
+++ b/internal/conform/standin.go
@@ -58,8 +58,15 @@
 	})
 }
 
-// strayDelay is the delay of the second answer after the first one with the ending "trailed".
-const strayDelay = 3 * time.Millisecond
+const (
+	// strayDelay is the delay of the second answer after the first one with the ending "trailed".
+	strayDelay = 3 * time.Millisecond
+	// maxStrayDelay is how long after the first answer a second one is sent at the latest: the specification covers only
+	// those that follow shortly after.
+	maxStrayDelay = 2 * strayDelay
+	// ackPollInterval is the time between two checks whether a second answer has arrived.
+	ackPollInterval = 100 * time.Microsecond
+)
 
 // standIn is a server that accepts every request, and answers it at the time and in the way that the row specifies.
 type standIn struct {
@@ -71,16 +78,18 @@
 	answeredOn     map[string]net.Conn    // by request: the connection of its last answer
 	autoEnding     string                 // ending of all attempts, without delay; empty: endings decide
 	conns          map[net.Conn]bool
-	startAccepting func() // begins to accept connections
+	startAccepting func()                            // begins to accept connections
+	pauseSidecar   func() (resume func(), err error) // stops the sidecar's process
 }
 
 // newStandIn starts a server. With holdConnections, no connection to it is established before startAccepting is called.
-func newStandIn(id string, s *observations, holdConnections bool) (*standIn, error) {
+// pauseSidecar stops the sidecar's process until the returned function is called.
+func newStandIn(id string, s *observations, holdConnections bool, pauseSidecar func() (resume func(), err error)) (*standIn, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	n := &standIn{id: id, listener: l, observed: s, endings: make(map[string]chan string), answeredOn: make(map[string]net.Conn), conns: make(map[net.Conn]bool)}
+	n := &standIn{id: id, listener: l, observed: s, pauseSidecar: pauseSidecar, endings: make(map[string]chan string), answeredOn: make(map[string]net.Conn), conns: make(map[net.Conn]bool)}
 	accept := func() {
 		for {
 			c, err := l.Accept()
@@ -193,15 +202,16 @@
 			}
 		}
 		n.observed.recordEnding(id, ending)
-		reusable, answeredAt := n.answer(c, id, ending), time.Now()
+		answeredAfter := time.Now()
+		reusable := n.answer(c, id, ending)
 		if ending == "trailed" {
 			select { // the stray answer is sent after strayDelay, or earlier if the next request begins
 			case err := <-nextRequest:
 				nextRequest <- err
 			case <-time.After(strayDelay):
 			}
-			if time.Since(answeredAt) < 2*strayDelay { // the specification covers only stray answers shortly after the answer
-				_, _ = io.WriteString(c, completeAnswer("stray")) // fails if the sidecar has closed the connection
+			if err := n.sendStray(c, answeredAfter); err != nil {
+				n.observed.withLock(func() { n.observed.failures = append(n.observed.failures, "second answer: "+err.Error()) })
 			}
 		}
 		if !reusable || <-nextRequest != nil {
@@ -210,6 +220,42 @@
 	}
 }
 
+// sendStray sends a second answer on a connection, unless maxStrayDelay has passed since answeredAfter, a moment before the
+// first answer was sent. The sidecar's process is paused from before that check until the answer has arrived: if this
+// process is held up, the sidecar can't send its next request in between.
+func (n *standIn) sendStray(c net.Conn, answeredAfter time.Time) error {
+	resume, err := n.pauseSidecar()
+	if err != nil {
+		return err
+	}
+	defer resume()
+	if time.Since(answeredAfter) >= maxStrayDelay {
+		return nil
+	}
+	if _, err := io.WriteString(c, completeAnswer("stray")); err != nil {
+		return nil // the sidecar has closed the connection
+	}
+	return awaitAcknowledgement(c)
+}
+
+// awaitAcknowledgement waits until the other side's kernel has received all that was written to a connection.
+func awaitAcknowledgement(c net.Conn) error {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return err
+	}
+	for end := time.Now().Add(maxWait); time.Now().Before(end); time.Sleep(ackPollInterval) {
+		var unsent int
+		if failed := raw.Control(func(fd uintptr) { unsent, err = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) }); failed != nil || err != nil {
+			return errors.Join(failed, err)
+		}
+		if unsent == 0 {
+			return nil
+		}
+	}
+	return fmt.Errorf("not acknowledged within %v", maxWait)
+}
+
 // answer ends an attempt, and reports whether its connection can be used for another request.
 func (n *standIn) answer(c net.Conn, id, ending string) bool {
 	n.mu.Lock()
