Wait in the test until the client's departure has arrived

Seen: TestClientLeavesBeforeLoopKnows/connecting_resets failed once on a busy machine: one attempt after the client left.

Suspected, not seen again: the sidecar asks the kernel before it writes, so an attempt goes out only if the kernel does not know yet that the client has left. The test took it that the kernel knows once the client's close has returned.

Change: the test waits until the kernel shows that the client is gone, and only then lets the dial go on. What it asks of the sidecar is the same: no attempt from then on, though the loop does not know.

--- a/internal/sidecar/late_test.go
+++ b/internal/sidecar/late_test.go
@@ -361,6 +361,7 @@
 				if err := leave(c); err != nil {
 					t.Fatal(err)
 				}
+				eventually(t, "the client's departure to arrive", func() bool { return !f.clients.anyPresent() })
 				begin()
 				close(free)
 				if phase == "connecting" { // otherwise the guard prevents the dial
@@ -380,6 +381,21 @@
 	}
 }
 
+// anyPresent reports whether the system knows of any connection whose client has not left. The end of a connection arrives
+// a moment after the client's call, and later on a busy machine.
+func (l *clients) anyPresent() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		found := clientGone
+		_ = c.raw.Control(func(fd uintptr) { found = pollPresence(int(fd)) }) // fails only on a closed connection
+		if found == clientPresent {
+			return true
+		}
+	}
+	return false
+}
+
 // X-Timeout is the time that is left after the connection to the server was established, even for a long body that may have
 // arrived completely long before.
 func TestTimeoutHeaderAfterSlowConnect(t *testing.T) {
