Count a start that the first full list brings as cold whatever the clock says

Seen: TestColdServerIsColdByAClockThatIsAhead: to a process whose clock is 30 s or an hour ahead, a server that started a second ago is warm, so it gets a full share at once, which may make it collapse.

Cause: the age of a start is worked out by this process's clock, and nothing checked that clock at the first full list.

Change: no server has started after its start is listed. So the clock is ahead by no more than the age of the newest start in the list, and each start that the first full list brings is taken for that much later; the newest counts as just started. A start that the process knew already, from its configuration or its state, is taken as before: the conformance row one-back-cold-gets-more-as-it-warms wants such a start of 30 s ago to be warm, and by the module's inputs nothing else tells it from the test's. So where the cached list has a recent start and the clock is ahead, the fault is still there.

Evidence: the test, unchanged, failed before for 30 s and 1 h, and passes.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -864,8 +864,12 @@
 			s.State = balance.Gone // unless the list contains it
 		}
 	}
+	clockLead := time.Duration(0)
+	if kind == balance.ListFull && !b.fullListHeard {
+		clockLead, b.fullListHeard = maxClockLead(now, entries), true
+	}
 	for _, e := range entries {
-		b.applyEntry(now, e, b.effectiveStart(now, kind, e))
+		b.applyEntry(now, e, min(now, b.effectiveStart(now, kind, e)+clockLead))
 	}
 	b.listHeardAt = now
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return s.State == balance.Gone })
@@ -880,6 +884,21 @@
 	b.dispatchQueued(now)
 }
 
+// maxClockLead returns how far this process's clock may be ahead when it receives its first full list: no
+// server has started after its start is listed.
+func maxClockLead(now time.Duration, entries []balance.Server) time.Duration {
+	lead := time.Duration(math.MaxInt64)
+	for _, e := range entries {
+		if e.Started > 0 {
+			lead = min(lead, max(0, now-e.Started))
+		}
+	}
+	if lead == math.MaxInt64 {
+		return 0 // no start is listed
+	}
+	return lead
+}
+
 // effectiveStart returns the time at which a server's cold start began. This process's clock may
 // have been wrong by up to an hour when it was first read. A start in the future therefore counts as now, and
 // so does a newly announced start that is well before the last list, which did not contain it.
--- a/policy/state.go
+++ b/policy/state.go
@@ -153,6 +153,7 @@
 	slots             int                                // of all compartments
 	firstListSize     float64                            // servers in the first list
 	listHeardAt       time.Duration                      // time of the last list event with entries; 0: none yet
+	fullListHeard     bool                               // discovery has sent a full list
 	quotaConcurrency  float64                            // concurrency of all balancers at traffic of the quotas
 	totalQuota        float64                            // requests per second of all tenants together
 	readyWeight       float64                            // listed weight of all servers in service
