Count the failures found at the end of a virtual conformance row

runVirtual returned its failures in the same statement as the calls that add to them; Go does not say which is read first, so a request that was never answered could pass. The last checks run before the failures are read now.

--- a/internal/conform/virtual.go
+++ b/internal/conform/virtual.go
@@ -199,17 +199,20 @@
 	for _, q := range v.requests {
 		last = max(last, q.arrivedAt+q.step.TimeLeft.Std()+time.Second)
 	}
-	return v.failures, cmp.Or(v.advanceTo(last), v.checkAllAnswered())
+	if err := v.advanceTo(last); err != nil {
+		return nil, err
+	}
+	v.checkAllAnswered()
+	return v.failures, nil
 }
 
-// checkAllAnswered records a failure for each request without an answer. It always returns nil.
-func (v *virtualRunner) checkAllAnswered() error {
+// checkAllAnswered records a failure for each request without an answer.
+func (v *virtualRunner) checkAllAnswered() {
 	for _, id := range slices.Sorted(maps.Keys(v.requests)) {
 		if v.requests[id].result == "" {
 			v.failf("request %d has not been answered", id)
 		}
 	}
-	return nil
 }
 
 // resetStep clears the record of the last step's events.
