End a program that does not become ready in a conformance row

The row's program was killed only if it had become ready; otherwise it ran on until the tests ended. The kill is deferred before the start now.

--- a/internal/conform/process.go
+++ b/internal/conform/process.go
@@ -94,6 +94,12 @@
 	}
 	p.knownJSON = cmp.Or(known, p.discovery.listJSON(-1))
 	p.discovery.initialEntries, p.discovery.initialVersion = maps.Clone(p.discovery.entries), p.discovery.version
+	defer func() { // also if it has not become ready
+		if p.exited != nil {
+			_ = p.cmd.Process.Kill() // fails only if the process has exited
+			<-p.exited
+		}
+	}()
 	if err := p.start(program); err != nil {
 		return nil, err
 	}
@@ -102,12 +108,6 @@
 			return nil, err
 		}
 	}
-	defer func() {
-		if p.exited != nil {
-			_ = p.cmd.Process.Kill() // fails only if the process has exited
-			<-p.exited
-		}
-	}()
 	for i, s := range r.Steps {
 		before := len(p.failures)
 		if err := p.runStep(s); err != nil {
