--- a/internal/lab/relay.go
+++ b/internal/lab/relay.go
@@ -43,7 +43,7 @@
 	rng        *rand.Rand    // draws the fate of packets
 	freeAt     time.Time     // when the bytes queued so far have been sent, if the rate is limited
 	inFlight   int           // delayed packets
-	lost       int           // packets that were cut off or dropped
+	lost       int           // packets that were cut off or dropped, also where too many were delayed
 	open       int           // connections
 }
 
@@ -261,6 +261,7 @@
 		}
 		if delay > 0 {
 			if l.inFlight >= maxLinkPackets || l.mesh.inFlight.Load() >= maxMeshPackets {
+				l.lost++
 				continue
 			}
 			l.inFlight++
