Forget a relayed connection whose link stays cut until the end

relayStream returned between track and untrack where the mesh closed while a cut link was waited for, and left the connection in the mesh's table.

--- a/internal/lab/relay.go
+++ b/internal/lab/relay.go
@@ -327,10 +327,13 @@
 // stays open, so that neither end notices.
 func (l *link) relayStream(c net.Conn) {
 	defer c.Close()
-	if !l.mesh.track(c) || !l.waitUncut() {
+	if !l.mesh.track(c) {
 		return
 	}
 	defer l.mesh.untrack(c)
+	if !l.waitUncut() {
+		return
+	}
 	dialer := net.Dialer{Timeout: 5 * time.Second}
 	peer, err := dialer.Dial("tcp", l.mesh.net.address(l.to, peerPort))
 	if err != nil {
