--- a/internal/duty/voter.go
+++ b/internal/duty/voter.go
@@ -22,7 +22,7 @@
 	electionTimeout    = 600 * time.Millisecond // a voter without contact to a leader starts an election after a random time from this to twice this
 	leaderLeaseTimeout = 400 * time.Millisecond // a leader without contact to a majority for this long steps down
 	applyTimeout       = 2 * time.Second        // for one change of the raft log
-	voterCheckInterval = 2 * time.Second        // the leader checks the voters each half of this time
+	voterCheckInterval = time.Second            // between two checks of the voters by the leader
 	shutdownTimeout    = time.Second            // raft's shutdown may wait for a disk
 	maxVoterIDBytes    = 255                    // the length of an id is one byte on the wire
 	tokenIndexBits     = 24                     // low bits of a token, for indexes of the log; the bits above have the Unix time at which the table was created
@@ -176,7 +176,7 @@
 func (v *voter) voterCheckDue() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if now := v.group.now(); v.lastVoterCheck == 0 || now-v.lastVoterCheck >= voterCheckInterval/2 {
+	if now := v.group.now(); v.lastVoterCheck == 0 || now-v.lastVoterCheck >= voterCheckInterval {
 		v.lastVoterCheck = max(1, now)
 		return true
 	}
