--- a/internal/rules/core.go
+++ b/internal/rules/core.go
@@ -124,7 +124,6 @@
 // pendingChange is the effect of a message, which Advance applies once its writes are durable. floor and staged
 // are nil if they do not change, and answer is nil if no answer is sent.
 type pendingChange struct {
-	question      Message
 	floor         *document
 	staged        *document
 	activate      *Set
@@ -463,7 +462,7 @@
 		return c.handleAnswer(m)
 	}
 	a := Message{Kind: m.Kind, From: c.self, To: m.From, Token: m.Token, Push: m.Push, Version: m.Version, Digest: m.Digest}
-	change := &pendingChange{question: m, answer: &a}
+	change := &pendingChange{answer: &a}
 	var r Ready
 	number := [2]uint64{m.Token, m.Push}
 	if m.Kind == Check || m.Kind == Store {
