--- a/internal/lab/hold.go
+++ b/internal/lab/hold.go
@@ -206,7 +206,6 @@
 	CPU        time.Duration
 	Heap       uint64 // bytes in use after a garbage collection, including goroutine stacks; 0 where none was asked for
 	Goroutines int
-	Late       string // why measured times of this process are unreliable
 }
 
 // Report returns what the worker and its hollow sidecars have used. With collect it collects garbage first and measures the heap.
