--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -2,9 +2,7 @@
 
 import (
 	"bufio"
-	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -25,8 +23,6 @@
 	"time"
 
 	"golang.org/x/sys/unix"
-
-	"arrowgw/internal/world"
 )
 
 const (
@@ -107,111 +103,6 @@
 	return p
 }
 
-// stateDir returns the folder that a sidecar keeps its state in.
-func (p *processes) stateDir(sidecar int) string {
-	return filepath.Join(p.dir, "state", strconv.Itoa(sidecar))
-}
-
-// writeConfig writes the configuration for the process of a sidecar with the given ordinal, and returns its path.
-func (p *processes) writeConfig(sidecar, ordinal int) (path string, err error) {
-	folder := filepath.Join(p.dir, "config")
-	if err := errors.Join(os.MkdirAll(p.stateDir(sidecar), 0o755), os.MkdirAll(folder, 0o755)); err != nil {
-		return "", err
-	}
-	if os.Getuid() == 0 {
-		if err := os.Chown(p.stateDir(sidecar), unprivilegedUser, unprivilegedUser); err != nil {
-			return "", err
-		}
-	}
-	s := p.scenario
-	file := map[string]any{
-		"name": sidecarName(sidecar), "listen": p.net.address(sidecar, clientPort), "discovery": p.roster.address(sidecar),
-		"console": p.net.address(sidecar, consolePort+ordinal%consolePorts),
-		"seed":    strconv.FormatUint(rand.New(rand.NewPCG(p.seed, 5+uint64(sidecar)<<16+uint64(ordinal)<<40)).Uint64(), 16),
-		"limits":  map[string]any{"cores": 1, "memory_mb": s.Fleet.MemoryMB, "sockets": s.Fleet.Sockets},
-	}
-	// Hollow sidecars ask discovery instead, as thousands of files with long lists would be expensive.
-	if sidecar < s.Fleet.Sidecars {
-		file["known"] = p.roster.listing(sidecar, firstVersion, true, world.NewServerList(s.Fleet.Servers, firstVersion).Listed())
-	}
-	file["settings"] = p.settings(sidecar)
-	routes := p.routes(sidecar)
-	if s.Fleet.File != "" || len(routes) > 0 {
-		text := s.Fleet.File + "\n[routes]\n"
-		for name, address := range routes {
-			text += fmt.Sprintf("%q = %q\n", name, address)
-		}
-		text = strings.NewReplacer(
-			"{name}", sidecarName(sidecar), "{host}", p.net.host(sidecar), "{peer}", p.net.address(sidecar, peerPort), "{rules}", p.rulesFile(sidecar),
-			"{seed0}", p.seedAddress(0), "{seed1}", p.seedAddress(1), "{seed2}", p.seedAddress(2),
-		).Replace(text)
-		fleet := filepath.Join(folder, fmt.Sprintf("%d.toml", sidecar))
-		if err := os.WriteFile(fleet, []byte(text), 0o644); err != nil {
-			return "", err
-		}
-		file["fleet"] = fleet
-	}
-	raw, err := json.Marshal(file)
-	if err != nil {
-		return "", err
-	}
-	// Each process has its own file, so that writing it does not affect the previous process.
-	path = filepath.Join(folder, fmt.Sprintf("%d-%d.json", sidecar, ordinal))
-	return path, os.WriteFile(path, raw, 0o644)
-}
-
-// rulesFile returns the path of the file from which a sidecar reads the rule set to push.
-func (p *processes) rulesFile(sidecar int) string {
-	return filepath.Join(p.dir, "config", fmt.Sprintf("%d.rules", sidecar))
-}
-
-// seedAddress returns a sidecar's name and peer address in the form of a seed that needs no route.
-func (p *processes) seedAddress(sidecar int) string {
-	return sidecarName(sidecar) + "/" + p.net.address(sidecar, peerPort)
-}
-
-// settings returns the settings object of the platform's configuration.
-func (p *processes) settings(sidecar int) map[string]any {
-	s := p.scenario
-	var zones []string
-	for z := range s.Fleet.Zones {
-		zones = append(zones, zoneName(z))
-	}
-	ms := func(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
-	var classes, orgs []any
-	mean := (&world.LoadSpec{Classes: s.classes()}).MeanWork().Seconds()
-	for _, c := range s.classes() {
-		semantics := map[world.Idempotency]string{world.Safe: "free", world.Keyed: "guarded", world.Unsafe: "single_shot"}[c.Idempotency]
-		classes = append(classes, map[string]any{
-			"name": c.Name, "aim_ms": ms(c.Aim), "hard_limit_ms": ms(c.Deadline), "semantics": semantics, "dedup_scope": "zone",
-			"window_ms": ms(c.DedupWindow), "worth": c.Worth, "late_share": 0, "stream": false,
-		})
-	}
-	for _, t := range tenants {
-		orgs = append(orgs, map[string]any{
-			"name": t.name, "share": t.share, "quota_per_s": t.share * s.Fleet.Quota * s.capacity() / mean,
-		})
-	}
-	return map[string]any{
-		"balancers": cmp.Or(s.Fleet.StatedSidecars, s.totalSidecars()), "me": sidecar, "zone": s.zoneOf(sidecar), "zones": zones, "period_ms": 2,
-		"discovery": "ask", "weights": "nominal", "worth_by": "work",
-		"caps": map[string]any{
-			"conn_idle_ms": ms(serverIdleTimeout), "dial_timeout_ms": 75, "may_cancel": true, "most_tries": 6, "max_open": 26451,
-			"max_retry_after_ms": 800, "probes": true, "retry_after": true, "second_copies": true, "peers": s.Fleet.Mesh,
-		},
-		"charges": map[string]any{"cross_zone": 0.03}, "client_habits": map[string]any{"marks_retry": true},
-		"classes": classes, "orgs": orgs,
-		"rules": map[string]any{
-			"answer_slack_ms": 8, "ask_within_ms": 10_000, "cold_from": s.Server.ColdCapacityShare, "cold_ms": ms(s.Server.WarmUpTime.Std()),
-			"fall_multiple": s.Server.ColdCrashFactor, "overload_for_ms": ms(s.Server.ColdCrashWindow.Std()), "stop_sending_within_ms": ms(drainGrace),
-		},
-		"telemetry": map[string]any{"how": "silent", "columns": []string{}},
-	}
-}
-
-// sidecarName returns a sidecar's name in configurations and findings.
-func sidecarName(i int) string { return fmt.Sprintf("n%d", i) }
-
 // start starts a sidecar's next process and returns it once it is ready. If the process starts but does not become
 // ready, both it and an error are returned.
 func (p *processes) start(sidecar int) (*process, error) {
@@ -610,78 +501,6 @@
 	})
 }
 
-// sample measures what the running processes use and notes in the history where they exceed their limits.
-func (p *processes) sample() {
-	p.mu.Lock()
-	live := make([]*process, 0, len(p.all))
-	for _, q := range p.all {
-		select {
-		case <-q.ended:
-		default:
-			live = append(live, q)
-		}
-	}
-	p.mu.Unlock()
-	sum := 0.0
-	defer func() {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		p.maxTotalRSS = max(p.maxTotalRSS, sum)
-	}()
-	for _, q := range live {
-		rss, fds, ok := processUsage(q.cmd.Process.Pid)
-		if !ok {
-			continue // it has just exited
-		}
-		sum += rss
-		p.mu.Lock()
-		p.maxRSS, p.maxFDs = max(p.maxRSS, rss), max(p.maxFDs, fds)
-		if now := diskBytesWritten(q.cmd.Process.Pid); now > q.bytesWritten {
-			p.bytesWritten, q.bytesWritten = p.bytesWritten+now-q.bytesWritten, now
-		}
-		p.mu.Unlock()
-		if rss > float64(p.scenario.Fleet.MemoryMB) {
-			p.history.addFinding(&p.history.exceededLimits, "at %v sidecar %s uses %.1f MiB, limit %d", p.clock.now(), sidecarName(q.sidecar), rss, p.scenario.Fleet.MemoryMB)
-		}
-		if fds > p.scenario.Fleet.Sockets {
-			p.history.addFinding(&p.history.exceededLimits, "at %v sidecar %s uses %d descriptors, limit %d", p.clock.now(), sidecarName(q.sidecar), fds, p.scenario.Fleet.Sockets)
-		}
-	}
-}
-
-// processUsage returns a process's resident memory in MiB and its number of descriptors. ok is false if it has ended.
-func processUsage(pid int) (rss float64, fds int, ok bool) {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
-	if err != nil {
-		return 0, 0, false
-	}
-	fields := strings.Fields(string(raw))
-	if len(fields) < 2 {
-		return 0, 0, false
-	}
-	pages, err := strconv.ParseFloat(fields[1], 64)
-	if err != nil {
-		return 0, 0, false
-	}
-	names, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
-	return pages * float64(os.Getpagesize()) / (1 << 20), len(names), err == nil
-}
-
-// diskBytesWritten returns how many bytes a process has caused to be written to disks, or 0 if the kernel doesn't
-// report it.
-func diskBytesWritten(pid int) (bytes float64) {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/io", pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(raw)) {
-		if value, ok := strings.CutPrefix(line, "write_bytes: "); ok {
-			bytes, _ = strconv.ParseFloat(strings.TrimSpace(value), 64) // 0 means unknown
-		}
-	}
-	return bytes
-}
-
 // close stops all processes at once, and kills those that still run when the context ends.
 func (p *processes) close(ctx context.Context) {
 	var ends sync.WaitGroup
