Count what a long request may have waited while accept failed

Cause: data that waits while accept fails counts from the first failure on, but only for the first read of a connection, and only for requests whose body is buffered whole. Of a longer body the last byte was taken to be still on its way, though it had waited with the rest. The second of two pipelined requests that wait had the same fault.

Change: what waited counts until a read finds nothing more, for long bodies too; the guard is told of the doubt.

--- a/cmd/caperarch/faults_test.go
+++ b/cmd/caperarch/faults_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -233,6 +234,13 @@
 		id, left.Milliseconds())
 }
 
+// longRequest returns a request whose body is longer than the sidecar buffers.
+func longRequest(id string, left time.Duration) string {
+	const bodyBytes = 80 << 10
+	head := strings.TrimSuffix(strings.Replace(request(id, left), "GET", "POST", 1), "\r\n")
+	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, bodyBytes, strings.Repeat("x", bodyBytes))
+}
+
 // send writes text. It ignores errors: a closed connection shows when the answer is read.
 func (c *client) send(text string) { _, _ = io.WriteString(c.conn, text) }
 
@@ -278,7 +286,8 @@
 	t.Run("accept during a stop", acceptFailsAtStop)
 	t.Run("poll that checks for a closed client connection", pollIsInterrupted)
 	t.Run("all checks for a closed client connection", clientChecksFail)
-	t.Run("accept for 0.5 s while a request waits", acceptFailsForLong)
+	t.Run("accept for 0.5 s while a request waits", func(t *testing.T) { acceptFailsForLong(t, "free", request) })
+	t.Run("accept for 0.5 s while a long request waits", func(t *testing.T) { acceptFailsForLong(t, "single_shot", longRequest) })
 	t.Run("read after the last answer", readAfterAnswerIsInterrupted)
 	t.Run("listen at the start", listenFailsAtStart)
 	t.Run("connect to a server", connectFails)
@@ -389,7 +398,7 @@
 
 // acceptFailsForLong makes accept fail while a request waits in the listener's queue. The timeout that the server is given must
 // not exceed the time that the client has left then.
-func acceptFailsForLong(t *testing.T) {
+func acceptFailsForLong(t *testing.T, semantics string, request func(id string, left time.Duration) string) {
 	const left, held, slack = 900 * time.Millisecond, 500 * time.Millisecond, 150 * time.Millisecond
 	type arrival struct {
 		at      time.Time
@@ -406,7 +415,8 @@
 	}
 	var failing atomic.Bool
 	failing.Store(true)
-	s := startFaulty(t, fmt.Sprintf(faultySettings, "127.0.0.1:1", server.listener.Addr(), 2000), false, []int{unix.SYS_ACCEPT4}, func(sysfault.Call) sysfault.Effect {
+	settings := strings.Replace(fmt.Sprintf(faultySettings, "127.0.0.1:1", server.listener.Addr(), 2000), `"free"`, strconv.Quote(semantics), 1)
+	s := startFaulty(t, settings, false, []int{unix.SYS_ACCEPT4}, func(sysfault.Call) sysfault.Effect {
 		if failing.Load() {
 			return sysfault.Effect{Errno: unix.ENOBUFS}
 		}
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -137,7 +137,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if s := g.requests[id]; s != nil {
-		s.BodyPending, s.Deadline, s.DeadlineUncertainty = false, deadline, 0
+		s.BodyPending, s.Deadline = false, deadline
 	}
 }
 
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -70,7 +70,7 @@
 	readErr          error         // why a read failed for good amid a request; further reads fail with it
 	serverClosed     bool          // net/http has closed the connection
 	closeWithRefusal bool          // part of a request may have arrived; the refusal is reserved
-	queuedSince      time.Duration // earliest arrival of data that waited while accept failed; 0: the data did not wait
+	queuedSince      time.Duration // earliest arrival of data that waited while accept failed; 0: all of it has been read, or it did not wait
 	refuseOnce       sync.Once
 
 	lastRead     atomic.Int64 // when the last bytes arrived at the earliest, by the clients' clock
@@ -216,6 +216,18 @@
 	return l.clock.now() - time.Duration(ctx.Value(connKey{}).(*clientConn).lastRead.Load())
 }
 
+// queuedTime returns how long bytes that are still to be read on the connection of ctx may have waited while accept
+// failed. It is 0 once a read has found that no more have arrived.
+func (l *clients) queuedTime(ctx context.Context) time.Duration {
+	k := ctx.Value(connKey{}).(*clientConn)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.queuedSince == 0 {
+		return 0
+	}
+	return l.clock.now() - k.queuedSince
+}
+
 // arrivalUncertainty returns how much later than assumed the last bytes on the connection of ctx may have arrived: bytes
 // that waited while accept failed count from the first failure on.
 func (l *clients) arrivalUncertainty(ctx context.Context) time.Duration {
@@ -339,7 +351,6 @@
 	now := c.clients.clock.now()
 	c.lastRead.Store(int64(cmp.Or(c.queuedSince, now)))
 	c.lastReadDone.Store(int64(now))
-	c.queuedSince = 0
 	if valid, framingErr := c.framing.advance(p[:n]); framingErr != nil {
 		if c.framingErr = framingErr; valid == 0 && len(p) == 1 {
 			return 0, syscall.EAGAIN
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -122,10 +122,13 @@
 // serveRequest answers a request that has arrived completely or up to the end of the buffered part of its body. It refuses
 // the request without an attempt if connections or open requests exceed their limit or the rules bar serving.
 func (f *front) serveRequest(w http.ResponseWriter, r *http.Request, q balance.Request, m *outboundRequest) {
-	arrived := f.clock.now() // the client's timeout began with its last byte; for a longer body that byte is still to come
+	arrived := f.clock.now() // the client's timeout began with its last byte
 	if m.upload == nil {
 		arrived -= max(0, f.clients.sinceLastRead(r.Context()))
 		m.arrivalUncertainty = f.clients.arrivalUncertainty(r.Context())
+	} else { // that byte is still to be read, and may have waited with the others
+		m.arrivalUncertainty = f.clients.queuedTime(r.Context())
+		m.timeLeft = max(0, m.timeLeft-m.arrivalUncertainty)
 	}
 	m.timeLeft = f.stopLimits.Load().bound(arrived, m.timeLeft)
 	if !f.clients.requestReceived(r.Context()) { // the connection is being closed to make room, with a refusal
