Excuse connections reset at the end of listening that clients open too late

A request on a new connection to n10 at 8.0591 s was reset at 8.0632 s and reached no server.

Cause, traced: the end of listening looks for waiting connections a last time and then ends, in two system calls; what comes between them is reset unread by the kernel. n10 got SIGTERM at 7.49 s; from 8.0633 s on its connections were refused, so the reset is the end of listening itself.

The sidecar goes on listening for 0.5 s.

Change: final leaves out a new connection that was reset unread, if it was opened later than 0.4 s after SIGTERM to the sidecar's only process and before that ended. A close without a reset, a byte of an answer, an arrival at a server, an earlier connection or an upgrade count as before. TestOnlyLateConnectionsAreExcusedAtTheEndOfListening holds each edge. The tries of clients with a connection of their own have the error that ended them in their records too.

--- a/internal/lab/history.go
+++ b/internal/lab/history.go
@@ -32,6 +32,7 @@
 	descriptorsFull []sidecarSpan    // when idle clients used up a sidecar's descriptors: it may close new connections without reading them
 	restarts        []sidecarSpan    // from each restart of a process until it was ready
 	upgrades        []sidecarSpan    // from each start of a process beside another one until discovery's news bind it
+	stops           []sidecarSpan    // from newConnectionsTime after SIGTERM to a sidecar's only process to the process's end
 	views           []observedView   // membership views that sidecars reported
 	tokens          []observedToken  // duty tokens that sidecars reported to hold
 	processChanges  []processChange  // starts and ends of sidecar processes
--- a/internal/lab/judge.go
+++ b/internal/lab/judge.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"arrowgw/internal/world"
 )
 
@@ -132,6 +135,13 @@
 	return !t.Partial && len(t.Reached) == 0 && overlapsSpan(h.descriptorsFull, t.Sidecar, t.Sent, t.Ended)
 }
 
+// resetAfterListening reports whether a try's new connection was reset unread as its sidecar stopped listening, at a time
+// at which clients of a process that was told to end open no new connections any more. A connection that the sidecar has
+// read and closes is not reset.
+func resetAfterListening(h *History, t *Try) bool {
+	return !t.Partial && len(t.Reached) == 0 && strings.Contains(t.Cause, unix.ECONNRESET.Error()) && overlapsSpan(h.stops, t.Sidecar, t.Sent, t.Sent)
+}
+
 // arrivalsThatMayHaveRun returns a try's arrivals at servers that may have executed it.
 func arrivalsThatMayHaveRun(t *Try) (all []Reached) {
 	for _, r := range t.Reached {
@@ -235,7 +245,7 @@
 		case t.End == GaveUp:
 			report("request %s, sent to sidecar %s at %v, had no final answer at %v; it was due at %v; the request reached %d servers%s",
 				t.ID, sidecarName(t.Sidecar), t.Sent, t.Ended, t.Owed, len(t.Reached), t.describeServerSide())
-		case t.End == Broken && t.Fresh && !brokenByServer(t) && !closedUnread(h, t):
+		case t.End == Broken && t.Fresh && !brokenByServer(t) && !closedUnread(h, t) && !resetAfterListening(h, t):
 			report("request %s, sent to sidecar %s at %v on a new connection, was dropped at %v by closing the connection (%s); it reached %d servers%s",
 				t.ID, sidecarName(t.Sidecar), t.Sent, t.Ended, t.Cause, len(t.Reached), t.describeServerSide())
 		}
--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -358,6 +358,8 @@
 	p.mu.Lock()
 	q.endExpected = true
 	p.mu.Unlock()
+	only, termAt := p.isOnly(q), p.clock.now()
+	defer func() { p.recordStop(q, termAt, only) }()
 	_ = q.cmd.Process.Signal(syscall.SIGTERM) // fails only if it has ended
 	select {
 	case <-q.ended:
--- a/internal/lab/soak_test.go
+++ b/internal/lab/soak_test.go
@@ -248,6 +248,30 @@
 	}
 }
 
+// A new connection that is reset unread counts as lost, unless it was opened later after SIGTERM than clients do that.
+func TestOnlyLateConnectionsAreExcusedAtTheEndOfListening(t *testing.T) {
+	const s, ms = time.Second, time.Millisecond
+	const termAt, endedAt = 5 * s, 6 * s
+	for name, c := range map[string]struct {
+		try    Try
+		broken bool
+	}{
+		"reset after clients connect":    {Try{Sent: termAt + 401*ms, Cause: "read: connection reset by peer"}, false},
+		"reset while clients connect":    {Try{Sent: termAt + 399*ms, Cause: "read: connection reset by peer"}, true},
+		"reset after the end":            {Try{Sent: endedAt + ms, Cause: "read: connection reset by peer"}, true},
+		"closed, so that it may be read": {Try{Sent: termAt + 401*ms, Cause: "EOF"}, true},
+		"reset amid an answer":           {Try{Sent: termAt + 401*ms, Cause: "read: connection reset by peer", Partial: true}, true},
+		"reset after a server had it":    {Try{Sent: termAt + 401*ms, Cause: "read: connection reset by peer", Reached: []Reached{{}}}, true},
+		"reset by another sidecar":       {Try{Sent: termAt + 401*ms, Cause: "read: connection reset by peer", Sidecar: 1}, true},
+	} {
+		c.try.End, c.try.Fresh, c.try.Ended = Broken, true, c.try.Sent+ms
+		h := &History{tries: []*Try{&c.try}, stops: []sidecarSpan{{0, termAt + newConnectionsTime, endedAt}}}
+		if v := judge(h, readScenario(t, "hold=['final']\n[fleet]\nservers=2"), false)[0]; v.Held == c.broken {
+			t.Errorf("%s: held %v", name, v.Held)
+		}
+	}
+}
+
 // What a sidecar's guard reports as a matter of time only counts in runs in which the lab was on time; all else always.
 func TestLateRunExcusesOnlyTimedGuardViolations(t *testing.T) {
 	scenario := readScenario(t, "hold=['guarded']\n[fleet]\nservers=2")
--- a/internal/lab/terminate.go
+++ b/internal/lab/terminate.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -14,6 +15,7 @@
 )
 
 const (
+	newConnectionsTime     = 400 * time.Millisecond // clients open new connections for at most this long after SIGTERM
 	killSlack              = 700 * time.Millisecond // SIGKILL follows SIGTERM after the longest deadline and this
 	maxKillDeadline        = 3 * time.Second        // a longer deadline counts as this
 	signalInterval         = 50 * time.Millisecond  // between two signals of a series
@@ -114,6 +116,8 @@
 	}
 	send(syscall.SIGTERM)
 	termAt, kill := p.clock.now(), time.After(killDelay)
+	only := p.isOnly(q)
+	defer func() { p.recordStop(q, termAt, only) }()
 	switch series {
 	case seriesTermHup:
 		send(syscall.SIGHUP)
@@ -132,6 +136,30 @@
 	p.history.recordLateKill(sidecarSpan{q.sidecar, from, p.clock.now()}, termAt+killSlack)
 }
 
+// isOnly reports whether a process is its sidecar's only one.
+func (p *processes) isOnly(q *process) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !slices.ContainsFunc(p.all, func(other *process) bool { return other != q && other.sidecar == q.sidecar && !other.hasEnded() })
+}
+
+// hasEnded reports whether the process has ended.
+func (q *process) hasEnded() bool {
+	select {
+	case <-q.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// recordStop records the end of a process that got SIGTERM at termAt, if it was its sidecar's only one then.
+func (p *processes) recordStop(q *process, termAt time.Duration, only bool) {
+	if only {
+		p.history.addSpan(&p.history.stops, sidecarSpan{q.sidecar, termAt + newConnectionsTime, p.clock.now()})
+	}
+}
+
 // beginPersistentRequest draws a request to a sidecar, enters it in the history, and returns it as HTTP text.
 func (k *clients) beginPersistentRequest(sidecar int, rng *rand.Rand) (t *Try, text []byte) {
 	class := rng.IntN(len(k.classes))
@@ -207,9 +235,9 @@
 	deadline := t.Owed
 	k.history.mu.Unlock()
 	_ = c.SetDeadline(k.clock.timeAt(deadline + k.scenario.Load.extraWait())) // fails only if it is closed
-	end, status, answer, partial := readAnswer(r)
-	k.history.endTry(t, k.clock.now(), end, status, answer, partial, fresh)
-	return end
+	a := readAnswer(r)
+	k.endTryWith(t, a, fresh)
+	return a.end
 }
 
 // holdIdleConnections keeps a.Size idle connections to a sidecar open while the fault lasts. It reopens those that the
