Record a server's return before the answer that tells of it is written

Cause: the lab noted what an answer tells only once it was written and flushed. On a busy machine that goroutine can be held up for longer than the 50 ms of tolerance, and the sidecar has acted on the answer by then.

Change: that a server is back counts from before the write, as for calls by hand; that it is out counts from behind the flush, as before. TestReturnCountsBeforeItIsWritten holds both.

--- a/internal/lab/roster.go
+++ b/internal/lab/roster.go
@@ -198,8 +198,10 @@
 		panic(err) // cannot happen: listingJSON has only plain fields
 	}
 	w.Header().Set("Content-Type", "application/json")
+	out := r.entriesOut(sidecar, whole, entries)
+	r.recordKnown(sidecar, out, false) // the sidecar may act on the answer before this goroutine runs on
 	if _, err := w.Write(raw); err == nil && http.NewResponseController(w).Flush() == nil {
-		r.recordSentEntries(sidecar, whole, entries)
+		r.recordKnown(sidecar, out, true)
 	}
 }
 
@@ -267,10 +269,8 @@
 	return r.list
 }
 
-// recordSentEntries records that a sidecar has been sent entries of the list, which it must obey from now on.
-func (r *roster) recordSentEntries(sidecar int, whole bool, entries []world.Entry) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+// entriesOut returns by server whether an answer with the given entries tells a sidecar that the server is out of service.
+func (r *roster) entriesOut(sidecar int, whole bool, entries []world.Entry) map[int]bool {
 	out := make(map[int]bool)
 	for server := range r.knownOut[sidecar] {
 		if whole {
@@ -280,14 +280,16 @@
 	for _, e := range entries {
 		out[e.Server] = e.Lifecycle != world.Ready
 	}
-	r.recordKnown(sidecar, out)
+	return out
 }
 
-// recordKnown records in the history which servers went out of or back into service as far as a sidecar was informed. The
-// caller holds the lock.
-func (r *roster) recordKnown(sidecar int, out map[int]bool) {
+// recordKnown records in the history which servers went out of service, or which came back into it, as far as a sidecar
+// was informed.
+func (r *roster) recordKnown(sidecar int, out map[int]bool, wentOut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for server, isOut := range out {
-		if r.knownOut[sidecar][server] != isOut {
+		if isOut == wentOut && r.knownOut[sidecar][server] != isOut {
 			r.knownOut[sidecar][server] = isOut
 			r.history.recordServerUpdate(ServerUpdate{At: r.clock.now(), Sidecar: sidecar, Server: server, Out: isOut})
 		}
@@ -296,13 +298,11 @@
 
 // sidecarRestarted records that a sidecar starts with its configuration, in which all servers are ready.
 func (r *roster) sidecarRestarted(sidecar int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	out := make(map[int]bool)
 	for server := range r.knownOut[sidecar] {
 		out[server] = false
 	}
-	r.recordKnown(sidecar, out)
+	r.recordKnown(sidecar, out, false)
 }
 
 // serverName is a server's instanceId.
