--- a/internal/lab/overlap_test.go
+++ b/internal/lab/overlap_test.go
@@ -64,23 +64,8 @@
 		t.Error("mayReload does not become true a second after the process is ready")
 	}
 	s := readScenario(t, "[fleet]\nsidecars=1\nservers=1")
-	n, err := claimSubnet()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(n.release)
-	c, h := newClock(), new(History)
-	all, err := newServers(s, 1, c, h, n)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(all.close)
-	r, err := newRoster(s, c, h, n, all)
-	t.Cleanup(r.close)
-	if err != nil {
-		t.Fatal(err)
-	}
-	p := &processes{clock: c, scenario: s, history: h, net: n, roster: r, dir: t.TempDir(), routes: func(int) map[string]string { return nil }}
+	r := startRoster(t, s)
+	p := &processes{clock: r.clock, scenario: s, history: r.history, net: r.net, roster: r, dir: t.TempDir(), routes: func(int) map[string]string { return nil }}
 	first, err := p.writeConfig(0, 1)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/lab/roster_test.go
+++ b/internal/lab/roster_test.go
@@ -12,29 +12,15 @@
 	"arrowgw/internal/world"
 )
 
-// inspectingWriter calls a function before an answer is written.
-type inspectingWriter struct {
-	*httptest.ResponseRecorder
-	before func()
-}
-
-// Write implements http.ResponseWriter.
-func (w inspectingWriter) Write(p []byte) (int, error) {
-	w.before()
-	return w.ResponseRecorder.Write(p)
-}
-
-// A server's return counts from before the answer that tells of it is written, as the sidecar may act on the answer at
-// once; that a server is out counts only once the answer is written.
-func TestReturnCountsBeforeItIsWritten(t *testing.T) {
-	s := readScenario(t, "[fleet]\nsidecars=1\nservers=2")
+// startRoster starts discovery for a scenario, with servers. Both are closed at the end of the test.
+func startRoster(t *testing.T, s *Scenario) *roster {
+	t.Helper()
 	n, err := claimSubnet()
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(n.release)
 	c, h := newClock(), new(History)
-	c.startIn(0)
 	all, err := newServers(s, 1, c, h, n)
 	if err != nil {
 		t.Fatal(err)
@@ -45,9 +31,30 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return r
+}
+
+// inspectingWriter calls a function before an answer is written.
+type inspectingWriter struct {
+	*httptest.ResponseRecorder
+	before func()
+}
+
+// Write implements http.ResponseWriter.
+func (w inspectingWriter) Write(p []byte) (int, error) {
+	w.before()
+	return w.ResponseRecorder.Write(p)
+}
+
+// A server's return counts from before the answer that tells of it is written, as the sidecar may act on the answer at
+// once; that a server is out counts only once the answer is written.
+func TestReturnCountsBeforeItIsWritten(t *testing.T) {
+	s := readScenario(t, "[fleet]\nsidecars=1\nservers=2")
+	r := startRoster(t, s)
+	r.clock.startIn(0)
 	r.knownOut[0][1] = true
 	r.list.Set(world.Entry{Server: 0, Lifecycle: world.Draining})
-	local := &net.TCPAddr{IP: net.ParseIP(n.host(0)), Port: r.port}
+	local := &net.TCPAddr{IP: net.ParseIP(r.net.host(0)), Port: r.port}
 	req := httptest.NewRequest(http.MethodGet, "/discovery/hosts", nil)
 	req = req.WithContext(context.WithValue(req.Context(), http.LocalAddrContextKey, net.Addr(local)))
 	var returned, out bool // known to the sidecar as the answer is written
