Review, case 3: an upload to a server that hangs is answered 4 s after its time

Cause: a body over 64 KiB counts as still arriving until its last byte has been written to the server, and meanwhile no deadline holds (policy.go, Wake; upstream.go, writeRequest). Where the server stops reading, the rest of the body waits in the client's socket, and only the stall limit of 5 s ends the request.

Done: a test on real processes, one server of four hung, with bodies of 0.3 to 1.8 MB; it counts those whose last byte the sidecar's machine has acknowledged. Nothing is fixed.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -32,7 +32,7 @@
 }
 
 // cases are the cases of the review, by the names of their folders. Each returns an exit code.
-var cases = map[string]func(*play) int{"1": secondAnswers, "2": slowClients}
+var cases = map[string]func(*play) int{"1": secondAnswers, "2": slowClients, "3": hungUpload}
 
 func main() { os.Exit(run()) }
 
