--- a/review/standin/hung_upload.go
+++ b/review/standin/hung_upload.go
@@ -18,7 +18,7 @@
 	serverCount   = 4
 	largestUpload = 1800_000 // bytes of a body
 	uploadStep    = 60_000
-	uploadSizes   = 26
+	uploadSizes   = 29
 	uploads       = uploadSizes * serverCount // each size as often as there are servers, as they take turns
 	uploadPause   = 6 * time.Millisecond
 	answerWait    = 12 * time.Second
