--- a/review/standin/slow_clients.go
+++ b/review/standin/slow_clients.go
@@ -76,6 +76,7 @@
 	rate  int
 	total int
 	began time.Time
+	done  <-chan struct{} // closed once there is no need to be slow
 }
 
 func (r *pacedReader) Read(b []byte) (int, error) {
@@ -85,7 +86,10 @@
 	}
 	r.total += n
 	if r.rate > 0 {
-		time.Sleep(time.Until(r.began.Add(time.Duration(r.total) * time.Second / time.Duration(r.rate))))
+		select {
+		case <-time.After(time.Until(r.began.Add(time.Duration(r.total) * time.Second / time.Duration(r.rate)))):
+		case <-r.done:
+		}
 	}
 	return n, err
 }
@@ -116,7 +120,7 @@
 
 	// The platform: over memory_mb the sidecar is killed.
 	peak, over := 0.0, false
-	stop, watched := make(chan struct{}), make(chan struct{})
+	stop, watched, killed := make(chan struct{}), make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(watched)
 		for next := time.Now(); ; {
@@ -133,6 +137,7 @@
 				over = true
 				p.rec.log("platform: the sidecar has %.1f MiB, over its limit of %d: it is killed", now, smallMemoryMB)
 				s.signal(syscall.SIGKILL)
+				close(killed) // the clients read what has already come at once
 				return
 			}
 			select {
@@ -160,7 +165,7 @@
 				return
 			}
 			defer c.Close()
-			r := &pacedReader{Reader: c}
+			r := &pacedReader{Reader: c, done: killed}
 			if p.trouble {
 				r.rate = slowRate
 			}
