Log how much of a long body was read, and lies unread, as its attempt ends

Five hypotheses: the rest of the body lies unread in the client's socket (the claim); it has been read and its last piece can't be written; the answer was ready and not delivered; the request was taken late; it waited in a queue. The log had the steps of a request with their times, but not where its body was, so the first two looked the same.

"attempt ended" tells of a long body length, read and unread now (debug).

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -223,6 +223,7 @@
 		return err
 	case r.ContentLength > maxBufferedBody || r.ContentLength < 0 && len(m.body) == maxBufferedBody:
 		m.upload = newUpload(body)
+		m.upload.unread = r.Context().Value(connKey{}).(*clientConn).unreadBytes
 	default:
 		m.length = int64(len(m.body))
 	}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -447,7 +447,7 @@
 	r := l.requests[id]
 	l.guard.AttemptEnded(sent, id, result.ending)
 	r.lastTimedOut, r.lastEnding = result.ending == balance.TimedOut, result.ending
-	l.trace.logStep("attempt ended", r.outbound.id, slog.Int("number", number), slog.String("ending", result.ending.String()))
+	l.trace.logAttemptEnded(r.outbound, number, result.ending)
 	if result.ending == balance.Served && !r.settled {
 		l.finishRequest(id, r, &answer{status: http.StatusOK, header: result.header, body: result.body})
 	}
--- a/internal/sidecar/room.go
+++ b/internal/sidecar/room.go
@@ -121,11 +121,13 @@
 }
 
 // hasUnread reports whether received bytes wait to be read.
-func (c *clientConn) hasUnread() bool {
+func (c *clientConn) hasUnread() bool { return c.unreadBytes() > 0 }
+
+// unreadBytes returns how many received bytes wait to be read, or 0 if the system does not tell.
+func (c *clientConn) unreadBytes() (n int) {
 	if c.raw == nil {
-		return false
+		return 0
 	}
-	n := 0
 	_ = c.raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }) // fails only on a closed connection
-	return n > 0
+	return n
 }
--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -64,11 +64,13 @@
 // upload is the part of a request's body that is not buffered. It is read once, by the attempt that forwards it.
 type upload struct {
 	body     *pacedBody
-	onSent   func()      // called when the last byte has been written to the server
-	readErr  chan error  // receives the error if the client does not send all of it
-	consumed atomic.Bool // part of it has been read
-	complete atomic.Bool // all of it has been read
-	stopped  atomic.Bool // further reads fail
+	unread   func() int   // returns how many received bytes the system holds; nil if there is no connection
+	onSent   func()       // called when the last byte has been written to the server
+	readErr  chan error   // receives the error if the client does not send all of it
+	read     atomic.Int64 // bytes of it that have been read
+	consumed atomic.Bool  // part of it has been read
+	complete atomic.Bool  // all of it has been read
+	stopped  atomic.Bool  // further reads fail
 
 	mu              sync.Mutex // held by a read under way
 	setReadDeadline func(time.Time) error
@@ -96,6 +98,7 @@
 	}
 	u.consumed.Store(true)
 	n, err := u.body.Read(b)
+	u.read.Add(int64(n))
 	switch {
 	case err == io.EOF:
 		u.complete.Store(true)
@@ -105,6 +108,14 @@
 	return n, err
 }
 
+// unreadBytes returns how many received bytes of the client's connection the system holds.
+func (u *upload) unreadBytes() int {
+	if u.unread == nil {
+		return 0
+	}
+	return u.unread()
+}
+
 // interrupt ends the read under way and makes further ones fail. After the end of the body the connection's reads belong
 // to net/http, which detects by them that the client leaves.
 func (u *upload) interrupt() {
--- a/internal/sidecar/trace.go
+++ b/internal/sidecar/trace.go
@@ -65,11 +65,14 @@
 
 // logStep logs an ordinary step of the request with the given id.
 func (t *trace) logStep(what, id string, attributes ...slog.Attr) {
-	logger := slog.Default()
-	if !logger.Enabled(context.Background(), slog.LevelDebug) {
-		return
+	if t.logsSteps() {
+		slog.LogAttrs(context.Background(), slog.LevelDebug, what, append([]slog.Attr{slog.String("id", id)}, attributes...)...)
 	}
-	logger.LogAttrs(context.Background(), slog.LevelDebug, what, append([]slog.Attr{slog.String("id", id)}, attributes...)...)
+}
+
+// logsSteps reports whether ordinary steps are logged.
+func (t *trace) logsSteps() bool {
+	return slog.Default().Enabled(context.Background(), slog.LevelDebug)
 }
 
 // countClose counts a client connection that was closed for a reason other than the end of an answer.
@@ -105,6 +108,20 @@
 	t.logStep("attempt", id, slog.Int("number", number), slog.String("address", address), slog.Duration("timeout", timeout))
 }
 
+// logAttemptEnded logs the end of an attempt. For a long body it tells how much of it has been read and how much the
+// system holds unread.
+func (t *trace) logAttemptEnded(outbound *outboundRequest, number int, ending balance.Ending) {
+	if !t.logsSteps() {
+		return
+	}
+	attributes := []slog.Attr{slog.Int("number", number), slog.String("ending", ending.String())}
+	if u := outbound.upload; u != nil {
+		read := int64(len(outbound.body)) + u.read.Load()
+		attributes = append(attributes, slog.Int64("length", outbound.length), slog.Int64("read", read), slog.Int("unread", u.unreadBytes()))
+	}
+	t.logStep("attempt ended", outbound.id, attributes...)
+}
+
 // writeStats writes the counters for the console.
 func (t *trace) writeStats(w io.Writer) {
 	for reason := range closeReasonCount {
