Move what forwards long request bodies from stream.go to a file of its own

Only declarations moved: pacedBody, upload and stallWriter with their constants and errors to upload.go; stream.go keeps the answers.

--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -24,11 +24,10 @@
 )
 
 const (
-	maxBufferedBody    = 64 << 10        // bytes of a request or answer body that are buffered at once
-	maxAnswerBytes     = 512 << 10       // bytes on the wire of a buffered answer, and of the head of any answer
-	serverStallTimeout = 5 * time.Second // how long a server may read nothing of a long request body
-	maxInterimAnswers  = 8               // 1xx answers skipped before the final one
-	idleMargin         = time.Second     // connections are closed this long before their server would close them
+	maxBufferedBody   = 64 << 10    // bytes of a request or answer body that are buffered at once
+	maxAnswerBytes    = 512 << 10   // bytes on the wire of a buffered answer, and of the head of any answer
+	maxInterimAnswers = 8           // 1xx answers skipped before the final one
+	idleMargin        = time.Second // connections are closed this long before their server would close them
 	// A faulty server may send a second answer some milliseconds after the first. It must not find another request in
 	// flight on its connection.
 	connReuseDelay = 10 * time.Millisecond
