--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -8,7 +8,6 @@
 	"math"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"arrowgw/policy"
