Count a long request's time from its last byte's arrival, read or not

Cause: the time of a body over 64 KiB began when its last byte had been written to the server. Until then the module's deadline does not bind (Wake: bodyPending with an attempt in flight), and the write ends only by serverStallTimeout, 5 s. So a server that takes a part of the body, or takes it slowly, moved the beginning of the client's time; where the last byte lay does not matter: unread in the client's socket, or read and held back by the write.

Mend: the attempt looks for the last byte while it writes, every 20 ms. From the moment in which that is all of it, the module, the guard and the figures count the request as arrived, and nothing is written after its deadline. That does not depend on what the server does, so it holds for servers that hang at any point, that read slowly, and that go on too late. A server that does not take the body has that time counted as its own. While the client still sends, all is as before.

Open: bodies in chunks, whose end the framing does not know.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -131,7 +131,7 @@
 	g.requests[id] = &requestState{Request: r}
 }
 
-// BodyEnded records that the last byte of a request's body has been sent on, and sets the request's deadline, which
+// BodyEnded records that the last byte of a request's body has arrived, and sets the request's deadline, which
 // counts from then.
 func (g *Guard) BodyEnded(id balance.RequestID, deadline time.Duration) {
 	g.mu.Lock()
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -65,6 +65,7 @@
 	mu               sync.Mutex // held during each read, as none may happen once the connection is found idle
 	framing          framing
 	framingErr       error
+	handled          uint64        // requests that have been handed to the handler, the current one included
 	requestBegun     bool          // bytes have been read of a request that has no answer yet
 	readsEnded       bool          // no further reads are allowed
 	readErr          error         // why a read failed for good amid a request; further reads fail with it
@@ -210,6 +211,22 @@
 	return true
 }
 
+// countRequest records that the next request on the connection of ctx has been handed to the handler.
+func (l *clients) countRequest(ctx context.Context) {
+	k := ctx.Value(connKey{}).(*clientConn)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.handled++
+}
+
+// arrivalProbe returns a probe for the body of the current request on the connection of ctx.
+func (l *clients) arrivalProbe(ctx context.Context) *arrivalProbe {
+	k := ctx.Value(connKey{}).(*clientConn)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return &arrivalProbe{conn: k, request: k.handled}
+}
+
 // sinceLastRead returns how long ago the last bytes arrived on the connection of ctx. A pipelined request waits in
 // net/http's buffer while the one before is answered, and its client's timeout runs meanwhile.
 func (l *clients) sinceLastRead(ctx context.Context) time.Duration {
--- a/internal/sidecar/framing.go
+++ b/internal/sidecar/framing.go
@@ -21,6 +21,7 @@
 	transferEncoding bool   // the head has a Transfer-Encoding line
 	bodyLeft         uint64 // bytes of the body that are still to come
 	unfollowed       bool   // the boundary of this request is not tracked; the server closes the connection after it
+	requests         uint64 // heads that have ended
 }
 
 // atBoundary reports whether the bytes so far end with the last byte of a request. It returns false once a body is not
@@ -75,6 +76,6 @@
 	case f.contentLengths > 1 || f.contentLengths == 1 && f.transferEncoding:
 		return errFraming
 	}
-	*f = framing{line: f.line, bodyLeft: f.contentLength, unfollowed: f.transferEncoding}
+	*f = framing{line: f.line, bodyLeft: f.contentLength, unfollowed: f.transferEncoding, requests: f.requests + 1}
 	return nil
 }
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -93,6 +93,7 @@
 // ServeHTTP implements http.Handler. It answers GET /up itself and rejects requests that are malformed or whose body
 // does not arrive.
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.clients.countRequest(r.Context())
 	if r.URL.Path == "/up" && r.Method == http.MethodGet {
 		if !f.isUp() {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -148,8 +149,9 @@
 	}
 	if m.upload != nil {
 		f.pendingUploads.Add(1)
-		m.upload.onSent = sync.OnceFunc(func() { f.pendingUploads.Add(-1) })
-		defer m.upload.onSent()
+		arrivedWhole := sync.OnceFunc(func() { f.pendingUploads.Add(-1) })
+		m.upload.onArrived = func(time.Duration) { arrivedWhole() }
+		defer arrivedWhole()
 	}
 	m.clientPresence = func() presence { return f.clients.queryPresence(r.Context()) }
 	if m.clientPresence() == clientGone { // the client left while the request waited to be read
@@ -223,7 +225,7 @@
 		return err
 	case r.ContentLength > maxBufferedBody || r.ContentLength < 0 && len(m.body) == maxBufferedBody:
 		m.upload = newUpload(body)
-		m.upload.unread = r.Context().Value(connKey{}).(*clientConn).unreadBytes
+		m.upload.arrival = f.clients.arrivalProbe(r.Context())
 	default:
 		m.length = int64(len(m.body))
 	}
--- a/internal/sidecar/late_test.go
+++ b/internal/sidecar/late_test.go
@@ -11,7 +11,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -105,31 +104,15 @@
 func TestRequestIsCutShortAtSendBy(t *testing.T) {
 	for _, name := range []string{"buffered", "upload"} {
 		t.Run(name, func(t *testing.T) {
-			minBuffer := func(_, _ string, c syscall.RawConn) error { // sets the smallest receive buffer that the kernel allows
-				var failed error
-				err := c.Control(func(fd uintptr) { failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 1) })
-				return errors.Join(err, failed)
-			}
-			l, err := (&net.ListenConfig{Control: minBuffer}).Listen(context.Background(), "tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer l.Close()
-			u := testTransport(t)
-			dial := u.dial
-			u.dial = func(ctx context.Context, network, address string) (net.Conn, error) {
-				c, err := dial(ctx, network, address)
-				if err == nil {
-					err = c.(*net.TCPConn).SetWriteBuffer(1)
-				}
-				return c, err
-			}
+			l, u := listenWithSmallBuffer(t), testTransport(t)
+			u.useSmallWriteBuffers()
 			m, sendBy := testRequest("1"), u.clock.now()+50*time.Millisecond
 			m.body, m.length = patternedBody(maxBufferedBody), maxBufferedBody
 			if name == "upload" {
 				body := &pacedBody{body: delayedReader{u.clock.toTime(sendBy + time.Millisecond)}, setReadDeadline: func(time.Time) error { return nil }}
 				m.upload, m.length = newUpload(body), maxBufferedBody+3
-				m.upload.onSent = func() { t.Error("the last byte was written") }
+				m.upload.onArrived = func(time.Duration) {}
+				m.onWritten = func(_, _ time.Duration, _ string) { t.Error("the last byte was written") }
 			}
 			accepted := make(chan net.Conn, 1)
 			go func() {
@@ -405,7 +388,7 @@
 			dialled, free := u.delayDials(s.address)
 			if m.timeLeft = 4 * time.Second; name == "upload" {
 				m.upload = newUpload(&pacedBody{body: strings.NewReader("end"), setReadDeadline: func(time.Time) error { return nil }})
-				m.upload.onSent, m.length = func() {}, int64(len(m.body))+3
+				m.upload.onArrived, m.length = func(time.Duration) {}, int64(len(m.body))+3
 			}
 			u.send(s.address, m, u.clock.now()+m.timeLeft, 0, u.clock.now()+m.timeLeft, func(attemptResult) {})
 			wait(t, "the dial", dialled)
@@ -501,7 +484,7 @@
 	r, _ := l.addRequest(7)
 	r.outbound.timeLeft = testTimeout
 	r.outbound.upload = newUpload(&pacedBody{body: strings.NewReader("end"), setReadDeadline: func(time.Time) error { return nil }})
-	r.outbound.upload.onSent, r.outbound.length = func() {}, int64(len(r.outbound.body))+3
+	r.outbound.upload.onArrived, r.outbound.length = func(time.Duration) {}, int64(len(r.outbound.body))+3
 	l.now += testTimeout / 2 // as if earlier attempts had failed
 	l.Send(7, serverID("s-0"), 0, 0)
 	if timeout, _ := parseTimeout(wait(t, "the request", s.requests).Header.Get("X-Timeout")); timeout > testTimeout/2 {
@@ -515,7 +498,8 @@
 	s, u, asked := newStub(t, echo), testTransport(t), 0
 	m := testRequest("1")
 	m.upload = newUpload(&pacedBody{body: strings.NewReader("end"), setReadDeadline: func(time.Time) error { return nil }})
-	m.upload.onSent = func() { t.Error("the last byte was written") }
+	m.upload.onArrived = func(time.Duration) {}
+	m.onWritten = func(_, _ time.Duration, _ string) { t.Error("the last byte was written") }
 	m.length = int64(len(m.body)) + 3
 	m.clientPresence = func() presence {
 		if asked++; asked > 1 {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -353,10 +353,10 @@
 	outbound.onWritten = func(began, now time.Duration, address string) { l.guard.AttemptWritten(began, now, q.ID, address) }
 	if outbound.upload != nil {
 		q.BodyPending = true
-		onSent := outbound.upload.onSent
-		outbound.upload.onSent = func() {
-			onSent()
-			l.post(func(now time.Duration) { l.bodySent(now, q.ID) })
+		onArrived := outbound.upload.onArrived
+		outbound.upload.onArrived = func(deadline time.Duration) {
+			onArrived(deadline)
+			l.post(func(now time.Duration) { l.bodyArrived(now, q.ID, deadline) })
 		}
 	}
 	if askPresence := outbound.clientPresence; askPresence != nil {
@@ -393,10 +393,12 @@
 	})
 }
 
-// bodySent is called when the last byte of a request's body has been written, from which the client's timeout counts.
-func (l *loop) bodySent(now time.Duration, id balance.RequestID) {
+// bodyArrived is called when the last byte of a request's body is known to have arrived, from which the client's timeout
+// counts. deadline is when that is over.
+func (l *loop) bodyArrived(now time.Duration, id balance.RequestID, deadline time.Duration) {
 	if r := l.requests[id]; r != nil && !r.settled {
-		left := l.limitTimeLeft(now, r.outbound.timeLeft)
+		left := l.limitTimeLeft(now, deadline-now)
+		l.trace.logStep("body arrived", r.outbound.id, slog.Duration("left", left))
 		r.deadline = now + left
 		l.guard.BodyEnded(id, r.deadline)
 		l.balancer.BodyEnded(now, id, left)
--- a/internal/sidecar/room.go
+++ b/internal/sidecar/room.go
@@ -3,8 +3,6 @@
 import (
 	"net/http"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // silentGrace is how long a connection that was accepted or became idle is treated as if part of a request had arrived,
@@ -122,12 +120,3 @@
 
 // hasUnread reports whether received bytes wait to be read.
 func (c *clientConn) hasUnread() bool { return c.unreadBytes() > 0 }
-
-// unreadBytes returns how many received bytes wait to be read, or 0 if the system does not tell.
-func (c *clientConn) unreadBytes() (n int) {
-	if c.raw == nil {
-		return 0
-	}
-	_ = c.raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }) // fails only on a closed connection
-	return n
-}
--- a/internal/sidecar/upload.go
+++ b/internal/sidecar/upload.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,7 +14,9 @@
 	bodyBaseTime       = 2700 * time.Millisecond // how long a client may take to send a request, not counting the time that minBodyRate adds
 	minBodyRate        = 48 << 10                // bytes a second; each byte of the body extends the time accordingly
 	bodyStallTimeout   = 2 * time.Second         // longest pause within a body; a connection that stalls has to be closed within 3 s
-	serverStallTimeout = 5 * time.Second         // how long a server may read nothing of a long request body
+	serverStallTimeout = 5 * time.Second         // how long a server may read nothing of a long request body that still arrives
+
+	arrivalPollInterval = 20 * time.Millisecond // how often it is checked, while a body is written, whether the rest of it has arrived
 )
 
 var (
@@ -52,15 +55,19 @@
 }
 
 // upload is the part of a request's body that is not buffered. It is read once, by the attempt that forwards it.
+//
+// The client's time begins when the last byte of its body arrives at this machine. A server that reads slowly, or not at
+// all, may leave that byte unread for long. So the attempt looks for it while it writes, and does not only wait to read it.
 type upload struct {
-	body     *pacedBody
-	unread   func() int   // returns how many received bytes the system holds; nil if there is no connection
-	onSent   func()       // called when the last byte has been written to the server
-	readErr  chan error   // receives the error if the client does not send all of it
-	read     atomic.Int64 // bytes of it that have been read
-	consumed atomic.Bool  // part of it has been read
-	complete atomic.Bool  // all of it has been read
-	stopped  atomic.Bool  // further reads fail
+	body      *pacedBody
+	arrival   *arrivalProbe                // finds the last byte while it is unread; nil if there is no connection
+	onArrived func(deadline time.Duration) // called once, with the client's deadline, when the last byte is known to have arrived
+	deadline  time.Duration                // the client's deadline; 0 until the last byte is known to have arrived; used by the attempt only
+	readErr   chan error                   // receives the error if the client does not send all of it
+	read      atomic.Int64                 // bytes of it that have been read
+	consumed  atomic.Bool                  // part of it has been read
+	complete  atomic.Bool                  // all of it has been read
+	stopped   atomic.Bool                  // further reads fail
 
 	mu              sync.Mutex // held by a read under way
 	setReadDeadline func(time.Time) error
@@ -98,14 +105,6 @@
 	return n, err
 }
 
-// unreadBytes returns how many received bytes of the client's connection the system holds.
-func (u *upload) unreadBytes() int {
-	if u.unread == nil {
-		return 0
-	}
-	return u.unread()
-}
-
 // interrupt ends the read under way and makes further ones fail. After the end of the body the connection's reads belong
 // to net/http, which detects by them that the client leaves.
 func (u *upload) interrupt() {
@@ -130,18 +129,84 @@
 	_, _ = io.Copy(io.Discard, u.body) // after an error the unread bytes end the connection
 }
 
-// stallWriter writes a long body to a server, which may read it slowly but not stop reading.
-type stallWriter struct {
-	*conn
-	sendBy time.Time // nothing is written after it; zero means no bound
+// noteArrival records that the last byte of the body has arrived, unless that is known, and sets the client's deadline. A
+// timeout of timeLeft counts from now.
+func (u *upload) noteArrival(now, timeLeft time.Duration) {
+	if u.deadline == 0 {
+		u.deadline = now + timeLeft
+		u.onArrived(u.deadline)
+	}
+}
+
+// unread returns how many received bytes of the client's connection have not been read.
+func (u *upload) unread() int {
+	if u.arrival == nil {
+		return 0
+	}
+	return u.arrival.conn.unreadBytes()
+}
+
+// arrivedUnread reports whether the last byte of the body has arrived and is unread.
+func (u *upload) arrivedUnread() bool { return u.arrival != nil && u.arrival.hasArrived() }
+
+// uploadWriter writes a long body to a server, which may read it slowly but not stop reading. Once the body has arrived
+// whole, nothing is written after the client's deadline.
+type uploadWriter struct {
+	conn      *conn
+	clock     clock
+	outbound  *outboundRequest
+	sendBy    time.Duration // nothing is written after it; 0 means no bound
+	nextCheck time.Duration // when it is checked again whether the body has arrived
+}
+
+// Write writes all of b within serverStallTimeout, and nothing after sendBy or the client's deadline.
+func (w *uploadWriter) Write(b []byte) (written int, err error) {
+	stalledAt := w.clock.now() + serverStallTimeout
+	for {
+		w.checkArrival()
+		end := w.writeEnd(stalledAt)
+		_ = w.conn.SetWriteDeadline(w.clock.toTime(w.pollEnd(end))) // fails only on a closed connection
+		n, err := writeRetrying(w.conn, b[written:])
+		written += n
+		if !errors.Is(err, os.ErrDeadlineExceeded) || w.clock.now() >= end {
+			return written, err
+		}
+	}
+}
+
+// checkArrival notes the arrival of the last byte of the body: at once if it has been read, otherwise it looks for it once
+// per arrivalPollInterval.
+func (w *uploadWriter) checkArrival() {
+	rest, now := w.outbound.upload, w.clock.now()
+	if rest.deadline != 0 {
+		return
+	}
+	arrived := rest.complete.Load()
+	if !arrived && now >= w.nextCheck {
+		w.nextCheck = now + arrivalPollInterval
+		arrived = rest.arrivedUnread()
+	}
+	if arrived {
+		rest.noteArrival(now, w.outbound.timeLeft)
+	}
+}
+
+// writeEnd returns when a write has to end that fails at stalledAt if the server reads nothing.
+func (w *uploadWriter) writeEnd(stalledAt time.Duration) time.Duration {
+	end := stalledAt
+	if w.sendBy > 0 {
+		end = min(end, w.sendBy)
+	}
+	if deadline := w.outbound.upload.deadline; deadline > 0 {
+		end = min(end, deadline)
+	}
+	return end
 }
 
-// Write writes all of b within serverStallTimeout, and nothing after sendBy.
-func (s stallWriter) Write(b []byte) (int, error) {
-	until := time.Now().Add(serverStallTimeout)
-	if !s.sendBy.IsZero() && s.sendBy.Before(until) {
-		until = s.sendBy
+// pollEnd returns when a write that ends at end is interrupted to check whether the body has arrived.
+func (w *uploadWriter) pollEnd(end time.Duration) time.Duration {
+	if w.outbound.upload.deadline != 0 {
+		return end
 	}
-	_ = s.conn.SetWriteDeadline(until) // fails only on a closed connection
-	return writeRetrying(s.conn, b)
+	return min(end, w.nextCheck)
 }
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -48,7 +48,7 @@
 	body     []byte        // the whole body, or the part of it that is buffered
 	upload   *upload       // the part of the body after the buffered part; nil if there is none
 	length   int64         // of the whole body, or -1 if unknown
-	timeLeft time.Duration // the client's timeout; with upload it counts from the last byte sent, and the time taken to get a connection is deducted
+	timeLeft time.Duration // the client's timeout; with upload it counts from the last byte's arrival, and the time taken to get a connection is deducted
 
 	arrivalUncertainty time.Duration // how much later than assumed the request may have arrived
 
@@ -62,6 +62,15 @@
 	return r != nil && r.clientPresence != nil && r.clientPresence() != clientPresent
 }
 
+// uploadTimeLeft returns how much time the client of a request with an upload leaves, counted from the arrival of the last
+// byte if that is not known to have arrived.
+func (r *outboundRequest) uploadTimeLeft(now time.Duration) time.Duration {
+	if r.upload.deadline == 0 {
+		return r.timeLeft
+	}
+	return min(r.timeLeft, r.upload.deadline-now)
+}
+
 // bodyConsumed reports whether the request can't be sent again because part of its body has been read and dropped.
 func (r *outboundRequest) bodyConsumed() bool { return r.upload != nil && r.upload.consumed.Load() }
 
@@ -290,7 +299,7 @@
 	if outbound != nil {
 		left := deadline - u.clock.now()
 		if outbound.upload != nil {
-			left = outbound.timeLeft
+			left = outbound.uploadTimeLeft(u.clock.now())
 		}
 		req.Header.Set("X-Timeout", strconv.FormatInt(max(1, left.Milliseconds()), 10)+"m")
 	}
@@ -384,27 +393,10 @@
 // writeRequest writes a request's head and body and returns the deadline for its answer, which for an upload counts
 // from the last byte. A request that is not written completely by the exchange's sendBy is cut short.
 func (u *transport) writeRequest(x *exchange, c *conn, req *http.Request, outbound *outboundRequest, deadline time.Duration) (time.Duration, error) {
-	began := u.clock.now()
 	if outbound != nil && outbound.upload != nil {
-		sendBy := time.Time{}
-		if x.sendBy > 0 {
-			sendBy = u.clock.toTime(x.sendBy)
-		}
-		out := bufio.NewWriterSize(stallWriter{c, sendBy}, chunkSize)
-		if err := req.Write(out); err != nil {
-			return 0, err
-		}
-		if outbound.clientAbsent() { // the last byte has not been written yet
-			outbound.upload.interrupt()
-			return 0, errRequestOver
-		}
-		if err := out.Flush(); err != nil {
-			return 0, err
-		}
-		u.recordWritten(outbound, c, began)
-		outbound.upload.onSent()
-		return u.clock.now() + outbound.timeLeft, nil
+		return u.writeUpload(x, c, req, outbound)
 	}
+	began := u.clock.now()
 	// A single write shows whether the last byte went out.
 	var out bytes.Buffer
 	if err := req.Write(&out); err != nil {
@@ -420,6 +412,26 @@
 	return deadline, nil
 }
 
+// writeUpload writes a request whose body is not buffered whole, and returns the client's deadline. A request that is not
+// written completely by that deadline or by the exchange's sendBy is cut short.
+func (u *transport) writeUpload(x *exchange, c *conn, req *http.Request, outbound *outboundRequest) (time.Duration, error) {
+	began := u.clock.now()
+	out := bufio.NewWriterSize(&uploadWriter{conn: c, clock: u.clock, outbound: outbound, sendBy: x.sendBy}, chunkSize)
+	if err := req.Write(out); err != nil {
+		return 0, err
+	}
+	if outbound.clientAbsent() { // the last byte has not been written yet
+		outbound.upload.interrupt()
+		return 0, errRequestOver
+	}
+	if err := out.Flush(); err != nil {
+		return 0, err
+	}
+	u.recordWritten(outbound, c, began)
+	outbound.upload.noteArrival(u.clock.now(), outbound.timeLeft)
+	return outbound.upload.deadline, nil
+}
+
 // recordWritten counts an attempt whose last byte has been written, and reports it to the request's owner. began is when
 // writing began.
 func (u *transport) recordWritten(outbound *outboundRequest, c *conn, began time.Duration) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -290,8 +290,8 @@
 	b.dispatchQueued(now)
 }
 
-// BodyEnded handles the end of a request body: the client's remaining time starts now. The server
-// starts work with the last byte too, so that the time before it does not count as latency.
+// BodyEnded handles the arrival of the last byte of a request body, which may not have been sent on yet: the
+// client's remaining time starts now. The time before it is the client's and does not count as latency.
 func (b *Balancer) BodyEnded(now time.Duration, id balance.RequestID, timeLeft time.Duration) {
 	r := b.requests[id]
 	if r == nil || r.ended || !r.bodyPending {
@@ -375,7 +375,7 @@
 		ends := now+2*max(busyWakeInterval, b.cfg.Tick) > r.deadline || now >= r.latestSend()
 		waited := r.attemptsInFlight == 0 &&
 			(ends || !r.mayRepeat(now, nil) || len(r.attempts) >= b.cfg.MaxAttempts)
-		// the deadline does not bind client-paced attempts
+		// the deadline does not bind while the client still sends the request or already gets its response
 		if !r.streaming && !(r.bodyPending && r.attemptsInFlight > 0) && (waited || now >= r.deadline) {
 			b.refuseOrFail(r, balance.OutOfTime)
 		}
