Let a cancelled attempt not interrupt the reading of what follows an answer

A client that still sends the rest of a long body as it is answered has that rest read first, as closing the connection over unread bytes could destroy the answer. The loop gives the answer first and cancels the attempt behind it; cancelling interrupts the body's read by a deadline in the past, and nothing told that the rest was by then read for the answer's sake. So the reading could be cut off, and the two goroutines raced for the body's setReadDeadline.

interrupt sets the connection's own deadline and does nothing once drain has begun.

TestInterruptDoesNotEndDrain failed before (the read was interrupted once) and passes. That this is the race of which a run with -race told is likely by the code and not shown: 78 runs did not tell of it again. go test ./internal/sidecar passes, and the tests of long bodies with -race.

--- a/internal/sidecar/upload.go
+++ b/internal/sidecar/upload.go
@@ -69,8 +69,11 @@
 	complete  atomic.Bool                  // all of it has been read
 	stopped   atomic.Bool                  // further reads fail
 
-	mu              sync.Mutex // held by a read under way
-	setReadDeadline func(time.Time) error
+	mu sync.Mutex // held by a read under way
+
+	deadlineMu      sync.Mutex               // guards draining, and is held while interrupt sets the deadline
+	draining        bool                     // the rest is read after the answer, which nothing interrupts
+	setReadDeadline func(at time.Time) error // of the connection
 }
 
 // newUpload returns an upload of the rest of a body that has been read in part.
@@ -109,10 +112,11 @@
 // to net/http, which detects by them that the client leaves.
 func (u *upload) interrupt() {
 	u.stopped.Store(true)
-	if u.complete.Load() {
-		return
+	u.deadlineMu.Lock()
+	defer u.deadlineMu.Unlock()
+	if !u.complete.Load() && !u.draining {
+		_ = u.setReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
 	}
-	_ = u.body.setReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
 }
 
 // stop interrupts the upload and returns once no read is under way: from then on only the request's handler uses the body.
@@ -123,9 +127,12 @@
 }
 
 // drain reads the rest of a body whose request has been answered: closing the connection before that could destroy the
-// answer on its way to the client.
+// answer on its way to the client. It is called after stop, and a later call of interrupt does not end it.
 func (u *upload) drain() {
+	u.deadlineMu.Lock()
+	u.draining = true
 	u.body.setReadDeadline = u.setReadDeadline
+	u.deadlineMu.Unlock()
 	_, _ = io.Copy(io.Discard, u.body) // after an error the unread bytes end the connection
 }
 
--- a/internal/sidecar/upload_test.go
+++ b/internal/sidecar/upload_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -198,3 +199,40 @@
 	waitUntilArrived(t, c)
 	checkAnsweredInTime(t, c, time.Now())
 }
+
+// heldBody is the rest of a body that arrives when its client is told to go on.
+type heldBody struct{ read, goOn chan struct{} }
+
+// Read returns the end of the body once the client goes on.
+func (b heldBody) Read([]byte) (int, error) {
+	b.read <- struct{}{}
+	<-b.goOn
+	return 0, io.EOF
+}
+
+// Guards against an answer that is destroyed on its way, because an attempt that is cancelled at that moment interrupts the
+// reading of the rest of the body.
+func TestInterruptDoesNotEndDrain(t *testing.T) {
+	var deadlines atomic.Int32 // set in the past
+	body := heldBody{make(chan struct{}), make(chan struct{})}
+	u := newUpload(&pacedBody{body: body, setReadDeadline: func(at time.Time) error {
+		if !at.IsZero() && time.Until(at) < 0 {
+			deadlines.Add(1)
+		}
+		return nil
+	}})
+	u.stop()
+	before := deadlines.Load()
+	drained := make(chan struct{})
+	go func() {
+		u.drain()
+		close(drained)
+	}()
+	wait(t, "the read of the rest", body.read)
+	u.interrupt()
+	close(body.goOn)
+	wait(t, "the end of the body", drained)
+	if n := deadlines.Load() - before; n > 0 {
+		t.Errorf("the read was interrupted %d times", n)
+	}
+}
