Find the end of a chunked body that has arrived and lies unread

How much of such a body is to come is not known, so what is unread could not be held against it.

Mend: the connection keeps the last 4 KiB that it has read of such a body, which is the longest trailer section that net/http takes. Turned down: reading ahead, as what may be read is not bounded by the memory that a sidecar has, and counting a pause of the client as its end, which cuts off slow ones.

--- a/internal/sidecar/arrival_test.go
+++ b/internal/sidecar/arrival_test.go
@@ -25,8 +25,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { accepted.Close() })
-	return far, accepted.(*clientConn)
+	near = accepted.(*clientConn)
+	t.Cleanup(func() { near.Conn.Close() }) // without reading what is left
+	return far, near
 }
 
 // sendAndRead writes text at the far end of a connection, waits until it has arrived, and reads the given number of bytes at
@@ -82,3 +83,43 @@
 		t.Error("the second body is not there and was found")
 	}
 }
+
+// chunkedEnds are ends of chunked bodies.
+var chunkedEnds = map[string]string{
+	"plain":             "0\r\n\r\n",
+	"zeros, extension":  "000;last=1\r\n\r\n",
+	"trailers":          "0\r\nX-Sum: 12ab\r\nX-Note: a: b\r\n\r\n",
+	"trailer of 3000 B": "0\r\nX-Long: " + strings.Repeat("y", 3000) + "\r\n\r\n",
+}
+
+// The end of a chunked body is found wherever it lies, read or not, and not taken for there before it is.
+func TestArrivalOfChunkedBody(t *testing.T) {
+	head := requestHead("1", "Transfer-Encoding: chunked")
+	data := "2710\r\n" + strings.Repeat("0\r\n\r\n", 2000) + "\r\n" // 10,000 bytes
+	for name, end := range chunkedEnds {
+		for _, missing := range []int{0, 1, 2, 3, 4, len(end)} {
+			for _, unread := range []int{0, 1, 3, len(end), 5000, len(data)} {
+				t.Run(fmt.Sprintf("%s, %d missing, %d unread", name, missing, unread), func(t *testing.T) {
+					far, near := acceptClient(t)
+					request := head + data + end
+					request = request[:len(request)-missing]
+					sendAndRead(t, far, near, request, len(request)-unread)
+					probe := &arrivalProbe{conn: near, request: 1}
+					if probe.hasArrived() {
+						t.Error("found before it is clear that no more bytes come")
+					}
+					if got := probe.hasArrived(); got != (missing == 0) {
+						t.Errorf("has arrived: %v, want %v", got, missing == 0)
+					}
+					if missing == 0 {
+						return
+					}
+					sendAndRead(t, far, near, end[len(end)-missing:], 0)
+					if probe.hasArrived(); !probe.hasArrived() {
+						t.Error("not found once the rest has come")
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -65,6 +65,7 @@
 	mu               sync.Mutex // held during each read, as none may happen once the connection is found idle
 	framing          framing
 	framingErr       error
+	bytesRead        uint64        // bytes that have been read
 	handled          uint64        // requests that have been handed to the handler, the current one included
 	requestBegun     bool          // bytes have been read of a request that has no answer yet
 	readsEnded       bool          // no further reads are allowed
@@ -365,6 +366,7 @@
 		return 0, io.EOF
 	}
 	c.requestBegun = true
+	c.bytesRead += uint64(n)
 	now := c.clients.clock.now()
 	c.lastRead.Store(int64(cmp.Or(c.queuedSince, now)))
 	c.lastReadDone.Store(int64(now))
--- a/internal/sidecar/framing.go
+++ b/internal/sidecar/framing.go
@@ -7,8 +7,10 @@
 	"strings"
 )
 
-// maxLineKept is how many bytes of a header line are examined: enough for the headers that frame a body.
-const maxLineKept = 128
+const (
+	maxLineKept = 128     // bytes of a header line that are examined: enough for the headers that frame a body
+	maxTailKept = 4 << 10 // last bytes of a body that is not tracked that are kept; net/http accepts no longer trailer section
+)
 
 var errFraming = errors.New("the request frames its body in more than one way")
 
@@ -21,6 +23,7 @@
 	transferEncoding bool   // the head has a Transfer-Encoding line
 	bodyLeft         uint64 // bytes of the body that are still to come
 	unfollowed       bool   // the boundary of this request is not tracked; the server closes the connection after it
+	tail             []byte // the last bytes of a body that is not tracked, up to maxTailKept
 	requests         uint64 // heads that have ended
 }
 
@@ -33,7 +36,8 @@
 // advance processes the next bytes. If a head frames its body in more than one way or its Content-Length is malformed,
 // advance returns an error and the number of bytes before the newline of the line at which it was found.
 func (f *framing) advance(p []byte) (int, error) {
-	for at := 0; at < len(p) && !f.unfollowed; {
+	at := 0
+	for at < len(p) && !f.unfollowed {
 		if f.bodyLeft > 0 {
 			n := min(f.bodyLeft, uint64(len(p)-at))
 			f.bodyLeft -= n
@@ -51,9 +55,19 @@
 		f.line = f.line[:0]
 		at += len(part) + 1
 	}
+	if f.unfollowed {
+		f.keepTail(p[at:])
+	}
 	return len(p), nil
 }
 
+// keepTail appends bytes of a body that is not tracked to tail, and drops the first ones above maxTailKept.
+func (f *framing) keepTail(p []byte) {
+	p = p[max(0, len(p)-maxTailKept):]
+	f.tail = append(f.tail, p...)
+	f.tail = append(f.tail[:0], f.tail[max(0, len(f.tail)-maxTailKept):]...)
+}
+
 // processLine processes one line of a head. An empty line ends the head.
 func (f *framing) processLine(line string) error {
 	switch {
--- a/internal/sidecar/upload_test.go
+++ b/internal/sidecar/upload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -168,6 +169,25 @@
 	}
 }
 
+// Guards against the same for a body in chunks, whose length is not known before its last chunk has been read.
+func TestArrivedChunkedUploadIsAnsweredInTime(t *testing.T) {
+	for name, read := range slowReads {
+		t.Run("the server reads "+name, func(t *testing.T) {
+			t.Parallel()
+			c := startUploadSidecar(t, true, read).dial(t)
+			request := bytes.NewBufferString(uploadHead("Transfer-Encoding: chunked"))
+			if err := writeChunked(request, patternedBody(uploadLength)); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := c.Write(request.Bytes()); err != nil {
+				t.Fatal(err)
+			}
+			waitUntilArrived(t, c)
+			checkAnsweredInTime(t, c, time.Now())
+		})
+	}
+}
+
 // The time of a long request begins with its last byte also while its server reads nothing: not before that byte, however
 // long the client pauses, and not later. Earlier requests on the connection make no difference.
 func TestUploadTimeBeginsWhileServerStalls(t *testing.T) {
