--- a/internal/sidecar/late_test.go
+++ b/internal/sidecar/late_test.go
@@ -104,7 +104,7 @@
 func TestRequestIsCutShortAtSendBy(t *testing.T) {
 	for _, name := range []string{"buffered", "upload"} {
 		t.Run(name, func(t *testing.T) {
-			l, u := listenWithSmallBuffer(t), testTransport(t)
+			l, u := listenWithOptions(t, smallestReceiveBuffer), testTransport(t)
 			u.useSmallWriteBuffers()
 			m, sendBy := testRequest("1"), u.clock.now()+50*time.Millisecond
 			m.body, m.length = patternedBody(maxBufferedBody), maxBufferedBody
--- a/internal/sidecar/upload_test.go
+++ b/internal/sidecar/upload_test.go
@@ -19,12 +19,21 @@
 	"golang.org/x/sys/unix"
 )
 
-// listenWithOption listens on the loopback interface with a socket option.
-func listenWithOption(t *testing.T, level, option, value int) net.Listener {
+// socketOption is an option of a socket, as for setsockopt.
+type socketOption struct{ level, name, value int }
+
+// smallestReceiveBuffer gives a socket the smallest receive buffer that the kernel allows.
+var smallestReceiveBuffer = socketOption{syscall.SOL_SOCKET, syscall.SO_RCVBUF, 1}
+
+// listenWithOptions listens on the loopback interface with socket options.
+func listenWithOptions(t *testing.T, options ...socketOption) net.Listener {
 	t.Helper()
-	set := func(_, _ string, c syscall.RawConn) error {
-		var failed error
-		err := c.Control(func(fd uintptr) { failed = syscall.SetsockoptInt(int(fd), level, option, value) })
+	set := func(_, _ string, c syscall.RawConn) (failed error) {
+		err := c.Control(func(fd uintptr) {
+			for _, o := range options {
+				failed = errors.Join(failed, syscall.SetsockoptInt(int(fd), o.level, o.name, o.value))
+			}
+		})
 		return errors.Join(err, failed)
 	}
 	l, err := (&net.ListenConfig{Control: set}).Listen(context.Background(), "tcp", "127.0.0.1:0")
@@ -35,12 +44,6 @@
 	return l
 }
 
-// listenWithSmallBuffer listens for connections with the smallest receive buffer that the kernel allows.
-func listenWithSmallBuffer(t *testing.T) net.Listener {
-	t.Helper()
-	return listenWithOption(t, syscall.SOL_SOCKET, syscall.SO_RCVBUF, 1)
-}
-
 // startServer passes each connection of a listener to serve. It returns the listener's address.
 func startServer(t *testing.T, l net.Listener, serve func(c net.Conn)) string {
 	t.Helper()
@@ -73,7 +76,7 @@
 	t.Helper()
 	ended := make(chan struct{})
 	t.Cleanup(func() { close(ended) })
-	return startServer(t, listenWithSmallBuffer(t), func(c net.Conn) {
+	return startServer(t, listenWithOptions(t, smallestReceiveBuffer), func(c net.Conn) {
 		defer c.Close()
 		read(c)
 		<-ended
