--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -1,23 +1,13 @@
 package sidecar
 
 import (
-	"cmp"
 	"context"
-	"errors"
-	"io"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
-
-	"arrowgw/internal/listener"
-)
-
-const (
-	lingerTimeout  = 250 * time.Millisecond // how long data that follows a final answer is read before the close
-	maxLingerBytes = 256 << 10              // bytes of such data that are read
 )
 
 // clients is the listener that the application connects to. Anyone may connect, so the number of connections is
@@ -48,42 +38,6 @@
 	pendingRefusals atomic.Int64 // connections being closed with a refusal, at most maxPendingRefusals
 }
 
-// clientConn is a connection of the application or of another client.
-//
-// It checks the framing of request heads before net/http sees them. If a head has both Content-Length and
-// Transfer-Encoding, net/http ignores Content-Length without telling the handler, and would parse the rest of the
-// body as further requests that no client sent (request smuggling).
-//
-// It also tracks whether the connection is idle. net/http calls a connection idle until it has parsed the next
-// request's head; at a stop it would close connections whose request has been read, and that request would still be
-// sent although its answer can't be delivered.
-type clientConn struct {
-	net.Conn
-	raw     syscall.RawConn
-	clients *clients
-
-	mu               sync.Mutex // held during each read, as none may happen once the connection is found idle
-	framing          framing
-	framingErr       error
-	bytesRead        uint64        // bytes that have been read
-	handled          uint64        // requests that have been handed to the handler, the current one included
-	requestBegun     bool          // bytes have been read of a request that has no answer yet
-	readsEnded       bool          // no further reads are allowed
-	readErr          error         // why a read failed for good amid a request; further reads fail with it
-	serverClosed     bool          // net/http has closed the connection
-	closeWithRefusal bool          // part of a request may have arrived; the refusal is reserved
-	queuedSince      time.Duration // earliest arrival of data that waited while accept failed; 0: all of it has been read, or it did not wait
-	refuseOnce       sync.Once
-
-	lastRead     atomic.Int64 // when the last bytes arrived at the earliest, by the clients' clock
-	lastReadDone atomic.Int64 // when the last bytes were read; they arrived no later
-
-	since      time.Time // when it was accepted or became idle; this and the following fields are guarded by clients.mu
-	hadRequest bool      // a whole request has arrived on it
-	dataSeen   bool      // received bytes were found that its goroutine had not read yet
-	state      http.ConnState
-}
-
 // newClients wraps l with the connection limits of a single process. upstreams returns the number of upstream
 // connections.
 func newClients(cfg *Config, l clientListener, upstreams func() int) *clients {
@@ -92,37 +46,6 @@
 	return k
 }
 
-// requestProgress reports whether bytes have been read of a request that has no answer yet, and whether the request has
-// been read whole.
-func (c *clientConn) requestProgress() (begun, whole bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.requestBegun, c.requestBegun && c.framing.atBoundary()
-}
-
-// closeUnlessServing closes the connection if no request is open on it, and with partial also if a request has been
-// read in part. It reports whether it did. A request that arrives at the same moment is either left unread, so that
-// its client sends it again, or has been read before; then closeUnlessServing returns false and the request is
-// served. A partial request is refused, as the rest of it may have been sent by now.
-func (c *clientConn) closeUnlessServing(partial bool) bool {
-	c.mu.Lock()
-	c.readsEnded = c.readsEnded || c.serverClosed || !c.requestBegun || partial && !c.framing.atBoundary()
-	ended := c.readsEnded
-	if ended && c.requestBegun && !c.closeWithRefusal && !c.serverClosed { // a closed connection would never release its reservation
-		c.closeWithRefusal = c.clients.reserveRefusal()
-	}
-	refused := c.closeWithRefusal
-	c.mu.Unlock()
-	switch { // without the lock: the calls below wait for a read in progress
-	case !ended:
-	case refused: // wakes its own goroutine, which waits for the rest, to send the refusal and close
-		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
-	default:
-		c.Conn.Close()
-	}
-	return ended
-}
-
 // closeIdle closes the connections that are idle between requests, and with partial also those on which no whole
 // request has arrived yet.
 func (l *clients) closeIdle(partial bool) {
@@ -293,156 +216,6 @@
 	return counts
 }
 
-// Read withholds the end of a request head whose framing is ambiguous, and fails from there on: the HTTP server then
-// answers 400 and closes the connection.
-func (c *clientConn) Read(p []byte) (n int, err error) {
-	if err := c.permanentReadError(); err != nil {
-		return 0, err
-	}
-	waitErr := c.raw.Read(func(fd uintptr) bool {
-		// No lock is held between retries: code that makes room then waits for one read and not for the system to
-		// have memory.
-		n, err = retryTransient(func() (int, error) { return c.readOnce(int(fd), p) })
-		if errno, failed := err.(syscall.Errno); failed && errno != syscall.EAGAIN {
-			err = &net.OpError{Op: "read", Net: "tcp", Err: errno}
-			c.setReadError(err)
-		}
-		return err != syscall.EAGAIN
-	})
-	if errors.Is(waitErr, listener.ErrUnregistered) { // a request may have arrived, but can't be waited for
-		c.mu.Lock()
-		c.closeWithRefusal = c.closeWithRefusal || c.clients.reserveRefusal()
-		c.mu.Unlock()
-	}
-	if waitErr != nil { // the deadline has passed, or the connection is closed
-		return 0, &net.OpError{Op: "read", Net: "tcp", Err: waitErr} // on a net.OpError the HTTP server does not answer
-	}
-	return n, err
-}
-
-// permanentReadError returns the error with which all further reads fail, or nil.
-func (c *clientConn) permanentReadError() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.readErr
-}
-
-// setReadError makes all further reads fail if part of a request has been read: the HTTP server takes the bytes of a line
-// that precede a read error for a whole line, and could go on behind it.
-func (c *clientConn) setReadError(err error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.framing.atBoundary() {
-		c.readErr = err
-	}
-}
-
-// readOnce reads the bytes that have arrived, unless reads have ended or the framing is broken. An error of the
-// system call is returned unwrapped.
-func (c *clientConn) readOnce(fd int, p []byte) (int, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case c.readsEnded:
-		return 0, &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
-	case c.framingErr != nil && len(p) == 1:
-		return 0, syscall.EAGAIN // net/http's one-byte read that detects a close: the open request gets its answer first
-	case c.framingErr != nil:
-		return 0, c.framingErr
-	}
-	return c.readLocked(fd, p)
-}
-
-// readLocked reads the bytes that have arrived and advances the framing. The caller holds the lock.
-func (c *clientConn) readLocked(fd int, p []byte) (int, error) {
-	n, err := c.clients.readFD(fd, p)
-	if err == syscall.EAGAIN {
-		c.queuedSince = 0
-	}
-	if err != nil {
-		return 0, err
-	}
-	if n == 0 && len(p) > 0 {
-		return 0, io.EOF
-	}
-	c.requestBegun = true
-	c.bytesRead += uint64(n)
-	now := c.clients.clock.now()
-	c.lastRead.Store(int64(cmp.Or(c.queuedSince, now)))
-	c.lastReadDone.Store(int64(now))
-	if valid, framingErr := c.framing.advance(p[:n]); framingErr != nil {
-		if c.framingErr = framingErr; valid == 0 && len(p) == 1 {
-			return 0, syscall.EAGAIN
-		}
-		if valid == 0 {
-			return 0, framingErr
-		}
-		return valid, nil
-	}
-	return n, nil
-}
-
-// Write writes all of p. It retries transient failures of the system, so that answers are not cut short.
-func (c *clientConn) Write(p []byte) (int, error) { return writeRetrying(c.Conn, p) }
-
-// Close closes the connection after its last answer. Closing with unread data would send a reset, which can destroy
-// the answer in transit: in that case the sending side is closed first and the data is read for a while. On an idle
-// connection nothing is read, so that the client sends again a request that crosses the close.
-func (c *clientConn) Close() error {
-	c.mu.Lock()
-	answered, refused := c.requestBegun && !c.readsEnded, c.closeWithRefusal
-	c.serverClosed = true
-	c.mu.Unlock()
-	switch {
-	case refused:
-		c.refuseOnce.Do(c.refuseAndClose)
-		return nil
-	case answered && c.discardAvailable() > 0:
-		c.linger()
-	}
-	return c.Conn.Close()
-}
-
-// discardAvailable reads up to one buffer of the data that has arrived, and returns its length in bytes.
-func (c *clientConn) discardAvailable() (n int) {
-	if c.raw == nil {
-		return 0
-	}
-	var rest [4 << 10]byte
-	_ = c.raw.Control(func(fd uintptr) { // fails only on a closed connection
-		n, _ = retryTransient(func() (int, error) { return syscall.Read(int(fd), rest[:]) })
-	})
-	return n
-}
-
-// writeCloser is a connection whose sending side can be closed alone.
-type writeCloser interface{ CloseWrite() error }
-
-// linger closes the sending side and then reads what the client still sends, for lingerTimeout or maxLingerBytes. If no
-// deadline can be set, it reads only what has arrived.
-func (c *clientConn) linger() {
-	sending, ok := c.Conn.(writeCloser)
-	if !ok || sending.CloseWrite() != nil {
-		return
-	}
-	if c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
-		c.discardAvailable()
-		return
-	}
-	var rest [4 << 10]byte
-	for left := maxLingerBytes; left > 0; {
-		n, err := c.Conn.Read(rest[:])
-		if err != nil {
-			return
-		}
-		left -= n
-	}
-}
-
-// refusalResponse is sent on a connection that is closed while a request may be on its way. The client may retry
-// safely.
-const refusalResponse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
-
 // maxPendingRefusals limits how many connections are closed with a refusal at the same time, as each keeps its
 // descriptor for up to lingerTimeout after its goroutine is scheduled. Further connections are closed without a
 // refusal.
@@ -459,14 +232,3 @@
 	}
 	return true
 }
-
-// refuseAndClose sends refusalResponse, which must have been reserved, reads what the client still sends and closes the
-// connection.
-func (c *clientConn) refuseAndClose() {
-	defer c.clients.pendingRefusals.Add(-1)
-	defer c.Conn.Close()
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(lingerTimeout)) // fails only on a closed connection, as the write then does
-	if _, err := io.WriteString(c.Conn, refusalResponse); err == nil {
-		c.linger()
-	}
-}
