--- a/policy/policy.go
+++ b/policy/policy.go
@@ -4,8 +4,9 @@
 // A Balancer is single-threaded and deterministic: it has no goroutines, no clock and no I/O. The program
 // that embeds it (the host) calls one method per event and passes the time; the Balancer acts through the
 // Host interface. Package balance defines the types of both. The decisions are in policy.go (events,
-// admission, compartments, choice and health of servers, the server list, load reports), the state and its
-// bookkeeping in state.go, and the handling of stalled responses in stream.go.
+// admission, compartments, health of servers), sendrules.go (what may be sent), subset.go (the servers that
+// are sent to, and their turns), serverlist.go (the server list), loadreport.go (load reports) and stream.go
+// (stalled responses), the state and its bookkeeping in state.go.
 //
 // Times are durations since a fixed moment chosen by the host. They must never decrease. All calls of one
 // Balancer come from one goroutine in the order of the events: New, Start, UpdateServers with the servers
@@ -21,7 +22,6 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -45,43 +45,6 @@
 	clientPacedPerSlot = 4    // client-paced attempts that hold no slot, per slot
 )
 
-// Server subsets and round-robin turns, see updateSubset and computeSubset.
-const (
-	rateTimeConstant    = 10 * time.Second // moving average of this balancer's traffic
-	turnInterval        = 1 * time.Second  // a subset is sized to give each of its servers a turn this often
-	maxSharersPerServer = 10               // balancers that share a server, in a fleet with more than these
-	minSubsetSize       = 4.0              // servers of a subset, if there are as many
-
-	// When members are lost, the counted size of the fleet halves in no less than fleetHalfLife.
-	fleetHalfLife     = 10 * time.Second
-	maxFleetUpdateGap = time.Second // a longer time between two calls of SetFleet counts as this much
-
-	// A subset moves with the fleet's traffic only by the part of the shift above this number of servers.
-	subsetShiftTolerance = 0.5
-
-	minSubsetCoverage  = 2.0  // subsets grow until those of all sharers cover the list this many times
-	maxSubsetWidening  = 4.0  // limit on this growth, as a multiple of the size their traffic supports
-	fittingRounds      = 5    // rounds of the proportional fitting of turns
-	maxTurnMultiple    = 4.0  // fitting changes a server's turns by at most this factor, up or down
-	crossZoneTurnShare = 0.25 // turns of another zone's server, relative to this zone, if crossing is priced
-
-	// Lower latency ratios count as the floor: a fast server gets no more turns than the floor gives. Where
-	// turns are fitted to the fleet's traffic the floor is higher, or random latency would outweigh the fitting.
-	latencyRatioFloorAlone  = 0.5
-	latencyRatioFloorShared = 1.5
-
-	failureLatencyRatio = 8.0 // a failure counts as a response of this multiple of the typical latency
-	coldBudgetShare     = 0.5 // used share of a cold server's budget; the rest absorbs random arrivals
-)
-
-// Load reports, see sampleReports and queryLoad.
-const (
-	loadReportLifetime = 50 * time.Millisecond // a load report is valid for this long
-	loadReportWait     = 30 * time.Millisecond // longest time that a request waits for a load report
-	maxLoadQueries     = 3                     // servers that a request may ask for a load report
-	maxReportPairs     = 4                     // pairs of successive reports compared to see if they are fresh
-)
-
 // Concurrency limits and admission, see serverLimit, totalLimit and admit.
 const (
 	congestedAimShare = 0.3             // a larger share of the aim taken by responses counts as congestion
@@ -98,17 +61,13 @@
 	maxTimeLeftVotes = 32 // bounds the majority for a class's usual time left, so that a new one can replace it
 )
 
-// Ejection of failing servers, and the server list.
+// Ejection of failing servers.
 const (
 	ejectAfterFailures    = 2                      // a single failure may be chance
 	maxFailures           = 8                      // recent failures counted at most: three responses clear them
 	backoffPerSharer      = 100 * time.Millisecond // first ejection time, per balancer that shares the server
 	maxBackoff            = 4 * time.Second        // pauses double up to this
 	learnedHealthLifetime = 30 * time.Second       // health learned before a restart is valid for this long
-
-	maxListLag       = 30 * time.Second       // the list announces a server's start within this time
-	firstWatchSpread = 2 * time.Second        // a large fleet's first list calls are spread over this time
-	firstListRetry   = 250 * time.Millisecond // pause after a failed list call, doubled up to twice
 )
 
 // mayStillRunEndings are the endings after which a server may still be running the attempt.
@@ -485,54 +444,6 @@
 	}
 }
 
-// mayRepeat reports whether the idempotency of the class allows an attempt now, on s or, if s is nil, on any
-// server.
-func (r *request) mayRepeat(now time.Duration, s *server) bool {
-	first, scope := r.firstMayHaveRun(), r.class.Scope
-	if first == nil || r.class.Idempotency == balance.Safe {
-		return true
-	}
-	inScope := s == nil || scope == balance.ScopeAll ||
-		s.Zone == first.server.Zone && (scope == balance.ScopeZone || s.Cell == first.server.Cell)
-	return inScope && r.class.Idempotency == balance.Keyed && now < first.sentAt+r.class.DedupWindow
-}
-
-// maySend reports whether the rules allow sending a request to a server now. Every attempt passes this check.
-// Rule 3 applies as soon as a server starts draining, long before its grace period is over.
-func (b *Balancer) maySend(now time.Duration, r *request, s *server) bool {
-	return !r.ended && !r.streaming && now < r.deadline && // rule 1: not answered, and in time
-		len(r.attempts) < b.cfg.MaxAttempts && s.available(now) && // rule 3: nothing to a draining server
-		(now >= s.warmAt || now >= s.nextColdSend) && // rule 4: little to a cold server
-		r.attemptsInFlight == 0 && r.mayRepeat(now, s) && // rule 2: no concurrent or unsafe repeats
-		r.isNextOfKey(now) && // rule 5: order per key
-		(len(r.attempts) == 0 || !b.retryBudgetSpent(now)) // rule 6: retry budget
-}
-
-// inService reports whether a server is ready by the list and neither disabled by an operator nor excluded by
-// the rule set.
-func (s *server) inService() bool { return s.State == balance.Ready && !s.excluded }
-
-// available reports whether a server is in service and not ejected for failures.
-func (s *server) available(now time.Duration) bool { return s.inService() && now >= s.ejectedUntil }
-
-// isNextOfKey reports whether a request is at the head of its per-key queue, if it has one, and no attempt of
-// an earlier request may still be running.
-func (r *request) isNextOfKey(now time.Duration) bool {
-	return r.keyQueue == nil ||
-		r.keyQueue.waiting[0] == r && (len(r.attempts) > 0 || now >= r.keyQueue.settledAt)
-}
-
-// retryBudgetSpent reports whether the retry budget allows no retry now. At the edge of the period, a request
-// received exactly one Span ago no longer counts and a retry sent then still does.
-func (b *Balancer) retryBudgetSpent(now time.Duration) bool {
-	if b.cfg.Budget.Span == 0 {
-		return false
-	}
-	from := now - b.cfg.Budget.Span
-	allowed := b.cfg.Budget.Free + b.cfg.Budget.Share*float64(b.requestTimes.countSince(from+1))
-	return float64(b.retryTimes.countSince(from)+1) > allowed
-}
-
 // closeIdle closes the idle connections to a draining server (rule 7): now, and once more later for a
 // connection that is just being opened.
 func (b *Balancer) closeIdle(now time.Duration, s *server) {
@@ -580,24 +491,6 @@
 // Each of them keeps to its part of the cold servers' budgets and omits probes that no request waits for.
 func (b *Balancer) SetProcessCount(n int) { b.processes = max(1, n) }
 
-// SetFleet sets which balancers send to the same servers. Their number affects cold servers' budgets,
-// compartments, the subset and ejection times. Too high a number keeps this balancer below its part; too low
-// a number overloads servers. A higher number therefore takes effect at once; a lower one slowly, only while
-// all members agree and not for members that are silent.
-func (b *Balancer) SetFleet(now time.Duration, f balance.Fleet) {
-	minSize := b.fleetSize
-	if f.Agreed {
-		minSize *= math.Exp2(-float64(min(now-b.fleetUpdatedAt, maxFleetUpdateGap)) / float64(fleetHalfLife))
-	}
-	size := max(1, float64(f.Present+f.Silent), minSize)
-	b.fleetUpdatedAt = now
-	if size != b.fleetSize || !slices.Equal(f.Sharers, b.sharers) {
-		b.fleetSize, b.sharers = size, f.Sharers
-		b.sizeCompartments()
-		b.updateSubset()
-	}
-}
-
 // SetRules puts a rule set in force, which replaces the previous one. The empty set restores the settings.
 // Attempts in flight continue. A set that Rules.Check rejects changes nothing.
 func (b *Balancer) SetRules(now time.Duration, r balance.Rules) {
@@ -617,27 +510,6 @@
 	return max(0.05, 1-left*(1-b.cfg.ColdFrom))
 }
 
-// pickServer chooses a server by smooth weighted round robin over the subset. In virtual time, a server's
-// next turn is 1/weight after its last one, and the server with the earliest turn is chosen. Servers that are
-// at their concurrency limit or that the request has tried are skipped. It returns nil if none is eligible.
-func (b *Balancer) pickServer(now time.Duration, r *request) *server {
-	best, skipped := b.nextInTurn(now, r, b.subset)
-	if best == nil && r.firstMayHaveRun() != nil { // a repeat is bound to its Scope, which the subset may lack
-		best, skipped = b.nextInTurn(now, r, b.servers)
-	}
-	if best == nil {
-		return nil
-	}
-	b.virtualTime = max(b.virtualTime, best.nextTurn)
-	best.nextTurn = b.virtualTime + b.turnGap(now, best)
-	if skipped {
-		b.counters.Walled++
-	} else if len(r.attempts) == 0 {
-		b.counters.Ordinary++
-	}
-	return best
-}
-
 // serverLimit returns how many attempts of this balancer a server may hold: its part of the slots, reduced
 // under congestion. It does not grow when other servers leave or fail, as that would overload the last ones.
 func (b *Balancer) serverLimit(s *server) float64 {
@@ -651,135 +523,6 @@
 	return min(1, congestedAimShare*congestedAimShare/max(congestion, 1e-4))
 }
 
-// updateSubset chooses the servers that this balancer sends to. A thousand balancers with little traffic
-// would hold connections to all servers and never learn the health of any, so each keeps to a contiguous
-// subset of the list that its own traffic supports. The subsets' starts are evenly spread by the balancers'
-// indexes.
-func (b *Balancer) updateSubset() {
-	b.subsetTarget = b.subsetSize(b.rate)
-	all := b.readyServers()
-	b.subsetWeight, b.subset = 0, b.computeSubset(all)
-	for _, s := range all {
-		s.inSubset = s.inSubset && slices.Contains(b.subset, s)
-	}
-	for _, s := range b.subset {
-		if !s.inSubset { // a random first turn: balancers must not be in step
-			s.inSubset, s.nextTurn = true, b.virtualTime+b.rng.Float64()*b.turnGap(b.rateAt, s)
-			if b.enabledWarmAt[s.ID] > 0 { // not the long wait for a cold server's turn
-				s.nextTurn = b.virtualTime
-			}
-		}
-		b.subsetWeight += s.Weight
-	}
-}
-
-// computeSubset returns this balancer's subset of the ready servers. If this balancer is among the sharers,
-// it computes the subsets of all sharers: each begins where the one before ends by announced traffic, but not
-// far from the start that its index gives. Rounds of proportional fitting then find the turns that give all
-// servers an even load (docs/spread.md). Only announced traffic is used, so that all sharers get one result.
-func (b *Balancer) computeSubset(all []*server) []*server {
-	b.latencyRatioFloor = latencyRatioFloorAlone
-	for _, s := range b.servers {
-		s.turnMultiple = 1
-	}
-	n, ring := float64(len(all)), slices.Concat(all, all)
-	section := func(start, width float64) []*server {
-		at := (int(math.Floor(start))%max(1, len(all)) + len(all)) % max(1, len(all))
-		return ring[at : at+int(math.Ceil(min(n, width)))]
-	}
-	invalid := func(a balance.Sharer) bool { return !(a.Rate > 0 && b.subsetSize(a.Rate) < n) }
-	sharers := slices.DeleteFunc(slices.Clone(b.sharers), invalid)
-	byStart := func(a, c balance.Sharer) int { return cmp.Compare(subsetStart(a.Index), subsetStart(c.Index)) }
-	slices.SortStableFunc(sharers, byStart)
-	self := slices.IndexFunc(sharers, func(a balance.Sharer) bool { return a.Index == b.cfg.Index })
-	if self < 0 {
-		return section(n*subsetStart(b.cfg.Index), b.subsetTarget)
-	}
-	b.latencyRatioFloor = latencyRatioFloorShared // random latency must not outweigh the fitting
-	total, sum, meanShift, shifts, subsets := 0.0, 0.0, 0.0,
-		make([]float64, len(sharers)), make([][]*server, len(sharers))
-	for _, a := range sharers {
-		total += a.Rate
-	}
-	for i, a := range sharers {
-		shifts[i] = n * (sum/total - subsetStart(a.Index))
-		meanShift += shifts[i] / float64(len(sharers))
-		sum += a.Rate
-	}
-	for i, a := range sharers {
-		shifts[i] -= meanShift + max(-subsetShiftTolerance, min(shifts[i]-meanShift, subsetShiftTolerance))
-		width := max(b.subsetSize(a.Rate),
-			min(minSubsetCoverage*n*a.Rate/total, maxSubsetWidening*b.subsetSize(a.Rate)))
-		subsets[i] = section(n*subsetStart(a.Index)+shifts[i], width)
-	}
-	for range fittingRounds {
-		for i, a := range sharers {
-			sum = 0
-			for _, s := range subsets[i] {
-				sum += b.turnWeight(a.Zone, s)
-			}
-			for _, s := range subsets[i] {
-				s.fittedShare += a.Rate / total * b.turnWeight(a.Zone, s) / sum
-			}
-		}
-		for _, s := range all {
-			s.turnMultiple, s.fittedShare = max(1/maxTurnMultiple,
-				min(s.turnMultiple*s.Weight/b.readyWeight/s.fittedShare, maxTurnMultiple)), 0
-		}
-	}
-	return subsets[self]
-}
-
-// subsetStart returns where the subset of the balancer with this index starts, as a fraction of the list.
-// Multiples of the golden ratio spread the starts evenly.
-func subsetStart(index int) float64 {
-	_, start := math.Modf(float64(index) * math.Phi)
-	return start
-}
-
-// subsetSize returns how many servers a balancer with this request rate sends to. In a large fleet it is
-// smaller than the rate supports, so that at traffic of the quotas maxSharersPerServer balancers share a
-// server.
-func (b *Balancer) subsetSize(rate float64) float64 {
-	secondsPerTurn := b.secondsPerTurn
-	if b.fleetSize > maxSharersPerServer && b.totalQuota > 0 {
-		secondsPerTurn = min(secondsPerTurn, maxSharersPerServer*b.readyWeight/b.totalQuota)
-	}
-	return max(minSubsetSize, rate*secondsPerTurn)
-}
-
-// turnGap returns the virtual time between two turns of a server. It is longer for slow, failing and cold
-// servers, but bounded: the remaining turns show when a server has recovered.
-func (b *Balancer) turnGap(now time.Duration, s *server) float64 {
-	return math.Pow(max(b.latencyRatioFloor, min(s.latencyRatio, failureLatencyRatio/2)), 1.5) /
-		(b.turnWeight(b.cfg.Zone, s) * b.capacityShare(now, s))
-}
-
-// turnWeight returns the weight of a server's turns for a balancer in the given zone. Servers of other zones
-// have fewer turns, but some: a zone may have more traffic than its own servers can take.
-func (b *Balancer) turnWeight(zone int, s *server) float64 {
-	if b.cfg.CrossZonePrice > 0 && s.Zone != zone {
-		return s.Weight * s.turnMultiple * crossZoneTurnShare
-	}
-	return s.Weight * s.turnMultiple
-}
-
-// nextInTurn returns the eligible server with the earliest turn, or nil. It also reports whether a server
-// with an earlier turn was skipped because it was at its concurrency limit.
-func (b *Balancer) nextInTurn(now time.Duration, r *request, among []*server) (best *server, skipped bool) {
-	earliestSkipped := math.Inf(1)
-	for _, s := range among {
-		switch {
-		case r.tried(s) || !b.maySend(now, r, s):
-		case float64(s.inFlight) >= b.serverLimit(s) || b.reportsFull(now, r, s):
-			earliestSkipped = min(earliestSkipped, s.nextTurn)
-		case best == nil || s.nextTurn < best.nextTurn:
-			best = s
-		}
-	}
-	return best, best != nil && earliestSkipped < best.nextTurn
-}
-
 // backoff returns the pause after n failures beyond the first: exponential, and with jitter so that balancers
 // do not act at the same time.
 func (b *Balancer) backoff(first time.Duration, n int) time.Duration {
@@ -846,192 +589,6 @@
 		b.backoff(time.Duration(sharers*float64(backoffPerSharer)), s.failures-ejectAfterFailures)
 }
 
-// UpdateServers handles a server list event: it updates the servers, their weights and the subset.
-func (b *Balancer) UpdateServers(now time.Duration, kind balance.ListKind, entries []balance.Server) {
-	switch {
-	case kind == balance.ListFailed:
-		// retried soon: changes count as received 6 s after discovery recovers, even if calls fail
-		b.watchAt = now + b.backoff(firstListRetry, b.watchFailures)
-		b.watchFailures = min(b.watchFailures+1, 2)
-		return
-	case b.cfg.AskList && kind != balance.ListCached:
-		b.watchAt, b.watchFailures = 0, 0
-	case b.cfg.AskList && len(entries) == 0:
-		b.watchList(now) // no server is known: ask at once
-	}
-	for _, s := range b.servers {
-		if kind != balance.ListDelta {
-			s.State = balance.Gone // unless the list contains it
-		}
-	}
-	clockLead := time.Duration(0)
-	if kind == balance.ListFull && !b.fullListHeard {
-		clockLead, b.fullListHeard = maxClockLead(now, entries), true
-	}
-	for _, e := range entries {
-		b.applyEntry(now, e, min(now, b.effectiveStart(now, kind, e)+clockLead))
-	}
-	b.listHeardAt = now
-	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return s.State == balance.Gone })
-	if b.firstListSize == 0 { // without quotas, compartments are sized by the first list
-		b.firstListSize = float64(len(b.servers))
-		if b.sizeCompartments(); b.totalQuota == 0 {
-			// as if maxSharersPerServer balancers gave each server one turn per second
-			b.rate = b.firstListSize * min(1, maxSharersPerServer/b.fleetSize) / b.secondsPerTurn
-		}
-	}
-	b.recalculateWeights(now)
-	b.dispatchQueued(now)
-}
-
-// maxClockLead returns how far this process's clock may be ahead when it receives its first full list: no
-// server has started after its start is listed.
-func maxClockLead(now time.Duration, entries []balance.Server) time.Duration {
-	lead := time.Duration(math.MaxInt64)
-	for _, e := range entries {
-		if e.Started > 0 {
-			lead = min(lead, max(0, now-e.Started))
-		}
-	}
-	if lead == math.MaxInt64 {
-		return 0 // no start is listed
-	}
-	return lead
-}
-
-// effectiveStart returns the time at which a server's cold start began. This process's clock may
-// have been wrong by up to an hour when it was first read. A start in the future therefore counts as now, and
-// so does a newly announced start that is well before the last list, which did not contain it.
-func (b *Balancer) effectiveStart(now time.Duration, kind balance.ListKind, e balance.Server) time.Duration {
-	i, known := b.findServer(e.ID)
-	old := known && e.Started <= b.servers[i].Started
-	restart := !old && e.Started > 0 && kind == balance.ListDelta && b.listHeardAt > 0
-	if e.Started > now || restart && e.Started < b.listHeardAt-maxListLag {
-		return now
-	}
-	return e.Started
-}
-
-// applyEntry adds or updates the server of one list entry.
-func (b *Balancer) applyEntry(now time.Duration, e balance.Server, start time.Duration) {
-	if !(e.Weight > 1e-9 && e.Weight < 1e9) {
-		e.Weight = 1 // without a valid weight, even turns
-	}
-	i, known := b.findServer(e.ID)
-	if !known {
-		b.servers = slices.Insert(b.servers, i, &server{latencyRatio: 1})
-	}
-	s := b.servers[i]
-	if e.Started > 0 && e.Started > s.Started { // restarted: cold, and its health is unknown
-		*s = server{Server: e, inFlight: s.inFlight, warmAt: max(s.warmAt, start+b.cfg.ColdTime), latencyRatio: 1}
-	}
-	s.Server, s.listedWeight, s.excluded, s.warmAt = e, e.Weight, b.disabled[e.ID],
-		max(s.warmAt, b.enabledWarmAt[e.ID])
-	if !s.inService() {
-		b.closeIdle(now, s)
-	}
-}
-
-// Disable takes a server out of service on an operator's call until Enable, in any state of the list
-// and even if it is not listed. Attempts in flight finish. A second Disable has no effect.
-func (b *Balancer) Disable(now time.Duration, id balance.ServerID) {
-	b.disabled[id] = true
-	if s := b.serverByID(id); s != nil && !s.excluded {
-		b.recalculateWeights(now)
-	}
-}
-
-// Enable reverses Disable as of the time at. Operators restart servers in between, which the list announces
-// late, so the server is treated as cold. It has the next turn.
-func (b *Balancer) Enable(now time.Duration, id balance.ServerID, at time.Duration) {
-	if !b.disabled[id] {
-		return
-	}
-	delete(b.disabled, id)
-	maps.DeleteFunc(b.enabledWarmAt,
-		func(_ balance.ServerID, warmAt time.Duration) bool { return now >= warmAt })
-	b.enabledWarmAt[id] = at + b.cfg.ColdTime
-	if s := b.serverByID(id); s != nil {
-		*s = server{Server: s.Server, listedWeight: s.listedWeight, inFlight: s.inFlight,
-			warmAt: max(s.warmAt, b.enabledWarmAt[id]), latencyRatio: 1}
-		b.recalculateWeights(now)
-		b.dispatchQueued(now)
-	}
-}
-
-// watchList subscribes to the server list. Without an answer it subscribes again before AskWithin is over.
-func (b *Balancer) watchList(now time.Duration) {
-	b.watchAt = now + cmp.Or(b.cfg.AskWithin*3/4, maxBackoff)
-	b.host.WatchList()
-}
-
-// sampleReports probes one server a few times to find out whether load reports are fresh. Reports that change
-// more slowly than they are used must not steer single attempts: all balancers would send to the servers that
-// were idle, a thundering herd.
-func (b *Balancer) sampleReports(now time.Duration) {
-	due := b.processes == 1 && b.reportPairs < maxReportPairs && now >= b.sampleAt && len(b.subset) > 0
-	if !due || !b.cfg.MayProbe || b.cfg.Reports&balance.HasInFlight == 0 {
-		return
-	}
-	if b.sampledServer == nil || !b.sampledServer.inService() {
-		b.sampledServer = b.subset[b.rng.IntN(len(b.subset))]
-	}
-	b.sampleAt = now + loadReportLifetime
-	b.host.Probe(b.sampledServer.ID)
-	b.requestWake(now, loadReportLifetime)
-}
-
-// queryLoad asks the server whose turn it is for a load report if its last one is too old, and reports
-// whether the request now waits for it. In a large fleet, a balancer can't estimate a server's load from its
-// own attempts.
-func (b *Balancer) queryLoad(now time.Duration, r *request) bool {
-	if !b.cfg.MayProbe || b.cfg.Reports&balance.HasInFlight == 0 || b.freshPairs < maxReportPairs-1 ||
-		r.loadQueries >= maxLoadQueries {
-		return false
-	}
-	s, _ := b.nextInTurn(now, r, b.subset)
-	if s == nil || (s.reportedAt > 0 && now-s.reportedAt < loadReportLifetime) {
-		return false
-	}
-	r.awaitedReport, r.reportWaitEnd = s, now+loadReportWait
-	r.loadQueries++
-	b.host.Probe(s.ID)
-	return true
-}
-
-// Probed handles the result of Host.Probe: a load report, or a failure if ok is false.
-func (b *Balancer) Probed(now time.Duration, id balance.ServerID, ok bool, l balance.Load) {
-	s := b.serverByID(id)
-	reported := s != nil && ok && l.Has&balance.HasInFlight != 0
-	if s != nil && s == b.sampledServer && b.reportPairs < maxReportPairs &&
-		(!reported || s.reportedAt > 0 && now-s.reportedAt >= loadReportLifetime) {
-		b.reportPairs++ // a failed probe counts as a pair that is not fresh
-		if reported && l != s.load {
-			if b.freshPairs++; b.freshPairs == maxReportPairs-1 { // queries find idle servers best in a large subset
-				b.secondsPerTurn *= 3
-			}
-		}
-	}
-	if reported {
-		s.reportedAt, s.load, s.othersInFlight = now, l, max(0, l.InFlight-float64(s.inFlight))
-	}
-	for _, r := range b.openRequests {
-		if s != nil && r.awaitedReport == s && !r.ended {
-			r.awaitedReport = nil
-			b.dispatchOrQueue(now, r)
-		}
-	}
-}
-
-// reportsFull reports whether a server's load report shows its part of all balancers' requests. A server
-// without a valid report counts as full for a request that has used up its load queries.
-func (b *Balancer) reportsFull(now time.Duration, r *request, s *server) bool {
-	if s.reportedAt == 0 || now-s.reportedAt >= 5*loadReportLifetime {
-		return r.loadQueries >= maxLoadQueries
-	}
-	return s.othersInFlight+float64(s.inFlight) >= 1+b.weightShare(b.quotaConcurrency, s)
-}
-
 // refuseOrFail answers a request and ends it: refused if it provably had no effect or may safely be repeated,
 // failed otherwise. It is the only caller of Host.Refuse and Host.Fail for accepted requests.
 func (b *Balancer) refuseOrFail(r *request, reason balance.Reason) {
