--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -96,56 +96,58 @@
 
 // Plays random overlapping faults: kills, restarts, planned stops, network partitions and packet loss. Once they end, every
 // live process must see exactly the live processes, the latest of each name, and agree.
-func TestRandomFaults(t *testing.T) {
+func TestAgreementAfterRandomFaults(t *testing.T) {
 	var worst, worstAgreed time.Duration
 	for seed := range *seeds {
-		synctest.Test(t, func(t *testing.T) {
-			f := newFleet(t, uint64(seed))
-			defer f.killAll()
-			f.probeInterval = *probe
-			rng := f.mesh.rng
-			n := 5 + rng.IntN(8)
-			for i := range n {
-				f.startNode(i)
-			}
-			played := ""
-			for range 12 {
-				i, j := 0, 0
-				f.mesh.update(func() { i, j = rng.IntN(n), rng.IntN(n) })
-				_, live := f.live[i]
-				switch k := (i + 7*j) % 8; {
-				case k < 2 && live && len(f.live) > 2:
-					played += fmt.Sprintf(" kill %d", i)
-					f.kill(i)
-				case k == 2 && live && len(f.live) > 2:
-					played += fmt.Sprintf(" leave %d", i)
-					f.leave(i)
-				case !live:
-					played += fmt.Sprintf(" start %d", i)
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, uint64(seed))
+				defer f.killAll()
+				f.probeInterval = *probe
+				rng := f.mesh.rng
+				n := 5 + rng.IntN(8)
+				for i := range n {
 					f.startNode(i)
-				case k < 5:
-					played += fmt.Sprintf(" cut at %d", j)
-					f.mesh.update(func() { f.mesh.cut = func(a, b int) bool { return (a < j) != (b < j) } })
-				case k == 5:
-					played += fmt.Sprintf(" one way from %d", j)
-					f.mesh.update(func() { f.mesh.cut = func(a, b int) bool { return a == j } })
-				case k == 6:
-					played += " loss"
-					f.mesh.update(func() { f.mesh.loss = 0.4 })
-				default:
-					played += " restore"
-					f.mesh.update(func() { f.mesh.loss, f.mesh.cut = 0, func(int, int) bool { return false } })
 				}
-				time.Sleep(time.Duration(200+100*(i*j%60)) * time.Millisecond)
-			}
-			f.mesh.update(func() { f.mesh.loss, f.mesh.cut = 0, func(int, int) bool { return false } })
-			defer func() {
-				if t.Failed() {
-					t.Logf("seed %d, %d processes:%s", seed, n, played)
+				played := ""
+				for range 12 {
+					i, j := 0, 0
+					f.mesh.update(func() { i, j = rng.IntN(n), rng.IntN(n) })
+					_, live := f.live[i]
+					switch k := (i + 7*j) % 8; {
+					case k < 2 && live && len(f.live) > 2:
+						played += fmt.Sprintf(" kill %d", i)
+						f.kill(i)
+					case k == 2 && live && len(f.live) > 2:
+						played += fmt.Sprintf(" leave %d", i)
+						f.leave(i)
+					case !live:
+						played += fmt.Sprintf(" start %d", i)
+						f.startNode(i)
+					case k < 5:
+						played += fmt.Sprintf(" cut at %d", j)
+						f.mesh.update(func() { f.mesh.cut = func(a, b int) bool { return (a < j) != (b < j) } })
+					case k == 5:
+						played += fmt.Sprintf(" one way from %d", j)
+						f.mesh.update(func() { f.mesh.cut = func(a, b int) bool { return a == j } })
+					case k == 6:
+						played += " loss"
+						f.mesh.update(func() { f.mesh.loss = 0.4 })
+					default:
+						played += " restore"
+						f.mesh.update(func() { f.mesh.loss, f.mesh.cut = 0, func(int, int) bool { return false } })
+					}
+					time.Sleep(time.Duration(200+100*(i*j%60)) * time.Millisecond)
 				}
-			}()
-			right, agreed := f.waitForAgreement(40 * time.Second)
-			worst, worstAgreed = max(worst, right), max(worstAgreed, agreed)
+				f.mesh.update(func() { f.mesh.loss, f.mesh.cut = 0, func(int, int) bool { return false } })
+				defer func() {
+					if t.Failed() {
+						t.Logf("seed %d, %d processes:%s", seed, n, played)
+					}
+				}()
+				right, agreed := f.waitForAgreement(40 * time.Second)
+				worst, worstAgreed = max(worst, right), max(worstAgreed, agreed)
+			})
 		})
 	}
 	t.Logf("%d runs: all views are right at most %v after the last fault, all agree after %v", *seeds, worst, worstAgreed)
