--- a/review/rig/endless.go
+++ b/review/rig/endless.go
@@ -54,7 +54,7 @@
 	const (
 		piece  = 64 << 10
 		pieces = 16 // 1 MiB
-		pause  = 60 * time.Millisecond
+		pause  = 80 * time.Millisecond
 		slowAt = 10 // the first piece that takes nine times as long
 	)
 	s, _, _, err := r.small(settings(publish, rebuild, status), func(a *arrival) {
@@ -80,6 +80,7 @@
 	}
 	defer c.Close()
 	p := r.ask(c, request{class: publish, id: "client-1", timeout: 500, body: []byte("a small body")}, 20*time.Second)
+	time.Sleep(time.Second) // the server finds out
 	if p.status == 200 && p.err != nil {
 		r.fail("client-1 had %d of %d bytes, and the connection was ended %v after its request, though the server still gave", len(p.body), piece*pieces, p.took.Round(time.Millisecond))
 	} else if p.status != 200 {
