--- a/review/rig/oldanswer.go
+++ b/review/rig/oldanswer.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-func init() { cases["7"] = oldAnswers }
+func init() { cases["8"] = oldAnswers }
 
 // oldAnswers has one of four servers word its answers as HTTP/1.0 with a transfer coding, which nobody can read for sure.
 // A client that is served with 200 must have the body that a server made for it. Without trouble the answers say HTTP/1.1.
--- a/review/rig/oldversion.go
+++ b/review/rig/oldversion.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-func init() { cases["8"] = oldVersion }
+func init() { cases["9"] = oldVersion }
 
 // oldVersion has a peer send a message of HTTP/1.0 with a transfer coding, whose body nobody can tell the end of. It must
 // get an error or a close, and no server may run anything for it. Without trouble its messages are proper ones.
