review: larger crowds in case 6, in pieces, for machines with fewer cores

Done: eight crowds of 400 in place of five, head and body in two writes; check and bounds as they were.

--- a/review/rig/crowd.go
+++ b/review/rig/crowd.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -13,12 +14,12 @@
 func init() { cases["6"] = crowd }
 
 const (
-	crowds     = 5
-	crowdSize  = 400 // 2,000 connections in all
+	crowds     = 8
+	crowdSize  = 400 // 3,200 connections in all
 	crowdStays = 2 * time.Second
 )
 
-// crowd has two thousand half-written connections arrive, 400 at a time, while one client goes on with its requests.
+// crowd has 3,200 half-written connections arrive, 400 at a time, while one client goes on with its requests.
 // Each of its requests must have a final answer, half a second after its time at the latest.
 func crowd(r *rig) error {
 	s, _, _, err := r.small(settings(publish, rebuild, status), func(a *arrival) {
@@ -96,7 +97,11 @@
 				defer c.Close()
 				q := request{class: publish, id: fmt.Sprintf("half-%d-%d", k, n), timeout: 500, body: make([]byte, 48<<10)}
 				_ = c.SetDeadline(time.Now().Add(crowdStays))
-				if _, err := c.Write(append([]byte(q.head()), q.body[:24<<10]...)); err == nil {
+				_, err = io.WriteString(c, q.head())
+				if err == nil {
+					_, err = c.Write(q.body[:24<<10])
+				}
+				if err == nil {
 					var b [512]byte
 					_, _ = c.Read(b[:]) // until the sidecar ends it, or for as long as it stays
 				}
