Log the memory of the process, and what is held of bodies and answers, by kind

The line `counters` has resident and file pages, what the Go runtime has for each purpose, and the bytes held for request bodies, for forwarding long bodies and for answers; show-stat has the latter as memory_held. Nothing is bounded yet. cmd/caperarch/memory_test.go plays clients that use much memory against the program as deployed.

--- /dev/null
+++ b/cmd/caperarch/memory_test.go
@@ -0,0 +1,379 @@
+//go:build linux
+
+package main
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+var (
+	memorySoakSeed = flag.Uint64("memory.seed", 1, "seed of TestMemorySoak")
+	memorySoakTime = flag.Duration("memory.time", 20*time.Second, "length of TestMemorySoak")
+)
+
+const (
+	leastMemoryMB   = 32   // the least memory that a sidecar may have
+	leastSockets    = 256  // the fewest descriptors
+	mostSockets     = 1024 // the most descriptors
+	slowRate        = 64_000
+	longBody        = 32 << 20 // bytes
+	longestBuffered = 64 << 10 // bytes of the longest body that is not a long one
+	memoryPlayTime  = 12 * time.Second
+	memoryPoll      = 10 * time.Millisecond
+	answerBytesName = "X-Answer-Bytes" // header by which a client asks for an answer's length
+	framingName     = "X-Answer-Framing"
+)
+
+const memorySettings = `{"listen":"127.0.0.1:0","console":"127.0.0.1:0","discovery":%q,"seed":"1f","limits":{"memory_mb":%d,"sockets":%d},
+	"known":{"generation":1,"reset":true,"instances":[%s]},
+	"settings":{"balancers":1,"zones":["north"],"caps":{"most_tries":3,"conn_idle_ms":15000,"dial_timeout_ms":250,"max_open":20000,"may_cancel":true,"max_retry_after_ms":800},
+	"classes":[{"name":"entry","aim_ms":200,"hard_limit_ms":800,"semantics":"single_shot","worth":1}],
+	"orgs":[{"name":"north","share":1,"quota_per_s":1000}],
+	"rules":{"cold_from":0.3,"cold_ms":1000,"fall_multiple":2.5}}}`
+
+// memoryPlay is a sidecar process of little memory, its servers, and clients that send and read in their own ways.
+type memoryPlay struct {
+	t        *testing.T
+	memoryMB int
+	sockets  int
+	address  string
+	process  *os.Process
+	stop     context.Context // ends with the play
+
+	peak atomic.Int64 // most resident memory so far, in bytes
+
+	mu      sync.Mutex
+	results map[string]int // how many requests ended in each way
+}
+
+// startMemoryPlay builds the program as the deploy file does and starts it with four servers. It watches the memory of the
+// process until the end of the test, and fails the test if that is more than memoryMB.
+func startMemoryPlay(t *testing.T, memoryMB, sockets int, length time.Duration) *memoryPlay {
+	t.Helper()
+	program := buildProgram(t)
+	stop, cancel := context.WithTimeout(context.Background(), length)
+	t.Cleanup(cancel)
+	p := &memoryPlay{t: t, memoryMB: memoryMB, sockets: sockets, stop: stop, results: make(map[string]int)}
+	var instances []string
+	for i := range 4 {
+		instances = append(instances, fmt.Sprintf(`{"instanceId":"s-%d","hostPort":%q,"zone":"north","lifecycle":"ready","weight":1}`, i, startBulkServer(t)))
+	}
+	discovery := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	t.Cleanup(discovery.Close)
+	cmd := caperarchCommand(t, fmt.Sprintf(memorySettings, discovery.Listener.Addr().String(), memoryMB, sockets, strings.Join(instances, ",")))
+	cmd.Path, cmd.Args[0] = program, program
+	log, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = cmd.Process.Kill(); _ = cmd.Wait() })
+	p.process = cmd.Process
+	listening := make(chan string, 1)
+	go p.readLog(log, listening)
+	select {
+	case p.address = <-listening:
+	case <-time.After(eventTimeout):
+		t.Fatal("the sidecar does not listen")
+	}
+	go p.watch()
+	return p
+}
+
+var programOnce struct {
+	sync.Mutex
+	folder string
+}
+
+// buildProgram builds the program as it is deployed, once for all tests, and returns its path.
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	programOnce.Lock()
+	defer programOnce.Unlock()
+	if programOnce.folder != "" {
+		return filepath.Join(programOnce.folder, "caperarch")
+	}
+	folder, err := os.MkdirTemp("", "caperarch")
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(folder, "caperarch")
+	build := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", path, ".")
+	build.Env = append(os.Environ(), "CGO_ENABLED=1")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	programOnce.folder = folder
+	return path
+}
+
+// readLog passes on the address that the sidecar listens at, and keeps its lines about memory for the test's log.
+func (p *memoryPlay) readLog(log io.Reader, listening chan<- string) {
+	pattern := regexp.MustCompile(`listen=(\S+)`)
+	lines := bufio.NewScanner(log)
+	lines.Buffer(nil, 1<<20)
+	for lines.Scan() {
+		if m := pattern.FindStringSubmatch(lines.Text()); m != nil && strings.Contains(lines.Text(), "serving") {
+			listening <- m[1]
+		}
+		if _, memory, found := strings.Cut(lines.Text(), " memory="); found && testing.Verbose() {
+			fmt.Println(memory)
+		}
+	}
+}
+
+// watch records the resident memory of the process, and ends the process if that is over its limit, as the platform does.
+func (p *memoryPlay) watch() {
+	for p.stop.Err() == nil {
+		raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", p.process.Pid))
+		if err != nil {
+			return
+		}
+		pages, _ := strconv.ParseInt(strings.Fields(string(raw))[1], 10, 64)
+		resident := pages * int64(os.Getpagesize())
+		p.peak.Store(max(p.peak.Load(), resident))
+		if resident > int64(p.memoryMB)<<20 {
+			p.t.Errorf("the process has %.1f MiB, its limit is %d", float64(resident)/(1<<20), p.memoryMB)
+			_ = p.process.Kill()
+			return
+		}
+		time.Sleep(memoryPoll)
+	}
+}
+
+// count adds 1 to the requests that ended in a way.
+func (p *memoryPlay) count(result string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.results[result]++
+}
+
+// report logs the most memory that the process had, and how requests ended.
+func (p *memoryPlay) report() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.t.Logf("%d MB, %d descriptors: at most %.1f MiB; %v", p.memoryMB, p.sockets, float64(p.peak.Load())/(1<<20), p.results)
+}
+
+// startBulkServer starts a server that reads requests and answers each with as many bytes as its head asks for. It returns
+// the server's address.
+func startBulkServer(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serveBulk(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// serveBulk answers the requests of a connection.
+func serveBulk(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	piece := make([]byte, 32<<10)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		left, _ := strconv.Atoi(req.Header.Get(answerBytesName)) // without the header the answer is empty
+		chunked := req.Header.Get(framingName) == "chunked"
+		if chunked {
+			_, err = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		} else {
+			_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", left)
+		}
+		for left > 0 && err == nil {
+			n := min(left, len(piece))
+			left -= n
+			if chunked {
+				_, err = fmt.Fprintf(c, "%x\r\n%s\r\n", n, piece[:n])
+			} else {
+				_, err = c.Write(piece[:n])
+			}
+		}
+		if chunked && err == nil {
+			_, err = io.WriteString(c, "0\r\n\r\n")
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// bulkRequest is a request with a body and an answer of any length, and how its client sends and reads.
+type bulkRequest struct {
+	bodyBytes, answerBytes int
+	chunkedAnswer          bool
+	sentBytes              int // of the body; the client sends no more than these
+	sendRate, readRate     int // bytes a second; 0: at once, below 0: not at all
+}
+
+// head returns the head of the request.
+func (q bulkRequest) head() string {
+	framing := "length"
+	if q.chunkedAnswer {
+		framing = "chunked"
+	}
+	return fmt.Sprintf("POST /entry HTTP/1.1\r\nHost: service\r\nX-Request-ID: r\r\nX-Priority-Class: entry\r\nX-Tenant-Id: north\r\nX-Timeout: 780m\r\n"+
+		"%s: %d\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", answerBytesName, q.answerBytes, framingName, framing, q.bodyBytes)
+}
+
+// play sends a request on a new connection and reads its answer, until both are done or the play ends. It returns how the
+// request ended.
+func (p *memoryPlay) play(q bulkRequest) string {
+	c, err := net.Dial("tcp", p.address)
+	if err != nil {
+		return "not connected"
+	}
+	defer c.Close()
+	unwatch := context.AfterFunc(p.stop, func() { c.Close() })
+	defer unwatch()
+	if _, err := io.WriteString(c, q.head()); err != nil {
+		return "not sent"
+	}
+	sent := make(chan error, 1)
+	go func() { sent <- p.pace(q.sendRate, q.sentBytes, func(b []byte) (int, error) { return c.Write(b) }) }()
+	if q.readRate < 0 {
+		<-p.stop.Done()
+		return "not read"
+	}
+	r := bufio.NewReaderSize(c, 4<<10)
+	res, err := http.ReadResponse(r, nil)
+	switch {
+	case p.stop.Err() != nil:
+		return "open at the end"
+	case err != nil:
+		return "no answer"
+	case res.StatusCode != http.StatusOK:
+		return res.Status
+	}
+	err = p.pace(q.readRate, q.answerBytes, func(b []byte) (int, error) { return io.ReadFull(res.Body, b) })
+	switch {
+	case p.stop.Err() != nil:
+		return "open at the end"
+	case err != nil:
+		return "cut off"
+	}
+	return "whole"
+}
+
+// pace transfers a number of bytes in pieces, at most at a rate in bytes a second; 0 means no limit.
+func (p *memoryPlay) pace(rate, total int, transfer func([]byte) (int, error)) error {
+	began := time.Now()
+	piece := make([]byte, 8<<10)
+	for done := 0; done < total; {
+		n, err := transfer(piece[:min(len(piece), total-done)])
+		if done += n; err != nil {
+			return err
+		}
+		if rate <= 0 {
+			continue
+		}
+		select {
+		case <-time.After(time.Until(began.Add(time.Duration(done) * time.Second / time.Duration(rate)))):
+		case <-p.stop.Done():
+			return p.stop.Err()
+		}
+	}
+	return nil
+}
+
+// hold keeps a number of clients at work until the play ends. Each plays the requests that draw returns, one after another.
+func (p *memoryPlay) hold(clients int, draw func(client, n int) bulkRequest) {
+	var group sync.WaitGroup
+	for client := range clients {
+		group.Go(func() {
+			time.Sleep(time.Duration(client) * time.Second / time.Duration(clients))
+			for n := 0; p.stop.Err() == nil; n++ {
+				p.count(p.play(draw(client, n)))
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
+	group.Wait()
+}
+
+// clientKinds are the ways in which clients use memory, by name.
+var clientKinds = map[string]bulkRequest{
+	"slow readers":          {bodyBytes: 200 << 10, sentBytes: 200 << 10, answerBytes: 8 << 20, chunkedAnswer: true, readRate: slowRate},
+	"readers that stop":     {bodyBytes: 200 << 10, sentBytes: 200 << 10, answerBytes: longBody, readRate: -1},
+	"short bodies, stopped": {bodyBytes: longestBuffered, sentBytes: longestBuffered, answerBytes: longBody, readRate: -1},
+	"slow bodies":           {bodyBytes: longBody, sentBytes: longBody, answerBytes: longBody, sendRate: slowRate, readRate: slowRate},
+	"half-written bodies":   {bodyBytes: longestBuffered, sentBytes: 64_000},
+}
+
+// Whatever clients send and read, the process stays within its memory limit, with the fewest descriptors and with the most.
+// It guards against buffers that are kept for longer than they are needed, and that nothing bounds.
+func TestMemoryIsBounded(t *testing.T) {
+	for _, sockets := range []int{leastSockets, mostSockets} {
+		for name, q := range clientKinds {
+			t.Run(fmt.Sprintf("%s, %d descriptors", name, sockets), func(t *testing.T) {
+				p := startMemoryPlay(t, leastMemoryMB, sockets, memoryPlayTime)
+				clients := sockets / 3 // the most requests that clients may hold
+				p.hold(clients, func(int, int) bulkRequest { return q })
+				p.report()
+				if p.process.Signal(syscall.Signal(0)) != nil {
+					t.Error("the process has ended")
+				}
+			})
+		}
+	}
+}
+
+// Clients that send and read in ways drawn from a seed, all at once, do not take the process over its memory limit.
+func TestMemorySoak(t *testing.T) {
+	p := startMemoryPlay(t, leastMemoryMB, leastSockets, *memorySoakTime)
+	p.hold(leastSockets/3, func(client, n int) bulkRequest {
+		return drawRequest(rand.New(rand.NewPCG(*memorySoakSeed, uint64(client)<<32|uint64(n))))
+	})
+	p.report()
+}
+
+// drawRequest draws a request and how its client sends and reads.
+func drawRequest(draws *rand.Rand) bulkRequest {
+	lengths := []int{0, 100, 4 << 10, 5000, 16 << 10, 40_000, longestBuffered, longestBuffered + 1, 200 << 10, 1 << 20, longBody}
+	q := bulkRequest{
+		bodyBytes: lengths[draws.IntN(len(lengths))], answerBytes: lengths[draws.IntN(len(lengths))],
+		chunkedAnswer: draws.IntN(2) == 0, sendRate: slowRate * draws.IntN(2), readRate: slowRate * (draws.IntN(3) - 1),
+	}
+	q.sentBytes = q.bodyBytes
+	if draws.IntN(4) == 0 {
+		q.sentBytes = draws.IntN(q.bodyBytes + 1)
+	}
+	return q
+}
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -9,6 +9,7 @@
 type exchange struct {
 	sendBy         time.Duration // deadline for writing the last byte of the request; 0 means no bound
 	clientDeadline time.Duration // the client's deadline; 0 if there is none
+	memory         *requestMemory
 
 	mu        sync.Mutex
 	cancelled bool
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"arrowgw/internal/balance"
+	"arrowgw/policy"
 )
 
 const (
@@ -47,6 +48,7 @@
 	ready      atomic.Bool // set once serving, cleared when a stop begins
 	stopLimits atomic.Pointer[stopLimits]
 	rulesAllow func() bool // reports whether the rule set in force permits serving
+	memory     *memoryAccount
 }
 
 // isUp reports whether the sidecar serves requests, which is what GET /up answers.
@@ -113,6 +115,8 @@
 		return
 	}
 	m := &outboundRequest{id: r.Header.Get("X-Request-ID"), method: r.Method, url: r.URL, host: r.Host, header: endToEndHeaders(r.Header), length: r.ContentLength, timeLeft: timeout}
+	m.memory = f.memory.openRequest()
+	defer m.memory.close()
 	if err := f.readBody(w, r, m); err != nil {
 		f.rejectBody(w, err)
 		return
@@ -220,6 +224,7 @@
 	} else {
 		m.body, err = io.ReadAll(io.LimitReader(body, maxBufferedBody))
 	}
+	m.memory.charge(policy.RequestBodies, cap(m.body))
 	switch {
 	case err != nil:
 		return err
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -32,6 +32,7 @@
 	subscribe         func()                // subscribes to the server list
 	clientCounters    func() map[string]int // counters of the client connections, for the log
 	discoveryCounters func() map[string]int // counters of the discovery calls, for the log
+	memory            *memoryAccount
 	trace             *trace
 	guard             *guard.Guard                                // checks every start, send, retry, answer and close
 	limitTimeLeft     func(now, left time.Duration) time.Duration // shortens a request's remaining time during a shutdown
@@ -243,7 +244,7 @@
 			l.runDueWakes()
 		case <-counters.C:
 			slog.Info("counters", "module", fmt.Sprintf("%+v", l.balancer.Counters()),
-				"upstream", l.upstream.counters(), "clients", l.clientCounters(), "discovery", l.discoveryCounters(), "requests", l.trace.counters(), "guard", guardCounters(l.guard))
+				"upstream", l.upstream.counters(), "clients", l.clientCounters(), "discovery", l.discoveryCounters(), "requests", l.trace.counters(), "guard", guardCounters(l.guard), l.memory.logAttrs())
 		case <-ctx.Done():
 			return
 		}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -45,12 +45,13 @@
 	control   *control
 	clients   *clients
 	front     *front
+	memory    *memoryAccount
 }
 
 // newComponents creates the components and connects them. Nothing runs yet.
 func newComponents(cfg *Config) (*components, error) {
 	c := newClock()
-	p := &components{cfg: cfg, upstreams: newTransport(cfg, c)}
+	p := &components{cfg: cfg, upstreams: newTransport(cfg, c), memory: new(memoryAccount)}
 	var err error
 	if p.loop, err = newLoop(cfg, c, p.upstreams); err != nil {
 		return nil, err
@@ -63,6 +64,7 @@
 	p.clients = newClients(cfg, nil, p.upstreams.connectionCount)
 	p.upstreams.makeRoom, p.upstreams.hasRoom = p.clients.makeRoomForUpstream, p.clients.hasRoomForUpstream
 	p.front = newFront(cfg, c, l, p.clients)
+	p.front.memory, l.memory = p.memory, p.memory
 	l.clientCounters, p.clients.countClose = p.front.counters, l.trace.countClose
 	l.limitTimeLeft = func(now, left time.Duration) time.Duration { return p.front.stopLimits.Load().bound(now, left) }
 	p.front.rulesAllow = p.control.ruleSets.mayServe
@@ -91,6 +93,7 @@
 	p.loop.trace.writeStats(w)
 	writeGuardStats(w, p.loop.guard)
 	p.control.writeStats(w)
+	p.memory.writeStats(w)
 	fmt.Fprintln(w, "EOF")
 }
 
--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -76,7 +76,7 @@
 	defer start.Stop()
 	defer close(s.chunks)
 	for {
-		c := chunk{buffer: chunkPool.Get().(*[chunkSize]byte)}
+		c := s.getChunk()
 		var err error
 		c.n, err = s.res.Body.Read(c.buffer[:])
 		begun, complete := s.receive(&c, err)
@@ -123,6 +123,7 @@
 		return true, false
 	}
 	gotBytes := c.n > 0
+	s.exchange.memory.charge(policy.Answers, c.n)
 	s.buffered = append(s.buffered, c.buffer[:c.n]...)
 	c.n = 0
 	switch {
@@ -146,6 +147,18 @@
 		case <-s.clientGone:
 		}
 	}
+	s.putChunk(c)
+}
+
+// getChunk returns an empty chunk.
+func (s *stream) getChunk() chunk {
+	s.exchange.memory.charge(policy.Answers, chunkSize)
+	return chunk{buffer: chunkPool.Get().(*[chunkSize]byte)}
+}
+
+// putChunk returns a chunk's buffer to the pool.
+func (s *stream) putChunk(c chunk) {
+	s.exchange.memory.release(policy.Answers, chunkSize)
 	chunkPool.Put(c.buffer)
 }
 
@@ -190,7 +203,7 @@
 				return nil
 			}
 			err := write(c.buffer[:c.n])
-			chunkPool.Put(c.buffer)
+			s.putChunk(c)
 			if err != nil {
 				return err
 			}
--- a/internal/sidecar/upload.go
+++ b/internal/sidecar/upload.go
@@ -16,6 +16,10 @@
 	bodyStallTimeout   = 2 * time.Second         // longest pause within a body; a connection that stalls has to be closed within 3 s
 	serverStallTimeout = 5 * time.Second         // how long a server may read nothing of a long request body that still arrives
 
+	// uploadBuffers are the bytes of the buffers that forward a body: that of the writer, and the one with which net/http
+	// copies the body.
+	uploadBuffers = chunkSize + 32<<10
+
 	arrivalPollInterval = 20 * time.Millisecond // how often it is checked, while a body is written, whether the rest of it has arrived
 )
 
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -21,6 +21,7 @@
 
 	"arrowgw/internal/balance"
 	"arrowgw/internal/wire"
+	"arrowgw/policy"
 )
 
 const (
@@ -52,6 +53,8 @@
 
 	arrivalUncertainty time.Duration // how much later than assumed the request may have arrived
 
+	memory *requestMemory // that is held for the request; nil if that is not recorded
+
 	clientPresence func() presence                                // whether the client is still there; nil if there is no client
 	permitWrite    func(now time.Duration, address string) error  // whether the first byte may be written to address; nil if always
 	onWritten      func(began, now time.Duration, address string) // called when the last byte has been written; may be nil
@@ -178,7 +181,7 @@
 // has to end soon after clientDeadline unless it is long. done is called once with the end of the attempt, and before
 // that with the beginning of an answer that streams.
 func (u *transport) send(address string, outbound *outboundRequest, abandonAt, sendBy, clientDeadline time.Duration, done func(attemptResult)) *exchange {
-	x := &exchange{sendBy: sendBy, clientDeadline: clientDeadline}
+	x := &exchange{sendBy: sendBy, clientDeadline: clientDeadline, memory: outbound.memory}
 	go func() {
 		header := maps.Clone(outbound.header)
 		req := &http.Request{Method: outbound.method, URL: outbound.url, Host: outbound.host, Header: header}
@@ -302,6 +305,7 @@
 		body, err = newStream(res, c, x, u.clock).run(onBegin)
 	} else {
 		body, err = c.readBody(res)
+		x.memory.charge(policy.Answers, cap(body))
 	}
 	if err == nil && c.answerLimit.N <= 0 {
 		err = errors.New("answer exceeds the size limit") // an answer without a length would otherwise pass for complete at the limit
@@ -352,6 +356,8 @@
 // writeUpload writes a request whose body is not buffered whole, and returns the client's deadline. A request that is not
 // written completely by that deadline or by the exchange's sendBy is cut short.
 func (u *transport) writeUpload(x *exchange, c *conn, req *http.Request, outbound *outboundRequest) (time.Duration, error) {
+	outbound.memory.charge(policy.Uploads, uploadBuffers)
+	defer outbound.memory.release(policy.Uploads, uploadBuffers)
 	began := u.clock.now()
 	out := bufio.NewWriterSize(&uploadWriter{conn: c, clock: u.clock, outbound: outbound, sendBy: x.sendBy}, chunkSize)
 	if err := req.Write(out); err != nil {
