Release what has been sent while a long answer is read

Cause: buffers stayed referenced until the end of the answer though nothing could use them again. Evidence: the heap profile of 85 such clients has 6.8 MB of answers' beginnings (stream.buffered, written to the client at once) and 5.4 MB of request bodies, 12.2 of 21.8 MB; the log tells the same by kind (answers 14,960 KiB, bodies 5,440 KiB). The bodies had three owners: the loop's request, the attempt's closure, and the answer's http.Response by its Request. Chunks in transit are the rest, 8.2 MB; they are needed as long as memory is there.

Mend: the loop releases the body once the request is settled or its long body has begun to be read, as no attempt can begin after either; an attempt builds its request before it starts, so that it alone owns what it sends, and drops it when it is written. The stream drops its beginning when that is written.

--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -229,7 +229,7 @@
 	case err != nil:
 		return err
 	case r.ContentLength > maxBufferedBody || r.ContentLength < 0 && len(m.body) == maxBufferedBody:
-		m.upload = newUpload(body)
+		m.prefix, m.upload = int64(len(m.body)), newUpload(body)
 		m.upload.arrival = f.clients.arrivalProbe(r.Context())
 	default:
 		m.length = int64(len(m.body))
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -354,6 +354,7 @@
 	outbound.onWritten = func(began, now time.Duration, address string) { l.guard.AttemptWritten(began, now, q.ID, address) }
 	if outbound.upload != nil {
 		q.BodyPending = true
+		outbound.upload.onRead = func() { l.post(func(time.Duration) { outbound.releaseBody() }) } // it can't be sent again
 		onArrived := outbound.upload.onArrived
 		outbound.upload.onArrived = func(deadline time.Duration) {
 			onArrived(deadline)
@@ -409,6 +410,7 @@
 // finishRequest settles a request with its final answer, or with nil if its client has left.
 func (l *loop) finishRequest(id balance.RequestID, r *request, a *answer) {
 	r.settled = true
+	r.outbound.releaseBody()
 	switch {
 	case a == nil:
 		l.guard.AnswerDropped(id)
--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -150,6 +150,12 @@
 	s.putChunk(c)
 }
 
+// releaseBuffered lets go of what was read before the stream began.
+func (s *stream) releaseBuffered() {
+	s.exchange.memory.release(policy.Answers, len(s.buffered))
+	s.buffered = nil
+}
+
 // getChunk returns an empty chunk.
 func (s *stream) getChunk() chunk {
 	s.exchange.memory.charge(policy.Answers, chunkSize)
@@ -190,7 +196,9 @@
 		}
 		return out.Flush()
 	}
-	if err := write(s.buffered); err != nil {
+	err := write(s.buffered)
+	s.releaseBuffered()
+	if err != nil {
 		return err
 	}
 	for {
--- a/internal/sidecar/trace.go
+++ b/internal/sidecar/trace.go
@@ -116,7 +116,7 @@
 	}
 	attributes := []slog.Attr{slog.Int("number", number), slog.String("ending", ending.String())}
 	if u := outbound.upload; u != nil {
-		read := int64(len(outbound.body)) + u.read.Load()
+		read := outbound.prefix + u.read.Load()
 		attributes = append(attributes, slog.Int64("length", outbound.length), slog.Int64("read", read), slog.Int("unread", u.unread()))
 	}
 	t.logStep("attempt ended", outbound.id, attributes...)
--- a/internal/sidecar/upload.go
+++ b/internal/sidecar/upload.go
@@ -65,6 +65,7 @@
 type upload struct {
 	body      *pacedBody
 	arrival   *arrivalProbe                // finds the last byte while it is unread; nil if there is no connection
+	onRead    func()                       // called once, when it begins to be read; may be nil
 	onArrived func(deadline time.Duration) // called once, with the client's deadline, when the last byte is known to have arrived
 	deadline  time.Duration                // the client's deadline; 0 until the last byte is known to have arrived; used by the attempt only
 	readErr   chan error                   // receives the error if the client does not send all of it
@@ -100,7 +101,9 @@
 	if u.stopped.Load() {
 		return 0, errRequestOver
 	}
-	u.consumed.Store(true)
+	if !u.consumed.Swap(true) && u.onRead != nil {
+		u.onRead()
+	}
 	n, err := u.body.Read(b)
 	u.read.Add(int64(n))
 	switch {
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -46,7 +46,8 @@
 	url      *url.URL
 	host     string
 	header   http.Header   // end-to-end headers, not to be modified
-	body     []byte        // the whole body, or the part of it that is buffered
+	body     []byte        // the whole body, or the part of it that is buffered; released by the loop once no attempt can begin any more
+	prefix   int64         // bytes of the buffered part of a body with an upload
 	upload   *upload       // the part of the body after the buffered part; nil if there is none
 	length   int64         // of the whole body, or -1 if unknown
 	timeLeft time.Duration // the client's timeout; with upload it counts from the last byte's arrival, and the time taken to get a connection is deducted
@@ -182,15 +183,8 @@
 // that with the beginning of an answer that streams.
 func (u *transport) send(address string, outbound *outboundRequest, abandonAt, sendBy, clientDeadline time.Duration, done func(attemptResult)) *exchange {
 	x := &exchange{sendBy: sendBy, clientDeadline: clientDeadline, memory: outbound.memory}
+	req := outbound.newRequest()
 	go func() {
-		header := maps.Clone(outbound.header)
-		req := &http.Request{Method: outbound.method, URL: outbound.url, Host: outbound.host, Header: header}
-		switch {
-		case outbound.upload != nil:
-			req.Body, req.ContentLength = io.NopCloser(io.MultiReader(bytes.NewReader(outbound.body), outbound.upload)), outbound.length
-		case len(outbound.body) > 0:
-			req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(outbound.body)), int64(len(outbound.body))
-		}
 		onBegin := func(res *http.Response, s *stream) { done(attemptResult{header: res.Header, stream: s}) }
 		res, body, ending := u.roundTrip(x, address, req, outbound, abandonAt, onBegin)
 		if res == nil {
@@ -209,6 +203,24 @@
 	return x
 }
 
+// newRequest returns the request of an attempt. It is called by the loop, which may release the body later.
+func (r *outboundRequest) newRequest() *http.Request {
+	req := &http.Request{Method: r.method, URL: r.url, Host: r.host, Header: maps.Clone(r.header)}
+	switch {
+	case r.upload != nil: // the reader drops the buffered part once it has been read
+		req.Body, req.ContentLength = io.NopCloser(io.MultiReader(bytes.NewReader(r.body), r.upload)), r.length
+	case len(r.body) > 0:
+		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(r.body)), int64(len(r.body))
+	}
+	return req
+}
+
+// releaseBody lets go of the buffered body, as no attempt can begin any more. It is called by the loop.
+func (r *outboundRequest) releaseBody() {
+	r.memory.release(policy.RequestBodies, cap(r.body))
+	r.body = nil
+}
+
 // probe requests the load report of a server and calls report once with the result.
 func (u *transport) probe(address string, now time.Duration, report func(ok bool, load balance.Load)) {
 	go func() {
@@ -248,6 +260,7 @@
 		u.discard(c)
 		return nil, nil, u.unsentEnding(x, outbound)
 	}
+	req.Body = nil                                 // the answer keeps a reference to its request
 	if outbound != nil && outbound.upload != nil { // the client's deadline counts from its last byte
 		x.clientDeadline = deadline
 	}
