Bound what answers and the runtime take by memory_mb

Callers would see: a sidecar killed for its memory as soon as enough of them read long answers slowly. Up to six chunks of 16 KiB wait in each answer, however many answers there are (8.2 MB for 85; 32 MB for the 341 that a third of 1,024 descriptors allow), and the Go runtime was given half of memory_mb, whatever the program's own file takes: 16 MB of 32 beside 14.7 MB of resident text at rest (15.8 under load), so that garbage alone may reach the limit.

Mend: policy.MemoryBudget divides what memory_mb leaves. The runtime's limit is half of memory_mb or what file pages leave, whichever is less, set anew with each line of counters; four fifths of that, less the runtime's own, may be held. A stream may always have one chunk; each further one is reserved, and while none is to be had the stream takes one of 4 KiB at a time. An answer that is to be buffered whole reserves its length, or is streamed. Answers other than 200, of which only the head counts, are not kept. At 64 MB and more the runtime's limit is as before.

--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"arrowgw/policy"
 )
 
 // exchange is one attempt or probe under way.
@@ -54,6 +56,12 @@
 	return true
 }
 
+// reserveAnswer reserves the memory to buffer an answer whole, whose announced length is in bytes, or -1 if there is none. It
+// returns false if the answer has to be streamed: it may be too long, or memory is scarce.
+func (x *exchange) reserveAnswer(length int64) bool {
+	return length >= 0 && length <= maxBufferedBody && x.memory.reserve(policy.Answers, int(length))
+}
+
 // limitToSendBy returns the earlier of a moment and the moment by which the request must have been written.
 func (x *exchange) limitToSendBy(at time.Duration) time.Duration {
 	if x.sendBy == 0 {
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -7,7 +7,6 @@
 	"net/url"
 	"os"
 	"path/filepath"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -139,15 +138,3 @@
 		}
 	}
 }
-
-// limitMemory sets the Go memory limit of one of n processes: an nth of half the limit above which the sidecar is
-// killed.
-func limitMemory(megabytes, n int) {
-	if megabytes == 0 {
-		return
-	}
-	debug.SetMemoryLimit(int64(megabytes) << 20 / 2 / int64(n))
-	if n > 1 {
-		debug.FreeOSMemory() // return unused memory to the system for the second process
-	}
-}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -33,6 +33,7 @@
 	clientCounters    func() map[string]int // counters of the client connections, for the log
 	discoveryCounters func() map[string]int // counters of the discovery calls, for the log
 	memory            *memoryAccount
+	adaptMemory       func() // sets the limits of memory by what files take now
 	trace             *trace
 	guard             *guard.Guard                                // checks every start, send, retry, answer and close
 	limitTimeLeft     func(now, left time.Duration) time.Duration // shortens a request's remaining time during a shutdown
@@ -85,6 +86,7 @@
 		clock: c, upstream: up, subscribe: func() {}, maxAttempts: cfg.Policy.MaxAttempts, classes: cfg.Policy.Classes,
 		clientCounters:    func() map[string]int { return nil },
 		discoveryCounters: func() map[string]int { return nil },
+		adaptMemory:       func() {},
 		handover:          new(sharedState),
 		trace:             newTrace(),
 		guard:             guard.New(logViolation, cfg.DrainGrace),
@@ -243,6 +245,7 @@
 			l.now = l.clock.now()
 			l.runDueWakes()
 		case <-counters.C:
+			l.adaptMemory()
 			slog.Info("counters", "module", fmt.Sprintf("%+v", l.balancer.Counters()),
 				"upstream", l.upstream.counters(), "clients", l.clientCounters(), "discovery", l.discoveryCounters(), "requests", l.trace.counters(), "guard", guardCounters(l.guard), l.memory.logAttrs())
 		case <-ctx.Done():
--- a/internal/sidecar/memory.go
+++ b/internal/sidecar/memory.go
@@ -1,13 +1,12 @@
 package sidecar
 
 import (
-	"bytes"
 	"fmt"
 	"io"
 	"log/slog"
 	"os"
+	"runtime/debug"
 	"runtime/metrics"
-	"strconv"
 	"sync"
 
 	"arrowgw/policy"
@@ -20,14 +19,16 @@
 	budget policy.MemoryBudget
 }
 
-// charge records that a number of bytes are held. A negative number releases them.
-func (a *memoryAccount) charge(use policy.MemoryUse, bytes int) {
-	if a == nil {
-		return
+// setLimits sets the memory limit of the Go runtime and that of the budget, for one of a number of processes. megabytes is
+// the limit above which the sidecar is killed; 0: unknown.
+func (a *memoryAccount) setLimits(megabytes, processes int) {
+	process := policy.ProcessMemory{Limit: int64(megabytes) << 20, Files: filePages(), Processes: processes}
+	if limit := process.RuntimeLimit(); limit > 0 {
+		debug.SetMemoryLimit(limit)
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.budget.Charge(use, int64(bytes))
+	a.budget.SetLimit(process.Budget())
 }
 
 // amounts returns the bytes held for each use, and how many reservations have been denied.
@@ -37,6 +38,13 @@
 	return a.budget.Held(), a.budget.Denied()
 }
 
+// limit returns the budget in bytes; 0 means that there is none.
+func (a *memoryAccount) limit() int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.budget.Limit()
+}
+
 // openRequest returns the memory of a request, which records to the account.
 func (a *memoryAccount) openRequest() *requestMemory {
 	if a == nil {
@@ -53,7 +61,22 @@
 	closed  bool
 }
 
-// charge records that a number of bytes are held for the request.
+// reserve records that a number of bytes are held for the request, and reports whether that is permitted. Nothing is held
+// if it is not.
+func (m *requestMemory) reserve(use policy.MemoryUse, bytes int) bool {
+	if m == nil {
+		return true
+	}
+	m.account.mu.Lock()
+	defer m.account.mu.Unlock()
+	if m.closed || !m.account.budget.Reserve(use, int64(bytes)) {
+		return false
+	}
+	m.held[use] += int64(bytes)
+	return true
+}
+
+// charge records that a number of bytes are held for a use that can't be denied.
 func (m *requestMemory) charge(use policy.MemoryUse, bytes int) {
 	if m == nil {
 		return
@@ -107,10 +130,8 @@
 // the Go runtime has for each purpose.
 func processMemory() map[string]int64 {
 	amounts := make(map[string]int64)
-	if raw, err := os.ReadFile("/proc/self/statm"); err == nil { // size resident shared, in pages (proc_pid_statm(5))
-		if fields := bytes.Fields(raw); len(fields) > 2 {
-			amounts["resident"], amounts["files"] = pagesToKiB(fields[1]), pagesToKiB(fields[2])
-		}
+	if resident, files, err := residentPages(); err == nil {
+		amounts["resident"], amounts["files"] = resident>>10, files>>10
 	}
 	for name, metric := range runtimeMemory {
 		sample := []metrics.Sample{{Name: metric}}
@@ -122,10 +143,28 @@
 	return amounts
 }
 
-// pagesToKiB converts a decimal number of pages to KiB. Anything else counts as 0.
-func pagesToKiB(pages []byte) int64 {
-	n, _ := strconv.ParseInt(string(pages), 10, 64)
-	return n * int64(os.Getpagesize()) >> 10
+// residentPages returns the resident memory of the process, and how much of it belongs to files, in bytes.
+func residentPages() (all, files int64, err error) {
+	raw, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0, 0, err
+	}
+	var size int64 // of the address space
+	if _, err := fmt.Sscan(string(raw), &size, &all, &files); err != nil {
+		return 0, 0, fmt.Errorf("/proc/self/statm is %q: %w", raw, err)
+	}
+	page := int64(os.Getpagesize())
+	return all * page, files * page, nil
+}
+
+// filePages returns how much of the process's resident memory belongs to files, in bytes. It returns 0 if the system does
+// not tell.
+func filePages() int64 {
+	_, files, err := residentPages()
+	if err != nil {
+		slog.Warn("memory unknown", "error", err)
+	}
+	return files
 }
 
 // logAttrs returns the memory of the process and what is held for each use, in KiB, for the log.
@@ -143,6 +182,7 @@
 // writeStats writes the bytes held for each use, and how many reservations have been denied.
 func (a *memoryAccount) writeStats(w io.Writer) {
 	held, denied := a.amounts()
+	fmt.Fprintf(w, "app.memory_budget=%d\n", a.limit())
 	for use := range policy.MemoryUses {
 		fmt.Fprintf(w, "app.memory_held.%v=%d\napp.memory_denied.%v=%d\n", use, held[use], use, denied[use])
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -7,6 +7,8 @@
 	"log/slog"
 	"net"
 	"os"
+	"runtime/debug"
+	"sync/atomic"
 	"time"
 )
 
@@ -46,6 +48,7 @@
 	clients   *clients
 	front     *front
 	memory    *memoryAccount
+	processes atomic.Int64 // running processes of this sidecar, as last known; 0: not known yet
 }
 
 // newComponents creates the components and connects them. Nothing runs yet.
@@ -66,6 +69,7 @@
 	p.front = newFront(cfg, c, l, p.clients)
 	p.front.memory, l.memory = p.memory, p.memory
 	l.clientCounters, p.clients.countClose = p.front.counters, l.trace.countClose
+	l.adaptMemory = func() { p.memory.setLimits(cfg.MemoryMB, int(p.processes.Load())) }
 	l.limitTimeLeft = func(now, left time.Duration) time.Duration { return p.front.stopLimits.Load().bound(now, left) }
 	p.front.rulesAllow = p.control.ruleSets.mayServe
 	return p, nil
@@ -73,7 +77,11 @@
 
 // setProcessCount divides the sidecar's limits among n processes, and applies this one's part.
 func (p *components) setProcessCount(n int) {
-	limitMemory(p.cfg.MemoryMB, n)
+	p.memory.setLimits(p.cfg.MemoryMB, n)
+	if p.cfg.MemoryMB > 0 && n > 1 {
+		debug.FreeOSMemory() // return unused memory to the system for the second process
+	}
+	p.processes.Store(int64(n))
 	p.upstreams.setMaxConnections(p.cfg.upstreamConnLimit(n))
 	p.clients.setLimits(p.cfg.clientConnLimit(n), p.cfg.totalConnLimit(n))
 	p.loop.setProcessCount(n)
--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -15,22 +15,12 @@
 
 const (
 	clientStallTimeout = 15 * time.Second      // how long a client may read nothing; at 64 kB/s its kernel opens the receive window only every 6 s
-	chunkSize          = 16 << 10              // bytes of a chunk of a streamed answer
 	maxQueuedChunks    = 4                     // chunks read from the server that wait for the client
 	streamStartDelay   = 10 * time.Millisecond // an answer of unknown length that is not complete this long after its head is streamed
 )
 
 var errAnswerCutShort = errors.New("the server's answer was cut short")
 
-// chunkPool holds the buffers of streamed answers.
-var chunkPool = sync.Pool{New: func() any { return new([chunkSize]byte) }}
-
-// chunk is a part of a streamed answer, in a buffer from chunkPool.
-type chunk struct {
-	buffer *[chunkSize]byte
-	n      int
-}
-
 // stream is an answer that is passed on as it arrives. The attempt's goroutine reads it from the server's connection and
 // the client's handler writes it; between them a few chunks are queued, and the faster side waits for the other.
 type stream struct {
@@ -46,17 +36,18 @@
 	beginOnNextByte bool   // do not wait for the end or for a full buffer
 	buffered        []byte // read before the stream began
 
-	chunks     chan chunk    // read since; closed at the end
-	err        error         // why the answer is incomplete; set before chunks is closed
-	clientGone chan struct{} // closed by abort
-	abortOnce  sync.Once
+	chunkBudget chunkBudget
+	chunks      chan chunk    // read since; closed at the end
+	err         error         // why the answer is incomplete; set before chunks is closed
+	clientGone  chan struct{} // closed by abort
+	abortOnce   sync.Once
 }
 
 // newStream returns a stream of an answer whose head has been read.
 func newStream(res *http.Response, c *conn, exchange *exchange, clock clock) *stream {
 	return &stream{
 		res: res, conn: c, exchange: exchange, clock: clock, stalls: policy.NewStallDetector(clock.now(), exchange.clientDeadline), beginOnNextByte: res.ContentLength > maxBufferedBody,
-		chunks: make(chan chunk, maxQueuedChunks), clientGone: make(chan struct{}),
+		chunks: make(chan chunk, maxQueuedChunks), clientGone: make(chan struct{}), chunkBudget: newChunkBudget(exchange.memory),
 	}
 }
 
@@ -75,10 +66,10 @@
 	start := time.AfterFunc(streamStartDelay, s.beginBuffered)
 	defer start.Stop()
 	defer close(s.chunks)
+	c := s.chunkBudget.get(s.clientGone)
 	for {
-		c := s.getChunk()
 		var err error
-		c.n, err = s.res.Body.Read(c.buffer[:])
+		c.n, err = s.res.Body.Read(c.buffer)
 		begun, complete := s.receive(&c, err)
 		s.enqueue(c)
 		switch {
@@ -89,7 +80,9 @@
 		case err != nil:
 			s.err = err
 			return nil, err
-		case begun:
+		}
+		c = s.chunkBudget.get(s.clientGone)
+		if begun { // behind the wait for the client, which is no pause of the server
 			s.continueReading()
 		}
 	}
@@ -123,8 +116,7 @@
 		return true, false
 	}
 	gotBytes := c.n > 0
-	s.exchange.memory.charge(policy.Answers, c.n)
-	s.buffered = append(s.buffered, c.buffer[:c.n]...)
+	roomToBuffer := s.buffer(c.buffer[:c.n])
 	c.n = 0
 	switch {
 	case err == io.EOF && len(s.buffered) <= maxBufferedBody:
@@ -132,12 +124,24 @@
 		return true, true
 	case err != nil && err != io.EOF:
 		s.begun = true
-	case len(s.buffered) > maxBufferedBody || s.beginOnNextByte && gotBytes:
+	case len(s.buffered) > maxBufferedBody || (s.beginOnNextByte || !roomToBuffer) && gotBytes:
 		s.beginLocked()
 	}
 	return s.begun, false
 }
 
+// buffer adds bytes to what was read before the stream begins. It returns false if there is no memory to buffer more.
+func (s *stream) buffer(b []byte) bool {
+	before := cap(s.buffered)
+	s.buffered = append(s.buffered, b...)
+	added := cap(s.buffered) - before
+	if s.exchange.memory.reserve(policy.Answers, added) {
+		return true
+	}
+	s.exchange.memory.charge(policy.Answers, added)
+	return false
+}
+
 // enqueue passes a chunk to the client's handler, or drops it if it is empty or the client has left.
 func (s *stream) enqueue(c chunk) {
 	if c.n > 0 {
@@ -147,27 +151,15 @@
 		case <-s.clientGone:
 		}
 	}
-	s.putChunk(c)
+	s.chunkBudget.put(c)
 }
 
 // releaseBuffered lets go of what was read before the stream began.
 func (s *stream) releaseBuffered() {
-	s.exchange.memory.release(policy.Answers, len(s.buffered))
+	s.exchange.memory.release(policy.Answers, cap(s.buffered))
 	s.buffered = nil
 }
 
-// getChunk returns an empty chunk.
-func (s *stream) getChunk() chunk {
-	s.exchange.memory.charge(policy.Answers, chunkSize)
-	return chunk{buffer: chunkPool.Get().(*[chunkSize]byte)}
-}
-
-// putChunk returns a chunk's buffer to the pool.
-func (s *stream) putChunk(c chunk) {
-	s.exchange.memory.release(policy.Answers, chunkSize)
-	chunkPool.Put(c.buffer)
-}
-
 // continueReading allows the next read of an answer that has begun. Its total length is not limited, as only a few chunks
 // of it are in memory.
 func (s *stream) continueReading() {
@@ -211,7 +203,7 @@
 				return nil
 			}
 			err := write(c.buffer[:c.n])
-			s.putChunk(c)
+			s.chunkBudget.put(c)
 			if err != nil {
 				return err
 			}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -39,6 +39,8 @@
 	lateDialDivisor  = 8 // another dial starts when the previous one has taken dialTimeout/lateDialDivisor
 )
 
+var errAnswerTooLong = errors.New("answer body exceeds the size limit")
+
 // outboundRequest is a client's request in the form that is forwarded to an upstream. Each attempt sets its own X-Timeout.
 type outboundRequest struct {
 	id       string // X-Request-ID, for the log
@@ -314,11 +316,13 @@
 	if res, err = c.readHead(req); err != nil {
 		return res, nil, err
 	}
-	if onBegin != nil && res.StatusCode == http.StatusOK && (res.ContentLength < 0 || res.ContentLength > maxBufferedBody) {
+	switch {
+	case onBegin != nil && res.StatusCode != http.StatusOK: // only its head counts
+		err = c.discardBody(res)
+	case onBegin != nil && !x.reserveAnswer(res.ContentLength):
 		body, err = newStream(res, c, x, u.clock).run(onBegin)
-	} else {
+	default:
 		body, err = c.readBody(res)
-		x.memory.charge(policy.Answers, cap(body))
 	}
 	if err == nil && c.answerLimit.N <= 0 {
 		err = errors.New("answer exceeds the size limit") // an answer without a length would otherwise pass for complete at the limit
@@ -418,13 +422,27 @@
 
 // readBody reads the body of an answer that is buffered.
 func (c *conn) readBody(res *http.Response) ([]byte, error) {
+	if res.ContentLength >= 0 && res.ContentLength <= maxBufferedBody {
+		body := make([]byte, res.ContentLength)
+		_, err := io.ReadFull(res.Body, body)
+		return body, err
+	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxBufferedBody+1))
 	if err == nil && len(body) > maxBufferedBody {
-		err = errors.New("answer body exceeds the size limit")
+		err = errAnswerTooLong
 	}
 	return body, err
 }
 
+// discardBody reads the body of an answer that is not used.
+func (c *conn) discardBody(res *http.Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxBufferedBody+1))
+	if err == nil && n > maxBufferedBody {
+		err = errAnswerTooLong
+	}
+	return err
+}
+
 // counters returns the transport's counters for the log, by name.
 func (u *transport) counters() map[string]int {
 	u.mu.Lock()
