--- a/policy/memorybudget.go
+++ b/policy/memorybudget.go
@@ -21,35 +21,37 @@
 // String returns the use's name in the log and in metrics.
 func (u MemoryUse) String() string { return memoryUseNames[u] }
 
-// What one item of a use takes, in bytes: its buffers, the state of its socket and the stacks of its goroutines.
+// What one item of a use takes, in bytes: its buffers, the state of its socket and the stacks of its
+// goroutines.
 const (
 	ClientConnectionCost = 16 << 10
 	ServerConnectionCost = 6 << 10
-	OpenRequestCost      = 22 << 10 // with its attempt, and the least that is buffered of its body and its answer
+	OpenRequestCost      = 22 << 10 // with its attempt, and the least buffers of its body and its answer
 )
 
 const (
-	fileGrowth        = 3 << 20 // bytes by which the pages of files may grow, and the runtime overshoot its limit
-	runtimeOverhead   = 5 << 19 // bytes of the runtime's own structures, and of what does not depend on clients
+	fileGrowth        = 3 << 20 // bytes by which file pages may grow and the runtime may overshoot
+	runtimeOverhead   = 5 << 19 // bytes that do not depend on clients, such as the runtime's own structures
 	leastRuntimeLimit = 5 << 20 // bytes
 	leastBudget       = 1 << 20 // bytes
 )
 
-// fillLimits are the shares of the budget up to which all uses together may fill it, for a reservation of each use. What
-// only adds speed is denied first, and new requests last.
+// fillLimits are the shares of the budget up to which all uses together may fill it, for a reservation
+// of each use. What only adds speed is denied first, and new requests last.
 var fillLimits = [MemoryUses]float64{
-	ClientConnections: 0.9, ServerConnections: 0.8, OpenRequests: 1, RequestBodies: 0.75, Uploads: 0.85, Answers: 0.7,
+	ClientConnections: 0.9, ServerConnections: 0.8, OpenRequests: 1,
+	RequestBodies: 0.75, Uploads: 0.85, Answers: 0.7,
 }
 
 // ProcessMemory describes the memory of the processes of a sidecar, in bytes.
 type ProcessMemory struct {
 	Limit     int64 // above which the platform kills the sidecar; 0: unknown
-	Files     int64 // resident pages of files, such as the program's text, which the processes share
+	Files     int64 // resident pages of files, such as the program's text; shared by the processes
 	Processes int
 }
 
-// RuntimeLimit returns the memory limit of the language's runtime in one process: half of the whole, or what files leave.
-// It is 0 if the limit is unknown.
+// RuntimeLimit returns the memory limit of the language's runtime in one process: half of the whole, or
+// what files leave. It is 0 if the limit is unknown.
 func (p ProcessMemory) RuntimeLimit() int64 {
 	if p.Limit == 0 {
 		return 0
@@ -58,8 +60,8 @@
 	return max(limit, leastRuntimeLimit)
 }
 
-// Budget returns how much of the runtime's memory may be held for clients and servers; the rest is for garbage. It is 0 if
-// the limit is unknown.
+// Budget returns how much of the runtime's memory may be held for clients and servers; the rest is for
+// garbage. It is 0 if the limit is unknown.
 func (p ProcessMemory) Budget() int64 {
 	if p.Limit == 0 {
 		return 0
@@ -70,8 +72,8 @@
 // MemoryAmounts holds bytes or counts by use.
 type MemoryAmounts [MemoryUses]int64
 
-// MemoryBudget divides the memory that may be held for clients and servers among its uses. The zero value has no limit. It
-// is not safe for concurrent use.
+// MemoryBudget divides the memory that may be held for clients and servers among its uses. The zero
+// value has no limit. It is not safe for concurrent use.
 type MemoryBudget struct {
 	limit  int64         // bytes; 0: none
 	held   MemoryAmounts // bytes
@@ -90,7 +92,8 @@
 	return b.limit == 0 || float64(b.total+bytes) <= fillLimits[use]*float64(b.limit)
 }
 
-// Reserve holds a number of bytes for a use and reports whether that is permitted. Nothing is held if it is not.
+// Reserve holds a number of bytes for a use and reports whether that is permitted. Nothing is held if
+// it is not.
 func (b *MemoryBudget) Reserve(use MemoryUse, bytes int64) bool {
 	if !b.Permits(use, bytes) {
 		b.denied[use]++
