Bound what connections and requests take by memory_mb

Cause: connections and open requests are bounded by descriptors alone.

Mend: both are reserved in the budget. A connection without memory closes a silent or idle one, or is not accepted; a request closes silent or idle ones, or is refused with 503, with nothing of its body read. Connections may have three fifths of the budget, so that a crowd of them can't keep requests out; requests leave a twentieth, in which others can still be refused with an answer. A refused request holds nothing while the rest of its body is dropped. Connections to servers count too; idle ones are closed first.

The share for answers is 0.6 now and that for bodies 0.8, so that answers under way leave room for requests.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -20,6 +20,7 @@
 	upstreams  func() int // returns the number of open upstream connections
 	countClose func(closeReason)
 	readFD     func(fd int, p []byte) (int, error) // the read system call; replaced in tests
+	memory     *memoryAccount
 
 	mu           sync.Mutex
 	clientShare  int           // limit of connections with open requests
@@ -98,7 +99,7 @@
 			}
 		}
 	case http.StateClosed, http.StateHijacked:
-		delete(l.conns, k)
+		l.remove(k)
 	}
 }
 
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -117,7 +117,7 @@
 	m := &outboundRequest{id: r.Header.Get("X-Request-ID"), method: r.Method, url: r.URL, host: r.Host, header: endToEndHeaders(r.Header), length: r.ContentLength, timeLeft: timeout}
 	m.memory = f.memory.openRequest()
 	defer m.memory.close()
-	if err := f.readBody(w, r, m); err != nil {
+	if err := f.takeRequest(w, r, m); err != nil {
 		f.rejectBody(w, err)
 		return
 	}
@@ -149,7 +149,7 @@
 	}
 	barred := !f.rulesAllow() // the rule set may have changed since the request arrived
 	if full && !stopping || barred || m.noMemory || f.cfg.MaxOpenRequests > 0 && open > int64(f.cfg.MaxOpenRequests) {
-		m.releaseBody() // the client may take long to send the rest
+		m.releaseMemory() // the client may take long to send the rest
 		f.reply(w, r, q.Class, answer{status: http.StatusServiceUnavailable, retryAfter: f.retryAfter()}, m.upload)
 		return
 	}
@@ -213,13 +213,26 @@
 	panic(http.ErrAbortHandler)
 }
 
-// readBody reads a request's body into m: all of it, or the part that is buffered, with m.upload for the remainder. If there
-// is no memory for it, m.noMemory is set and m.upload has what has not been read.
-func (f *front) readBody(w http.ResponseWriter, r *http.Request, m *outboundRequest) error {
+// takeRequest reserves the memory of a request and reads its body into m. If there is no memory for the request, m.noMemory is
+// set and m.upload has what has not been read.
+func (f *front) takeRequest(w http.ResponseWriter, r *http.Request, m *outboundRequest) error {
 	if r.ContentLength > maxRequestBody {
 		return errBodyTooLarge
 	}
 	body := &pacedBody{body: r.Body, setReadDeadline: http.NewResponseController(w).SetReadDeadline, clientTime: f.clients.firstHeadTime(r.Context())}
+	if f.clients.reserveRequest(m.memory) {
+		return f.readBody(r, body, m)
+	}
+	m.noMemory = true
+	if r.ContentLength != 0 {
+		m.upload = newUpload(body)
+	}
+	return nil
+}
+
+// readBody reads a request's body into m: all of it, or the part that is buffered, with m.upload for the remainder. If there
+// is no memory for it, m.noMemory is set and m.upload has what has not been read.
+func (f *front) readBody(r *http.Request, body *pacedBody, m *outboundRequest) error {
 	isLong := r.ContentLength > maxBufferedBody
 	if isLong { // before any of it is buffered, as it can't be served without
 		m.noMemory = !m.memory.reserve(policy.Uploads, uploadBuffers)
--- a/internal/sidecar/memory.go
+++ b/internal/sidecar/memory.go
@@ -31,6 +31,36 @@
 	a.budget.SetLimit(process.Budget())
 }
 
+// reserve records that a number of bytes are held, and reports whether that is permitted. Nothing is held if it is not.
+func (a *memoryAccount) reserve(use policy.MemoryUse, bytes int) bool {
+	if a == nil {
+		return true
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.budget.Reserve(use, int64(bytes))
+}
+
+// permits reports whether a number of bytes may be held.
+func (a *memoryAccount) permits(use policy.MemoryUse, bytes int) bool {
+	if a == nil {
+		return true
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.budget.Permits(use, int64(bytes))
+}
+
+// charge records that a number of bytes are held for a use that can't be denied. A negative number releases them.
+func (a *memoryAccount) charge(use policy.MemoryUse, bytes int) {
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.budget.Charge(use, int64(bytes))
+}
+
 // amounts returns the bytes held for each use, and how many reservations have been denied.
 func (a *memoryAccount) amounts() (held, denied policy.MemoryAmounts) {
 	a.mu.Lock()
@@ -104,7 +134,7 @@
 	m.account.budget.Release(use, int64(bytes))
 }
 
-// close releases all that is held for the request.
+// close releases all that is held for the request. Further calls change nothing.
 func (m *requestMemory) close() {
 	if m == nil {
 		return
@@ -115,6 +145,7 @@
 	for use, bytes := range m.held {
 		m.account.budget.Release(policy.MemoryUse(use), bytes)
 	}
+	m.held = policy.MemoryAmounts{}
 }
 
 // runtimeMemory are the metrics of the Go runtime that are logged, by their name in the log. All are in bytes.
--- a/internal/sidecar/memory_test.go
+++ b/internal/sidecar/memory_test.go
@@ -57,6 +57,20 @@
 	return a
 }
 
+// memoryFor returns a budget in bytes for a number of requests, and for an amount of buffers beside them.
+func memoryFor(requests, buffers int) int64 {
+	return int64(float64(requests*policy.OpenRequestCost+buffers)*1.1) + 1
+}
+
+// total returns the bytes that are held for all uses.
+func (a *memoryAccount) total() (total int64) {
+	held, _ := a.amounts()
+	for _, bytes := range held {
+		total += bytes
+	}
+	return total
+}
+
 // held returns the bytes that are held for a use.
 func (a *memoryAccount) held(use policy.MemoryUse) int64 {
 	held, _ := a.amounts()
@@ -66,7 +80,8 @@
 // Long answers that nobody reads hold no more than their part of the budget. It guards against slow readers whose chunks,
 // each within the bound of its own stream, take the process over its memory limit together.
 func TestUnreadAnswersStayWithinBudget(t *testing.T) {
-	const clients, budget = 7, 4 * chunkSize
+	const clients = 7
+	budget := memoryFor(clients, 4*chunkSize)
 	s := newStub(t, longAnswer(unreadLength))
 	f, sidecar, serve := newTestFront(t, s.address, nil)
 	f.memory = limitedMemory(budget)
@@ -76,8 +91,8 @@
 	}
 	f.waitOnLoop(t, "the answers to begin", func() bool { return f.streams.active.Load() == clients })
 	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		if held := f.memory.held(policy.Answers); held > budget {
-			t.Fatalf("%d bytes of answers are held, the budget is %d", held, budget)
+		if held := f.memory.total(); held > budget {
+			t.Fatalf("%d bytes are held, the budget is %d", held, budget)
 		}
 	}
 }
@@ -95,7 +110,7 @@
 					}
 				}
 				f, sidecar, serve := newTestFront(t, newStub(t, answer).address, nil)
-				f.memory = limitedMemory(1)
+				f.memory = limitedMemory(memoryFor(1, 0))
 				serve()
 				res, got := sendRequest(t, sidecar.newRequest(t, "POST", "/entry", "1"))
 				if res.StatusCode != http.StatusOK || got != string(patternedBody(bytes)) {
@@ -109,7 +124,8 @@
 // Bodies that are not whole hold no more than their part of the budget, and a head alone holds nothing of it. It guards
 // against half-written bodies that take the process over its memory limit, as in review/7.
 func TestHalfWrittenBodiesStayWithinBudget(t *testing.T) {
-	const clients, budget = 7, 2 * maxBufferedBody
+	const clients = 7
+	budget := memoryFor(clients+1, 2*maxBufferedBody)
 	for name, sent := range map[string]int{"heads": 0, "bodies": maxBufferedBody - 1} {
 		t.Run(name, func(t *testing.T) {
 			f, sidecar, serve := newTestFront(t, newStub(t, echo).address, nil)
@@ -121,15 +137,15 @@
 					t.Fatal(err)
 				}
 			}
-			most := int64(0)
+			mostBodies, most := int64(0), int64(0)
 			for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
-				most = max(most, f.memory.held(policy.RequestBodies))
+				mostBodies, most = max(mostBodies, f.memory.held(policy.RequestBodies)), max(most, f.memory.total())
 			}
-			if most > budget || (most > 0) != (sent > 0) {
-				t.Errorf("%d bytes of bodies were held, %d of each had been sent, the budget is %d", most, sent, budget)
+			if most > budget || (mostBodies > 0) != (sent > 0) {
+				t.Errorf("%d bytes were held, %d of them bodies, %d of each had been sent, the budget is %d", most, mostBodies, sent, budget)
 			}
 			if res, got := sendRequest(t, sidecar.newRequest(t, "POST", "/entry", "small")); res.StatusCode != http.StatusOK {
-				t.Errorf("a small request beside them: %s, %q", res.Status, got)
+				t.Errorf("a small request beside them: %s, %q, budget %+v", res.Status, got, f.memory.budget)
 			}
 		})
 	}
@@ -143,13 +159,15 @@
 		bytes  int
 		status int
 	}{
-		{1, 0, http.StatusOK},
-		{1, leastBodyBuffer - 1, http.StatusOK},
-		{1, leastBodyBuffer + 1, http.StatusServiceUnavailable},
-		{1, maxBufferedBody, http.StatusServiceUnavailable},
+		{memoryFor(1, 0), 0, http.StatusOK},
+		{memoryFor(1, 0), leastBodyBuffer - 1, http.StatusOK},
+		{memoryFor(1, 0), leastBodyBuffer + 1, http.StatusServiceUnavailable},
+		{memoryFor(1, 0), maxBufferedBody, http.StatusServiceUnavailable},
+		{memoryFor(1, 0), 3 << 20, http.StatusServiceUnavailable},
+		{1, leastBodyBuffer, http.StatusServiceUnavailable},
 		{1, 3 << 20, http.StatusServiceUnavailable},
-		{4 * uploadBuffers, maxBufferedBody, http.StatusOK},
-		{4 * uploadBuffers, 3 << 20, http.StatusOK},
+		{memoryFor(1, 4*uploadBuffers), maxBufferedBody, http.StatusOK},
+		{memoryFor(1, 4*uploadBuffers), 3 << 20, http.StatusOK},
 	} {
 		for _, chunked := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%d bytes, budget %d, chunked %v", c.bytes, c.budget, chunked), func(t *testing.T) {
@@ -178,3 +196,55 @@
 		}
 	}
 }
+
+// Connections and requests beyond the budget are refused, and served again once there is memory. It guards against
+// clients whose mere number takes the process over its memory limit, where there are descriptors for more.
+func TestConnectionsAndRequestsStayWithinBudget(t *testing.T) {
+	const budget = 10 * policy.OpenRequestCost
+	s := newStub(t, neverAnswer)
+	f, sidecar, serve := newTestFront(t, s.address, nil)
+	f.memory = limitedMemory(budget)
+	f.clients.memory, f.loop.upstream.memory = f.memory, f.memory
+	f.clients.setLimits(100, 200)
+	serve()
+	var all []net.Conn
+	for range 50 {
+		c := sidecar.dial(t)
+		if _, err := io.WriteString(c, requestHead("1", "Content-Length: 0")); err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, c)
+	}
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		held, _ := f.memory.amounts()
+		if total := held[policy.ClientConnections] + held[policy.OpenRequests] + held[policy.ServerConnections]; total > budget {
+			t.Fatalf("%v are held, the budget is %d", held, budget)
+		}
+	}
+	if taken := f.openRequests.Load(); taken == 0 || taken > 5 {
+		t.Errorf("%d requests are open, the budget has room for up to 5 with their connections", taken)
+	}
+	for _, c := range all {
+		c.Close()
+	}
+	f.waitOnLoop(t, "the memory to be released", func() bool {
+		return f.memory.held(policy.ClientConnections) == 0 && f.memory.held(policy.OpenRequests) == 0
+	})
+}
+
+// A silent connection makes room for a request that has no memory otherwise.
+func TestIdleConnectionsGiveMemoryToRequests(t *testing.T) {
+	const budget = 2*policy.ClientConnectionCost + policy.OpenRequestCost + 1<<10 // a request may not fill all of it
+	s := newStub(t, echo)
+	f, sidecar, serve := newTestFront(t, s.address, nil)
+	f.memory = limitedMemory(budget)
+	f.clients.memory = f.memory
+	f.clients.setLimits(100, 200)
+	serve()
+	sidecar.dial(t)
+	f.waitOnLoop(t, "the connection", func() bool { return f.memory.held(policy.ClientConnections) > 0 })
+	time.Sleep(silentGrace) // a new connection is not closed: its request may be on its way
+	if res, got := sendRequest(t, sidecar.newRequest(t, "POST", "/entry", "1")); res.StatusCode != http.StatusOK {
+		t.Errorf("%s, %q", res.Status, got)
+	}
+}
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"arrowgw/policy"
 )
 
 // getConn returns an idle connection that is still usable, or opens one.
@@ -39,14 +41,20 @@
 // reserveConn counts a connection that is about to be opened, if there is room without closing anything. The
 // caller holds the lock.
 func (u *transport) reserveConn() bool {
-	if u.open >= u.maxOpen || !u.hasRoom(u.open) {
+	if u.open >= u.maxOpen || !u.hasRoom(u.open) || !u.memory.permits(policy.ServerConnections, policy.ServerConnectionCost) {
 		return false
 	}
-	u.open++
+	u.addOpen(1)
 	u.dialled++
 	return true
 }
 
+// addOpen adds a number to the count of connections. The caller holds the lock.
+func (u *transport) addOpen(n int) {
+	u.open += n
+	u.memory.charge(policy.ServerConnections, n*policy.ServerConnectionCost)
+}
+
 // reserveExtraDial is reserveConn for a dial that runs in parallel to a late one.
 func (u *transport) reserveExtraDial() bool {
 	u.mu.Lock()
@@ -131,7 +139,10 @@
 	if (u.open >= u.maxOpen || !u.makeRoom(u.open)) && !u.closeOldestIdle() {
 		return nil, errors.New("connection limit reached, and no idle connection to close")
 	}
-	u.open++
+	if !u.memory.permits(policy.ServerConnections, policy.ServerConnectionCost) {
+		u.closeOldestIdle()
+	}
+	u.addOpen(1)
 	u.dialled++
 	return nil, nil
 }
@@ -186,7 +197,7 @@
 	for _, c := range list[:n] {
 		c.Conn.Close()
 	}
-	u.open -= n
+	u.addOpen(-n)
 	if rest := list[n:]; len(rest) > 0 {
 		u.idle[address] = rest
 	} else {
@@ -241,7 +252,7 @@
 func (u *transport) discard(c *conn) {
 	c.Conn.Close()
 	u.mu.Lock()
-	u.open--
+	u.addOpen(-1)
 	u.mu.Unlock()
 }
 
--- a/internal/sidecar/room.go
+++ b/internal/sidecar/room.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"arrowgw/policy"
 )
 
 // silentGrace is how long a connection that was accepted or became idle is treated as if part of a request had arrived,
@@ -53,7 +55,7 @@
 	upstreams := l.upstreams()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.conns) >= l.softLimit(upstreams) && !l.shedOne(closedShedPartial) && len(l.conns) >= l.clientShare+l.clientShare/6 {
+	if len(l.conns) >= l.softLimit(upstreams) && !l.shedOne(closedShedPartial) && len(l.conns) >= l.clientShare+l.clientShare/6 || !l.reserveConn() {
 		l.rejected++
 		l.countClose(closedNoRoom)
 		return false
@@ -64,6 +66,45 @@
 	return true
 }
 
+// reserveConn reserves the memory of a connection, and closes one that is silent or idle if there is none left. It returns
+// false if that is not enough. The caller holds the lock.
+func (l *clients) reserveConn() bool {
+	const cost = policy.ClientConnectionCost
+	return l.memory.reserve(policy.ClientConnections, cost) ||
+		l.shedOne(closedShedIdle) && l.memory.reserve(policy.ClientConnections, cost)
+}
+
+// reserveRequest reserves the memory of a request, and closes connections that are silent or idle if there is none left. It
+// returns false if that is not enough.
+func (l *clients) reserveRequest(m *requestMemory) bool {
+	const cost = policy.OpenRequestCost
+	for range 1 + cost/policy.ClientConnectionCost {
+		if m.reserve(policy.OpenRequests, cost) {
+			return true
+		}
+		if !l.shedIdle() {
+			return false
+		}
+	}
+	return m.reserve(policy.OpenRequests, cost)
+}
+
+// shedIdle closes a connection that is silent or idle, and reports whether there was one.
+func (l *clients) shedIdle() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.shedOne(closedShedIdle)
+}
+
+// remove takes a connection that is closed or being closed off the list, unless that has been done. The caller holds the lock.
+func (l *clients) remove(c *clientConn) {
+	if _, listed := l.conns[c]; !listed {
+		return
+	}
+	delete(l.conns, c)
+	l.memory.charge(policy.ClientConnections, -policy.ClientConnectionCost)
+}
+
 // shedOne closes the connection that is needed least: one that has sent nothing since it connected, else one that is
 // idle between requests, else one whose request has arrived in part; of each kind the one that has been silent for
 // longest. Kinds after last are not closed. This order costs the application least: it sends at once when it has
@@ -91,7 +132,7 @@
 		if !c.closeUnlessServing(kind == closedShedPartial) { // its request has just arrived
 			return l.shedOne(last)
 		}
-		delete(l.conns, c)
+		l.remove(c)
 		l.shedCounts[kind-closedShedSilent]++
 		l.countClose(kind)
 		return true
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -67,7 +67,7 @@
 	p.clients = newClients(cfg, nil, p.upstreams.connectionCount)
 	p.upstreams.makeRoom, p.upstreams.hasRoom = p.clients.makeRoomForUpstream, p.clients.hasRoomForUpstream
 	p.front = newFront(cfg, c, l, p.clients)
-	p.front.memory, l.memory = p.memory, p.memory
+	p.front.memory, l.memory, p.clients.memory, p.upstreams.memory = p.memory, p.memory, p.memory, p.memory
 	l.clientCounters, p.clients.countClose = p.front.counters, l.trace.countClose
 	l.adaptMemory = func() { p.memory.setLimits(cfg.MemoryMB, int(p.processes.Load())) }
 	l.limitTimeLeft = func(now, left time.Duration) time.Duration { return p.front.stopLimits.Load().bound(now, left) }
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -109,6 +109,8 @@
 	lateDialTimer   func(time.Duration) <-chan time.Time // time.After, for the start of another dial; replaced in tests
 	dial            func(ctx context.Context, network, address string) (net.Conn, error)
 
+	memory *memoryAccount
+
 	mu         sync.Mutex
 	maxOpen    int                // limit of open
 	idle       map[string][]*conn // by address, in the order of idleSince
@@ -218,13 +220,19 @@
 	return req
 }
 
-// releaseBody lets go of the buffered body, as no attempt can begin any more. It is called by the loop, or by the handler of
-// a request that is refused before the loop has it.
+// releaseBody lets go of the buffered body, as no attempt can begin any more. It is called by the loop, or as a request
+// is refused before the loop has it.
 func (r *outboundRequest) releaseBody() {
 	r.memory.release(policy.RequestBodies, reservedForBody(cap(r.body)))
 	r.body = nil
 }
 
+// releaseMemory lets go of what is held for a request that is refused before the loop has it.
+func (r *outboundRequest) releaseMemory() {
+	r.releaseBody()
+	r.memory.close()
+}
+
 // probe requests the load report of a server and calls report once with the result.
 func (u *transport) probe(address string, now time.Duration, report func(ok bool, load balance.Load)) {
 	go func() {
--- a/policy/memorybudget.go
+++ b/policy/memorybudget.go
@@ -37,12 +37,16 @@
 )
 
 // fillLimits are the shares of the budget up to which all uses together may fill it, for a reservation
-// of each use. What only adds speed is denied first, and new requests last.
+// of each use. What only adds speed is denied first. Connections come last, so that a request without
+// memory can still be refused with an answer.
 var fillLimits = [MemoryUses]float64{
-	ClientConnections: 0.9, ServerConnections: 0.8, OpenRequests: 1,
-	RequestBodies: 0.75, Uploads: 0.85, Answers: 0.7,
+	ClientConnections: 1, ServerConnections: 0.8, OpenRequests: 0.95,
+	RequestBodies: 0.8, Uploads: 0.9, Answers: 0.6,
 }
 
+// connectionShare is the share of the budget that client connections alone may hold.
+const connectionShare = 0.6
+
 // ProcessMemory describes the memory of the processes of a sidecar, in bytes.
 type ProcessMemory struct {
 	Limit     int64 // above which the platform kills the sidecar; 0: unknown
@@ -89,7 +93,11 @@
 
 // Permits reports whether a number of bytes may be held for a use.
 func (b *MemoryBudget) Permits(use MemoryUse, bytes int64) bool {
-	return b.limit == 0 || float64(b.total+bytes) <= fillLimits[use]*float64(b.limit)
+	limit := float64(b.limit)
+	if use == ClientConnections && limit > 0 && float64(b.held[use]+bytes) > connectionShare*limit {
+		return false
+	}
+	return limit == 0 || float64(b.total+bytes) <= fillLimits[use]*limit
 }
 
 // Reserve holds a number of bytes for a use and reports whether that is permitted. Nothing is held if
--- a/policy/memorybudget_test.go
+++ b/policy/memorybudget_test.go
@@ -30,6 +30,7 @@
 				if total > limit {
 					t.Fatalf("%d of %d are held", total, limit)
 				}
+			case use == ClientConnections && float64(held[use]+bytes) > connectionShare*float64(limit):
 			case float64(total+bytes) <= fillLimits[use]*float64(limit):
 				t.Fatalf("%d for %v are denied with %d of %d held", bytes, use, total, limit)
 			}
