--- a/cmd/caperarch/main_test.go
+++ b/cmd/caperarch/main_test.go
@@ -32,7 +32,7 @@
 }
 
 // caperarchCommand returns a command that runs caperarch with a configuration.
-func caperarchCommand(t *testing.T, config string, args ...string) *exec.Cmd {
+func caperarchCommand(t testing.TB, config string, args ...string) *exec.Cmd {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
--- a/cmd/caperarch/memory_test.go
+++ b/cmd/caperarch/memory_test.go
@@ -26,6 +26,7 @@
 
 var (
 	memorySoakSeed = flag.Uint64("memory.seed", 1, "seed of TestMemorySoak")
+	memoryProgram  = flag.String("memory.program", "", "path of the program that the tests of memory play; empty: it is built")
 	memorySoakTime = flag.Duration("memory.time", 20*time.Second, "length of TestMemorySoak")
 )
 
@@ -39,6 +40,7 @@
 	longestBuffered = 64 << 10 // bytes of the longest body that is not a long one
 	memoryPlayTime  = 8 * time.Second
 	memoryPoll      = 10 * time.Millisecond
+	retryPause      = 20 * time.Millisecond
 	answerBytesName = "X-Answer-Bytes" // header by which a client asks for an answer's length
 	framingName     = "X-Answer-Framing"
 )
@@ -52,14 +54,15 @@
 
 // memoryPlay is a sidecar process of little memory, its servers, and clients that send and read in their own ways.
 type memoryPlay struct {
-	t        *testing.T
+	t        testing.TB
 	memoryMB int
 	sockets  int
 	address  string
 	process  *os.Process
 	stop     context.Context // ends with the play
 
-	peak atomic.Int64 // most resident memory so far, in bytes
+	peak  atomic.Int64 // most resident memory so far, in bytes
+	tries atomic.Int64 // requests of a benchmark
 
 	mu      sync.Mutex
 	results map[string]int // how many requests ended in each way
@@ -67,7 +70,7 @@
 
 // startMemoryPlay builds the program as the deploy file does and starts it with four servers. It watches the memory of the
 // process until the end of the test, and fails the test if that is more than memoryMB.
-func startMemoryPlay(t *testing.T, memoryMB, sockets int, length time.Duration) *memoryPlay {
+func startMemoryPlay(t testing.TB, memoryMB, sockets int, length time.Duration) *memoryPlay {
 	t.Helper()
 	program := buildProgram(t)
 	stop, cancel := context.WithTimeout(context.Background(), length)
@@ -107,8 +110,11 @@
 }
 
 // buildProgram builds the program as it is deployed, once for all tests, and returns its path.
-func buildProgram(t *testing.T) string {
+func buildProgram(t testing.TB) string {
 	t.Helper()
+	if *memoryProgram != "" {
+		return *memoryProgram
+	}
 	programOnce.Lock()
 	defer programOnce.Unlock()
 	if programOnce.folder != "" {
@@ -178,7 +184,7 @@
 
 // startBulkServer starts a server that reads requests and answers each with as many bytes as its head asks for. It returns
 // the server's address.
-func startBulkServer(t *testing.T) string {
+func startBulkServer(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -376,3 +382,45 @@
 	}
 	return q
 }
+
+// BenchmarkFastClients measures how fast long answers and long bodies pass while all clients read and send as fast as they
+// can. With -memory.program it measures another program.
+func BenchmarkFastClients(b *testing.B) {
+	for name, q := range map[string]bulkRequest{
+		"answers": {answerBytes: longBody},
+		"chunked": {answerBytes: longBody, chunkedAnswer: true},
+		"bodies":  {bodyBytes: longBody, sentBytes: longBody},
+		"short":   {bodyBytes: longestBuffered, sentBytes: longestBuffered, answerBytes: longestBuffered},
+	} {
+		for _, memoryMB := range []int{leastMemoryMB, 2 * leastMemoryMB} {
+			for _, clients := range []int{16, leastSockets / 3} {
+				b.Run(fmt.Sprintf("%s/%dMB/%d", name, memoryMB, clients), func(b *testing.B) {
+					p := startMemoryPlay(b, memoryMB, leastSockets, time.Hour)
+					b.SetBytes(int64(q.answerBytes + q.sentBytes))
+					b.ResetTimer()
+					p.playAll(clients, b.N, q)
+					b.StopTimer()
+					b.ReportMetric(float64(p.peak.Load())/(1<<20), "peak-MiB")
+					b.ReportMetric(float64(p.tries.Load())/float64(b.N), "tries/op")
+				})
+			}
+		}
+	}
+}
+
+// playAll has clients play a request until it has been answered whole a number of times in all.
+func (p *memoryPlay) playAll(clients, times int, q bulkRequest) {
+	var left atomic.Int64
+	left.Store(int64(times))
+	var group sync.WaitGroup
+	for range clients {
+		group.Go(func() {
+			for left.Add(-1) >= 0 {
+				for p.tries.Add(1); p.play(q) != "whole"; p.tries.Add(1) {
+					time.Sleep(retryPause)
+				}
+			}
+		})
+	}
+	group.Wait()
+}
