Bound what the heads of requests take by memory_mb

Callers would see: connections with 30 KB of a head each, whole or not, took a sidecar of 32 MB and 1,024 descriptors over its limit.

Cause: net/http keeps up to 36 KB of a head, and the line that it reads beside it, for each connection; a connection was counted as if its head were short.

Mend: what a connection reads of a head beyond 4 KiB is reserved in the budget, twice over, as long as its request is open. Without memory the request is refused as one that is closed to make room: with 503, as far as such refusals may be under way.

--- a/cmd/caperarch/memory_test.go
+++ b/cmd/caperarch/memory_test.go
@@ -38,6 +38,7 @@
 	stopped         = -1       // in place of a rate: nothing is read
 	longBody        = 32 << 20 // bytes
 	longestBuffered = 64 << 10 // bytes of the longest body that is not a long one
+	longHead        = 30_000   // bytes
 	memoryPlayTime  = 8 * time.Second
 	memoryPoll      = 10 * time.Millisecond
 	retryPause      = 20 * time.Millisecond
@@ -246,6 +247,8 @@
 	bodyBytes, answerBytes int
 	chunkedAnswer          bool
 	sentBytes              int // of the body; the client sends no more than these
+	paddingBytes           int // of a header without a meaning
+	halfHead               bool
 	sendRate, readRate     int // bytes a second, or stopped; 0: at once
 }
 
@@ -255,8 +258,12 @@
 	if q.chunkedAnswer {
 		framing = "chunked"
 	}
-	return fmt.Sprintf("POST /entry HTTP/1.1\r\nHost: service\r\nX-Request-ID: r\r\nX-Priority-Class: entry\r\nX-Tenant-Id: north\r\nX-Timeout: 780m\r\n"+
-		"%s: %d\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", answerBytesName, q.answerBytes, framingName, framing, q.bodyBytes)
+	head := fmt.Sprintf("POST /entry HTTP/1.1\r\nHost: service\r\nX-Request-ID: r\r\nX-Priority-Class: entry\r\nX-Tenant-Id: north\r\nX-Timeout: 780m\r\n"+
+		"%s: %d\r\n%s: %s\r\nContent-Length: %d\r\nX-Padding: %s", answerBytesName, q.answerBytes, framingName, framing, q.bodyBytes, strings.Repeat("p", q.paddingBytes))
+	if q.halfHead {
+		return head
+	}
+	return head + "\r\n\r\n"
 }
 
 // play sends a request on a new connection and reads its answer, until both are done or the play ends. It returns how the
@@ -341,6 +348,8 @@
 	"stopped-short-bodies": {bodyBytes: longestBuffered, sentBytes: longestBuffered, answerBytes: longBody, readRate: stopped},
 	"slow-bodies":          {bodyBytes: longBody, sentBytes: longBody, answerBytes: longBody, sendRate: slowRate, readRate: slowRate},
 	"half-written-bodies":  {bodyBytes: longestBuffered, sentBytes: 64_000},
+	"half-written-heads":   {paddingBytes: longHead, halfHead: true},
+	"long-heads":           {paddingBytes: longHead, answerBytes: longBody, readRate: stopped},
 }
 
 // Whatever clients send and read, the process stays within its memory limit, with the fewest descriptors and with the most.
--- a/internal/sidecar/clientconn.go
+++ b/internal/sidecar/clientconn.go
@@ -12,13 +12,19 @@
 	"time"
 
 	"arrowgw/internal/listener"
+	"arrowgw/policy"
 )
 
 const (
+	leastHeadBuffer = 4 << 10 // bytes of a head that need no reservation; part of policy.ClientConnectionCost
+	headCopies      = 2       // net/http holds the current line of a head beside the ones before
+
 	lingerTimeout  = 250 * time.Millisecond // how long data that follows a final answer is read before the close
 	maxLingerBytes = 256 << 10              // bytes of such data that are read
 )
 
+var errNoMemoryForHead = errors.New("no memory for a long head")
+
 // clientConn is a connection of the application or of another client.
 //
 // It checks the framing of request heads before net/http sees them. If a head has both Content-Length and
@@ -43,6 +49,9 @@
 	readErr          error         // why a read failed for good amid a request; further reads fail with it
 	serverClosed     bool          // net/http has closed the connection
 	closeWithRefusal bool          // part of a request may have arrived; the refusal is reserved
+	headBytes        int           // bytes that have been read of the current head, while it has not ended
+	headReserved     int           // bytes that are reserved for the heads of this connection
+	unlisted         bool          // it has left the list of connections and reserves nothing any more
 	queuedSince      time.Duration // earliest arrival of data that waited while accept failed; 0: all of it has been read, or it did not wait
 	refuseOnce       sync.Once
 
@@ -172,9 +181,42 @@
 		}
 		return valid, nil
 	}
+	if !c.reserveHead(n) {
+		c.readsEnded = true
+		c.closeWithRefusal = c.closeWithRefusal || c.clients.reserveRefusal()
+		c.clients.countClose(closedNoRoom)
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: errNoMemoryForHead} // on a net.OpError the HTTP server does not answer
+	}
 	return n, nil
 }
 
+// reserveHead reserves memory for a number of bytes that have been read, if the head that they belong to is long and has not
+// ended. It returns false if there is none. The caller holds the lock.
+func (c *clientConn) reserveHead(n int) bool {
+	if !c.framing.inHead {
+		c.headBytes = 0
+		return true
+	}
+	c.headBytes += n
+	if c.headBytes <= leastHeadBuffer || c.unlisted {
+		return true
+	}
+	if !c.clients.memory.reserve(policy.RequestHeads, n*headCopies) {
+		return false
+	}
+	c.headReserved += n * headCopies
+	return true
+}
+
+// releaseHeads releases what is reserved for the heads of the requests so far. unlisted is true once the connection has left
+// the list of connections.
+func (c *clientConn) releaseHeads(unlisted bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.clients.memory.charge(policy.RequestHeads, -c.headReserved)
+	c.headReserved, c.unlisted = 0, c.unlisted || unlisted
+}
+
 // Write writes all of p. It retries transient failures of the system, so that answers are not cut short.
 func (c *clientConn) Write(p []byte) (int, error) { return writeRetrying(c.Conn, p) }
 
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -90,6 +90,7 @@
 	switch s {
 	case http.StateIdle:
 		k.since = time.Now()
+		k.releaseHeads(false)
 		k.mu.Lock()
 		k.requestBegun = !k.framing.atBoundary()
 		k.mu.Unlock()
--- a/internal/sidecar/memory_test.go
+++ b/internal/sidecar/memory_test.go
@@ -248,3 +248,33 @@
 		t.Errorf("%s, %q", res.Status, got)
 	}
 }
+
+// A long head is served if there is memory for it, and refused otherwise; afterwards nothing is held for it. It guards
+// against heads that take the process over its memory limit, as connections are counted by their number alone.
+func TestLongHeadsStayWithinBudget(t *testing.T) {
+	const headBytes = 30_000
+	const little = 2 * (policy.ClientConnectionCost + policy.OpenRequestCost)
+	for budget, status := range map[int64]int{little: http.StatusServiceUnavailable, little + 2*headCopies*headBytes: http.StatusOK} {
+		t.Run(fmt.Sprint(budget), func(t *testing.T) {
+			f, sidecar, serve := newTestFront(t, newStub(t, echo).address, nil)
+			f.memory = limitedMemory(budget)
+			f.clients.memory = f.memory
+			serve()
+			c := sidecar.dial(t)
+			if _, err := io.WriteString(c, requestHead("1", "Content-Length: 0\r\nX-Padding: "+strings.Repeat("p", headBytes))); err != nil {
+				t.Fatal(err)
+			}
+			if got, _, err := readAnswer(c); err != nil || got != status {
+				t.Errorf("a long head: %d, error %v, want %d", got, err, status)
+			}
+			f.waitOnLoop(t, "the memory of the head to be released", func() bool { return f.memory.held(policy.RequestHeads) == 0 })
+			if res, _ := sendRequest(t, sidecar.newRequest(t, "POST", "/entry", "1")); res.StatusCode != http.StatusOK {
+				t.Errorf("a short head: %s", res.Status)
+			}
+			c.Close()
+			f.waitOnLoop(t, "the memory to be released", func() bool {
+				return f.memory.held(policy.RequestHeads) == 0 && f.memory.held(policy.ClientConnections) == 0
+			})
+		})
+	}
+}
--- a/internal/sidecar/room.go
+++ b/internal/sidecar/room.go
@@ -102,6 +102,7 @@
 		return
 	}
 	delete(l.conns, c)
+	c.releaseHeads(true)
 	l.memory.charge(policy.ClientConnections, -policy.ClientConnectionCost)
 }
 
--- a/policy/memorybudget.go
+++ b/policy/memorybudget.go
@@ -8,6 +8,7 @@
 	ClientConnections MemoryUse = iota // connections of clients, open or idle
 	ServerConnections                  // connections to servers, in use or idle
 	OpenRequests                       // requests whose head has been read
+	RequestHeads                       // what is long in the heads of requests
 	RequestBodies                      // buffered parts of request bodies
 	Uploads                            // forwarding of bodies that are not buffered whole
 	Answers                            // parts of answers that the client has not read yet
@@ -15,7 +16,7 @@
 )
 
 var memoryUseNames = [MemoryUses]string{
-	"client_connections", "server_connections", "requests", "bodies", "uploads", "answers",
+	"client_connections", "server_connections", "requests", "heads", "bodies", "uploads", "answers",
 }
 
 // String returns the use's name in the log and in metrics.
@@ -41,7 +42,7 @@
 // memory can still be refused with an answer.
 var fillLimits = [MemoryUses]float64{
 	ClientConnections: 1, ServerConnections: 0.8, OpenRequests: 0.95,
-	RequestBodies: 0.8, Uploads: 0.9, Answers: 0.6,
+	RequestHeads: 0.8, RequestBodies: 0.8, Uploads: 0.9, Answers: 0.6,
 }
 
 // connectionShare is the share of the budget that client connections alone may hold.
