--- a/internal/sidecar/bodybuffer.go
+++ b/internal/sidecar/requestbody.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 
 	"arrowgw/policy"
 )
@@ -64,3 +65,44 @@
 	b.bytes = append(make([]byte, 0, after), b.bytes...)
 	return true
 }
+
+// takeRequest reserves the memory of a request and reads its body into m. If there is no memory for the request, m.noMemory is
+// set and m.upload has what has not been read.
+func (f *front) takeRequest(w http.ResponseWriter, r *http.Request, m *outboundRequest) error {
+	if r.ContentLength > maxRequestBody {
+		return errBodyTooLarge
+	}
+	body := &pacedBody{body: r.Body, setReadDeadline: http.NewResponseController(w).SetReadDeadline, clientTime: f.clients.firstHeadTime(r.Context())}
+	if f.clients.reserveRequest(m.memory) {
+		return f.readBody(r, body, m)
+	}
+	m.noMemory = true
+	if r.ContentLength != 0 {
+		m.upload = newUpload(body)
+	}
+	return nil
+}
+
+// readBody reads a request's body into m: all of it, or the part that is buffered, with m.upload for the remainder. If there
+// is no memory for it, m.noMemory is set and m.upload has what has not been read.
+func (f *front) readBody(r *http.Request, body *pacedBody, m *outboundRequest) error {
+	isLong := r.ContentLength > maxBufferedBody
+	if isLong { // before any of it is buffered, as it can't be served without
+		m.noMemory = !m.memory.reserve(policy.Uploads, uploadBuffers)
+	}
+	buffered, err := readBuffered(body, r.ContentLength, m.memory)
+	if err != nil {
+		return err
+	}
+	if m.body = buffered.bytes; buffered.whole {
+		m.length = int64(len(m.body))
+		return nil
+	}
+	if !isLong {
+		isShort := r.ContentLength >= 0
+		m.noMemory = isShort || !m.memory.reserve(policy.Uploads, uploadBuffers)
+	}
+	m.prefix, m.upload = int64(len(m.body)), newUpload(body)
+	m.upload.arrival = f.clients.arrivalProbe(r.Context())
+	return nil
+}
