--- a/cmd/caperarch/main_test.go
+++ b/cmd/caperarch/main_test.go
@@ -28,9 +28,16 @@
 		main()
 		return
 	}
-	os.Exit(m.Run())
+	code := m.Run()
+	if builtProgram != "" {
+		_ = os.RemoveAll(filepath.Dir(builtProgram)) // what is left stays in the system's folder for temporary files
+	}
+	os.Exit(code)
 }
 
+// builtProgram is the path of the program that tests have built, in a folder of its own; empty if there is none.
+var builtProgram string
+
 // caperarchCommand returns a command that runs caperarch with a configuration.
 func caperarchCommand(t testing.TB, config string, args ...string) *exec.Cmd {
 	t.Helper()
--- a/cmd/caperarch/memory_test.go
+++ b/cmd/caperarch/memory_test.go
@@ -112,10 +112,7 @@
 	return p
 }
 
-var programOnce struct {
-	sync.Mutex
-	folder string
-}
+var buildMu sync.Mutex // guards builtProgram
 
 // buildProgram builds the program as it is deployed, once for all tests, and returns its path.
 func buildProgram(t testing.TB) string {
@@ -123,10 +120,10 @@
 	if *memoryProgram != "" {
 		return *memoryProgram
 	}
-	programOnce.Lock()
-	defer programOnce.Unlock()
-	if programOnce.folder != "" {
-		return filepath.Join(programOnce.folder, "caperarch")
+	buildMu.Lock()
+	defer buildMu.Unlock()
+	if builtProgram != "" {
+		return builtProgram
 	}
 	folder, err := os.MkdirTemp("", "caperarch")
 	if err != nil {
@@ -138,7 +135,7 @@
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
-	programOnce.folder = folder
+	builtProgram = path
 	return path
 }
 
