--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -247,7 +247,7 @@
 		case <-counters.C:
 			l.adaptMemory()
 			slog.Info("counters", "module", fmt.Sprintf("%+v", l.balancer.Counters()),
-				"upstream", l.upstream.counters(), "clients", l.clientCounters(), "discovery", l.discoveryCounters(), "requests", l.trace.counters(), "guard", guardCounters(l.guard), l.memory.logAttrs())
+				"upstream", l.upstream.counters(), "clients", l.clientCounters(), "discovery", l.discoveryCounters(), "requests", l.trace.counters(), "guard", guardCounters(l.guard), "memory", l.memory.logAmounts())
 		case <-ctx.Done():
 			return
 		}
--- a/internal/sidecar/memory.go
+++ b/internal/sidecar/memory.go
@@ -198,16 +198,16 @@
 	return files
 }
 
-// logAttrs returns the memory of the process and what is held for each use, in KiB, for the log.
-func (a *memoryAccount) logAttrs() slog.Attr {
-	attrs := processMemory()
+// logAmounts returns the memory of the process and what is held for each use, in KiB, for the log.
+func (a *memoryAccount) logAmounts() map[string]int64 {
+	amounts := processMemory()
 	if a != nil {
 		held, _ := a.amounts()
 		for use, bytes := range held {
-			attrs[policy.MemoryUse(use).String()] = bytes >> 10
+			amounts[policy.MemoryUse(use).String()] = bytes >> 10
 		}
 	}
-	return slog.Any("memory", attrs)
+	return amounts
 }
 
 // writeStats writes the bytes held for each use, and how many reservations have been denied.
