Let the supervision of system calls run on arm64 too

Change: what differs by architecture stands in one small file for each: the architecture that the seccomp filter checks, the register of the stack pointer, and the number of the call that unix.Poll makes (arm64 has no poll, so it is ppoll). The files and tests that were for amd64 are for amd64 and arm64; none is skipped.

Result: before, go vet ./... failed on arm64 ("build constraints exclude all Go files"). It was not run on an x86-64 machine.

--- a/cmd/caperarch/callmatrix_test.go
+++ b/cmd/caperarch/callmatrix_test.go
@@ -1,4 +1,4 @@
-//go:build linux && amd64
+//go:build linux && (amd64 || arm64)
 
 package main
 
@@ -34,7 +34,7 @@
 	{"read", unix.SYS_READ, []syscall.Errno{unix.EINTR, unix.ENOMEM, unix.ENOBUFS}},
 	{"write", unix.SYS_WRITE, []syscall.Errno{unix.EINTR, unix.ENOMEM, unix.ENOBUFS}},
 	{"epoll_pwait", unix.SYS_EPOLL_PWAIT, []syscall.Errno{unix.EINTR}},
-	{"poll", unix.SYS_POLL, []syscall.Errno{unix.EINTR, unix.ENOMEM}},
+	{"poll", sysfault.PollNumber, []syscall.Errno{unix.EINTR, unix.ENOMEM}},
 	{"getsockname", unix.SYS_GETSOCKNAME, []syscall.Errno{unix.ENOBUFS}},
 	{"getpeername", unix.SYS_GETPEERNAME, []syscall.Errno{unix.ENOBUFS}},
 	{"setsockopt", unix.SYS_SETSOCKOPT, []syscall.Errno{unix.ENOMEM, unix.ENOBUFS}},
--- a/cmd/caperarch/faults_test.go
+++ b/cmd/caperarch/faults_test.go
@@ -1,4 +1,4 @@
-//go:build linux && amd64
+//go:build linux && (amd64 || arm64)
 
 package main
 
@@ -353,13 +353,13 @@
 // pollIsInterrupted makes the poll that detects a closed client connection fail with EINTR, for a client whose disconnect can be
 // detected in no other way.
 func pollIsInterrupted(t *testing.T) {
-	clientLeavesWithUnreadBytes(t, []int{unix.SYS_POLL, unix.SYS_PPOLL}, func(sysfault.Call) sysfault.Effect { return sysfault.Effect{Errno: unix.EINTR} })
+	clientLeavesWithUnreadBytes(t, []int{sysfault.PollNumber, unix.SYS_PPOLL}, func(sysfault.Call) sysfault.Effect { return sysfault.Effect{Errno: unix.EINTR} })
 }
 
 // clientChecksFail makes every check for a closed client connection fail, so that the sidecar can't know whether the client is
 // still connected.
 func clientChecksFail(t *testing.T) {
-	clientLeavesWithUnreadBytes(t, []int{unix.SYS_POLL, unix.SYS_PPOLL, unix.SYS_GETSOCKOPT}, func(c sysfault.Call) sysfault.Effect {
+	clientLeavesWithUnreadBytes(t, []int{sysfault.PollNumber, unix.SYS_PPOLL, unix.SYS_GETSOCKOPT}, func(c sysfault.Call) sysfault.Effect {
 		switch {
 		case c.Number != unix.SYS_GETSOCKOPT:
 			return sysfault.Effect{Errno: unix.ENOMEM}
--- a/internal/lab/callfaults.go
+++ b/internal/lab/callfaults.go
@@ -1,4 +1,4 @@
-//go:build linux && amd64
+//go:build linux && (amd64 || arm64)
 
 package lab
 
@@ -28,7 +28,7 @@
 	unix.SYS_EPOLL_PWAIT: {unix.EINTR},
 	unix.SYS_SOCKET:      {unix.ENFILE, unix.EMFILE, unix.ENOBUFS, unix.ENOMEM},
 	unix.SYS_CONNECT:     {unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.EAGAIN, unix.ETIMEDOUT, unix.EHOSTUNREACH},
-	unix.SYS_POLL:        {unix.EINTR, unix.ENOMEM},
+	sysfault.PollNumber:  {unix.EINTR, unix.ENOMEM},
 	unix.SYS_READ:        {unix.EINTR, unix.ENOMEM, unix.ENOBUFS},
 	unix.SYS_WRITE:       {unix.EINTR, unix.ENOMEM, unix.ENOBUFS},
 	unix.SYS_FSYNC:       {unix.EIO, unix.ENOSPC},
--- a/internal/sysfault/launch.go
+++ b/internal/sysfault/launch.go
@@ -1,4 +1,4 @@
-//go:build linux && amd64
+//go:build linux && (amd64 || arm64)
 
 package sysfault
 
@@ -24,12 +24,11 @@
 	firstExtraFD = 3 // the descriptor of the first of exec.Cmd.ExtraFiles
 )
 
-// Offsets in struct seccomp_data, and the architecture whose call numbers the filter checks.
+// Offsets in struct seccomp_data.
 const (
 	numberOffset        = 0
 	architectureOffset  = 4
 	firstArgumentOffset = 16
-	architecture        = unix.AUDIT_ARCH_X86_64
 )
 
 func init() {
--- a/internal/sysfault/signals_test.go
+++ b/internal/sysfault/signals_test.go
@@ -1,4 +1,4 @@
-//go:build linux && amd64
+//go:build linux && (amd64 || arm64)
 
 package sysfault
 
--- a/internal/sysfault/sysfault.go
+++ b/internal/sysfault/sysfault.go
@@ -1,4 +1,4 @@
-//go:build linux && amd64
+//go:build linux && (amd64 || arm64)
 
 // Package sysfault runs a program and injects faults into its system calls: a test decides call by call whether the call
 // fails, moves fewer bytes, is delayed or returns another time. The program needs no change.
--- a/internal/sysfault/vdso.go
+++ b/internal/sysfault/vdso.go
@@ -1,4 +1,4 @@
-//go:build linux && amd64
+//go:build linux && (amd64 || arm64)
 
 package sysfault
 
@@ -61,13 +61,14 @@
 	if err := syscall.PtraceGetRegs(pid, &registers); err != nil {
 		return err
 	}
+	top := int64(stackPointer(&registers))
 	memory, err := os.OpenFile(fmt.Sprintf("/proc/%d/mem", pid), os.O_RDWR, 0)
 	if err != nil {
 		return err
 	}
 	defer memory.Close()
 	stack := make([]byte, maxStackBytes)
-	n, _ := memory.ReadAt(stack, int64(registers.Rsp)) // the read ends early at the end of the stack
+	n, _ := memory.ReadAt(stack, top) // the read ends early at the end of the stack
 	wordAt := func(i int) uint64 {
 		if (i+1)*wordSize > n {
 			return auxNull
@@ -81,7 +82,7 @@
 	for i++; wordAt(i) != auxNull; i += 2 {
 		if wordAt(i) == auxVDSO {
 			ignored := binary.NativeEndian.AppendUint64(nil, auxIgnore)
-			_, err := memory.WriteAt(ignored, int64(registers.Rsp)+int64(i*wordSize))
+			_, err := memory.WriteAt(ignored, top+int64(i*wordSize))
 			return err
 		}
 	}
