End an answer that trickles without end half a second after its request's time

Cause: behind the deadline StallDetector bounded single pauses only, and each byte began the time anew.

Change: an answer that is neither announced nor has come to more than 64 KiB ends 0.35 s behind the deadline, however steadily its server sends. One of unknown length has more time while it keeps 48 KiB a second from its first byte on, as it may become long; a long one goes on while its server gives something, as before.

TestStallDetector keeps all rows and bounds.

--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -46,7 +46,8 @@
 // newStream returns a stream of an answer whose head has been read.
 func newStream(res *http.Response, c *conn, exchange *exchange, clock clock) *stream {
 	return &stream{
-		res: res, conn: c, exchange: exchange, clock: clock, stalls: policy.NewStallDetector(clock.now(), exchange.clientDeadline), beginOnNextByte: res.ContentLength > maxBufferedBody,
+		res: res, conn: c, exchange: exchange, clock: clock, beginOnNextByte: res.ContentLength > maxBufferedBody,
+		stalls: policy.NewStallDetector(clock.now(), exchange.clientDeadline, res.ContentLength),
 		chunks: make(chan chunk, maxQueuedChunks), clientGone: make(chan struct{}), chunkBudget: newChunkBudget(exchange.memory),
 	}
 }
@@ -111,10 +112,12 @@
 func (s *stream) receive(c *chunk, err error) (begun, complete bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stalls.BytesReceived(s.clock.now(), c.n)
+	now := s.clock.now()
+	s.stalls.BytesReceived(now, c.n)
 	if s.begun {
 		return true, false
 	}
+	s.stalls.StartRead(now) // the exchange's own deadline applies until the stream begins
 	gotBytes := c.n > 0
 	roomToBuffer := s.buffer(c.buffer[:c.n])
 	c.n = 0
--- a/internal/sidecar/stream_test.go
+++ b/internal/sidecar/stream_test.go
@@ -129,6 +129,55 @@
 	}
 }
 
+// trickle writes pieces of an answer's body without end, until the connection breaks.
+func trickle(c net.Conn, piece string, interval time.Duration) {
+	for {
+		if _, err := io.WriteString(c, piece); err != nil {
+			return
+		}
+		time.Sleep(interval)
+	}
+}
+
+// Guards against answers that trickle without end and hold their clients for ever: the client's connection ends, visibly
+// before the answer does, half a second after the request's time at the latest.
+func TestTricklingAnswerIsCutOff(t *testing.T) {
+	const timeout, longest = 500 * time.Millisecond, 1100 * time.Millisecond // as the pages have it, and 0.1 s for this machine
+	for name, c := range map[string]struct{ head, piece string }{
+		"in chunks":    {"Transfer-Encoding: chunked\r\n", "10\r\n0123456789abcdef\r\n"},
+		"to the end":   {"", "0123456789abcdef"},
+		"1,000 a time": {"", strings.Repeat("x", 1000)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ended := make(chan struct{})
+			s := newStub(t, func(conn net.Conn, r stubRequest) bool {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s\r\n", c.head)
+				trickle(conn, c.piece, 50*time.Millisecond)
+				close(ended)
+				return false
+			})
+			sidecar := startSidecar(t, nil, s.address)
+			conn := sidecar.dial(t)
+			head := strings.Replace(requestHead("1", "Content-Length: 0"), "X-Timeout: 20000m", fmt.Sprintf("X-Timeout: %dm", timeout.Milliseconds()), 1)
+			if _, err := io.WriteString(conn, head); err != nil {
+				t.Fatal(err)
+			}
+			start := time.Now()
+			res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := io.ReadAll(res.Body)
+			if took := time.Since(start); err == nil || took > longest || len(body) == 0 {
+				t.Errorf("the answer ended after %v with error %v and %d bytes, want an error within %v, behind some bytes", took, err, len(body), longest)
+			}
+			wait(t, "the end at its server", ended)
+			sidecar.waitForStats(t, map[string]string{"downstream_requests.entry.failed": "1", "pending": "0"})
+		})
+	}
+}
+
 // A client that leaves during a long answer ends the answer at its server too, even one without an end.
 func TestClientLeavesDuringStream(t *testing.T) {
 	ended := make(chan struct{})
--- a/policy/stream.go
+++ b/policy/stream.go
@@ -2,17 +2,24 @@
 
 import "time"
 
-// Limits on the time for which the server of a streamed response may send nothing.
+// Limits on the time that the server of a streamed answer may take.
 const (
-	// A stalled response ends within half a second after the client's deadline. 0.15 s of it are reserved for
-	// delays of the sidecar itself.
+	// An answer of more bytes than that is long: its client's time applies to its first bytes only, and it is
+	// not cut off while its server sends.
+	longAnswerBytes = 64 << 10
+
+	// An answer that is not long ends within half a second after the client's deadline. 0.15 s of it are
+	// reserved for delays of the sidecar itself.
 	deadlineGrace = 350 * time.Millisecond
 
-	// After the deadline a response is ended when a pause is longer than lateStallLimit (or fastStallLimit) and
-	// longer than pauseMultiple times the longest pause so far.
+	// An answer of unknown length that has come at this pace since its first byte may still become long. It is
+	// below the 64 kB a second of a slow peer, as bytes come in uneven pieces.
+	minAnswerRate = 48 << 10 // bytes a second
+
+	// After the deadline a long answer is ended when a pause is longer than lateStallLimit (or fastStallLimit)
+	// and longer than pauseMultiple times the longest pause so far.
 	lateStallLimit  = 500 * time.Millisecond
-	fastStallLimit  = 300 * time.Millisecond // if the server sent fastMinBytes without a pause of fastMaxPause
-	fastMinBytes    = 64 << 10
+	fastStallLimit  = 300 * time.Millisecond // behind longAnswerBytes without a pause of fastMaxPause
 	fastMaxPause    = 50 * time.Millisecond
 	pauseMultiple   = 1.5
 	maxAdaptedStall = 2 * time.Second // bounds the limit that is derived from pauses
@@ -20,39 +27,78 @@
 	maxStall = 5 * time.Second // no stall is longer, before or after the deadline
 )
 
-// StallDetector decides for one streamed response how long its server may send nothing. A stalled response
-// must end half a second after the client's deadline at the latest, but a response that makes progress is not
-// cut off, however long it is. The pauses that the server has made so far distinguish the two cases.
+// UnknownLength is the announced length of an answer that announces none.
+const UnknownLength = -1
+
+// StallDetector decides for one streamed answer until when its server may send the next bytes. An answer that
+// is not long must end half a second after its client's deadline at the latest, however steadily its server
+// sends; one of unknown length has more time while it is on its way to become long. A long answer is not cut
+// off while it makes progress, which the pauses that its server has made so far tell from a stall.
 type StallDetector struct {
-	deadline     time.Duration // of the client
-	readStart    time.Duration // since when the next bytes are awaited
+	deadline  time.Duration // of the client
+	announced int64         // length in bytes, or UnknownLength
+	bytes     int64         // received so far
+	firstByte time.Duration // when the first bytes were received
+
+	waiting      bool          // the next bytes are awaited
+	waitStart    time.Duration // since when
+	waitEnd      time.Duration // when the last bytes were received
 	longestPause time.Duration // longest wait for bytes so far
-	bytes        int           // received so far
+	clientTime   time.Duration // time between waits, in which the client was slower than the server
 }
 
-// NewStallDetector returns the detector for a response whose header was received now and whose client has the
-// given deadline.
-func NewStallDetector(now, deadline time.Duration) StallDetector {
-	return StallDetector{deadline: deadline, readStart: now}
+// NewStallDetector returns the detector for an answer whose header was received now, whose client has the
+// given deadline, and whose announced length is in bytes, or UnknownLength.
+func NewStallDetector(now, deadline time.Duration, announced int64) StallDetector {
+	return StallDetector{deadline: deadline, announced: announced, waiting: true, waitStart: now}
 }
 
-// StartRead starts the wait for the next bytes and returns the time at which the read must time out. Time
-// between two waits, in which the client is slower than the server, is not a pause of the server.
+// StartRead starts the wait for the next bytes, or starts anew one that is under way. It returns the time at
+// which the wait must time out.
 func (d *StallDetector) StartRead(now time.Duration) (until time.Duration) {
-	d.readStart = now
+	if !d.waiting {
+		d.clientTime += now - d.waitEnd
+	}
+	d.waiting, d.waitStart = true, now
+	until = d.stallLimit(now)
+	if !d.isLong() {
+		until = min(until, d.endLimit())
+	}
+	return until
+}
+
+// BytesReceived ends the wait that StartRead started and records the bytes received.
+func (d *StallDetector) BytesReceived(now time.Duration, bytes int) {
+	if d.bytes == 0 {
+		d.firstByte = now
+	}
+	d.waiting, d.waitEnd = false, now
+	d.longestPause = max(d.longestPause, now-d.waitStart)
+	d.bytes += int64(bytes)
+}
+
+// isLong reports whether the answer is known to be long.
+func (d *StallDetector) isLong() bool { return max(d.bytes, d.announced) > longAnswerBytes }
+
+// endLimit returns the time by which an answer that is not known to be long has to end. Time in which the
+// client was slower than the server does not count.
+func (d *StallDetector) endLimit() time.Duration {
+	limit := d.deadline + deadlineGrace
+	if d.announced == UnknownLength {
+		limit = max(limit, d.firstByte+time.Duration(d.bytes)*time.Second/minAnswerRate)
+	}
+	return limit + d.clientTime
+}
+
+// stallLimit returns the time until which a server that is making a pause since now may send nothing.
+func (d *StallDetector) stallLimit(now time.Duration) time.Duration {
 	pause := time.Duration(pauseMultiple * float64(d.longestPause))
 	switch {
 	case now < d.deadline: // before the deadline, only the longest pause counts
-	case d.bytes >= fastMinBytes && d.longestPause < fastMaxPause:
+	case d.bytes >= longAnswerBytes && d.longestPause < fastMaxPause:
 		pause = max(pause, fastStallLimit)
 	default:
 		pause = max(pause, lateStallLimit)
 	}
 	return min(max(now+min(pause, maxAdaptedStall), d.deadline+deadlineGrace), now+maxStall)
 }
-
-// BytesReceived ends the wait that StartRead started and records the bytes received.
-func (d *StallDetector) BytesReceived(now time.Duration, bytes int) {
-	d.longestPause = max(d.longestPause, now-d.readStart)
-	d.bytes += bytes
-}
--- a/policy/stream_test.go
+++ b/policy/stream_test.go
@@ -113,7 +113,7 @@
 	}
 }
 
-// A response whose server stalls ends within half a second after the client's deadline. A response that makes progress,
+// A long response whose server stalls ends within half a second after the client's deadline. A response that makes progress,
 // or whose server has made longer pauses before, continues. Time in which the client is slower is not a pause.
 func TestStallDetector(t *testing.T) {
 	const deadline = time.Second
@@ -136,7 +136,7 @@
 		"slow client, after the deadline":     {[]time.Duration{100 * ms, 100 * ms}, 16 << 10, 5 * time.Second, 500 * ms},
 	} {
 		now := time.Duration(0)
-		d := NewStallDetector(now, deadline)
+		d := NewStallDetector(now, deadline, 32<<20)
 		for _, pause := range c.pauses {
 			d.StartRead(now)
 			now += pause
@@ -151,8 +151,85 @@
 			t.Errorf("%s: a wait from %v until %v, want %v", name, now, until, want)
 		}
 	}
-	d := NewStallDetector(0, time.Hour)
+	d := NewStallDetector(0, time.Hour, 32<<20)
 	if until := d.StartRead(time.Minute); until != time.Minute+5*time.Second {
 		t.Errorf("before the deadline a stall may last until %v, want 5 s", until)
 	}
 }
+
+// pacedAnswer is an answer whose server sends pieces of equal size at equal intervals.
+type pacedAnswer struct {
+	announced int64 // length in bytes, or UnknownLength
+	firstByte time.Duration
+	piece     int // bytes
+	interval  time.Duration
+	pieces    int // 0: it never ends
+}
+
+// play returns until when a StallDetector lets an answer go on, and whether it came whole. It gives up after a minute.
+func (a pacedAnswer) play(deadline time.Duration) (end time.Duration, whole bool) {
+	d := NewStallDetector(0, deadline, a.announced)
+	now, next := time.Duration(0), a.firstByte
+	for n := 0; now < time.Minute; n++ {
+		if a.pieces > 0 && n == a.pieces {
+			return now, true
+		}
+		if until := d.StartRead(now); next > until {
+			return until, false
+		}
+		now = next
+		d.BytesReceived(now, a.piece)
+		next += a.interval
+	}
+	return now, false
+}
+
+// Guards against answers that trickle without end and hold their clients for ever: what has not come to over 64 KiB, nor at a
+// pace that leads there, ends half a second after its client's deadline at the latest.
+func TestTricklingAnswerEnds(t *testing.T) {
+	const deadline, longest = 500 * ms, 500*ms + 500*ms
+	for _, firstByte := range []time.Duration{0, 100 * ms, 450 * ms, 800 * ms} {
+		for _, interval := range []time.Duration{50 * ms, 100 * ms, 290 * ms, 400 * ms} {
+			for _, piece := range []int{1, 16, 1000} {
+				a := pacedAnswer{announced: UnknownLength, firstByte: firstByte, piece: piece, interval: interval}
+				if end, _ := a.play(deadline); end > longest {
+					t.Errorf("%+v goes on until %v, want %v at the latest", a, end, longest)
+				}
+			}
+		}
+	}
+	announced := pacedAnswer{announced: 64 << 10, piece: 20000, interval: 400 * ms}
+	if end, _ := announced.play(deadline); end > longest {
+		t.Errorf("%+v, which is not long, goes on until %v, want %v at the latest", announced, end, longest)
+	}
+}
+
+// An answer that ends in time comes whole, and so does a long one that keeps the slowest pace of the pages, with an announced
+// length at any pace.
+func TestPacedAnswerComesWhole(t *testing.T) {
+	for name, a := range map[string]pacedAnswer{
+		"short, just in time":               {UnknownLength, 100 * ms, 16, 100 * ms, 8},
+		"short, announced":                  {128, 100 * ms, 16, 100 * ms, 8},
+		"long, 20,000 bytes each 50 ms":     {UnknownLength, 100 * ms, 20000, 50 * ms, 100},
+		"long, 20,000 bytes each 100 ms":    {UnknownLength, 100 * ms, 20000, 100 * ms, 100},
+		"long, 20,000 bytes each 290 ms":    {UnknownLength, 100 * ms, 20000, 290 * ms, 100},
+		"long, 20,000 bytes each 400 ms":    {UnknownLength, 100 * ms, 20000, 400 * ms, 100},
+		"long, begins late, 64 kB a second": {UnknownLength, 480 * ms, 6400, 100 * ms, 500},
+		"long, announced, a trickle":        {1 << 20, 100 * ms, 16, 100 * ms, 500},
+	} {
+		if end, whole := a.play(500 * ms); !whole {
+			t.Errorf("%s: cut off at %v", name, end)
+		}
+	}
+}
+
+// An answer that waits for its client does not end by its deadline: the client's time is not the server's.
+func TestSlowClientDoesNotEndAnswer(t *testing.T) {
+	d := NewStallDetector(0, 500*ms, UnknownLength)
+	d.StartRead(0)
+	d.BytesReceived(100*ms, 16)
+	const clientTime = 5 * time.Second
+	if until, want := d.StartRead(100*ms+clientTime), 100*ms+clientTime+lateStallLimit; until != want {
+		t.Errorf("the next bytes are awaited until %v, want %v", until, want)
+	}
+}
