Reset the connection of an HTTP/1.0 client whose answer is broken

Callers saw: an answer of unknown length that is cut off amid, by its server or at the end of its time, was read to its end without an error by a client of HTTP/1.0: part of an answer passed for all of it.

Cause: HTTP/1.0 has no chunks, so the end of the connection is that of the answer, and the sidecar closed the connection in good order. For HTTP/1.1 the missing last chunk tells.

Change: where an answer breaks and its client's version has no chunks, the close resets the connection and reads nothing that is still to come, so that the client has an error in place of an end.

--- a/internal/sidecar/clientconn.go
+++ b/internal/sidecar/clientconn.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -48,6 +49,7 @@
 	readsEnded       bool          // no further reads are allowed
 	readErr          error         // why a read failed for good amid a request; further reads fail with it
 	serverClosed     bool          // net/http has closed the connection
+	answerBroken     bool          // its last answer is not whole, which only a reset tells the client
 	closeWithRefusal bool          // part of a request may have arrived; the refusal is reserved
 	headBytes        int           // bytes that have been read of the current head, while it has not ended
 	headReserved     int           // bytes that are reserved for the heads of this connection
@@ -225,10 +227,11 @@
 // connection nothing is read, so that the client sends again a request that crosses the close.
 func (c *clientConn) Close() error {
 	c.mu.Lock()
-	answered, refused := c.requestBegun && !c.readsEnded, c.closeWithRefusal
+	answered, refused, broken := c.requestBegun && !c.readsEnded, c.closeWithRefusal, c.answerBroken
 	c.serverClosed = true
 	c.mu.Unlock()
 	switch {
+	case broken: // linger would end the answer as if it were whole
 	case refused:
 		c.refuseOnce.Do(c.refuseAndClose)
 		return nil
@@ -238,6 +241,21 @@
 	return c.Conn.Close()
 }
 
+// resetOnClose makes Close reset the connection, for a broken answer whose end is that of the connection.
+func (c *clientConn) resetOnClose() {
+	c.mu.Lock()
+	c.answerBroken = true
+	c.mu.Unlock()
+	_ = c.raw.Control(func(fd uintptr) { // fails only on a closed connection
+		_, err := retryTransient(func() (int, error) {
+			return 0, syscall.SetsockoptLinger(int(fd), syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+		})
+		if err != nil {
+			slog.Warn("reset failed", "error", err)
+		}
+	})
+}
+
 // discardAvailable reads up to one buffer of the data that has arrived, and returns its length in bytes.
 func (c *clientConn) discardAvailable() (n int) {
 	if c.raw == nil {
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -178,6 +178,9 @@
 	return time.Duration(k.lastReadDone.Load() - k.lastRead.Load())
 }
 
+// resetOnClose makes the close of the connection of ctx reset it.
+func (l *clients) resetOnClose(ctx context.Context) { ctx.Value(connKey{}).(*clientConn).resetOnClose() }
+
 // queryPresence reports whether the client of ctx's connection has closed it or its sending side. It queries the kernel,
 // which detects the close even if unread data precedes it. net/http detects a close only by reading, and reads at most
 // one byte beyond a request and nothing of a body that waits to be forwarded.
--- a/internal/sidecar/reply.go
+++ b/internal/sidecar/reply.go
@@ -55,6 +55,9 @@
 		f.loop.trace.logUnanswered(r.Header.Get("X-Request-ID"), why, f.clock.now()-began)
 		f.tallies[class].count(http.StatusBadGateway)
 		a.stream.abort()
+		if !r.ProtoAtLeast(1, 1) { // it has no chunks, so the end of the connection may be that of the answer
+			f.clients.resetOnClose(r.Context())
+		}
 		panic(http.ErrAbortHandler)
 	}
 	f.tallies[class].count(http.StatusOK)
--- a/internal/sidecar/stream_test.go
+++ b/internal/sidecar/stream_test.go
@@ -178,6 +178,44 @@
 	}
 }
 
+// Guards against broken answers that pass for whole: HTTP/1.0 has no chunks, so the close of the connection would end an answer
+// of unknown length, and only a reset tells that the answer is broken.
+func TestBrokenAnswerIsResetForHTTP10(t *testing.T) {
+	for name, c := range map[string]struct {
+		rest  string // of the answer, in chunks
+		whole bool
+	}{
+		"broken": {"5\r\nhal", false},
+		"whole":  {"0\r\n\r\n", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			firstPartRead := make(chan struct{})
+			s := newStub(t, func(conn net.Conn, r stubRequest) bool {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n")
+				<-firstPartRead
+				_, _ = io.WriteString(conn, c.rest)
+				return false
+			})
+			conn := startSidecar(t, nil, s.address).dial(t)
+			if _, err := io.WriteString(conn, strings.Replace(requestHead("1", "Content-Length: 0"), "HTTP/1.1", "HTTP/1.0", 1)); err != nil {
+				t.Fatal(err)
+			}
+			res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.ReadFull(res.Body, make([]byte, len("first"))); err != nil {
+				t.Fatal(err)
+			}
+			close(firstPartRead)
+			if rest, err := io.ReadAll(res.Body); (err == nil) != c.whole {
+				t.Errorf("after the first part: %q, error %v, want an end without error: %v", rest, err, c.whole)
+			}
+		})
+	}
+}
+
 // A client that leaves during a long answer ends the answer at its server too, even one without an end.
 func TestClientLeavesDuringStream(t *testing.T) {
 	ended := make(chan struct{})
