Look at each connection once when one is closed to make room

Cause: clients.shedOne called itself where the connection that is needed least had a partial request with unread bytes. Its mark for that counted only where nothing had been read yet, so it found the same connection again, without end and with the lock of all connections held, for which that connection's own goroutine waited.

Change: the connections that may be closed come off a heap, each at most once, and the first that can be closed is closed. Unread bytes count for all partial requests alike, until more of that connection has been read. This works as the search ends whatever a look at a connection says.

--- a/internal/sidecar/clientconn.go
+++ b/internal/sidecar/clientconn.go
@@ -60,18 +60,24 @@
 	lastRead     atomic.Int64 // when the last bytes arrived at the earliest, by the clients' clock
 	lastReadDone atomic.Int64 // when the last bytes were read; they arrived no later
 
-	since      time.Time // when it was accepted or became idle; this and the following fields are guarded by clients.mu
-	hadRequest bool      // a whole request has arrived on it
-	dataSeen   bool      // received bytes were found that its goroutine had not read yet
-	state      http.ConnState
+	since        time.Time // when it was accepted or became idle; this and the following fields are guarded by clients.mu
+	hadRequest   bool      // a whole request has arrived on it
+	unreadSeen   bool      // received bytes were found that its goroutine had not read yet
+	unreadSeenAt uint64    // bytesRead at that time
+	state        http.ConnState
 }
 
-// requestProgress reports whether bytes have been read of a request that has no answer yet, and whether the request has
-// been read whole.
-func (c *clientConn) requestProgress() (begun, whole bool) {
+// requestProgress is how much has been read of a connection and of its current request.
+type requestProgress struct {
+	bytesRead    uint64 // of the connection
+	begun, whole bool   // bytes have been read of a request that has no answer yet; all of it has been read
+}
+
+// requestProgress returns how much has been read of the connection and of its current request.
+func (c *clientConn) requestProgress() requestProgress {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.requestBegun, c.requestBegun && c.framing.atBoundary()
+	return requestProgress{c.bytesRead, c.requestBegun, c.requestBegun && c.framing.atBoundary()}
 }
 
 // closeUnlessServing closes the connection if no request is open on it, and with partial also if a request has been
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -28,10 +28,11 @@
 	stopping     bool          // each connection closes with its next answer, as the process stops
 	failingSince time.Duration // when accept began to fail; 0 once no connection waits to be accepted
 	conns        map[*clientConn]struct{}
-	peak         int    // maximum number of connections since the last call of counters
-	shedCounts   [3]int // connections closed to make room: silent, idle, with a partial request
-	rejected     int    // connections refused for lack of room
-	exhausted    int    // failures of accept for lack of descriptors or memory
+	candidates   shedQueue // reused by shedOne
+	peak         int       // maximum number of connections since the last call of counters
+	shedCounts   [3]int    // connections closed to make room: silent, idle, with a partial request
+	rejected     int       // connections refused for lack of room
+	exhausted    int       // failures of accept for lack of descriptors or memory
 
 	acceptFailures  int       // all failures of accept
 	failureLoggedAt time.Time // when a failure of accept was last logged
@@ -179,7 +180,9 @@
 }
 
 // resetOnClose makes the close of the connection of ctx reset it.
-func (l *clients) resetOnClose(ctx context.Context) { ctx.Value(connKey{}).(*clientConn).resetOnClose() }
+func (l *clients) resetOnClose(ctx context.Context) {
+	ctx.Value(connKey{}).(*clientConn).resetOnClose()
+}
 
 // queryPresence reports whether the client of ctx's connection has closed it or its sending side. It queries the kernel,
 // which detects the close even if unread data precedes it. net/http detects a close only by reading, and reads at most
--- a/internal/sidecar/room.go
+++ b/internal/sidecar/room.go
@@ -1,16 +1,11 @@
 package sidecar
 
 import (
-	"net/http"
 	"time"
 
 	"arrowgw/policy"
 )
 
-// silentGrace is how long a connection that was accepted or became idle is treated as if part of a request had arrived,
-// as the application's next request may be on its way.
-const silentGrace = 250 * time.Millisecond
-
 // setLimits sets the clients' share of connections and the limit of client and upstream connections together, and
 // closes connections above the new limit that have no open request.
 func (l *clients) setLimits(clientShare, maxTotal int) {
@@ -105,60 +100,3 @@
 	c.releaseHeads(true)
 	l.memory.charge(policy.ClientConnections, -policy.ClientConnectionCost)
 }
-
-// shedOne closes the connection that is needed least: one that has sent nothing since it connected, else one that is
-// idle between requests, else one whose request has arrived in part; of each kind the one that has been silent for
-// longest. Kinds after last are not closed. This order costs the application least: it sends at once when it has
-// connected, and sends a request again if it crosses a close on an idle connection; a partial request is refused, as
-// the rest of it may be on its way. shedOne returns false if no connection can be closed. The caller holds the lock.
-func (l *clients) shedOne(last closeReason) bool {
-	var candidates [closeReasonCount]*clientConn
-	var longest [closeReasonCount]time.Duration
-	now := time.Now()
-	for c := range l.conns {
-		kind, waited, ok := c.shedKind(now, l.clock.now())
-		if ok && kind <= last && (candidates[kind] == nil || waited > longest[kind]) {
-			candidates[kind], longest[kind] = c, waited
-		}
-	}
-	for kind := closedShedSilent; kind <= last; kind++ {
-		c := candidates[kind]
-		if c == nil {
-			continue
-		}
-		if kind == closedShedPartial && c.hasUnread() { // checked for this connection only, as the system call is expensive
-			c.dataSeen = true
-			return l.shedOne(last)
-		}
-		if !c.closeUnlessServing(kind == closedShedPartial) { // its request has just arrived
-			return l.shedOne(last)
-		}
-		l.remove(c)
-		l.shedCounts[kind-closedShedSilent]++
-		l.countClose(kind)
-		return true
-	}
-	return false
-}
-
-// shedKind returns the kind under which a connection may be closed to make room, and how long it has been silent; ok
-// is false if it may not be closed. now and clockNow are the current time, the latter by the clients' clock. The
-// caller holds the lock of the clients.
-func (c *clientConn) shedKind(now time.Time, clockNow time.Duration) (kind closeReason, waited time.Duration, ok bool) {
-	waited = now.Sub(c.since)
-	begun, whole := c.requestProgress()
-	switch {
-	case c.hadRequest && c.state != http.StateIdle, whole:
-		return 0, 0, false
-	case begun:
-		return closedShedPartial, clockNow - time.Duration(c.lastRead.Load()), true
-	case waited <= silentGrace:
-		return closedShedPartial, waited, !c.dataSeen
-	case c.hadRequest:
-		return closedShedIdle, waited, true
-	}
-	return closedShedSilent, waited, true
-}
-
-// hasUnread reports whether received bytes wait to be read.
-func (c *clientConn) hasUnread() bool { return c.unreadBytes() > 0 }
