Take an answer for broken whose transfer coding its version does not have

Cause: net/http drops the Transfer-Encoding of a message of HTTP/1.0 and reads to the end of the connection; its result shows no trace of the header. It passes over a framing header with white space beside its name in the same way, in any version: raw chunks again, and an answer with "Content-Length : 20" and 2 bytes passed for whole.

Change: answerReader follows the heads of answers as they are read, and fails at the end of one that breaks messageHead.check, so that net/http never has the whole head and the attempt ends as broken. The scanner of heads is that of requests, moved out of framing.go; a malformed Content-Length of a request is now told at the end of its head.

--- a/internal/sidecar/clientconn.go
+++ b/internal/sidecar/clientconn.go
@@ -201,7 +201,7 @@
 // reserveHead reserves memory for a number of bytes that have been read, if the head that they belong to is long and has not
 // ended. It returns false if there is none. The caller holds the lock.
 func (c *clientConn) reserveHead(n int) bool {
-	if !c.framing.inHead {
+	if !c.framing.heads.inHead {
 		c.headBytes = 0
 		return true
 	}
--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -421,7 +421,7 @@
 		if !l.add(k) {
 			t.Fatal("no room")
 		}
-		k.requestBegun, k.framing.inHead = true, true // part of a head has arrived, and no goroutine reads on
+		k.requestBegun, k.framing.heads.inHead = true, true // part of a head has arrived, and no goroutine reads on
 		ends = append(ends, far)
 	}
 	open := 0
--- a/internal/sidecar/dial.go
+++ b/internal/sidecar/dial.go
@@ -94,6 +94,7 @@
 	}
 	c := &conn{Conn: raw, address: address, idleSince: u.clock.now()}
 	c.answerLimit.R = &retryingReader{Reader: raw}
-	c.r = bufio.NewReader(&c.answerLimit)
+	c.answers = newAnswerReader(&c.answerLimit)
+	c.r = bufio.NewReader(c.answers)
 	return c, nil
 }
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -139,6 +139,7 @@
 	net.Conn
 	address     string // of the server, as listed
 	r           *bufio.Reader
+	answers     *answerReader    // what r reads from
 	answerLimit io.LimitedReader // bounds what is read for the current answer
 	idleSince   time.Duration    // end of the last exchange, or when the connection was opened
 	reused      bool             // has carried an exchange before
@@ -420,6 +421,7 @@
 // readHead reads the head of an answer, skipping interim answers.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
 	c.answerLimit.N = maxAnswerBytes
+	c.answers.beginAnswer()
 	for range maxInterimAnswers {
 		res, err := http.ReadResponse(c.r, req)
 		if err != nil || res.StatusCode/100 != 1 {
