Reject a request whose transfer coding its version does not have

Cause: net/http drops the Transfer-Encoding of a message of HTTP/1.0 and tells the handler of a body of length 0. framing, which checks heads before net/http has them, looked for a Content-Length beside it and not at the version.

Change: requests have the rule of answers, messageHead.check. What breaks it gets 400 and a close.

The row "HTTP/1.0 chunks" of TestConnectionClosesAfterChunkedRequest asked for the fault: 200 and an empty body at the server. It is replaced by six rows of TestRequestFraming, which want an error or a close and nothing at the server; the row for HTTP/1.1 is as it was.

--- a/internal/sidecar/framing.go
+++ b/internal/sidecar/framing.go
@@ -59,6 +59,9 @@
 	case head.lengthMalformed:
 		return errMalformed
 	}
+	if err := head.check(); err != nil {
+		return err
+	}
 	f.bodyLeft, f.unfollowed = head.contentLength, head.transferEncoding
 	f.requests++
 	return nil
--- a/internal/sidecar/framing_test.go
+++ b/internal/sidecar/framing_test.go
@@ -83,27 +83,79 @@
 }
 
 // A body that is only chunked is valid. What follows it on the connection is not served, as its framing is not tracked.
-// The same holds for HTTP/1.0, which does not define chunks.
 func TestConnectionClosesAfterChunkedRequest(t *testing.T) {
-	for name, c := range map[string]struct{ request, body string }{
-		"chunked":         {requestHead("1", "Transfer-Encoding: chunked") + "2\r\nhi\r\n0\r\n\r\n", "hi"},
-		"HTTP/1.0 chunks": {strings.Replace(requestHead("1", "Connection: keep-alive\r\nTransfer-Encoding: chunked"), "1.1", "1.0", 1), ""},
-	} {
-		t.Run(name, func(t *testing.T) {
-			s := newStub(t, echo)
-			side := startSidecar(t, nil, s.address)
-			conn := side.dial(t)
-			if _, err := io.WriteString(conn, c.request+requestHead("2", "Content-Length: 0")); err != nil {
-				t.Fatal(err)
-			}
-			answers, _ := io.ReadAll(conn)
-			if strings.Count(string(answers), "HTTP/1.") != 1 || !strings.Contains(string(answers), "done 1") {
-				t.Errorf("answered %q, want one 200", answers)
-			}
-			if got := wait(t, "the request", s.requests); got.body != c.body || len(s.requests) > 0 {
-				t.Errorf("the upstream received %q and %d more requests, want %q alone", got.body, len(s.requests), c.body)
-			}
-		})
+	s := newStub(t, echo)
+	side := startSidecar(t, nil, s.address)
+	conn := side.dial(t)
+	chunked := requestHead("1", "Transfer-Encoding: chunked") + "2\r\nhi\r\n0\r\n\r\n"
+	if _, err := io.WriteString(conn, chunked+requestHead("2", "Content-Length: 0")); err != nil {
+		t.Fatal(err)
+	}
+	answers, _ := io.ReadAll(conn)
+	if strings.Count(string(answers), "HTTP/1.") != 1 || !strings.Contains(string(answers), "done 1") {
+		t.Errorf("answered %q, want one 200", answers)
+	}
+	if got := wait(t, "the request", s.requests); got.body != "hi" || len(s.requests) > 0 {
+		t.Errorf("the upstream received %q and %d more requests, want hi alone", got.body, len(s.requests))
+	}
+}
+
+// requestsByFraming are the version of a request, the headers that frame its body, and what follows its head. served is false
+// if these leave open which bytes are the body; else it is "hi".
+var requestsByFraming = map[string]struct {
+	version, framing, rest string
+	served                 bool
+}{
+	"1.1, length":                     {"HTTP/1.1", "Content-Length: 2", "hi", true},
+	"1.1, chunked":                    {"HTTP/1.1", "Transfer-Encoding: chunked", "2\r\nhi\r\n0\r\n\r\n", true},
+	"1.1, Chunked":                    {"HTTP/1.1", "transfer-encoding:\tChunked", "2\r\nhi\r\n0\r\n\r\n", true},
+	"1.2, chunked":                    {"HTTP/1.2", "Transfer-Encoding: chunked", "2\r\nhi\r\n0\r\n\r\n", true},
+	"1.0, length":                     {"HTTP/1.0", "Content-Length: 2", "hi", true},
+	"1.0, length, to be kept":         {"HTTP/1.0", "Connection: keep-alive\r\nContent-Length: 2", "hi", true},
+	"1.0, chunked":                    {"HTTP/1.0", "Transfer-Encoding: chunked", "2\r\nhi\r\n0\r\n\r\n", false},
+	"1.0, chunked, lower case":        {"HTTP/1.0", "transfer-encoding: chunked", "2\r\nhi\r\n0\r\n\r\n", false},
+	"1.0, chunked, to be kept":        {"HTTP/1.0", "Connection: keep-alive\r\nTransfer-Encoding: chunked", "2\r\nhi\r\n0\r\n\r\n", false},
+	"1.0, chunked, nothing follows":   {"HTTP/1.0", "Connection: keep-alive\r\nTransfer-Encoding: chunked", "", false},
+	"1.0, gzip":                       {"HTTP/1.0", "Transfer-Encoding: gzip", "hi", false},
+	"1.0, chunked, with a length":     {"HTTP/1.0", "Content-Length: 2\r\nTransfer-Encoding: chunked", "hi", false},
+	"1.0, chunked in two lines":       {"HTTP/1.0", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", "2\r\nhi\r\n0\r\n\r\n", false},
+	"0.9, chunked":                    {"HTTP/0.9", "Transfer-Encoding: chunked", "2\r\nhi\r\n0\r\n\r\n", false},
+	"2.0, chunked":                    {"HTTP/2.0", "Transfer-Encoding: chunked", "2\r\nhi\r\n0\r\n\r\n", false},
+	"no version, chunked":             {"", "Transfer-Encoding: chunked", "2\r\nhi\r\n0\r\n\r\n", false},
+	"1.1, chunked, blank in the name": {"HTTP/1.1", "Transfer-Encoding : chunked", "2\r\nhi\r\n0\r\n\r\n", false},
+	"1.1, length, blank in the name":  {"HTTP/1.1", "Content-Length : 2", "hi", false},
+	"1.1, gzip and chunked":           {"HTTP/1.1", "Transfer-Encoding: gzip, chunked", "2\r\nhi\r\n0\r\n\r\n", false},
+}
+
+// Guards against requests that run at a server with another body than the one that was sent, or with none: what leaves open
+// which bytes are its body gets an error or a close, and no server receives it. The path is short, or longer than what is kept
+// of a line.
+func TestRequestFraming(t *testing.T) {
+	for name, c := range requestsByFraming {
+		for _, path := range []string{"/entry", "/entry/" + strings.Repeat("x", 3*maxLineKept)} {
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				s := newStub(t, echo)
+				conn := startSidecar(t, nil, s.address).dial(t)
+				request := strings.Replace(requestHead("1", c.framing), "/entry HTTP/1.1", strings.TrimSpace(path+" "+c.version), 1) + c.rest
+				if _, err := io.WriteString(conn, request); err != nil {
+					t.Fatal(err)
+				}
+				answers, _ := io.ReadAll(conn) // a reset after the answer counts as a close
+				if c.served {
+					if got := wait(t, "the request", s.requests); got.body != "hi" || !strings.Contains(string(answers), "done 1") {
+						t.Errorf("the upstream received %q, and the client %q, want hi and its answer", got.body, answers)
+					}
+					return
+				}
+				if len(s.requests) > 0 {
+					t.Errorf("the upstream received %q", (<-s.requests).body)
+				}
+				if status, _, _ := strings.Cut(string(answers), "\r\n"); status != "" && !strings.HasPrefix(status, "HTTP/1.1 4") && !strings.HasPrefix(status, "HTTP/1.1 5") {
+					t.Errorf("answered %q, want an error or a close", answers)
+				}
+			})
+		}
 	}
 }
 
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -95,7 +95,7 @@
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyStallTimeout)) // fails only on a closed connection
 	}
 	if len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1) {
-		// Data after a chunked body is not checked (see framing), and HTTP/1.0 does not define chunks.
+		// Data after a chunked body is not checked (see framing). A client of HTTP/1.0 may wait for the end of the connection.
 		w.Header().Set("Connection", "close")
 	}
 	q, timeout, err := f.parseRequest(r)
