--- a/internal/sidecar/upload_soak_test.go
+++ b/internal/sidecar/upload_soak_test.go
@@ -48,9 +48,9 @@
 // draws are the random choices of one request, which depend on nothing but the seed and the request.
 type draws struct{ *rand.Rand }
 
-// newDraws returns the choices that the client or the server makes for a request.
-func newDraws(side, id string) draws {
-	return draws{rand.New(rand.NewPCG(*uploadSoakSeed, uint64(crc32.ChecksumIEEE([]byte(side+id)))))}
+// seededDraws returns the choices that the client or the server makes for a request of a soak.
+func seededDraws(seed uint64, side, id string) draws {
+	return draws{rand.New(rand.NewPCG(seed, uint64(crc32.ChecksumIEEE([]byte(side+id)))))}
 }
 
 // duration returns a random duration below longest.
@@ -112,7 +112,7 @@
 			return
 		}
 		id := req.Header.Get("X-Request-ID")
-		d := newDraws("server", id)
+		d := seededDraws(*uploadSoakSeed, "server", id)
 		uneven.behave(d)
 		body, err := io.ReadAll(req.Body)
 		if err != nil {
@@ -137,7 +137,7 @@
 	}
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(soakAnswerWait))
-	d := newDraws("client", id)
+	d := seededDraws(*uploadSoakSeed, "client", id)
 	timeout := soakMinTimeout + d.duration(soakMaxTimeout-soakMinTimeout)
 	body := patternedBody(maxBufferedBody + 1 + d.IntN(soakLargestUpload-maxBufferedBody))
 	framing, encoded := fmt.Sprintf("Content-Length: %d", len(body)), body
