--- a/internal/sidecar/clientconn.go
+++ b/internal/sidecar/clientconn.go
@@ -237,10 +237,10 @@
 	c.serverClosed = true
 	c.mu.Unlock()
 	switch {
-	case broken: // linger would end the answer as if it were whole
 	case refused:
 		c.refuseOnce.Do(c.refuseAndClose)
 		return nil
+	case broken: // linger would end the answer as if it were whole
 	case answered && c.discardAvailable() > 0:
 		c.linger()
 	}
@@ -303,10 +303,16 @@
 const refusalResponse = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.5\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 // refuseAndClose sends refusalResponse, which must have been reserved, reads what the client still sends and closes the
-// connection.
+// connection. Behind a broken answer it only closes.
 func (c *clientConn) refuseAndClose() {
 	defer c.clients.pendingRefusals.Add(-1)
 	defer c.Conn.Close()
+	c.mu.Lock()
+	broken := c.answerBroken
+	c.mu.Unlock()
+	if broken { // the refusal would look like the rest of the answer
+		return
+	}
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(lingerTimeout)) // fails only on a closed connection, as the write then does
 	if _, err := io.WriteString(c.Conn, refusalResponse); err == nil {
 		c.linger()
--- a/internal/sidecar/framing.go
+++ b/internal/sidecar/framing.go
@@ -5,8 +5,8 @@
 const maxTailKept = 4 << 10 // last bytes of a body that is not tracked that are kept; net/http accepts no longer trailer section
 
 var (
-	errFraming   = errors.New("the request frames its body in more than one way")
-	errMalformed = errors.New("Content-Length is malformed")
+	errFraming         = errors.New("the request frames its body in more than one way")
+	errLengthMalformed = errors.New("Content-Length is malformed")
 )
 
 // framing tracks the request boundaries on a connection: heads, and bodies with a Content-Length.
@@ -57,7 +57,7 @@
 	case head.contentLengths > 1 || head.contentLengths == 1 && head.transferEncoding:
 		return errFraming
 	case head.lengthMalformed:
-		return errMalformed
+		return errLengthMalformed
 	}
 	if err := head.check(); err != nil {
 		return err
--- a/internal/sidecar/stream_test.go
+++ b/internal/sidecar/stream_test.go
@@ -415,3 +415,22 @@
 		}
 	}
 }
+
+// A refusal that is due on the connection of a broken answer is not written behind it, and its reservation is released.
+func TestBrokenAnswerIsNotFollowedByRefusal(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	l := &clients{}
+	if !l.reserveRefusal() {
+		t.Fatal("no refusal left")
+	}
+	k := &clientConn{Conn: near, clients: l, closeWithRefusal: true, answerBroken: true}
+	closed := make(chan error, 1)
+	go func() { closed <- k.Close() }()
+	if text, err := io.ReadAll(far); err != nil || len(text) > 0 {
+		t.Errorf("read %q, error %v, want a close", text, err)
+	}
+	if err := wait(t, "the close", closed); err != nil || l.pendingRefusals.Load() != 0 {
+		t.Errorf("closed with %v, %d refusals reserved, want none", err, l.pendingRefusals.Load())
+	}
+}
