Check what follows a faulty request, stalls of unknown length, and that the soak shows something

The row that TestRequestFraming replaced also watched that a request behind the faulty one is not served; each faulty form is followed by one now, and must have one answer at most. TestStallDetector plays its rows with unknown length too, where the answer is long or the row ends at the deadline: these had been left to announced lengths. TestAnswerSoak fails if no answer was whole, none broken or no faulty request rejected.

No change of the program.

--- a/internal/sidecar/answer_soak_test.go
+++ b/internal/sidecar/answer_soak_test.go
@@ -286,5 +286,10 @@
 			t.Errorf("%s was received %d times, or is faulty and was received %d times", id, n, n-1)
 		}
 	}
+	for _, way := range []string{"200, whole true", "200, whole false", "400, whole true"} {
+		if s.results[way] == 0 {
+			t.Errorf("no request ended with %s, so that the play shows little", way)
+		}
+	}
 	t.Logf("seed %d, %v: %v", *answerSoakSeed, *answerSoakTime, s.results)
 }
--- a/internal/sidecar/framing_test.go
+++ b/internal/sidecar/framing_test.go
@@ -128,7 +128,7 @@
 }
 
 // Guards against requests that run at a server with another body than the one that was sent, or with none: what leaves open
-// which bytes are its body gets an error or a close, and no server receives it. The path is short, or longer than what is kept
+// which bytes are its body gets an error or a close, and no server receives it or what follows it. The path is short, or longer than what is kept
 // of a line.
 func TestRequestFraming(t *testing.T) {
 	for name, c := range requestsByFraming {
@@ -138,6 +138,9 @@
 				s := newStub(t, echo)
 				conn := startSidecar(t, nil, s.address).dial(t)
 				request := strings.Replace(requestHead("1", c.framing), "/entry HTTP/1.1", strings.TrimSpace(path+" "+c.version), 1) + c.rest
+				if !c.served { // must not be served either, as it may be part of the body
+					request += requestHead("2", "Content-Length: 0")
+				}
 				if _, err := io.WriteString(conn, request); err != nil {
 					t.Fatal(err)
 				}
@@ -151,6 +154,9 @@
 				if len(s.requests) > 0 {
 					t.Errorf("the upstream received %q", (<-s.requests).body)
 				}
+				if n := strings.Count(string(answers), "HTTP/1."); n > 1 {
+					t.Errorf("answered %q, want one answer at most", answers)
+				}
 				if status, _, _ := strings.Cut(string(answers), "\r\n"); status != "" && !strings.HasPrefix(status, "HTTP/1.1 4") && !strings.HasPrefix(status, "HTTP/1.1 5") {
 					t.Errorf("answered %q, want an error or a close", answers)
 				}
--- a/policy/stream_test.go
+++ b/policy/stream_test.go
@@ -135,20 +135,26 @@
 		"very long pauses":                    {[]time.Duration{1250 * ms, 1800 * ms}, 16 << 10, 0, 2 * time.Second},
 		"slow client, after the deadline":     {[]time.Duration{100 * ms, 100 * ms}, 16 << 10, 5 * time.Second, 500 * ms},
 	} {
-		now := time.Duration(0)
-		d := NewStallDetector(now, deadline, 32<<20)
-		for _, pause := range c.pauses {
-			d.StartRead(now)
-			now += pause
-			d.BytesReceived(now, c.piece)
-		}
-		now += c.idle
-		want := now + c.until
-		if c.until == 0 {
-			want = deadline + 350*ms
-		}
-		if until := d.StartRead(now); until != want {
-			t.Errorf("%s: a wait from %v until %v, want %v", name, now, until, want)
+		received := len(c.pauses) * c.piece
+		for _, announced := range []int64{32 << 20, UnknownLength} {
+			if announced == UnknownLength && c.until > 0 && received <= longAnswerBytes {
+				continue // not long, so it ends by another rule
+			}
+			now := time.Duration(0)
+			d := NewStallDetector(now, deadline, announced)
+			for _, pause := range c.pauses {
+				d.StartRead(now)
+				now += pause
+				d.BytesReceived(now, c.piece)
+			}
+			now += c.idle
+			want := now + c.until
+			if c.until == 0 {
+				want = deadline + 350*ms
+			}
+			if until := d.StartRead(now); until != want {
+				t.Errorf("%s, announced %d: a wait from %v until %v, want %v", name, announced, now, until, want)
+			}
 		}
 	}
 	d := NewStallDetector(0, time.Hour, 32<<20)
