--- a/internal/sidecar/shed_test.go
+++ b/internal/sidecar/shed_test.go
@@ -162,7 +162,7 @@
 	for name := range crowdKinds {
 		t.Run(name, func(t *testing.T) { checkServiceBesideCrowds(t, name, 256) })
 	}
-	t.Run("half a body, 1,024 descriptors", func(t *testing.T) { checkServiceBesideCrowds(t, "half a body", 1024) })
+	t.Run("half a body 1024", func(t *testing.T) { checkServiceBesideCrowds(t, "half a body", 1024) })
 }
 
 // checkServiceBesideCrowds plays crowds of a kind, each half as large again as the number of descriptors, beside a client.
