--- a/cmd/caperarch/memory_test.go
+++ b/cmd/caperarch/memory_test.go
@@ -41,6 +41,8 @@
 	longBody        = 32 << 20 // bytes
 	longestBuffered = 64 << 10 // bytes of the longest body that is not a long one
 	longHead        = 30_000   // bytes
+	longAnswerHead  = 200_000  // bytes
+	manyFields      = 5000     // in a head
 	memoryPlayTime  = 8 * time.Second
 	memoryPoll      = 10 * time.Millisecond
 	retryPause      = 20 * time.Millisecond
@@ -48,6 +50,8 @@
 	clientPause     = 300 * time.Millisecond // between two requests of a client that is held
 	answerBytesName = "X-Answer-Bytes"       // header by which a client asks for an answer's length
 	framingName     = "X-Answer-Framing"
+	fieldsName      = "X-Answer-Fields"  // header by which a client asks for a number of short fields in the answer's head
+	paddingName     = "X-Answer-Padding" // and for a field of a number of bytes
 )
 
 const memorySettings = `{"listen":"127.0.0.1:0","console":"127.0.0.1:0","discovery":%q,"seed":"1f","limits":{"memory_mb":%d,"sockets":%d},
@@ -222,11 +226,11 @@
 			return
 		}
 		left, _ := strconv.Atoi(req.Header.Get(answerBytesName)) // without the header the answer is empty
-		chunked := req.Header.Get(framingName) == "chunked"
+		chunked, fields := req.Header.Get(framingName) == "chunked", answerFields(req)
 		if chunked {
-			_, err = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+			_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n", fields)
 		} else {
-			_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", left)
+			_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n", fields, left)
 		}
 		for left > 0 && err == nil {
 			n := min(left, len(piece))
@@ -246,14 +250,43 @@
 	}
 }
 
+// answerFields returns the header fields that a request asks for.
+func answerFields(req *http.Request) string {
+	fields, _ := strconv.Atoi(req.Header.Get(fieldsName)) // without the header there are none
+	padding, _ := strconv.Atoi(req.Header.Get(paddingName))
+	return shortFields(fields, false) + "X-Padding: " + strings.Repeat("p", padding) + "\r\n"
+}
+
+// shortFields returns a number of header fields that are as short as can be, of one name or each of another.
+func shortFields(count int, oneName bool) string {
+	var fields strings.Builder
+	for n := range count {
+		name := "a"
+		if !oneName {
+			name = strconv.FormatInt(int64(n), 36)
+		}
+		fields.WriteString(name + ":\r\n")
+	}
+	return fields.String()
+}
+
+// lastRequest is the number of the last request that a client has sent, by which it is identified.
+var lastRequest atomic.Int64
+
 // bulkRequest is a request with a body and an answer of any length, and how its client sends and reads.
 type bulkRequest struct {
 	bodyBytes, answerBytes int
 	chunkedAnswer          bool
 	sentBytes              int // of the body; the client sends no more than these
 	paddingBytes           int // of a header without a meaning
+	fields                 int // short ones in the head
+	oneFieldName           bool
+	answerFields           int // short ones in the answer's head
+	answerPadding          int // bytes of a field of the answer's head
 	halfHead               bool
-	sendRate, readRate     int // bytes a second, or stopped; 0: at once
+	pipelined              int           // further requests that are sent at once
+	sendRate, readRate     int           // bytes a second, or stopped; 0: at once
+	stay                   time.Duration // how long the client stays at most; 0: as long as it takes
 }
 
 // head returns the head of the request.
@@ -262,8 +295,9 @@
 	if q.chunkedAnswer {
 		framing = "chunked"
 	}
-	head := fmt.Sprintf("POST /entry HTTP/1.1\r\nHost: service\r\nX-Request-ID: r\r\nX-Priority-Class: entry\r\nX-Tenant-Id: north\r\nX-Timeout: 780m\r\n"+
-		"%s: %d\r\n%s: %s\r\nContent-Length: %d\r\nX-Padding: %s", answerBytesName, q.answerBytes, framingName, framing, q.bodyBytes, strings.Repeat("p", q.paddingBytes))
+	head := fmt.Sprintf("POST /entry HTTP/1.1\r\nHost: service\r\nX-Request-ID: r%d\r\nX-Priority-Class: entry\r\nX-Tenant-Id: north\r\nX-Timeout: 780m\r\n"+
+		"%s: %d\r\n%s: %d\r\n%s: %d\r\n%s: %s\r\nContent-Length: %d\r\n%sX-Padding: %s", lastRequest.Add(1), answerBytesName, q.answerBytes,
+		fieldsName, q.answerFields, paddingName, q.answerPadding, framingName, framing, q.bodyBytes, shortFields(q.fields, q.oneFieldName), strings.Repeat("p", q.paddingBytes))
 	if q.halfHead {
 		return head
 	}
@@ -280,9 +314,19 @@
 	defer c.Close()
 	unwatch := context.AfterFunc(p.stop, func() { c.Close() })
 	defer unwatch()
+	if q.stay > 0 {
+		leaves := time.AfterFunc(q.stay, func() { c.Close() })
+		defer leaves.Stop()
+	}
 	if _, err := io.WriteString(c, q.head()); err != nil {
 		return "not sent"
 	}
+	for range q.pipelined { // an error shows when the answer is read
+		_ = c.SetWriteDeadline(time.Now().Add(clientPause))
+		if _, err := io.WriteString(c, q.head()); err != nil {
+			break
+		}
+	}
 	sent := make(chan error, 1)
 	go func() { sent <- p.pace(q.sendRate, q.sentBytes, func(b []byte) (int, error) { return c.Write(b) }) }()
 	if q.readRate == stopped {
@@ -357,6 +401,14 @@
 	"half-written-bodies":  {bodyBytes: longestBuffered, sentBytes: 64_000},
 	"half-written-heads":   {paddingBytes: longHead, halfHead: true},
 	"long-heads":           {paddingBytes: longHead, answerBytes: longBody, readRate: stopped},
+	"short-fields":         {fields: manyFields, answerBytes: longBody, readRate: stopped},
+	"fields-of-one-name":   {fields: manyFields, oneFieldName: true, answerBytes: longBody, readRate: stopped},
+	"half-written-fields":  {fields: manyFields, halfHead: true},
+	"answers-short-fields": {answerFields: manyFields, answerBytes: longBody, readRate: stopped},
+	"answers-long-heads":   {answerPadding: longAnswerHead, answerBytes: longBody, readRate: stopped},
+	"leaving-readers":      {answerBytes: longBody, chunkedAnswer: true, readRate: slowRate, stay: 2 * time.Second},
+	"leaving-writers":      {bodyBytes: longBody, sentBytes: longBody / 2, answerBytes: longBody, stay: 2 * time.Second},
+	"pipelines":            {answerBytes: longestBuffered, readRate: stopped, pipelined: 2000},
 }
 
 // Whatever clients send and read, the process stays within its memory limit, with the fewest descriptors and with the most.
@@ -429,12 +481,17 @@
 func drawRequest(draws *rand.Rand) bulkRequest {
 	lengths := []int{0, 100, 4 << 10, 5000, 16 << 10, 40_000, longestBuffered, longestBuffered + 1, 200 << 10, 1 << 20, longBody}
 	paddings := []int{0, 0, 0, 5000, longHead}
+	fields := []int{0, 0, 0, 200, manyFields}
 	q := bulkRequest{
+		fields: fields[draws.IntN(len(fields))], oneFieldName: draws.IntN(2) == 0, answerFields: fields[draws.IntN(len(fields))],
 		bodyBytes: lengths[draws.IntN(len(lengths))], answerBytes: lengths[draws.IntN(len(lengths))],
 		chunkedAnswer: draws.IntN(2) == 0, sendRate: slowRate * draws.IntN(2), readRate: []int{0, slowRate, stopped}[draws.IntN(3)],
 		paddingBytes: paddings[draws.IntN(len(paddings))], halfHead: draws.IntN(10) == 0,
 	}
 	q.sentBytes = q.bodyBytes
+	if draws.IntN(4) == 0 {
+		q.stay = time.Duration(draws.Int64N(int64(4 * time.Second)))
+	}
 	if draws.IntN(4) == 0 {
 		q.sentBytes = draws.IntN(q.bodyBytes + 1)
 	}
--- a/internal/sidecar/late_test.go
+++ b/internal/sidecar/late_test.go
@@ -232,6 +232,36 @@
 	}
 }
 
+// Guards against requests that are sent although their client has gone, because it had sent so many more behind them that the
+// end of its connection did not fit into the receive buffer of the sidecar's socket.
+func TestClientLeavesBehindUnreadRequests(t *testing.T) {
+	next := requestHead("2", "Content-Length: 0")
+	for _, unreadBytes := range []int{len(next), 4 << 10, 40 << 10, 100 << 10, 300 << 10, 2 << 20} {
+		t.Run(fmt.Sprint(unreadBytes), func(t *testing.T) {
+			s := newStub(t, echo)
+			f, sidecar, serve := newTestFront(t, s.address, nil)
+			f.loop.upstream.dialTimeout = 2 * testTimeout
+			dialled, free := f.loop.upstream.delayDials(s.address)
+			serve()
+			c := sidecar.dial(t)
+			if _, err := io.WriteString(c, requestHead("1", "Content-Length: 0")); err != nil {
+				t.Fatal(err)
+			}
+			wait(t, "the dial", dialled)
+			if _, err := io.WriteString(c, strings.Repeat(next, unreadBytes/len(next))); err != nil {
+				t.Fatal(err)
+			}
+			c.Close()
+			time.Sleep(presencePollInterval) // the attempt begins later than it may
+			close(free)
+			f.waitOnLoop(t, "the requests to end", func() bool { return f.openRequests.Load() == 0 && len(f.loop.requests) == 0 && f.clients.count() == 0 })
+			if len(s.requests) > 0 {
+				t.Errorf("%d requests were sent on, the first of them %s", len(s.requests), wait(t, "it", s.requests).Header.Get("X-Request-ID"))
+			}
+		})
+	}
+}
+
 // waitOnLoop waits for a condition that is evaluated on the loop's goroutine.
 func (f *front) waitOnLoop(t *testing.T, what string, holds func() bool) {
 	t.Helper()
--- a/internal/sidecar/stream_test.go
+++ b/internal/sidecar/stream_test.go
@@ -434,3 +434,61 @@
 		t.Errorf("closed with %v, %d refusals reserved, want none", err, l.pendingRefusals.Load())
 	}
 }
+
+// writeAnswerHead writes the head of an answer of a number of bytes in a framing.
+func writeAnswerHead(c net.Conn, framing string, bytes int) error {
+	head := map[string]string{
+		"length": fmt.Sprintf("Content-Length: %d", bytes), "chunked": "Transfer-Encoding: chunked", "close": "Connection: close",
+	}
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s\r\n\r\n", head[framing])
+	return err
+}
+
+// writePaced writes a body of a number of bytes in pieces, with a pause behind each.
+func writePaced(c net.Conn, framing string, bytes, piece int, pause time.Duration) error {
+	for left := bytes; left > 0; left -= piece {
+		text := strings.Repeat("x", min(left, piece))
+		if framing == "chunked" {
+			text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+		}
+		if _, err := io.WriteString(c, text); err != nil {
+			return err
+		}
+		time.Sleep(pause)
+	}
+	if framing == "chunked" {
+		_, err := io.WriteString(c, "0\r\n\r\n")
+		return err
+	}
+	return nil
+}
+
+// Guards against long answers that are cut off although their servers go on: the head came in time, and the body begins
+// after the time of the attempt, or after that of the client.
+func TestLongAnswerWithLateBodyIsNotCutOff(t *testing.T) {
+	const bytes, piece, pause = 200_000, 10_000, 50 * time.Millisecond
+	const aim, deadline = 200 * time.Millisecond, 800 * time.Millisecond
+	for _, framing := range []string{"length", "chunked", "close"} {
+		for _, bodyDelay := range []time.Duration{0, 100 * time.Millisecond, 300 * time.Millisecond, 700 * time.Millisecond, 900 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%s, body after %v", framing, bodyDelay), func(t *testing.T) {
+				t.Parallel()
+				s := newStub(t, func(c net.Conn, _ stubRequest) bool {
+					if writeAnswerHead(c, framing, bytes) != nil {
+						return false
+					}
+					time.Sleep(bodyDelay)
+					return writePaced(c, framing, bytes, piece, pause) == nil && framing != "close"
+				})
+				sidecar := startSidecar(t, func(_, settings map[string]any) {
+					reading := settings["classes"].([]any)[0].(map[string]any)
+					reading["aim_ms"], reading["hard_limit_ms"] = float64(aim.Milliseconds()), float64(deadline.Milliseconds())
+				}, s.address)
+				timeout := fmt.Sprintf("%dm", deadline.Milliseconds())
+				res, body := sendRequest(t, sidecar.newRequest(t, "POST", "/reading", "b", "Idempotency-Key", "k", "X-Timeout", timeout))
+				if res.StatusCode != http.StatusOK || len(body) != bytes {
+					t.Errorf("%s with %d bytes, want 200 with %d", res.Status, len(body), bytes)
+				}
+			})
+		}
+	}
+}
--- a/internal/sidecar/upload_test.go
+++ b/internal/sidecar/upload_test.go
@@ -259,3 +259,27 @@
 		t.Errorf("the read was interrupted %d times", n)
 	}
 }
+
+// Guards against a long request that is answered seconds after its time because its end waits in the client's own socket:
+// its server reads slowly, so the sidecar reads no more, and nothing that has arrived shows that all has been written.
+func TestUploadWaitingInClientSocketIsAnsweredInTime(t *testing.T) {
+	const length = 3 << 20 // more than the receive buffer of the sidecar's socket takes while nothing is read, less than a send buffer
+	for _, framing := range []string{fmt.Sprintf("Content-Length: %d", length), "Transfer-Encoding: chunked"} {
+		for _, name := range []string{"nothing", "slowly"} {
+			t.Run(fmt.Sprintf("%s, the server reads %s", framing, name), func(t *testing.T) {
+				t.Parallel()
+				c := startUploadSidecar(t, true, slowReads[name]).dial(t)
+				request := bytes.NewBufferString(uploadHead(framing))
+				if strings.HasPrefix(framing, "Content-Length") {
+					request.Write(patternedBody(length))
+				} else if err := writeChunked(request, patternedBody(length)); err != nil {
+					t.Fatal(err)
+				}
+				if _, err := c.Write(request.Bytes()); err != nil {
+					t.Fatal(err)
+				}
+				checkAnsweredInTime(t, c, time.Now())
+			})
+		}
+	}
+}
