Pass on a streamed answer whose body begins late instead of cutting it off

Callers saw 504 about 0.2 s after a request of 0.8 s whose server had sent the head of a long answer within 10 ms and was still writing its body. Cause: an answer counted as begun with the first byte of its body, and until then the time of the attempt bound it, which is the class's aim. Its head shows that the server is answering.

Before that a break still leads to a retry.

--- a/internal/sidecar/answer.go
+++ b/internal/sidecar/answer.go
@@ -27,7 +27,7 @@
 	case onBegin != nil && res.StatusCode != http.StatusOK: // only its head counts
 		err = c.discardBody(res)
 	case onBegin != nil && !x.reserveAnswer(res.ContentLength):
-		body, err = newStream(res, c, x, u.clock).run(onBegin)
+		body, err = newStream(res, c, x, u.clock, deadline).run(onBegin)
 	default:
 		body, err = c.readBody(res)
 	}
--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -28,6 +28,7 @@
 	conn     *conn
 	exchange *exchange
 	clock    clock
+	holdEnd  time.Duration                 // when the answer begins to be passed on at the latest
 	onBegin  func(*http.Response, *stream) // called when the answer begins to be passed on
 
 	mu              sync.Mutex
@@ -43,10 +44,11 @@
 	abortOnce   sync.Once
 }
 
-// newStream returns a stream of an answer whose head has been read.
-func newStream(res *http.Response, c *conn, exchange *exchange, clock clock) *stream {
+// newStream returns a stream of an answer whose head has been read, and was due at headDeadline.
+func newStream(res *http.Response, c *conn, exchange *exchange, clock clock, headDeadline time.Duration) *stream {
 	return &stream{
-		res: res, conn: c, exchange: exchange, clock: clock, beginOnNextByte: res.ContentLength > maxBufferedBody,
+		holdEnd: policy.HoldHeaderUntil(clock.now(), headDeadline),
+		res:     res, conn: c, exchange: exchange, clock: clock, beginOnNextByte: res.ContentLength > maxBufferedBody,
 		stalls: policy.NewStallDetector(clock.now(), exchange.clientDeadline, res.ContentLength),
 		chunks: make(chan chunk, maxQueuedChunks), clientGone: make(chan struct{}), chunkBudget: newChunkBudget(exchange.memory),
 	}
@@ -66,6 +68,11 @@
 	s.onBegin = onBegin
 	start := time.AfterFunc(streamStartDelay, s.beginBuffered)
 	defer start.Stop()
+	holdEnd := time.AfterFunc(s.holdEnd-s.clock.now(), s.beginWithoutBody)
+	defer holdEnd.Stop()
+	s.mu.Lock()
+	s.extendReadDeadline() // the head was in time, and the body may take longer
+	s.mu.Unlock()
 	defer close(s.chunks)
 	c := s.chunkBudget.get(s.clientGone)
 	for {
@@ -107,6 +114,17 @@
 	}
 }
 
+// beginWithoutBody begins an answer of which no byte of the body may have arrived: its head tells the client that the answer is
+// on its way.
+func (s *stream) beginWithoutBody() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.begun {
+		s.extendReadDeadline()
+		s.beginLocked()
+	}
+}
+
 // receive handles the result of a read. Before the stream begins it moves the bytes to the buffer and empties the chunk.
 // begun reports whether the stream has begun, complete whether the whole answer is in the buffer.
 func (s *stream) receive(c *chunk, err error) (begun, complete bool) {
@@ -117,7 +135,7 @@
 	if s.begun {
 		return true, false
 	}
-	s.stalls.StartRead(now) // the exchange's own deadline applies until the stream begins
+	s.extendReadDeadline()
 	gotBytes := c.n > 0
 	roomToBuffer := s.buffer(c.buffer[:c.n])
 	c.n = 0
