Begin a long request's time when its end may wait in the client's socket

Callers that had written a request of some MiB to a server that reads slowly had their answer seconds after its time, or none: while the server reads nothing, neither does the sidecar, its receive buffer fills, and the rest waits in the client's own socket, where no byte that has arrived shows that all has been written.

Now a receive buffer that stays full for 0.1 s, with no read that empties it, is taken for a body whose rest may have been written, if that fits into a send buffer of this machine; a client that is only faster for a moment empties its socket in that time. Its time counts from when the buffer became full. The price: a client that is in truth still writing to a server that takes too long is refused (503) once its time is over.

--- a/internal/sidecar/arrival.go
+++ b/internal/sidecar/arrival.go
@@ -2,33 +2,61 @@
 
 import (
 	"bytes"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
 
+// fullBufferTime is how long a receive buffer has to stay full, with no read that empties it, until the rest of a body may have
+// been written: a client that is merely faster than the sidecar for a moment has not stopped.
+const fullBufferTime = 100 * time.Millisecond
+
 // maxSkipBuffers is how many buffers of unread bytes are skipped at most to look at the last ones. One system call takes at
 // most 1,024 buffers (UIO_MAXIOV).
 const maxSkipBuffers = 1000
 
 // arrivalProbe finds out whether the last byte of a request's body has arrived at this machine. That byte may be unread for
-// as long as the server does not take the bytes before it. It is not safe for concurrent use.
+// as long as the server does not take the bytes before it. Where it may have been written but can't be received, it counts as
+// arrived: its client may already wait for the answer. It is not safe for concurrent use.
 type arrivalProbe struct {
 	conn     *clientConn
 	request  uint64 // number of the request on the connection, from 1
-	arrived  uint64 // bytes of the connection that had arrived at the last call of hasArrived
+	arrived  uint64 // bytes of the connection that had arrived at the last call of arrivedAt
 	examined bool   // the last of these bytes have been examined
+
+	fullSince  time.Duration // since when the receive buffer has been full; 0: it is not full
+	drainsThen uint64        // reads that have found nothing unread by then
 }
 
-// hasArrived reports whether the last byte of the body has arrived. It returns false if the system does not tell.
-func (p *arrivalProbe) hasArrived() bool {
+// arrivedAt returns by when the last byte of the body has arrived at the latest, or when it may have been written but did not fit
+// into the receive buffer. ok is false if neither is known.
+func (p *arrivalProbe) arrivedAt(now time.Duration) (at time.Duration, ok bool) {
 	c := p.conn
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	unread := c.unreadBytes()
-	if c.framing.requests == p.request && c.framing.unfollowed {
-		return p.lastChunkArrived(unread)
+	unread := uint64(c.unreadBytes())
+	isChunked := c.framing.requests == p.request && c.framing.unfollowed
+	switch {
+	case isChunked && p.lastChunkArrived(int(unread)):
+		return now, true
+	case !isChunked && (c.framing.requests > p.request || unread >= c.framing.bodyLeft):
+		return now, true
+	case !isChunked && c.framing.bodyLeft-unread > maxSendBuffer():
+		return 0, false
+	}
+	return p.writtenAt(now)
+}
+
+// writtenAt returns since when the receive buffer has been full, if that is long enough. The caller holds the connection's lock.
+func (p *arrivalProbe) writtenAt(now time.Duration) (at time.Duration, ok bool) {
+	if !p.conn.receiveBufferFull() {
+		p.fullSince = 0
+		return 0, false
+	}
+	if drains := p.conn.drains; p.fullSince == 0 || p.drainsThen != drains {
+		p.fullSince, p.drainsThen = now, drains
 	}
-	return c.framing.requests > p.request || uint64(unread) >= c.framing.bodyLeft
+	return p.fullSince, now-p.fullSince >= fullBufferTime
 }
 
 // lastChunkArrived reports whether a chunked body has arrived, of which a number of bytes are unread. It examines them once
--- a/internal/sidecar/arrival_test.go
+++ b/internal/sidecar/arrival_test.go
@@ -43,6 +43,12 @@
 	}
 }
 
+// hasArrived reports whether the last byte of the body is known to have arrived by now.
+func (p *arrivalProbe) hasArrived() bool {
+	_, arrived := p.arrivedAt(p.conn.clients.clock.now())
+	return arrived
+}
+
 // The last byte of a body with a length is found wherever it lies, and not taken for there before it is.
 func TestArrivalOfBodyWithLength(t *testing.T) {
 	body := strings.Repeat("x", 1000)
--- a/internal/sidecar/clientconn.go
+++ b/internal/sidecar/clientconn.go
@@ -44,6 +44,7 @@
 	framing          framing
 	framingErr       error
 	bytesRead        uint64        // bytes that have been read
+	drains           uint64        // reads that found nothing unread
 	handled          uint64        // requests that have been handed to the handler, the current one included
 	requestBegun     bool          // bytes have been read of a request that has no answer yet
 	readsEnded       bool          // no further reads are allowed
@@ -168,6 +169,7 @@
 	n, err := c.clients.readFD(fd, p)
 	if err == syscall.EAGAIN {
 		c.queuedSince = 0
+		c.drains++
 	}
 	if err != nil {
 		return 0, err
--- a/internal/sidecar/upload.go
+++ b/internal/sidecar/upload.go
@@ -143,11 +143,11 @@
 	_, _ = io.Copy(io.Discard, u.body) // after an error the unread bytes end the connection
 }
 
-// noteArrival records that the last byte of the body has arrived, unless that is known, and sets the client's deadline. A
-// timeout of timeLeft counts from now.
-func (u *upload) noteArrival(now, timeLeft time.Duration) {
+// noteArrival records that the last byte of the body arrived at a time, unless that is known, and sets the client's deadline,
+// which a timeout of timeLeft counts from then.
+func (u *upload) noteArrival(at, timeLeft time.Duration) {
 	if u.deadline == 0 {
-		u.deadline = now + timeLeft
+		u.deadline = at + timeLeft
 		u.onArrived(u.deadline)
 	}
 }
@@ -160,8 +160,13 @@
 	return u.arrival.conn.unreadBytes()
 }
 
-// arrivedUnread reports whether the last byte of the body has arrived and is unread.
-func (u *upload) arrivedUnread() bool { return u.arrival != nil && u.arrival.hasArrived() }
+// arrivedUnread returns by when the last byte of the body has arrived and is unread. ok is false if that is not known.
+func (u *upload) arrivedUnread(now time.Duration) (at time.Duration, ok bool) {
+	if u.arrival == nil {
+		return 0, false
+	}
+	return u.arrival.arrivedAt(now)
+}
 
 // uploadWriter writes a long body to a server, which may read it slowly but not stop reading. Once the body has arrived
 // whole, nothing is written after the client's deadline.
@@ -195,13 +200,13 @@
 	if rest.deadline != 0 {
 		return
 	}
-	arrived := rest.complete.Load()
+	at, arrived := now, rest.complete.Load()
 	if !arrived && now >= w.nextCheck {
 		w.nextCheck = now + arrivalPollInterval
-		arrived = rest.arrivedUnread()
+		at, arrived = rest.arrivedUnread(now)
 	}
 	if arrived {
-		rest.noteArrival(now, w.outbound.timeLeft)
+		rest.noteArrival(at, w.outbound.timeLeft)
 	}
 }
 
