Count the fields of heads in the memory budget, in both directions

A process of 32 MB was killed by some 60 requests, or answers, whose heads had thousands of short fields, or by answers with heads of 200,000 bytes. Cause: the budget counted the bytes of a request's head on the wire alone, while a field takes some 300 bytes once it is parsed and copied into the message that is passed on (measured: 255 to 313 for fields of other names); heads of answers were not counted at all.

Both count now, by policy.HeadCost, while they arrive; what there is no memory for is refused (a request) or broken (an answer). What is reserved for a pipelined head is no longer released with the request before it. A message may have 1,000 fields; further ones are 400, or a broken answer: each costs processor time too.

--- a/internal/sidecar/answer.go
+++ b/internal/sidecar/answer.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"arrowgw/policy"
 )
 
 const (
@@ -20,7 +22,7 @@
 	x *exchange, c *conn, req *http.Request, deadline time.Duration, onBegin func(*http.Response, *stream),
 ) (res *http.Response, body []byte, err error) {
 	_ = c.SetDeadline(u.clock.toTime(deadline)) // fails only on a closed connection, as the read then does
-	if res, err = c.readHead(req); err != nil {
+	if res, err = c.readHead(req, x.memory); err != nil {
 		return res, nil, err
 	}
 	switch {
@@ -37,10 +39,10 @@
 	return res, body, err
 }
 
-// readHead reads the head of an answer, skipping interim answers.
-func (c *conn) readHead(req *http.Request) (*http.Response, error) {
+// readHead reads the head of an answer, skipping interim answers. The head is held in the memory of the request.
+func (c *conn) readHead(req *http.Request, memory *requestMemory) (*http.Response, error) {
 	c.answerLimit.N = maxAnswerBytes
-	c.answers.beginAnswer()
+	c.answers.beginAnswer(memory)
 	for range maxInterimAnswers {
 		res, err := http.ReadResponse(c.r, req)
 		if err != nil || res.StatusCode/100 != 1 {
@@ -73,12 +75,16 @@
 	return err
 }
 
-// answerReader reads the answers of a server. It withholds the end of a head whose framing is faulty, and fails from there on.
+// answerReader reads the answers of a server. It withholds the end of a head whose framing is faulty, or that there is no memory
+// for, and fails from there on.
 type answerReader struct {
 	io.Reader
-	heads  headScanner
-	inBody bool  // the head of the final answer has ended
-	err    error // why all further reads fail
+	heads     headScanner
+	inBody    bool           // the head of the final answer has ended
+	memory    *requestMemory // in which the heads of the current answer are held
+	headBytes int            // bytes of these heads that have been read
+	reserved  int            // bytes reserved for them
+	err       error          // why all further reads fail
 }
 
 // newAnswerReader returns an answerReader of the bytes that r reads. Each answer has to be begun.
@@ -86,9 +92,16 @@
 	return &answerReader{Reader: r, heads: headScanner{answers: true}}
 }
 
-// beginAnswer makes the next bytes be taken for the head of an answer.
-func (r *answerReader) beginAnswer() {
+// beginAnswer makes the next bytes be taken for the head of an answer, which is held in the given memory.
+func (r *answerReader) beginAnswer(memory *requestMemory) {
 	r.heads, r.inBody = headScanner{answers: true, line: r.heads.line[:0]}, false
+	r.memory, r.headBytes, r.reserved = memory, 0, 0
+}
+
+// releaseHead releases what is reserved for the head of an answer that is not passed on.
+func (r *answerReader) releaseHead() {
+	r.memory.release(policy.Heads, r.reserved)
+	r.reserved = 0
 }
 
 // Read implements io.Reader.
@@ -103,12 +116,19 @@
 	return n, err
 }
 
-// checkHeads returns an error if a head whose framing is faulty ends within the next bytes.
+// checkHeads returns an error if a head ends within the next bytes whose framing is faulty, or if there is no memory for it.
 func (r *answerReader) checkHeads(p []byte) error {
 	for len(p) > 0 && !r.inBody {
 		n, ended := r.heads.scan(p)
 		p = p[n:]
+		r.headBytes += n
+		if !r.reserveHead() {
+			return errNoMemoryForHead
+		}
 		if !ended {
+			if r.heads.head.fields > maxHeadFields {
+				return errTooManyFields
+			}
 			return nil
 		}
 		if err := r.heads.head.check(); err != nil {
@@ -118,3 +138,16 @@
 	}
 	return nil
 }
+
+// reserveHead reserves the memory of the heads so far. It returns false if there is none.
+func (r *answerReader) reserveHead() bool {
+	cost := policy.HeadCost(r.headBytes, r.heads.head.fields) - r.reserved
+	if cost <= 0 {
+		return true
+	}
+	if !r.memory.reserve(policy.Heads, cost) {
+		return false
+	}
+	r.reserved += cost
+	return true
+}
--- a/internal/sidecar/clientconn.go
+++ b/internal/sidecar/clientconn.go
@@ -17,9 +17,6 @@
 )
 
 const (
-	leastHeadBuffer = 4 << 10 // bytes of a head that need no reservation; part of policy.ClientConnectionCost
-	headCopies      = 2       // net/http holds the current line of a head beside the ones before
-
 	lingerTimeout  = 250 * time.Millisecond // how long data that follows a final answer is read before the close
 	maxLingerBytes = 256 << 10              // bytes of such data that are read
 )
@@ -200,30 +197,32 @@
 	return n, nil
 }
 
-// reserveHead reserves memory for a number of bytes that have been read, if the head that they belong to is long and has not
-// ended. It returns false if there is none. The caller holds the lock.
+// reserveHead reserves memory for a head of which a number of bytes have been read, if it is long. It returns false if there is
+// none. The caller holds the lock.
 func (c *clientConn) reserveHead(n int) bool {
-	if !c.framing.heads.inHead {
+	if c.headBytes += n; !c.framing.heads.inHead {
 		c.headBytes = 0
-		return true
 	}
-	c.headBytes += n
-	if c.headBytes <= leastHeadBuffer || c.unlisted {
+	cost := policy.HeadCost(c.headBytes, c.framing.mostFields) - c.headReserved
+	if cost <= 0 || c.unlisted {
 		return true
 	}
-	if !c.clients.memory.reserve(policy.RequestHeads, n*headCopies) {
+	if !c.clients.memory.reserve(policy.Heads, cost) {
 		return false
 	}
-	c.headReserved += n * headCopies
+	c.headReserved += cost
 	return true
 }
 
-// releaseHeads releases what is reserved for the heads of the requests so far. unlisted is true once the connection has left
-// the list of connections.
+// releaseHeads releases what is reserved for the heads of the requests so far, unless the head of a further request has been
+// read. unlisted is true once the connection has left the list of connections.
 func (c *clientConn) releaseHeads(unlisted bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.clients.memory.charge(policy.RequestHeads, -c.headReserved)
+	if !unlisted && (c.framing.requests > c.handled || c.framing.heads.inHead) {
+		return
+	}
+	c.clients.memory.charge(policy.Heads, -c.headReserved)
 	c.headReserved, c.unlisted = 0, c.unlisted || unlisted
 }
 
--- a/internal/sidecar/framing.go
+++ b/internal/sidecar/framing.go
@@ -16,6 +16,7 @@
 	unfollowed bool   // the boundary of this request is not tracked; the server closes the connection after it
 	tail       []byte // the last bytes of a body that is not tracked, up to maxTailKept
 	requests   uint64 // heads that have ended
+	mostFields int    // most header fields of a head of which bytes came with the last call of advance
 }
 
 // atBoundary reports whether the bytes so far end with the last byte of a request. It returns false once a body is not
@@ -28,6 +29,7 @@
 // bytes before the newline that ends the head.
 func (f *framing) advance(p []byte) (int, error) {
 	at := 0
+	f.mostFields = 0
 	for at < len(p) && !f.unfollowed {
 		if f.bodyLeft > 0 {
 			n := min(f.bodyLeft, uint64(len(p)-at))
@@ -37,6 +39,11 @@
 		}
 		n, ended := f.heads.scan(p[at:])
 		at += n
+		fields := f.heads.head.fields
+		f.mostFields = max(f.mostFields, fields)
+		if !ended && fields > maxHeadFields {
+			return at, errTooManyFields
+		}
 		if !ended {
 			break
 		}
--- a/internal/sidecar/memory_test.go
+++ b/internal/sidecar/memory_test.go
@@ -254,7 +254,7 @@
 func TestLongHeadsStayWithinBudget(t *testing.T) {
 	const headBytes = 30_000
 	const little = 2 * (policy.ClientConnectionCost + policy.OpenRequestCost)
-	for budget, status := range map[int64]int{little: http.StatusServiceUnavailable, little + 2*headCopies*headBytes: http.StatusOK} {
+	for budget, status := range map[int64]int{little: http.StatusServiceUnavailable, little + 2*int64(policy.HeadCost(headBytes, 0)): http.StatusOK} {
 		t.Run(fmt.Sprint(budget), func(t *testing.T) {
 			f, sidecar, serve := newTestFront(t, newStub(t, echo).address, nil)
 			f.memory = limitedMemory(budget)
@@ -267,14 +267,65 @@
 			if got, _, err := readAnswer(c); err != nil || got != status {
 				t.Errorf("a long head: %d, error %v, want %d", got, err, status)
 			}
-			f.waitOnLoop(t, "the memory of the head to be released", func() bool { return f.memory.held(policy.RequestHeads) == 0 })
+			f.waitOnLoop(t, "the memory of the head to be released", func() bool { return f.memory.held(policy.Heads) == 0 })
 			if res, _ := sendRequest(t, sidecar.newRequest(t, "POST", "/entry", "1")); res.StatusCode != http.StatusOK {
 				t.Errorf("a short head: %s", res.Status)
 			}
 			c.Close()
 			f.waitOnLoop(t, "the memory to be released", func() bool {
-				return f.memory.held(policy.RequestHeads) == 0 && f.memory.held(policy.ClientConnections) == 0
+				return f.memory.held(policy.Heads) == 0 && f.memory.held(policy.ClientConnections) == 0
 			})
 		})
 	}
 }
+
+// shortFields returns a number of header fields that are as short as can be.
+func shortFields(count int) string {
+	var fields strings.Builder
+	for n := range count {
+		fmt.Fprintf(&fields, "%x:\r\n", n)
+	}
+	return fields.String()
+}
+
+// A head of many short fields is served if there is memory for what it takes once parsed, and refused otherwise; one of more than
+// maxHeadFields is rejected. The same holds for the head of an answer, which counts as broken. It guards against heads that take
+// the process over its memory limit although they are short on the wire.
+func TestHeadsOfManyFieldsStayWithinBudget(t *testing.T) {
+	const base = 4 * (policy.ClientConnectionCost + policy.OpenRequestCost)
+	enough := int64(base + 4*policy.HeadCost(0, maxHeadFields))
+	for name, c := range map[string]struct {
+		budget                      int64
+		requestFields, answerFields int
+		status                      int
+	}{
+		"request, served":    {enough, 900, 0, http.StatusOK},
+		"request, no memory": {base, 900, 0, http.StatusServiceUnavailable},
+		"request, too many":  {enough, maxHeadFields + 1, 0, http.StatusBadRequest},
+		"request, far more":  {enough, 6 * maxHeadFields, 0, http.StatusBadRequest},
+		"answer, served":     {enough, 0, 900, http.StatusOK},
+		"answer, no memory":  {base, 0, 900, http.StatusBadGateway},
+		"answer, too many":   {enough, 0, maxHeadFields + 1, http.StatusBadGateway},
+		"answer, far more":   {enough, 0, 20 * maxHeadFields, http.StatusBadGateway},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStub(t, func(conn net.Conn, _ stubRequest) bool {
+				_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\nhi", shortFields(c.answerFields))
+				return err == nil
+			})
+			f, sidecar, serve := newTestFront(t, s.address, nil)
+			f.memory = limitedMemory(c.budget)
+			f.clients.memory = f.memory
+			serve()
+			conn := sidecar.dial(t)
+			if _, err := io.WriteString(conn, requestHead("1", shortFields(c.requestFields)+"Content-Length: 0")); err != nil {
+				t.Fatal(err)
+			}
+			if got, _, err := readAnswer(conn); err != nil || got != c.status {
+				t.Errorf("answered %d, error %v, want %d", got, err, c.status)
+			}
+			conn.Close()
+			f.waitOnLoop(t, "the memory to be released", func() bool { return f.memory.held(policy.Heads) == 0 })
+		})
+	}
+}
--- a/internal/sidecar/messagehead.go
+++ b/internal/sidecar/messagehead.go
@@ -10,15 +10,19 @@
 const (
 	maxLineKept   = 128 // bytes of a line of a head that are examined: enough for the headers that frame a body
 	versionLength = len("HTTP/1.1")
+
+	maxHeadFields = 1000 // header fields of a message, far more than are in use
 )
 
 var (
 	errCodingVersion = errors.New("Transfer-Encoding in a version of HTTP that has none")
 	errFramingName   = errors.New("white space beside the name of a header that frames the body")
+	errTooManyFields = errors.New("too many header fields")
 )
 
 // messageHead is what the start line and the headers of a message, a request or an answer, say of its body's framing.
 type messageHead struct {
+	fields           int    // number of header lines so far
 	definesCodings   bool   // the message's version of HTTP has transfer codings: HTTP/1.1 and later minor versions
 	interim          bool   // an answer with status 1xx, which another one follows
 	transferEncoding bool   // the head has a Transfer-Encoding line
@@ -28,11 +32,13 @@
 	spacedName       bool   // one of these lines has white space beside its name
 }
 
-// check returns an error if readers of the message may take different bytes for its body, whatever direction it goes (RFC
-// 9112, sections 5.1 and 6.1). Package net/http passes over a Transfer-Encoding that is faulty in these ways, and reads the
+// check returns an error if the message has too many header fields, or if readers of it may take different bytes for its body,
+// whatever direction it goes (RFC 9112, sections 5.1 and 6.1). Package net/http passes over a Transfer-Encoding that is faulty in these ways, and reads the
 // body as if there were none.
 func (h *messageHead) check() error {
 	switch {
+	case h.fields > maxHeadFields:
+		return errTooManyFields
 	case h.spacedName:
 		return errFramingName
 	case h.transferEncoding && !h.definesCodings:
@@ -49,6 +55,7 @@
 
 // addHeader examines a header line.
 func (h *messageHead) addHeader(line []byte) {
+	h.fields++
 	name, value, _ := bytes.Cut(line, []byte{':'})
 	bare := bytes.TrimSpace(name)
 	switch {
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -274,6 +274,9 @@
 		x.clientDeadline = deadline
 	}
 	res, body, err := u.readAnswer(x, c, req, deadline, onBegin)
+	if err != nil {
+		c.answers.releaseHead()
+	}
 	switch {
 	case err == nil && !res.Close && c.r.Buffered() == 0 && x.enterPhase(true, nil):
 		u.putIdle(address, c, false)
--- a/policy/memorybudget.go
+++ b/policy/memorybudget.go
@@ -8,7 +8,7 @@
 	ClientConnections MemoryUse = iota // connections of clients, open or idle
 	ServerConnections                  // connections to servers, in use or idle
 	OpenRequests                       // requests whose head has been read
-	RequestHeads                       // what is long in the heads of requests
+	Heads                              // what is long in the heads of requests and answers
 	RequestBodies                      // buffered parts of request bodies
 	Uploads                            // forwarding of bodies that are not buffered whole
 	Answers                            // parts of answers that the client has not read yet
@@ -27,9 +27,27 @@
 const (
 	ClientConnectionCost = 16 << 10
 	ServerConnectionCost = 6 << 10
-	OpenRequestCost      = 22 << 10 // with its attempt, and the least buffers of its body and its answer
+	OpenRequestCost      = 22 << 10 // with its attempt, and the least buffers of its head, its body and its answer
 )
 
+// What a message's head takes beyond what is part of OpenRequestCost and ClientConnectionCost.
+const (
+	leastHeadBytes  = 4 << 10 // bytes on the wire
+	leastHeadFields = 32
+	headByteCopies  = 2   // the current line of a head is held beside the ones before
+	headFieldCost   = 384 // bytes of a field, parsed and copied into the message that is passed on
+)
+
+// HeadCost returns how many bytes have to be reserved for the head of a message, of a number of bytes on the
+// wire and of header fields.
+func HeadCost(bytes, fields int) int {
+	cost := headFieldCost * max(0, fields-leastHeadFields)
+	if bytes > leastHeadBytes {
+		cost += headByteCopies * bytes
+	}
+	return cost
+}
+
 const (
 	fileGrowth        = 3 << 20 // bytes by which file pages may grow and the runtime may overshoot
 	runtimeOverhead   = 5 << 19 // bytes that do not depend on clients, such as the runtime's own structures
@@ -42,7 +60,7 @@
 // memory can still be refused with an answer.
 var fillLimits = [MemoryUses]float64{
 	ClientConnections: 1, ServerConnections: 0.8, OpenRequests: 0.95,
-	RequestHeads: 0.8, RequestBodies: 0.8, Uploads: 0.9, Answers: 0.6,
+	Heads: 0.8, RequestBodies: 0.8, Uploads: 0.9, Answers: 0.6,
 }
 
 // connectionShare is the share of the budget that client connections alone may hold.
