Release the trailer fields of a body once it has been read

Found while looking for related paths: a trailer section of 4 KB with 750 short fields behind an empty body took a process of 32 MB and 1,024 descriptors over its limit (32.2 MiB; 29.9 at 256), as net/http parses it into a map that lives as long as the request. Trailers are not passed on, so they are dropped at the end of the body, in requests and in streamed answers.

--- a/cmd/caperarch/memory_test.go
+++ b/cmd/caperarch/memory_test.go
@@ -43,6 +43,7 @@
 	longHead        = 30_000   // bytes
 	longAnswerHead  = 200_000  // bytes
 	manyFields      = 5000     // in a head
+	permittedFields = 750      // in a head, which a sidecar takes
 	memoryPlayTime  = 8 * time.Second
 	memoryPoll      = 10 * time.Millisecond
 	retryPause      = 20 * time.Millisecond
@@ -281,6 +282,7 @@
 	paddingBytes           int // of a header without a meaning
 	fields                 int // short ones in the head
 	oneFieldName           bool
+	trailerFields          int // short ones in the trailer section of a body in chunks
 	answerFields           int // short ones in the answer's head
 	answerPadding          int // bytes of a field of the answer's head
 	halfHead               bool
@@ -298,8 +300,12 @@
 	head := fmt.Sprintf("POST /entry HTTP/1.1\r\nHost: service\r\nX-Request-ID: r%d\r\nX-Priority-Class: entry\r\nX-Tenant-Id: north\r\nX-Timeout: 780m\r\n"+
 		"%s: %d\r\n%s: %d\r\n%s: %d\r\n%s: %s\r\nContent-Length: %d\r\n%sX-Padding: %s", lastRequest.Add(1), answerBytesName, q.answerBytes,
 		fieldsName, q.answerFields, paddingName, q.answerPadding, framingName, framing, q.bodyBytes, shortFields(q.fields, q.oneFieldName), strings.Repeat("p", q.paddingBytes))
-	if q.halfHead {
+	switch {
+	case q.halfHead:
 		return head
+	case q.trailerFields > 0:
+		head = strings.Replace(head, "Content-Length: 0", "Transfer-Encoding: chunked", 1)
+		return head + "\r\n\r\n0\r\n" + shortFields(q.trailerFields, q.oneFieldName) + "\r\n"
 	}
 	return head + "\r\n\r\n"
 }
@@ -404,6 +410,9 @@
 	"short-fields":         {fields: manyFields, answerBytes: longBody, readRate: stopped},
 	"fields-of-one-name":   {fields: manyFields, oneFieldName: true, answerBytes: longBody, readRate: stopped},
 	"half-written-fields":  {fields: manyFields, halfHead: true},
+	"permitted-fields":     {fields: permittedFields, answerBytes: longBody, readRate: stopped},
+	"trailer-fields":       {trailerFields: permittedFields, answerBytes: longBody, readRate: stopped},
+	"answers-permitted":    {answerFields: permittedFields, answerBytes: longBody, readRate: stopped},
 	"answers-short-fields": {answerFields: manyFields, answerBytes: longBody, readRate: stopped},
 	"answers-long-heads":   {answerPadding: longAnswerHead, answerBytes: longBody, readRate: stopped},
 	"leaving-readers":      {answerBytes: longBody, chunkedAnswer: true, readRate: slowRate, stay: 2 * time.Second},
@@ -481,7 +490,7 @@
 func drawRequest(draws *rand.Rand) bulkRequest {
 	lengths := []int{0, 100, 4 << 10, 5000, 16 << 10, 40_000, longestBuffered, longestBuffered + 1, 200 << 10, 1 << 20, longBody}
 	paddings := []int{0, 0, 0, 5000, longHead}
-	fields := []int{0, 0, 0, 200, manyFields}
+	fields := []int{0, 0, 0, 200, permittedFields, manyFields}
 	q := bulkRequest{
 		fields: fields[draws.IntN(len(fields))], oneFieldName: draws.IntN(2) == 0, answerFields: fields[draws.IntN(len(fields))],
 		bodyBytes: lengths[draws.IntN(len(lengths))], answerBytes: lengths[draws.IntN(len(lengths))],
--- a/internal/sidecar/requestbody.go
+++ b/internal/sidecar/requestbody.go
@@ -73,6 +73,7 @@
 		return errBodyTooLarge
 	}
 	body := &pacedBody{body: r.Body, setReadDeadline: http.NewResponseController(w).SetReadDeadline, clientTime: f.clients.firstHeadTime(r.Context())}
+	body.onEnd = func() { r.Trailer = nil } // it is not passed on, and may take far more memory than it has bytes
 	if f.clients.reserveRequest(m.memory) {
 		return f.readBody(r, body, m)
 	}
--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -78,6 +78,7 @@
 	for {
 		var err error
 		c.n, err = s.res.Body.Read(c.buffer)
+		s.res.Trailer = nil // it is not passed on
 		begun, complete := s.receive(&c, err)
 		s.enqueue(c)
 		switch {
--- a/internal/sidecar/upload.go
+++ b/internal/sidecar/upload.go
@@ -32,6 +32,7 @@
 // single bytes. The time between two reads is the sidecar's own and does not count.
 type pacedBody struct {
 	body            io.Reader
+	onEnd           func()                // called when all of it has been read; may be nil
 	setReadDeadline func(time.Time) error // of the connection
 	clientTime      time.Duration         // spent waiting for the client, from the request's head on
 	bytesRead       int64
@@ -54,6 +55,9 @@
 	}
 	if err == io.EOF {
 		_ = p.setReadDeadline(time.Time{}) // the client now waits for its answer
+		if p.onEnd != nil {
+			p.onEnd()
+		}
 	}
 	return n, err
 }
