Read ahead of a request's answer to find that its client has gone

A client that pipelined more than fits into the receive buffer of the sidecar's socket, and closed, had its requests sent on: the end of a connection lies behind all of its bytes, so that poll does not tell of it before these have been read.

While a request that has been read whole waits, what follows it is now read ahead, up to 64 KiB within the memory budget. An end behind that is found; if there is still more, the client's presence is unknown, and nothing is sent for it, as before where the system does not tell. A body that still arrives needs none of it: its last byte is not written before the end was looked for. A connection that is closed over bytes that were read ahead is reset, as one with unread bytes is.

--- a/internal/sidecar/arrival.go
+++ b/internal/sidecar/arrival.go
@@ -34,9 +34,11 @@
 	c := p.conn
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	unread := uint64(c.unreadBytes())
+	unread := uint64(c.unreadBytes() + len(c.ahead.bytes))
 	isChunked := c.framing.requests == p.request && c.framing.unfollowed
 	switch {
+	case isChunked && len(c.ahead.bytes) > 0: // its end can't be looked at before these have been read
+		return 0, false
 	case isChunked && p.lastChunkArrived(int(unread)):
 		return now, true
 	case !isChunked && (c.framing.requests > p.request || unread >= c.framing.bodyLeft):
@@ -76,12 +78,18 @@
 	return ok && endsWithLastChunk(tail)
 }
 
-// unreadBytes returns how many received bytes wait to be read, or 0 if the system does not tell.
+// unreadBytes returns how many received bytes wait to be read from the socket, or 0 if the system does not tell.
 func (c *clientConn) unreadBytes() (n int) {
 	if c.raw == nil {
 		return 0
 	}
-	_ = c.raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) }) // fails only on a closed connection
+	_ = c.raw.Control(func(fd uintptr) { n = unreadBytesOf(int(fd)) }) // fails only on a closed connection
+	return n
+}
+
+// unreadBytesOf is unreadBytes for a descriptor.
+func unreadBytesOf(fd int) int {
+	n, _ := unix.IoctlGetInt(fd, unix.TIOCINQ)
 	return n
 }
 
--- a/internal/sidecar/clientconn.go
+++ b/internal/sidecar/clientconn.go
@@ -38,6 +38,7 @@
 	clients *clients
 
 	mu               sync.Mutex // held during each read, as none may happen once the connection is found idle
+	ahead            readAhead
 	framing          framing
 	framingErr       error
 	bytesRead        uint64        // bytes that have been read
@@ -70,6 +71,7 @@
 // requestProgress is how much has been read of a connection and of its current request.
 type requestProgress struct {
 	bytesRead    uint64 // of the connection
+	ahead        int    // bytes that have been read ahead
 	begun, whole bool   // bytes have been read of a request that has no answer yet; all of it has been read
 }
 
@@ -77,7 +79,7 @@
 func (c *clientConn) requestProgress() requestProgress {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return requestProgress{c.bytesRead, c.requestBegun, c.requestBegun && c.framing.atBoundary()}
+	return requestProgress{c.bytesRead, len(c.ahead.bytes), c.requestBegun, c.requestBegun && c.framing.atBoundary()}
 }
 
 // closeUnlessServing closes the connection if no request is open on it, and with partial also if a request has been
@@ -91,13 +93,16 @@
 	if ended && c.requestBegun && !c.closeWithRefusal && !c.serverClosed { // a closed connection would never release its reservation
 		c.closeWithRefusal = c.clients.reserveRefusal()
 	}
-	refused := c.closeWithRefusal
+	refused, readAhead := c.closeWithRefusal, len(c.ahead.bytes) > 0
 	c.mu.Unlock()
 	switch { // without the lock: the calls below wait for a read in progress
 	case !ended:
 	case refused: // wakes its own goroutine, which waits for the rest, to send the refusal and close
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
 	default:
+		if readAhead { // as a close over unread bytes does, which tells the client that they have not been heard
+			c.resetOnClose()
+		}
 		c.Conn.Close()
 	}
 	return ended
@@ -165,7 +170,7 @@
 
 // readLocked reads the bytes that have arrived and advances the framing. The caller holds the lock.
 func (c *clientConn) readLocked(fd int, p []byte) (int, error) {
-	n, err := c.clients.readFD(fd, p)
+	n, err := c.ahead.read(p, c.clients.memory, func(p []byte) (int, error) { return c.clients.readFD(fd, p) })
 	if err == syscall.EAGAIN {
 		c.queuedSince = 0
 		c.drains++
@@ -226,6 +231,9 @@
 	}
 	c.clients.memory.charge(policy.Heads, -c.headReserved)
 	c.headReserved, c.unlisted = 0, c.unlisted || unlisted
+	if c.unlisted {
+		c.ahead.release(c.clients.memory)
+	}
 }
 
 // Write writes all of p. It retries transient failures of the system, so that answers are not cut short.
@@ -238,13 +246,14 @@
 	c.mu.Lock()
 	answered, refused, broken := c.requestBegun && !c.readsEnded, c.closeWithRefusal, c.answerBroken
 	c.serverClosed = true
+	readAhead := len(c.ahead.bytes) > 0
 	c.mu.Unlock()
 	switch {
 	case refused:
 		c.refuseOnce.Do(c.refuseAndClose)
 		return nil
 	case broken: // linger would end the answer as if it were whole
-	case answered && c.discardAvailable() > 0:
+	case answered && (readAhead || c.discardAvailable() > 0):
 		c.linger()
 	}
 	return c.Conn.Close()
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -203,10 +203,12 @@
 }
 
 // queryPresence reports whether the client of ctx's connection has closed it or its sending side. It queries the kernel,
-// which detects the close even if unread data precedes it. net/http detects a close only by reading, and reads at most
-// one byte beyond a request and nothing of a body that waits to be forwarded.
-func (l *clients) queryPresence(ctx context.Context) presence {
-	c, ok := ctx.Value(connKey{}).(*clientConn).Conn.(syscall.Conn)
+// which detects the close if the data before it fits into the receive buffer. If the current request has been read whole, what
+// follows it is read ahead, so that the close is found behind more of it too. net/http detects a close only by reading, and
+// reads at most one byte beyond a request and nothing of a body that waits to be forwarded.
+func (l *clients) queryPresence(ctx context.Context, requestRead bool) presence {
+	k := ctx.Value(connKey{}).(*clientConn)
+	c, ok := k.Conn.(syscall.Conn)
 	if !ok {
 		return clientPresent
 	}
@@ -215,7 +217,12 @@
 		return clientGone
 	}
 	found := clientUnknown
-	if raw.Control(func(fd uintptr) { found = pollPresence(int(fd)) }) != nil {
+	err = raw.Control(func(fd uintptr) {
+		if found = pollPresence(int(fd)); found == clientPresent && requestRead {
+			found = k.findEnd(int(fd))
+		}
+	})
+	if err != nil {
 		return clientGone // closed on this side
 	}
 	return found
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -148,7 +148,7 @@
 		m.upload.onArrived = func(time.Duration) { arrivedWhole() }
 		defer arrivedWhole()
 	}
-	m.clientPresence = func() presence { return f.clients.queryPresence(r.Context()) }
+	m.clientPresence = func() presence { return f.clients.queryPresence(r.Context(), m.wholeBodyRead()) }
 	if m.clientPresence() == clientGone { // the client left while the request waited to be read
 		f.abortConnection(m, arrived)
 	}
@@ -183,7 +183,7 @@
 		case <-cancelled: // net/http cancels the context on any failed read, also on an interrupted one
 			cancelled = nil
 		}
-		if f.clients.queryPresence(ctx) != clientGone {
+		if f.clients.queryPresence(ctx, m.wholeBodyRead()) != clientGone {
 			continue
 		}
 		f.loop.guard.ClientLeft(f.clock.now(), id)
--- a/internal/sidecar/shed.go
+++ b/internal/sidecar/shed.go
@@ -109,7 +109,8 @@
 // findUnread reports whether received bytes wait to be read, and remembers it until some are read. The caller holds the lock
 // of the clients.
 func (c *clientConn) findUnread() bool {
-	c.unreadSeenAt = c.requestProgress().bytesRead
-	c.unreadSeen = c.unreadBytes() > 0
+	p := c.requestProgress()
+	c.unreadSeenAt = p.bytesRead
+	c.unreadSeen = p.ahead > 0 || c.unreadBytes() > 0
 	return c.unreadSeen
 }
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -74,6 +74,9 @@
 	return min(r.timeLeft, r.upload.deadline-now)
 }
 
+// wholeBodyRead reports whether all of the request has been read from its client.
+func (r *outboundRequest) wholeBodyRead() bool { return r.upload == nil || r.upload.complete.Load() }
+
 // bodyConsumed reports whether the request can't be sent again because part of its body has been read and dropped.
 func (r *outboundRequest) bodyConsumed() bool { return r.upload != nil && r.upload.consumed.Load() }
 
