Count a streamed answer as whole if its client leaves right behind the last byte

TestLongAnswersAreStreamed, by length, failed once beside the whole suite: an answer of which the client had every byte counted as failed. Traced: the client may leave as soon as it has the announced length, while the sidecar still reads on for the end of the server's answer; which of the two events the loop of copyTo saw first was chance. With the announced length written, the answer is whole.

--- a/internal/sidecar/stream.go
+++ b/internal/sidecar/stream.go
@@ -203,9 +203,11 @@
 // be taken within clientStallTimeout.
 func (s *stream) copyTo(ctx context.Context, w http.ResponseWriter) error {
 	out := http.NewResponseController(w)
+	var written int64
 	write := func(b []byte) error {
 		_ = out.SetWriteDeadline(time.Now().Add(clientStallTimeout)) // fails only on a closed connection, as the write then does
-		if _, err := w.Write(b); err != nil {
+		n, err := w.Write(b)
+		if written += int64(n); err != nil {
 			return err
 		}
 		return out.Flush()
@@ -230,6 +232,9 @@
 				return err
 			}
 		case <-ctx.Done():
+			if written == s.contentLength() { // the client has all of it, and may leave before its end is noticed here
+				return nil
+			}
 			return ctx.Err()
 		}
 	}
--- a/policy/memorybudget.go
+++ b/policy/memorybudget.go
@@ -27,7 +27,7 @@
 const (
 	ClientConnectionCost = 16 << 10
 	ServerConnectionCost = 6 << 10
-	OpenRequestCost      = 22 << 10 // with its attempt, and the least buffers of its head, its body and its answer
+	OpenRequestCost      = 22 << 10 // with its attempt, its head, and the least buffers of its body and answer
 )
 
 // What a message's head takes beyond what is part of OpenRequestCost and ClientConnectionCost.
--- a/policy/stream.go
+++ b/policy/stream.go
@@ -26,16 +26,16 @@
 
 	maxStall = 5 * time.Second // no stall is longer, before or after the deadline
 
-	// A header is held back for this share of the time that its attempt has left: if the answer breaks before
-	// its body begins, the request can still be sent again.
+	// A header is held back for this share of the time that its attempt has left: if the answer breaks
+	// before its body begins, the request can still be sent again.
 	headerHoldShare = 0.5
 )
 
 // UnknownLength is the announced length of an answer that announces none.
 const UnknownLength = -1
 
-// HoldHeaderUntil returns until when the header of a streamed answer, received now, is held back while no byte
-// of its body comes. attemptEnd is the time by which the attempt was to be answered.
+// HoldHeaderUntil returns until when the header of a streamed answer, received now, is held back while no
+// byte of its body comes. attemptEnd is the time by which the attempt was to be answered.
 func HoldHeaderUntil(now, attemptEnd time.Duration) time.Duration {
 	return now + time.Duration(headerHoldShare*float64(max(0, attemptEnd-now)))
 }
