Remember which ids have been sent, so that none runs twice, in both processes of an upgrade

A request that came again under its id, behind its client's departure or at the other process of an upgrade, was sent to a server again: publish requests ran twice. Cause: a request was known by nothing but its connection, and once that had ended by nothing at all; the two processes of an upgrade share nothing of their requests.

A table of the last 28,672 ids that were sent, 256 KiB in a file of the state folder that every process maps, takes an id right before the first byte of its first attempt. Of two at the same moment at most one gets it, whatever processes they are in. A request whose id has been sent is answered 409 (failed, not forwarded), unless its class is safe to repeat; one that no server has seen may come again, as clients do where a close crosses their request. Without the file, or if it is damaged, the table is the process's own. The page has a new id with every request, so tests that repeated one send ids of their own now.

--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -325,7 +325,7 @@
 	served := func(id string, at *stub) {
 		t.Helper()
 		for end := time.Now().Add(testTimeout); time.Now().Before(end); time.Sleep(time.Millisecond) {
-			res, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(side.newRequest(t, "POST", "/entry", "1", "X-Request-ID", id))
+			res, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(side.newRequest(t, "POST", "/entry", "1"))
 			if err != nil { // a new connection may be closed unread
 				continue
 			}
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -152,6 +152,12 @@
 	if m.clientPresence() == clientGone { // the client left while the request waited to be read
 		f.abortConnection(m, arrived)
 	}
+	if f.loop.isRepeated(q.Class, m.id) {
+		f.loop.trace.logRepeated(m.id)
+		m.releaseMemory()
+		f.reply(w, r, q.Class, answer{status: http.StatusConflict}, m.upload)
+		return
+	}
 	f.loop.trace.logStep("request taken", m.id, slog.Duration("left", m.timeLeft), slog.Int64("held", open))
 	f.awaitAnswer(w, r, q, m, arrived)
 }
--- a/internal/sidecar/front_test.go
+++ b/internal/sidecar/front_test.go
@@ -27,7 +27,7 @@
 	if res, _ := sendRequest(t, side.newRequest(t, "GET", "/up", "")); res.StatusCode != http.StatusOK {
 		t.Fatalf("GET /up: %s", res.Status)
 	}
-	req := side.newRequest(t, "POST", "/reading/hive%2F7?scale=a%20b&x", "41.5 kg", "Idempotency-Key", "k1", "Connection", "X-Hop", "X-Hop", "1")
+	req := side.newRequest(t, "POST", "/reading/hive%2F7?scale=a%20b&x", "41.5 kg", "X-Request-ID", "r1", "Idempotency-Key", "k1", "Connection", "X-Hop", "X-Hop", "1")
 	res, body := sendRequest(t, req)
 	if res.StatusCode != http.StatusOK || body != "41.5 kg" || res.Header.Get("Content-Type") != "text/hive" {
 		t.Fatalf("%s, body %q, headers %v", res.Status, body, res.Header)
@@ -304,7 +304,7 @@
 func TestConnectionLimit(t *testing.T) {
 	release := make(chan struct{})
 	s := newStub(t, func(c net.Conn, r stubRequest) bool {
-		if r.Header.Get("X-Request-ID") == "held" {
+		if strings.HasPrefix(r.Header.Get("X-Request-ID"), "held") {
 			<-release
 		}
 		return echo(c, r)
@@ -314,9 +314,9 @@
 		settings["orgs"].([]any)[0].(map[string]any)["quota_per_s"] = 10000.0 // slots for all
 	}, s.address)
 	var held []*bufio.Reader
-	for range (32 - 32/4) * 3 / 8 { // a quarter is reserved for the process
+	for n := range (32 - 32/4) * 3 / 8 { // a quarter is reserved for the process
 		c := side.dial(t)
-		if _, err := io.WriteString(c, requestHead("held", "Content-Length: 0")); err != nil {
+		if _, err := io.WriteString(c, requestHead(fmt.Sprint("held", n), "Content-Length: 0")); err != nil {
 			t.Fatal(err)
 		}
 		wait(t, "the request", s.requests)
--- a/internal/sidecar/handover.go
+++ b/internal/sidecar/handover.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"arrowgw/internal/sentids"
 	"arrowgw/internal/store"
 )
 
@@ -23,8 +24,8 @@
 )
 
 // sharedState is what the processes of a sidecar share in the folder $TMPDIR: a lock file that shows which of them
-// run, the state store (docs/state.md), and the legacy file, through which programs from before the store exchange
-// operator calls. Without a $TMPDIR this process counts as the only one, and nothing is stored.
+// run, the state store (docs/state.md), the ids of requests that have been sent, and the legacy file, through which programs
+// from before the store exchange operator calls. Without a $TMPDIR this process counts as the only one, and nothing is stored.
 //
 // The zero value is a sharedState without a folder.
 type sharedState struct {
@@ -32,8 +33,9 @@
 	lockIndex    int64    // byte of lockFile that this process has locked
 	legacyPath   string   // path of the legacy file
 	store        *store.Store
-	pendingSaves chan struct{} // one element for each operator call that waits for the disk
-	listChanged  chan struct{} // signals that pendingList is set
+	sentIDs      *sentids.Table // ids of requests that have been sent to a server; nil: none is remembered
+	pendingSaves chan struct{}  // one element for each operator call that waits for the disk
+	listChanged  chan struct{}  // signals that pendingList is set
 
 	saveMu       sync.Mutex              // serializes the saving of operator calls, which may wait for a disk
 	legacyInfo   fs.FileInfo             // legacy file as last read; nil: it did not exist
@@ -80,7 +82,7 @@
 
 // emptySharedState returns the state of a process without a folder: it knows of no other process and stores nothing.
 func emptySharedState() *sharedState {
-	return &sharedState{pendingSaves: make(chan struct{}, maxPendingSaves), listChanged: make(chan struct{}, 1)}
+	return &sharedState{sentIDs: sentids.New(), pendingSaves: make(chan struct{}, maxPendingSaves), listChanged: make(chan struct{}, 1)}
 }
 
 // openStateFolder locks a byte of the lock file in dir and opens the state store and the legacy file there.
@@ -91,6 +93,11 @@
 	if err := h.acquireProcessLock(base + ".lock"); err != nil {
 		slog.Error("upgrade alone", "error", err)
 	}
+	if shared, err := sentids.Open(base + ".sent"); err == nil {
+		h.sentIDs = shared
+	} else {
+		slog.Error("sent ids not shared", "error", err)
+	}
 	began := time.Now()
 	options.Dir, options.SoleWriter = base+".kept", func() bool { return h.lockFile != nil && h.countProcesses() == 1 }
 	var err error
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -353,7 +354,12 @@
 		RequestID: outbound.id, Deadline: deadline, DeadlineUncertainty: outbound.arrivalUncertainty,
 		Effect: class.Idempotency, Window: class.DedupWindow, BodyPending: outbound.upload != nil,
 	})
-	outbound.permitWrite = func(now time.Duration, address string) error { return l.guard.PermitWrite(now, q.ID, address) }
+	outbound.permitWrite = func(now time.Duration, address string) error {
+		if err := l.guard.PermitWrite(now, q.ID, address); err != nil {
+			return err
+		}
+		return l.claimID(q.Class, outbound)
+	}
 	outbound.onWritten = func(began, now time.Duration, address string) { l.guard.AttemptWritten(began, now, q.ID, address) }
 	if outbound.upload != nil {
 		q.BodyPending = true
@@ -382,6 +388,26 @@
 	return q.ID
 }
 
+// errRepeatedID is the error of an attempt for a request whose id has been sent to a server by another request.
+var errRepeatedID = errors.New("a request with this id has been sent")
+
+// isRepeated reports whether a request with the id of a new one has been sent to a server, and must not run again.
+func (l *loop) isRepeated(class int, id string) bool {
+	return l.classes[class].Idempotency != balance.Safe && l.handover.sentIDs != nil && l.handover.sentIDs.Contains(id)
+}
+
+// claimID records that a request is sent to a server. It fails if another one with the same id has been, and must not run again.
+// The attempts of a request follow one another.
+func (l *loop) claimID(class int, outbound *outboundRequest) error {
+	if outbound.idClaimed || l.classes[class].Idempotency == balance.Safe || l.handover.sentIDs == nil {
+		return nil
+	}
+	if outbound.idClaimed = l.handover.sentIDs.Claim(outbound.id); !outbound.idClaimed {
+		return errRepeatedID
+	}
+	return nil
+}
+
 // clientGone handles a client that has closed its connection: the request ends without an answer, or its answer's
 // stream is aborted.
 func (l *loop) clientGone(id balance.RequestID) {
--- a/internal/sidecar/stub_test.go
+++ b/internal/sidecar/stub_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -210,7 +211,10 @@
 	return s
 }
 
-// newRequest returns a valid request of the class that path begins with. headers are names and values to set; an empty
+// lastRequest is the number of the last request of newRequest, by which it is identified.
+var lastRequest atomic.Int64
+
+// newRequest returns a valid request of the class that path begins with, with an id of its own. headers are names and values to set; an empty
 // value removes the header.
 func (s *testSidecar) newRequest(t *testing.T, method, path, body string, headers ...string) *http.Request {
 	t.Helper()
@@ -221,7 +225,7 @@
 	class, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "?")
 	class, _, _ = strings.Cut(class, "/")
 	for name, value := range map[string]string{
-		"X-Request-ID": "r1", "X-Priority-Class": class, "X-Tenant-Id": "north", "X-Timeout": "20000m",
+		"X-Request-ID": fmt.Sprint("r", lastRequest.Add(1)), "X-Priority-Class": class, "X-Tenant-Id": "north", "X-Timeout": "20000m",
 	} {
 		req.Header.Set(name, value)
 	}
--- a/internal/sidecar/trace.go
+++ b/internal/sidecar/trace.go
@@ -51,6 +51,7 @@
 	closes   [closeReasonCount]atomic.Uint64
 	refusals []atomic.Uint64 // by balance.Reason
 	failures []atomic.Uint64 // by balance.Reason
+	repeated atomic.Uint64   // requests whose id had been sent to a server before
 	retries  []atomic.Uint64 // retries, by the balance.Ending of the previous attempt
 }
 
@@ -100,6 +101,12 @@
 	t.logStep("request failed", id, slog.String("why", why.String()), slog.Int("attempts", attempts))
 }
 
+// logRepeated counts and logs a request that is not served because one with its id has been sent to a server.
+func (t *trace) logRepeated(id string) {
+	t.repeated.Add(1)
+	t.logStep("request repeated", id)
+}
+
 // logAttempt logs an attempt. If it is a retry, it is counted by the ending of the previous attempt.
 func (t *trace) logAttempt(id string, number int, before balance.Ending, address string, timeout time.Duration) {
 	if number > 0 && before >= 0 && int(before) < len(t.retries) {
@@ -130,6 +137,7 @@
 	for _, reason := range balance.Reasons() {
 		fmt.Fprintf(w, "app.refused.%s=%d\napp.failed.%s=%d\n", reason, t.refusals[reason].Load(), reason, t.failures[reason].Load())
 	}
+	fmt.Fprintf(w, "app.repeated=%d\n", t.repeated.Load())
 	for ending := range t.retries {
 		fmt.Fprintf(w, "app.retried.%s=%d\n", balance.Ending(ending), t.retries[ending].Load())
 	}
@@ -153,6 +161,7 @@
 	for ending := range t.retries {
 		add("retried", balance.Ending(ending).String(), t.retries[ending].Load())
 	}
+	add("requests", "repeated", t.repeated.Load())
 	add("log", "unlogged", t.unlogged.Load())
 	return counts
 }
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -55,6 +55,8 @@
 	memory   *requestMemory // that is held for the request; nil if that is not recorded
 	noMemory bool           // there is no memory to serve it
 
+	idClaimed bool // its id counts as sent; used by its attempts alone
+
 	clientPresence func() presence                                // whether the client is still there; nil if there is no client
 	permitWrite    func(now time.Duration, address string) error  // whether the first byte may be written to address; nil if always
 	onWritten      func(began, now time.Duration, address string) // called when the last byte has been written; may be nil
