Reserve the connection to a server together with the request that needs it

Traced: a request was admitted by its own cost, and the connection of its attempt was then counted without being permitted, as it can't be denied any more; whether the sum passed the budget depended on how many requests were admitted before the first connection was made.

A request is now admitted by the sum of both. Its attempt hands the connection's part over to the pool in one step, or releases it if it reuses a connection; a further attempt reserves anew, and closes an idle connection where there is no room.

--- a/internal/sidecar/dial.go
+++ b/internal/sidecar/dial.go
@@ -88,7 +88,7 @@
 	raw, err := u.dialWithRetry(ctx, address)
 	if err != nil {
 		u.mu.Lock()
-		u.addOpen(-1)
+		u.removeOpen(1)
 		u.mu.Unlock()
 		return nil, err
 	}
--- a/internal/sidecar/memory.go
+++ b/internal/sidecar/memory.go
@@ -134,6 +134,48 @@
 	m.account.budget.Release(use, int64(bytes))
 }
 
+// reserveRequest reserves the memory of an open request and of the connection to a server that its attempt needs. Nothing is held
+// if there is not enough for both.
+func (m *requestMemory) reserveRequest() bool {
+	const connection = policy.ServerConnectionCost
+	if m == nil {
+		return true
+	}
+	m.account.mu.Lock()
+	defer m.account.mu.Unlock()
+	budget := &m.account.budget
+	if m.closed || !budget.Reserve(policy.OpenRequests, policy.OpenRequestCost+connection) {
+		return false
+	}
+	budget.Release(policy.OpenRequests, connection)
+	budget.Charge(policy.ServerConnections, connection)
+	m.held[policy.OpenRequests] += policy.OpenRequestCost
+	m.held[policy.ServerConnections] += connection
+	return true
+}
+
+// giveConnection hands what is held for a connection to a server over to the caller, who has to release it. It returns false if
+// nothing is held.
+func (m *requestMemory) giveConnection() bool {
+	if m == nil {
+		return false
+	}
+	m.account.mu.Lock()
+	defer m.account.mu.Unlock()
+	if m.closed || m.held[policy.ServerConnections] < policy.ServerConnectionCost {
+		return false
+	}
+	m.held[policy.ServerConnections] -= policy.ServerConnectionCost
+	return true
+}
+
+// releaseConnection releases what is held for a connection to a server, if anything is.
+func (m *requestMemory) releaseConnection() {
+	if m.giveConnection() {
+		m.account.charge(policy.ServerConnections, -policy.ServerConnectionCost)
+	}
+}
+
 // close releases all that is held for the request. Further calls change nothing.
 func (m *requestMemory) close() {
 	if m == nil {
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -16,7 +16,7 @@
 // getConn returns an idle connection that is still usable, or opens one.
 func (u *transport) getConn(x *exchange, address string, deadline time.Duration) (*conn, error) {
 	for {
-		c, err := u.takeIdle(address)
+		c, err := u.takeIdle(address, x.memory)
 		if err != nil {
 			return nil, err
 		}
@@ -41,18 +41,18 @@
 // reserveConn counts a connection that is about to be opened, if there is room without closing anything. The
 // caller holds the lock.
 func (u *transport) reserveConn() bool {
-	if u.open >= u.maxOpen || !u.hasRoom(u.open) || !u.memory.permits(policy.ServerConnections, policy.ServerConnectionCost) {
+	if u.open >= u.maxOpen || !u.hasRoom(u.open) || !u.memory.reserve(policy.ServerConnections, policy.ServerConnectionCost) {
 		return false
 	}
-	u.addOpen(1)
+	u.open++
 	u.dialled++
 	return true
 }
 
-// addOpen adds a number to the count of connections. The caller holds the lock.
-func (u *transport) addOpen(n int) {
-	u.open += n
-	u.memory.charge(policy.ServerConnections, n*policy.ServerConnectionCost)
+// removeOpen subtracts a number of closed connections from those that are counted. The caller holds the lock.
+func (u *transport) removeOpen(n int) {
+	u.open -= n
+	u.memory.charge(policy.ServerConnections, -n*policy.ServerConnectionCost)
 }
 
 // reserveExtraDial is reserveConn for a dial that runs in parallel to a late one.
@@ -118,8 +118,9 @@
 
 // takeIdle removes a connection from the pool: the most recently used of those that are reusable, else the one that
 // will be reusable first. If there is none it counts a connection that the caller is to open and returns nil; at the limit
-// an idle connection to another server is closed for it.
-func (u *transport) takeIdle(address string) (*conn, error) {
+// an idle connection to another server is closed for it. request holds the memory of the connection, or nothing after an
+// earlier attempt.
+func (u *transport) takeIdle(address string, request *requestMemory) (*conn, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now, list := u.clock.now(), u.idle[address]
@@ -139,14 +140,26 @@
 	if (u.open >= u.maxOpen || !u.makeRoom(u.open)) && !u.closeOldestIdle() {
 		return nil, errors.New("connection limit reached, and no idle connection to close")
 	}
-	if !u.memory.permits(policy.ServerConnections, policy.ServerConnectionCost) {
-		u.closeOldestIdle()
-	}
-	u.addOpen(1)
+	u.holdConnection(request)
+	u.open++
 	u.dialled++
 	return nil, nil
 }
 
+// holdConnection takes over what a request holds for a connection. If that is nothing, it reserves memory for one; if there is
+// none it closes an idle connection, and holds the memory in any case. The caller holds the lock.
+func (u *transport) holdConnection(request *requestMemory) {
+	const cost = policy.ServerConnectionCost
+	switch {
+	case u.memory == nil:
+		return
+	case request.giveConnection(), u.memory.reserve(policy.ServerConnections, cost):
+		return
+	}
+	u.closeOldestIdle()
+	u.memory.charge(policy.ServerConnections, cost)
+}
+
 // countIdleSince returns the number of connections to an address that have been idle since then or longer. The caller
 // holds the lock.
 func (u *transport) countIdleSince(address string, since time.Duration) int {
@@ -197,7 +210,7 @@
 	for _, c := range list[:n] {
 		c.Conn.Close()
 	}
-	u.addOpen(-n)
+	u.removeOpen(n)
 	if rest := list[n:]; len(rest) > 0 {
 		u.idle[address] = rest
 	} else {
@@ -252,7 +265,7 @@
 func (u *transport) discard(c *conn) {
 	c.Conn.Close()
 	u.mu.Lock()
-	u.addOpen(-1)
+	u.removeOpen(1)
 	u.mu.Unlock()
 }
 
--- a/internal/sidecar/room.go
+++ b/internal/sidecar/room.go
@@ -72,16 +72,16 @@
 // reserveRequest reserves the memory of a request, and closes connections that are silent or idle if there is none left. It
 // returns false if that is not enough.
 func (l *clients) reserveRequest(m *requestMemory) bool {
-	const cost = policy.OpenRequestCost
+	const cost = policy.OpenRequestCost + policy.ServerConnectionCost
 	for range 1 + cost/policy.ClientConnectionCost {
-		if m.reserve(policy.OpenRequests, cost) {
+		if m.reserveRequest() {
 			return true
 		}
 		if !l.shedIdle() {
 			return false
 		}
 	}
-	return m.reserve(policy.OpenRequests, cost)
+	return m.reserveRequest()
 }
 
 // shedIdle closes a connection that is silent or idle, and reports whether there was one.
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -307,6 +307,7 @@
 	case err != nil:
 		return nil, u.unsentEnding(x, outbound)
 	}
+	x.memory.releaseConnection() // a reused connection has been counted all along
 	stop := func() { c.Conn.Close() }
 	if outbound != nil && outbound.upload != nil {
 		stop = func() { c.Conn.Close(); outbound.upload.interrupt() }
