--- a/internal/sidecar/memory.go
+++ b/internal/sidecar/memory.go
@@ -41,16 +41,6 @@
 	return a.budget.Reserve(use, int64(bytes))
 }
 
-// permits reports whether a number of bytes may be held.
-func (a *memoryAccount) permits(use policy.MemoryUse, bytes int) bool {
-	if a == nil {
-		return true
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.budget.Permits(use, int64(bytes))
-}
-
 // charge records that a number of bytes are held for a use that can't be denied. A negative number releases them.
 func (a *memoryAccount) charge(use policy.MemoryUse, bytes int) {
 	if a == nil {
--- a/internal/sidecar/receivebuffer.go
+++ b/internal/sidecar/receivebuffer.go
@@ -45,7 +45,7 @@
 	var info unix.TCPInfo
 	n, err := getSocketOption(fd, unix.IPPROTO_TCP, unix.TCP_INFO, &info)
 	windowKnown := n >= int(unsafe.Offsetof(info.Rcv_wnd)+unsafe.Sizeof(info.Rcv_wnd)) // since Linux 6.2
-	return err == nil && windowKnown && info.Rcv_wnd < leastOpenWindow
+	return err == nil && windowKnown && info.Rcv_space > 0 && info.Rcv_wnd < leastOpenWindow
 }
 
 // receiveBufferFull reports whether the client may be unable to send what it has written, as the bytes before it are unread.
