--- a/internal/sidecar/front_test.go
+++ b/internal/sidecar/front_test.go
@@ -125,7 +125,7 @@
 	if answers, _ := io.ReadAll(many); strings.Count(string(answers), "HTTP/1.1 ") != 1 { // a reset after it counts as a close
 		t.Errorf("three without an id: %q, want one answer and a close", answers)
 	}
-	if res, body := sendRequest(t, side.newRequest(t, "POST", "/entry", strings.Repeat("x", maxBufferedBody))); res.StatusCode != 200 || body != "done r1" {
+	if res, body := sendRequest(t, side.newRequest(t, "POST", "/entry", strings.Repeat("x", maxBufferedBody), "X-Request-ID", "longest")); res.StatusCode != 200 || body != "done longest" {
 		t.Errorf("longest body: %s %q", res.Status, body)
 	}
 	if len(s.requests) != 1 {
