--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -140,20 +140,22 @@
 
 const (
 	pipelineBurst = 16               // requests in a row that a client may pipeline at full speed
-	pipelinePause = time.Millisecond // before each further one
+	pipelinePause = time.Millisecond // before each further one, for each pausedFields header fields
+	pausedFields  = 50
 )
 
 // beginRequest records that the next request on the connection of ctx has been handed to the handler. It pauses if that client
 // pipelines many requests: its goroutine would otherwise never wait, and the others would have the processor only when the
 // runtime preempts it.
 func (l *clients) beginRequest(ctx context.Context) {
-	if ctx.Value(connKey{}).(*clientConn).countRequest() > pipelineBurst {
-		time.Sleep(pipelinePause)
+	if pipelined, fields := ctx.Value(connKey{}).(*clientConn).countRequest(); pipelined > pipelineBurst {
+		time.Sleep(time.Duration(1+fields/pausedFields) * pipelinePause)
 	}
 }
 
-// countRequest counts a request that has been handed to the handler, and returns how many in a row were pipelined.
-func (c *clientConn) countRequest() int {
+// countRequest counts a request that has been handed to the handler. It returns how many in a row were pipelined, and the most
+// header fields of a head of which bytes came last.
+func (c *clientConn) countRequest() (pipelined, fields int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.handled++
@@ -161,7 +163,7 @@
 		c.pipelined = 0
 	}
 	c.handledDrains = c.drains
-	return c.pipelined
+	return c.pipelined, c.framing.mostFields
 }
 
 // arrivalProbe returns a probe for the body of the current request on the connection of ctx.
