--- a/cmd/caperarch/faults_test.go
+++ b/cmd/caperarch/faults_test.go
@@ -515,6 +515,7 @@
 // Every request must get its complete answer, or an end that its client can detect, at most half a second after its deadline.
 func TestAnswersEndInTime(t *testing.T) {
 	t.Run("stopping", stoppingAnswersLateRequests)
+	t.Run("stopping with a long deadline", stoppingAnswersBeforeEarliestKill)
 	t.Run("stalled stream", stalledStreamEnds)
 	t.Run("stalled long answer, with Content-Length", func(t *testing.T) { stalledLongAnswerEnds(t, "Content-Length: 200000", "") })
 	t.Run("stalled long answer, chunked", func(t *testing.T) { stalledLongAnswerEnds(t, "Transfer-Encoding: chunked", "30d40\r\n") })
@@ -551,6 +552,43 @@
 	all.Wait()
 }
 
+// longestStopDeadline is the longest deadline that lengthens the time from SIGTERM to the earliest SIGKILL, which follows killSlack
+// behind it.
+const (
+	longestStopDeadline = 3 * time.Second
+	killSlack           = 700 * time.Millisecond
+)
+
+// stoppingAnswersBeforeEarliestKill completes requests of a class whose deadline is longer than the stop may take, at various times
+// of the stop, while the server hangs. SIGKILL comes at the earliest moment; what came later than killSlack is answered before.
+func stoppingAnswersBeforeEarliestKill(t *testing.T) {
+	const deadline = 5 * time.Second
+	server := newQueueServer(t, func(net.Conn, string) {})
+	s := startFaulty(t, fmt.Sprintf(faultySettings, "127.0.0.1:1", server.listener.Addr(), deadline.Milliseconds()), false, nil, nil)
+	delays := []time.Duration{720, 900, 1200, 1700, 2200, 2400}
+	var clients []*client
+	for i := range delays {
+		c := s.connect() // gets part of a request, because a stop closes idle connections
+		text := request(fmt.Sprint("q", i), deadline)
+		c.send(text[:len(text)-2])
+		clients = append(clients, c)
+	}
+	time.Sleep(50 * time.Millisecond)
+	began := time.Now()
+	s.signal(syscall.SIGTERM)
+	var all sync.WaitGroup
+	for i, c := range clients {
+		all.Go(func() {
+			time.Sleep(time.Until(began.Add(delays[i] * time.Millisecond)))
+			c.send("\r\n")
+			c.wantAnswer(fmt.Sprint("q", i), http.StatusServiceUnavailable, http.StatusBadGateway, http.StatusGatewayTimeout)
+		})
+	}
+	time.Sleep(time.Until(began.Add(longestStopDeadline + killSlack)))
+	_ = syscall.Kill(s.pid, syscall.SIGKILL) // fails only if it has ended
+	all.Wait()
+}
+
 // stalledStreamEnds has a server begin an answer of unknown length and then stall.
 func stalledStreamEnds(t *testing.T) {
 	stalledAnswerEnds(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n")
