Let TestUnreadAnswersStayWithinBudget begin its answers once all requests are taken

Traced: answers that begin before the last requests come may fill their part of the budget, and a request that there is no memory for then is refused, as it is meant to be; the test waits for all seven. So the test was wrong about the order, not about the bound.

The server now answers once it has all seven requests.

--- a/internal/sidecar/memory_test.go
+++ b/internal/sidecar/memory_test.go
@@ -83,13 +83,21 @@
 func TestUnreadAnswersStayWithinBudget(t *testing.T) {
 	const clients = 7
 	budget := memoryFor(clients, 4*chunkSize)
-	s := newStub(t, longAnswer(unreadLength))
+	allTaken, answer := make(chan struct{}), longAnswer(unreadLength)
+	s := newStub(t, func(c net.Conn, r stubRequest) bool {
+		<-allTaken // answers that begin earlier may leave no memory for the last requests, which are refused then
+		return answer(c, r)
+	})
 	f, sidecar, serve := newTestFront(t, s.address, nil)
 	f.memory = limitedMemory(budget)
 	serve()
 	for range clients {
 		sidecar.sendUnread(t, 100)
 	}
+	for range clients {
+		wait(t, "a request", s.requests)
+	}
+	close(allTaken)
 	f.waitOnLoop(t, "the answers to begin", func() bool { return f.streams.active.Load() == clients })
 	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		if held := f.memory.total(); held > budget {
